--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 const neostandard = require('neostandard')
 
 module.exports = [
-  { ignores: ['**/lib/**', '**/gen/**', 'node_modules/**', 'docs/**', '.fleet/**'] },
+  { ignores: ['**/lib/**', 'target/**', '**/gen/**', 'node_modules/**', 'docs/**', '.fleet/**'] },
   ...neostandard({ ts: true, env: ['node', 'jest'] }),
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/anvilarch-serving/src/endpoints/connectionPools.ts
@@ -0,0 +1,70 @@
+/** Kept connections to endpoints, one pool for each incarnation. */
+import type { Endpoint } from '../model/types'
+import { Pool } from 'undici'
+
+/** Pools by endpoint. */
+export interface ConnectionPools {
+  poolOf: (endpoint: Endpoint) => Pool
+  /** Lets requests in progress end, then closes the connections. */
+  release: (endpoint: Endpoint) => void
+  closeAll: () => Promise<void>
+}
+
+/** Options of `createConnectionPools`. */
+export interface ConnectionPoolOptions {
+  /** Connections that this process may hold to one endpoint of a service. */
+  limitOf: (service: string) => number
+}
+
+/** A connection that takes longer is one whose packets are dropped; the aim of the fastest lookups is some 120 ms. */
+const CONNECT_TIMEOUT_MS = 400
+
+/** How long a connection is kept idle when the endpoint does not say. */
+const IDLE_TIMEOUT_MS = 4000
+
+/** Kept connections are given up this long before the endpoint would close them. */
+const IDLE_MARGIN_MS = 1000
+
+/**
+ * @param options - limits
+ * @returns pools, opened on first use
+ */
+export function createConnectionPools (options: ConnectionPoolOptions): ConnectionPools {
+  const pools = new Map<string, Pool>()
+  const idOf = (endpoint: Endpoint): string => `${endpoint.id}@${endpoint.address}`
+  return {
+    poolOf: endpoint => {
+      const id = idOf(endpoint)
+      let pool = pools.get(id)
+      if (pool === undefined) {
+        pool = new Pool(`http://${endpoint.address}`, {
+          connections: options.limitOf(endpoint.service),
+          pipelining: 1,
+          connectTimeout: CONNECT_TIMEOUT_MS,
+          keepAliveTimeout: IDLE_TIMEOUT_MS,
+          keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+          // The request's own timers end a silent answer.
+          headersTimeout: 0,
+          bodyTimeout: 0
+        })
+        // Failures to connect reach the request that wanted the connection.
+        pool.on('connectionError', () => {})
+        pools.set(id, pool)
+      }
+      return pool
+    },
+    release: endpoint => {
+      const pool = pools.get(idOf(endpoint))
+      if (pool === undefined) return
+      pools.delete(idOf(endpoint))
+      pool.close().catch(() => {
+        // Closing fails only when the pool is closed already.
+      })
+    },
+    closeAll: async () => {
+      const all = [...pools.values()]
+      pools.clear()
+      await Promise.all(all.map(pool => pool.destroy()))
+    }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -0,0 +1,130 @@
+/** The endpoints that may be sent to, from what the store lists. */
+import type { Clock, Logger } from 'anvilarch-utils'
+import type { Endpoint } from '../model/types'
+
+/** Endpoints by service. */
+export interface EndpointTable {
+  /** A new or changed entry. */
+  onEntry: (endpoint: Endpoint) => void
+  onRemoved: (id: string) => void
+  /** The whole list. */
+  onListing: (endpoints: Endpoint[]) => void
+  /** @returns endpoints that take new requests; those that are about to leave only when there are no others */
+  usable: (service: string) => Endpoint[]
+  /** @returns the endpoint with this id, also while it is leaving */
+  get: (id: string) => Endpoint | undefined
+  /** @returns the endpoint listed at this address */
+  atAddress: (address: string) => Endpoint | undefined
+  all: () => Endpoint[]
+  hasListing: () => boolean
+  onGone: (listener: (endpoint: Endpoint) => void) => void
+}
+
+/** When the store last failed a call of this process. */
+export interface StoreContact {
+  lastFailureMs: () => number | undefined
+}
+
+/** Options of `createEndpointTable`. */
+export interface EndpointTableOptions {
+  clock: Clock
+  log: Logger
+  contact: StoreContact
+}
+
+/** An endpoint that leaves is used as a last resort for this long. It serves for 2 s after the store has said so. */
+export const LAST_RESORT_MS = 1000
+
+/**
+ * Entries that lapse while the store is away come back within two seconds of its return, if their endpoint lives.
+ * An entry that goes this soon after a failed call is kept until then.
+ */
+export const LAPSE_GRACE_MS = 2200
+
+interface Entry {
+  endpoint: Endpoint
+  /** When the entry began to leave: it drains or is gone. */
+  leavingSinceMs?: number
+  gone: boolean
+  /** An entry that may only have lapsed counts as there until this time. */
+  heldUntilMs?: number
+}
+
+/**
+ * @param options - clock and contact to the store
+ * @returns a table without endpoints
+ */
+export function createEndpointTable (options: EndpointTableOptions): EndpointTable {
+  const { clock, log, contact } = options
+  const entries = new Map<string, Entry>()
+  const goneListeners: Array<(endpoint: Endpoint) => void> = []
+  let listed = false
+
+  const put = (endpoint: Endpoint): void => {
+    const known = entries.get(endpoint.id)
+    const draining = endpoint.state === 'draining'
+    if (known === undefined || known.endpoint.state !== endpoint.state || known.gone) {
+      log.info('endpoint listed', { endpoint: endpoint.id, service: endpoint.service, address: endpoint.address, state: endpoint.state })
+    }
+    entries.set(endpoint.id, {
+      endpoint,
+      gone: false,
+      ...draining ? { leavingSinceMs: known?.leavingSinceMs ?? clock.nowMs() } : {}
+    })
+  }
+
+  const remove = (id: string): void => {
+    const entry = entries.get(id)
+    if (entry === undefined || entry.gone) return
+    const nowMs = clock.nowMs()
+    const failedAtMs = contact.lastFailureMs()
+    const lapsed = failedAtMs !== undefined && nowMs - failedAtMs < LAPSE_GRACE_MS && entry.endpoint.state === 'ready'
+    entry.gone = true
+    entry.leavingSinceMs ??= lapsed ? nowMs + LAPSE_GRACE_MS : nowMs
+    if (lapsed) entry.heldUntilMs = nowMs + LAPSE_GRACE_MS
+    log.info('endpoint removed from the list', { endpoint: id, service: entry.endpoint.service, held: lapsed })
+  }
+
+  const takesRequests = (entry: Entry, nowMs: number): boolean => {
+    if (!entry.gone) return entry.endpoint.state === 'ready'
+    return entry.heldUntilMs !== undefined && nowMs < entry.heldUntilMs
+  }
+
+  const lastResort = (entry: Entry, nowMs: number): boolean =>
+    entry.leavingSinceMs !== undefined && nowMs - entry.leavingSinceMs < LAST_RESORT_MS
+
+  const sweep = (nowMs: number): void => {
+    for (const [id, entry] of entries) {
+      if (!entry.gone || takesRequests(entry, nowMs) || lastResort(entry, nowMs)) continue
+      entries.delete(id)
+      for (const listener of goneListeners) listener(entry.endpoint)
+    }
+  }
+
+  return {
+    onEntry: put,
+    onRemoved: remove,
+    onListing: endpoints => {
+      listed = true
+      const ids = new Set(endpoints.map(endpoint => endpoint.id))
+      for (const id of [...entries.keys()]) if (!ids.has(id)) remove(id)
+      endpoints.forEach(put)
+    },
+    usable: service => {
+      const nowMs = clock.nowMs()
+      sweep(nowMs)
+      const ofService = [...entries.values()].filter(entry => entry.endpoint.service === service)
+      const ready = ofService.filter(entry => takesRequests(entry, nowMs))
+      const chosen = ready.length > 0 ? ready : ofService.filter(entry => lastResort(entry, nowMs))
+      return chosen.map(entry => entry.endpoint)
+    },
+    get: id => entries.get(id)?.endpoint,
+    atAddress: address => {
+      const there = [...entries.values()].filter(entry => entry.endpoint.address === address)
+      return (there.find(entry => !entry.gone) ?? there[0])?.endpoint
+    },
+    all: () => [...entries.values()].filter(entry => !entry.gone).map(entry => entry.endpoint),
+    hasListing: () => listed,
+    onGone: listener => { goneListeners.push(listener) }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/endpoints/exchange.ts
@@ -0,0 +1,97 @@
+/** One HTTP exchange with an endpoint over a kept connection. */
+import type { Pool } from 'undici'
+
+/** What is sent. */
+export interface ExchangeRequest {
+  method: string
+  path: string
+  /** Names and values in turn, as they go on the wire. */
+  headers: string[]
+  body: Buffer | undefined
+}
+
+/** Why an exchange ended without a whole answer. */
+export interface ExchangeFailure {
+  /** True when no byte of the request has left, so that it cannot have run. */
+  notSent: boolean
+  reason: string
+}
+
+/** What the sender hears; exactly one of `onComplete` and `onFailure`, last. */
+export interface ExchangeListener {
+  onHead: (status: number, headers: Map<string, string>, rawHeaders: string[]) => void
+  onData: (chunk: Buffer) => void
+  onComplete: () => void
+  onFailure: (failure: ExchangeFailure) => void
+}
+
+/** An exchange in progress. */
+export interface Exchange {
+  /** Closes the connection, by which the endpoint drops the request. Nothing is heard afterwards. */
+  abort: () => void
+}
+
+/**
+ * @param pool - connections to the endpoint
+ * @param request - what is sent
+ * @param listener - hears of the answer
+ * @returns the exchange
+ */
+export function startExchange (pool: Pool, request: ExchangeRequest, listener: ExchangeListener): Exchange {
+  let abortUpstream: ((error?: Error) => void) | undefined
+  let ended = false
+  let aborted = false
+  const finish = (notify: () => void): void => {
+    if (ended) return
+    ended = true
+    notify()
+  }
+  const fail = (error: Error): void => finish(() => {
+    listener.onFailure({ notSent: abortUpstream === undefined, reason: reasonOf(error) })
+  })
+  const handler = {
+    onConnect: (abort: (error?: Error) => void) => {
+      if (aborted) abort()
+      else abortUpstream = abort
+    },
+    onHeaders: (status: number, raw: Buffer[]) => {
+      if (ended || status < 200) return true
+      const rawHeaders = raw.map(text => text.toString('latin1'))
+      listener.onHead(status, headerMap(rawHeaders), rawHeaders)
+      return true
+    },
+    onData: (chunk: Buffer) => {
+      if (!ended) listener.onData(chunk)
+      return true
+    },
+    onComplete: () => finish(listener.onComplete),
+    onError: fail
+  }
+  try {
+    pool.dispatch({
+      method: request.method as 'POST',
+      path: request.path,
+      headers: request.headers,
+      body: request.body
+    }, handler)
+  } catch (error) {
+    queueMicrotask(() => fail(error as Error))
+  }
+  return {
+    abort: () => {
+      aborted = true
+      ended = true
+      abortUpstream?.(new Error('aborted by the sender'))
+    }
+  }
+}
+
+function headerMap (rawHeaders: readonly string[]): Map<string, string> {
+  const map = new Map<string, string>()
+  for (let index = 0; index < rawHeaders.length; index += 2) map.set(rawHeaders[index].toLowerCase(), rawHeaders[index + 1])
+  return map
+}
+
+function reasonOf (error: Error & { code?: string }): string {
+  return error.code ?? error.message
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/endpoints/loadTable.ts
@@ -0,0 +1,128 @@
+/** How busy each endpoint is: reports of its agent, and what this process has sent since. */
+import type { Clock } from 'anvilarch-utils'
+
+/** What an agent says of the engine beside it. */
+export interface LoadReport {
+  endpointId: string
+  /** Requests that run, batch items included. */
+  running: number
+  waiting: number
+  /** Batch items among those that run; they give way within some ten milliseconds. */
+  batchRunning: number
+  /** False when the engine does not answer its agent. */
+  reachable: boolean
+}
+
+/** Load as far as this process can tell. */
+export interface EndpointLoad {
+  /** Requests that run or wait and do not give way. */
+  online: number
+  waiting: number
+  batchRunning: number
+  /** Requests of this process that are in progress there. */
+  ownInProgress: number
+  /** Failures have been seen that other endpoints do not show. */
+  suspected: boolean
+}
+
+/** Loads by endpoint. */
+export interface LoadTable {
+  onReport: (report: LoadReport) => void
+  onSent: (endpointId: string) => void
+  onEnded: (endpointId: string) => void
+  /** The endpoint failed to answer or answered with bytes that are no answer. */
+  onFailure: (endpointId: string) => void
+  onSuccess: (endpointId: string) => void
+  loadOf: (endpointId: string) => EndpointLoad
+  forget: (endpointId: string) => void
+}
+
+/** Reports come every 50 ms; an older one than this says nothing, and own counts alone are used. */
+export const REPORT_MAX_AGE_MS = 600
+
+/** A report does not show what was sent this shortly before it came: the way to the engine and back. */
+export const REPORT_TRANSIT_MS = 10
+
+/** First time that an endpoint is passed over after a failure, doubled by each further one. */
+export const SUSPECT_MS = 300
+
+/** Longest time that an endpoint is passed over before it is tried again. */
+export const MAX_SUSPECT_MS = 4000
+
+interface Entry {
+  report?: LoadReport
+  reportedAtMs: number
+  ownInProgress: number
+  /** Changes by this process since shortly before the last report. */
+  sentAtMs: number[]
+  endedAtMs: number[]
+  failures: number
+  suspectedUntilMs: number
+}
+
+/**
+ * @param clock - local clock
+ * @returns a table without loads
+ */
+export function createLoadTable (clock: Clock): LoadTable {
+  const entries = new Map<string, Entry>()
+  const entryOf = (endpointId: string): Entry => {
+    let entry = entries.get(endpointId)
+    if (entry === undefined) {
+      entry = { reportedAtMs: -Infinity, ownInProgress: 0, sentAtMs: [], endedAtMs: [], failures: 0, suspectedUntilMs: -Infinity }
+      entries.set(endpointId, entry)
+    }
+    return entry
+  }
+
+  return {
+    onReport: report => {
+      const entry = entryOf(report.endpointId)
+      const nowMs = clock.nowMs()
+      entry.report = report
+      entry.reportedAtMs = nowMs
+      entry.sentAtMs = entry.sentAtMs.filter(atMs => atMs > nowMs - REPORT_TRANSIT_MS)
+      entry.endedAtMs = entry.endedAtMs.filter(atMs => atMs > nowMs - REPORT_TRANSIT_MS)
+    },
+    onSent: endpointId => {
+      const entry = entryOf(endpointId)
+      entry.ownInProgress++
+      entry.sentAtMs.push(clock.nowMs())
+    },
+    onEnded: endpointId => {
+      const entry = entryOf(endpointId)
+      entry.ownInProgress = Math.max(0, entry.ownInProgress - 1)
+      entry.endedAtMs.push(clock.nowMs())
+    },
+    onFailure: endpointId => {
+      const entry = entryOf(endpointId)
+      entry.failures++
+      const passOverMs = Math.min(MAX_SUSPECT_MS, SUSPECT_MS * 2 ** (entry.failures - 1))
+      entry.suspectedUntilMs = clock.nowMs() + passOverMs
+    },
+    onSuccess: endpointId => {
+      const entry = entryOf(endpointId)
+      entry.failures = 0
+      entry.suspectedUntilMs = -Infinity
+    },
+    loadOf: endpointId => {
+      const entry = entryOf(endpointId)
+      const nowMs = clock.nowMs()
+      const fresh = entry.report !== undefined && nowMs - entry.reportedAtMs <= REPORT_MAX_AGE_MS
+      const suspected = nowMs < entry.suspectedUntilMs || (fresh && entry.report?.reachable === false)
+      if (!fresh || entry.report === undefined) {
+        return { online: entry.ownInProgress, waiting: 0, batchRunning: 0, ownInProgress: entry.ownInProgress, suspected }
+      }
+      const reported = entry.report.running - entry.report.batchRunning + entry.report.waiting
+      const since = entry.sentAtMs.length - entry.endedAtMs.length
+      return {
+        online: Math.max(0, reported + since),
+        waiting: entry.report.waiting,
+        batchRunning: entry.report.batchRunning,
+        ownInProgress: entry.ownInProgress,
+        suspected
+      }
+    },
+    forget: endpointId => { entries.delete(endpointId) }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -0,0 +1,114 @@
+/** Accepts a job: all of it is in the store before the client hears so. */
+import { sleep } from 'anvilarch-utils'
+import type { Route } from '../model/types'
+import { newJob } from './jobRecord'
+import { jobKey, recordRow, submissionObject } from './jobRows'
+import { type JobParts, readJob } from './jobStore'
+import { planReservation, quotaKey, type Reservation } from './quota'
+import { encodeSubmission } from './submission'
+import type { JobItem } from './types'
+
+/** A job as a client hands it in. */
+export interface Submission {
+  jobId: string
+  host: string
+  path: string
+  items: JobItem[]
+}
+
+/**
+ * How a submission ended. `refused` and `over_limit`: no part of this submission will ever run.
+ * `unknown`: it may have been accepted, and only another submission of the same job can tell.
+ */
+export type AcceptOutcome = 'accepted' | 'over_limit' | 'refused' | 'unknown'
+
+/** Pause between tries while the store refuses. */
+const RETRY_PAUSE_MS = 120
+
+/**
+ * @param parts - store and copy of the jobs
+ * @param route - the route of the submission
+ * @param submission - the job
+ * @param untilMs - local time until which an answer is of use
+ * @returns how it ended
+ */
+export async function acceptJob (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
+  if (parts.work.job(submission.jobId) !== undefined) return 'accepted'
+  // A repeat may come before the feed has told of the job: a limit that the job itself has filled must not turn it away.
+  const known = await readJob(parts, submission.jobId)
+  if (known.ok && known.val !== undefined) return 'accepted'
+  const [stored, reserved] = await Promise.all([
+    storeItems(parts, submission, untilMs),
+    reserveTokens(parts, route, submission, untilMs)
+  ])
+  if (reserved !== 'accepted') return reserved
+  if (!stored) return 'refused'
+  return await createJob(parts, route, submission, untilMs)
+}
+
+async function storeItems (parts: JobParts, submission: Submission, untilMs: number): Promise<boolean> {
+  const bytes = encodeSubmission(submission.items)
+  for (;;) {
+    const outcome = await parts.store.writeObject(submissionObject(submission.jobId), bytes)
+    if (outcome === 'stored' || outcome === 'exists') return true
+    if (parts.clock.nowMs() > untilMs) return false
+    await sleep(parts.clock, RETRY_PAUSE_MS)
+  }
+}
+
+async function reserveTokens (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
+  if (route.waitingTokenLimit === 0) return 'accepted'
+  const key = quotaKey(route.name)
+  const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0)
+  for (;;) {
+    const read = await parts.store.readRows({ ...key, from: key.key, to: key.key + '\u0001' })
+    if (read.ok) {
+      const row = read.val.rows.find(candidate => candidate.key === key.key)
+      const current = row === undefined ? [] : JSON.parse(row.value.toString()) as Reservation[]
+      const wanted = { jobId: submission.jobId, tokens, reservedAtMs: parts.store.storeNowMs() ?? 0 }
+      const plan = planReservation(current, wanted, route.waitingTokenLimit, parts.work)
+      if (plan.plan === 'already_reserved') return 'accepted'
+      if (plan.plan === 'full') {
+        parts.log.info('job over the limit of waiting tokens', { jobId: submission.jobId, tokens, waitingTokens: plan.waitingTokens, limitTokens: route.waitingTokenLimit })
+        return 'over_limit'
+      }
+      const outcome = await parts.store.commit({
+        conditions: [{ ...key, version: row?.version ?? 0 }],
+        puts: [{ ...key, value: Buffer.from(JSON.stringify(plan.reservations)) }],
+        removes: []
+      })
+      if (outcome.outcome === 'committed') return 'accepted'
+      if (outcome.outcome === 'conflict' && parts.clock.nowMs() < untilMs) continue
+    }
+    if (parts.clock.nowMs() > untilMs) return 'refused'
+    await sleep(parts.clock, RETRY_PAUSE_MS)
+  }
+}
+
+async function createJob (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
+  const key = jobKey(submission.jobId)
+  let doubtful = false
+  for (;;) {
+    const nowMs = parts.store.storeNowMs()
+    if (nowMs !== undefined) {
+      const row = recordRow(key, newJob(submission.items, {
+        jobId: submission.jobId,
+        host: submission.host,
+        path: submission.path,
+        nowMs,
+        dueMs: route.jobDueMs,
+        expiryMs: route.jobExpiryMs,
+        maxAttempts: route.maxAttempts
+      }))
+      const outcome = await parts.store.commit({ conditions: [{ ...key, version: 0 }], puts: [row], removes: [] })
+      if (outcome.outcome === 'committed') {
+        parts.work.learn({ ...row, version: outcome.version })
+        return 'accepted'
+      }
+      if (outcome.outcome === 'conflict') return 'accepted'
+      doubtful = doubtful || outcome.outcome === 'unknown'
+    }
+    if (parts.clock.nowMs() > untilMs) return doubtful ? 'unknown' : 'refused'
+    await sleep(parts.clock, RETRY_PAUSE_MS)
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -0,0 +1,209 @@
+/** The calls by which clients hand in, read and end jobs. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { sleep } from 'anvilarch-utils'
+import findMyWay from 'find-my-way'
+import type { RequestMetadata, Route } from '../model/types'
+import { type ClosingNotice, sendJson, sendOwnAnswer } from '../requests/clientAnswer'
+import type { JobWire } from '../roles/types'
+import type { ServingMetrics } from '../telemetry/metrics'
+import { acceptJob } from './acceptJob'
+import { endJob, isClosed } from './jobRecord'
+import { changeJob, type JobParts, readJob } from './jobStore'
+import type { ResultReader } from './resultReader'
+import type { JobRecord } from './types'
+
+/** Parts of the job calls. */
+export interface JobCallParts extends JobParts {
+  metrics: ServingMetrics
+  results: ResultReader
+  wire: JobWire
+  notice: ClosingNotice
+}
+
+/** A submission that has been read. */
+export interface SubmitCall {
+  request: IncomingMessage
+  response: ServerResponse
+  route: Route
+  body: Buffer
+  metadata: RequestMetadata
+  arrivedAtMs: number
+}
+
+/** Handles the calls about jobs. */
+export interface JobCalls {
+  /** @returns whether the request was a call about a job */
+  handle: (request: IncomingMessage, response: ServerResponse) => Promise<boolean>
+  submit: (call: SubmitCall) => Promise<void>
+}
+
+/** A gateway gives a submission back this long before the client would stop waiting. */
+const SUBMIT_MARGIN_MS = 500
+
+/** Longest time that one gateway tries to accept a job; another gateway may reach the store. */
+const MAX_SUBMIT_MS = 1500
+
+/** How long a read or an end of a job is tried. Clients send it again. */
+const CALL_TIMEOUT_MS = 1200
+
+/** When an ended or refused call may come again. */
+const RETRY_AFTER_MS = 400
+
+/** Waiting tokens go down item by item; an item takes some seconds. */
+const OVER_LIMIT_RETRY_AFTER_MS = 1000
+
+/** Longest wait of a read for results. */
+const MAX_READ_WAIT_MS = 1000
+
+const RETRY_PAUSE_MS = 120
+
+/**
+ * @param parts - store, results and wire
+ * @returns handlers of the job calls
+ */
+export function createJobCalls (parts: JobCallParts): JobCalls {
+  const router = findMyWay()
+  let handled: Promise<void> | undefined
+  router.on('GET', parts.wire.resultsPath, (request, response, params, _store, query) => {
+    handled = readResults(parts, request as IncomingMessage, response as ServerResponse, params.id ?? '', query[parts.wire.afterParameter])
+  })
+  router.on('GET', parts.wire.itemPath, (_request, response, params, _store, query) => {
+    handled = readItem(parts, response as ServerResponse, params.id ?? '', query[parts.wire.itemParameter] ?? '')
+  })
+  router.on('DELETE', parts.wire.resultsPath, (_request, response, params) => {
+    handled = end(parts, response as ServerResponse, params.id ?? '')
+  })
+  return {
+    handle: async (request, response) => {
+      const found = router.find(request.method as 'GET', request.url?.split('?')[0] ?? '/')
+      if (found === null) return false
+      request.resume()
+      handled = undefined
+      router.lookup(request, response)
+      await handled
+      return true
+    },
+    submit: call => submit(parts, call)
+  }
+}
+
+async function submit (parts: JobCallParts, call: SubmitCall): Promise<void> {
+  const { response, metadata, route } = call
+  const items = parts.wire.decodeSubmission(call.body)
+  if (!Array.isArray(items)) {
+    sendOwnAnswer(response, { status: 400, code: 'bad_job', message: items.problem }, parts.notice)
+    return
+  }
+  const patienceMs = Math.min(MAX_SUBMIT_MS, (metadata.deadlineMs ?? Infinity) - SUBMIT_MARGIN_MS)
+  const outcome = await acceptJob(parts, route, {
+    jobId: metadata.requestId,
+    host: call.request.headers.host ?? '',
+    path: call.request.url ?? '/',
+    items
+  }, call.arrivedAtMs + patienceMs)
+  parts.metrics.jobCalls.inc({ call: 'submit', outcome })
+  parts.log.info('job submitted', { jobId: metadata.requestId, route: route.name, itemCount: items.length, outcome, elapsedMs: Math.round(parts.clock.nowMs() - call.arrivedAtMs) })
+  switch (outcome) {
+    case 'accepted':
+      sendJson(response, 202, {}, parts.notice)
+      return
+    case 'over_limit':
+      sendOwnAnswer(response, { status: 429, code: 'over_limit', message: 'too many tokens wait on this route', retryAfterMs: OVER_LIMIT_RETRY_AFTER_MS }, parts.notice)
+      return
+    case 'refused':
+      sendOwnAnswer(response, { status: 503, code: 'store_unavailable', message: 'the job could not be stored and will not run', retryAfterMs: RETRY_AFTER_MS }, parts.notice)
+      return
+    case 'unknown':
+      sendOwnAnswer(response, { status: 504, code: 'outcome_unknown', message: 'the store has not said whether the job is stored' }, parts.notice)
+  }
+}
+
+async function readResults (parts: JobCallParts, request: IncomingMessage, response: ServerResponse, jobId: string, after: string | undefined): Promise<void> {
+  const position = Math.max(0, Number.parseInt(after ?? '0', 10) || 0)
+  const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
+  const job = await findJob(parts, jobId, position, untilMs)
+  if (job === 'unavailable') {
+    unavailable(parts, response, 'read')
+    return
+  }
+  if (job === undefined) {
+    notFound(parts, response, 'read')
+    return
+  }
+  const waitMs = Math.min(MAX_READ_WAIT_MS, parts.wire.waitMs(request.headers))
+  const current = await waitForResults(parts, job, position, waitMs, response)
+  const page = await parts.results.page(current, position)
+  if (page.err) {
+    unavailable(parts, response, 'read')
+    return
+  }
+  parts.metrics.jobCalls.inc({ call: 'read', outcome: 'answered' })
+  sendJson(response, 200, parts.wire.encodePage(page.val), parts.notice)
+}
+
+/** The copy may lag behind what another gateway has told the client: a position beyond it is looked for in the store. */
+async function findJob (parts: JobCallParts, jobId: string, position: number, untilMs: number): Promise<JobRecord | undefined | 'unavailable'> {
+  const known = parts.work.job(jobId)?.record
+  if (known !== undefined && known.listed.length >= position) return known
+  for (;;) {
+    const read = await readJob(parts, jobId)
+    if (read.ok) return read.val?.record
+    if (parts.clock.nowMs() > untilMs) return 'unavailable'
+    await sleep(parts.clock, RETRY_PAUSE_MS)
+  }
+}
+
+async function waitForResults (parts: JobCallParts, job: JobRecord, position: number, waitMs: number, response: ServerResponse): Promise<JobRecord> {
+  const hasNews = (): boolean => {
+    const current = parts.work.job(job.jobId)?.record ?? job
+    return current.listed.length > position || isClosed(current)
+  }
+  if (waitMs > 0 && !hasNews()) {
+    const wake = new AbortController()
+    const unsubscribe = parts.work.subscribe(() => { if (hasNews()) wake.abort() })
+    response.on('close', () => wake.abort())
+    await sleep(parts.clock, waitMs, wake.signal)
+    unsubscribe()
+  }
+  const current = parts.work.job(job.jobId)?.record
+  return current !== undefined && current.listed.length >= job.listed.length ? current : job
+}
+
+async function readItem (parts: JobCallParts, response: ServerResponse, jobId: string, itemId: string): Promise<void> {
+  const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
+  const job = await findJob(parts, jobId, 0, untilMs)
+  if (job === undefined || (job !== 'unavailable' && !job.itemIds.includes(itemId))) {
+    notFound(parts, response, 'item')
+    return
+  }
+  const items = job === 'unavailable' ? undefined : await parts.results.items(jobId)
+  const body = items?.ok === true ? items.val?.find(item => item.id === itemId)?.body : undefined
+  if (body === undefined) {
+    unavailable(parts, response, 'item')
+    return
+  }
+  parts.metrics.jobCalls.inc({ call: 'item', outcome: 'answered' })
+  if (parts.notice.isLeaving()) response.setHeader('Connection', 'close')
+  response.writeHead(200, { 'Content-Type': 'application/octet-stream', 'Content-Length': body.length })
+  response.end(body)
+}
+
+async function end (parts: JobCallParts, response: ServerResponse, jobId: string): Promise<void> {
+  const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
+  const outcome = await changeJob(parts, jobId, job => job.ended ? undefined : { next: endJob(job) }, untilMs)
+  parts.metrics.jobCalls.inc({ call: 'end', outcome })
+  parts.log.info('job ended by its client', { jobId, outcome })
+  if (outcome === 'applied' || outcome === 'not_applicable') sendJson(response, 200, {}, parts.notice)
+  else if (outcome === 'no_such_job') notFound(parts, response, 'end')
+  else unavailable(parts, response, 'end')
+}
+
+function notFound (parts: JobCallParts, response: ServerResponse, call: string): void {
+  parts.metrics.jobCalls.inc({ call, outcome: 'not_found' })
+  sendOwnAnswer(response, { status: 404, code: 'no_such_job', message: 'no such job or item' }, parts.notice)
+}
+
+function unavailable (parts: JobCallParts, response: ServerResponse, call: string): void {
+  parts.metrics.jobCalls.inc({ call, outcome: 'unavailable' })
+  sendOwnAnswer(response, { status: 503, code: 'store_unavailable', message: 'the store does not answer', retryAfterMs: RETRY_AFTER_MS }, parts.notice)
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/jobs/jobRecord.ts
@@ -0,0 +1,94 @@
+/** What may happen to a job, as pure functions of its row. */
+import type { ItemOutcome, JobItem, JobRecord } from './types'
+
+/** What a submission needs beyond its items. */
+export interface JobTerms {
+  jobId: string
+  host: string
+  path: string
+  nowMs: number
+  dueMs: number
+  expiryMs: number
+  maxAttempts: number
+}
+
+/**
+ * @param items - as submitted
+ * @param terms - route and time of the submission
+ * @returns the first row of the job
+ */
+export function newJob (items: readonly JobItem[], terms: JobTerms): JobRecord {
+  return {
+    jobId: terms.jobId,
+    host: terms.host,
+    path: terms.path,
+    submittedAtMs: terms.nowMs,
+    dueAtMs: terms.nowMs + terms.dueMs,
+    expiresAtMs: terms.nowMs + terms.expiryMs,
+    maxAttempts: terms.maxAttempts,
+    itemIds: items.map(item => item.id),
+    itemTokens: items.map(item => item.tokens),
+    listed: [],
+    failures: {},
+    ended: false
+  }
+}
+
+/** @returns whether the item already has a position */
+export function isListed (job: JobRecord, item: number): boolean {
+  return job.listed.some(entry => entry.item === item)
+}
+
+/** @returns places of the items without a position */
+export function openItems (job: JobRecord): number[] {
+  if (job.ended) return []
+  const listed = new Set(job.listed.map(entry => entry.item))
+  return job.itemIds.map((_, item) => item).filter(item => !listed.has(item))
+}
+
+/** @returns whether nothing is left to run */
+export function isClosed (job: JobRecord): boolean {
+  return job.ended || job.listed.length >= job.itemIds.length
+}
+
+/** @returns tokens of the items that still wait or run */
+export function waitingTokens (job: JobRecord): number {
+  return openItems(job).reduce((sum, item) => sum + job.itemTokens[item], 0)
+}
+
+/**
+ * Gives an item the next position.
+ *
+ * @param job - the row as read
+ * @param item - place of the item
+ * @param outcome - how it ended
+ * @returns the next row, or undefined when the job has ended or the item has a position already
+ */
+export function listItem (job: JobRecord, item: number, outcome: ItemOutcome): JobRecord | undefined {
+  if (job.ended || isListed(job, item)) return undefined
+  return { ...job, listed: [...job.listed, { item, outcome }] }
+}
+
+/**
+ * Counts a failed attempt, and gives the item up after the last one allowed.
+ *
+ * @param job - the row as read
+ * @param item - place of the item
+ * @returns the next row, or undefined when the item is no longer open
+ */
+export function countFailure (job: JobRecord, item: number): JobRecord | undefined {
+  if (job.ended || isListed(job, item)) return undefined
+  const failures = (job.failures[item] ?? 0) + 1
+  const counted = { ...job, failures: { ...job.failures, [item]: failures } }
+  return failures >= job.maxAttempts ? listItem(counted, item, 'dead_letter') : counted
+}
+
+/** @returns the row of the job after a client has ended it */
+export function endJob (job: JobRecord): JobRecord {
+  return { ...job, ended: true }
+}
+
+/** @returns whether an item may be given up for its age */
+export function isExpired (job: JobRecord, storeNowMs: number): boolean {
+  return storeNowMs > job.expiresAtMs
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -0,0 +1,56 @@
+/**
+ * Keeps the tokens that wait on a route under its limit over all gateways.
+ *
+ * Each acceptance adds its job to one row under the version of that row, so two gateways cannot both take the last of the room.
+ */
+import type { RowKey } from '../store/types'
+import { waitingTokens } from './jobRecord'
+import { QUOTA_TABLE } from './jobRows'
+import type { WorkTable } from './workTable'
+
+/** A job that counts against the limit. */
+export interface Reservation {
+  jobId: string
+  tokens: number
+  /** Store time of the reservation. */
+  reservedAtMs: number
+}
+
+/** What a reservation comes to. */
+export type ReservationPlan =
+  | { plan: 'reserve', reservations: Reservation[] }
+  | { plan: 'already_reserved' }
+  | { plan: 'full', waitingTokens: number }
+
+/** A reservation whose job has not appeared after this long is one whose acceptance failed. Writes may land seconds late. */
+export const RESERVATION_GRACE_MS = 15_000
+
+/** @returns key of the row for a route */
+export function quotaKey (routeName: string): RowKey {
+  return { table: QUOTA_TABLE, partition: `quota-${routeName}`, key: 'waiting' }
+}
+
+/**
+ * @param current - jobs that hold tokens, from the row
+ * @param wanted - the new job
+ * @param limitTokens - most tokens that may wait
+ * @param work - the copy of all jobs, which tells what of each reservation still waits
+ * @returns the next list of reservations, or how many tokens wait when the job does not fit
+ */
+export function planReservation (
+  current: readonly Reservation[], wanted: Reservation, limitTokens: number, work: Pick<WorkTable, 'job'>
+): ReservationPlan {
+  if (current.some(reservation => reservation.jobId === wanted.jobId)) return { plan: 'already_reserved' }
+  const still = current
+    .map(reservation => ({ ...reservation, tokens: stillWaiting(reservation, wanted.reservedAtMs, work) }))
+    .filter(reservation => reservation.tokens > 0)
+  const waiting = still.reduce((sum, reservation) => sum + reservation.tokens, 0)
+  if (waiting + wanted.tokens > limitTokens) return { plan: 'full', waitingTokens: waiting }
+  return { plan: 'reserve', reservations: [...still, wanted] }
+}
+
+function stillWaiting (reservation: Reservation, nowMs: number, work: Pick<WorkTable, 'job'>): number {
+  const job = work.job(reservation.jobId)
+  if (job !== undefined) return Math.min(reservation.tokens, waitingTokens(job.record))
+  return nowMs - reservation.reservedAtMs > RESERVATION_GRACE_MS ? 0 : reservation.tokens
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/model/types.ts
@@ -0,0 +1,97 @@
+/** What the serving core knows of routes, services, endpoints and limits. Adapters build these from their wire. */
+
+/**
+ * What may be repeated.
+ * `idempotent` requests may run any number of times, `once` at most once for each client attempt,
+ * `stream` answers with events, and `batch` accepts jobs.
+ */
+export type RouteKind = 'idempotent' | 'once' | 'stream' | 'batch'
+
+/** A service that a route sends to, and its share of the route's requests. */
+export interface RouteTarget {
+  service: string
+  /** Share relative to the other targets of the route. */
+  weight: number
+}
+
+/** One route of the configuration. */
+export interface Route {
+  name: string
+  host: string
+  pathPrefix: string
+  kind: RouteKind
+  targets: RouteTarget[]
+  /** Longest time that a request is kept waiting, from its arrival. */
+  timeoutMs: number
+  /** Time to the answer, or to the first event, that still counts as on time. */
+  latencyObjectiveMs: number
+  /** Longest pause between two events that still counts as on time; 0 when the route has none. */
+  gapObjectiveMs: number
+  /** 0 is the most urgent. */
+  priority: number
+  /** Most endpoints that one client attempt may run on. */
+  maxAttempts: number
+  /** Whether a stream may go on at another endpoint after its last event. */
+  resumable: boolean
+  /** Batch: time from the first submission until all results are due. */
+  jobDueMs: number
+  /** Batch: time from the first submission after which an item may be given up. */
+  jobExpiryMs: number
+  /** Batch: most tokens that may wait on the route over all gateways; 0 means no limit. */
+  waitingTokenLimit: number
+}
+
+/** One service of the configuration. */
+export interface Service {
+  name: string
+  /** Connections that one endpoint accepts from all callers together. */
+  maxConnections: number
+  /** Requests that a model engine runs at once; undefined for plain services. */
+  engineSlots: number | undefined
+}
+
+/** Bounds on what a client may send. */
+export interface ClientLimits {
+  maxHeaderBytes: number
+  maxBodyBytes: number
+  headerTimeoutMs: number
+  idleTimeoutMs: number
+}
+
+/** One version of the configuration. */
+export interface Configuration {
+  version: number
+  routes: Route[]
+  services: Map<string, Service>
+  limits: ClientLimits
+}
+
+/** Whether an endpoint takes new requests. */
+export type EndpointState = 'ready' | 'draining'
+
+/** One incarnation of an endpoint, as the store lists it. */
+export interface Endpoint {
+  /** Id of the incarnation; a restarted endpoint has a new one. */
+  id: string
+  service: string
+  /** IP and port. */
+  address: string
+  failureDomain: string
+  slots: number
+  state: EndpointState
+  /** How much longer the endpoint is slow after its start. */
+  coldLeftMs: number
+}
+
+/** What a client says about its request, decoded from the headers. */
+export interface RequestMetadata {
+  requestId: string
+  /** How long the client waits, from its sending; undefined when it does not say. */
+  deadlineMs: number | undefined
+  /** Last event that the client already has. */
+  lastEventId: number | undefined
+  /** Shared parts of the prompt, outermost first; the last one belongs to the request or its session. */
+  promptParts: string[]
+  promptTokens: number
+  maxOutputTokens: number
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -0,0 +1,148 @@
+/** One attempt at an endpoint: checks that the answer is this request's, whole and in order. */
+import type { Pool } from 'undici'
+import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
+import type { AttemptFailure } from './attemptDecision'
+import { createEventSplitter } from './eventBlocks'
+import { forwardedHeaders } from './headers'
+import type { AnswerMetadata, RequestWire } from './types'
+
+/** A whole answer. The body is empty when its events have been handed on. */
+export interface AttemptAnswer {
+  status: number
+  rawHeaders: string[]
+  body: Buffer
+}
+
+/** What an attempt needs and whom it tells. */
+export interface AttemptOptions {
+  pool: Pool
+  wire: RequestWire
+  requestId: string
+  request: ExchangeRequest
+  /** Whether events are handed on as they come. */
+  streams: boolean
+  /** Events go on after this one. */
+  afterEventId: number | undefined
+  onHead: (head: { status: number, rawHeaders: string[] }) => void
+  onEvent: (bytes: Buffer, id: number | undefined, data: string) => void
+  onAnswer: (answer: AttemptAnswer) => void
+  onFailure: (failure: AttemptFailure, reason: string) => void
+}
+
+/** An attempt in progress. */
+export interface Attempt {
+  /** Ends the attempt; nothing is heard afterwards. */
+  abort: () => void
+}
+
+/** An answer that is not handed on in events is held in memory until it is whole. */
+const MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
+
+const NO_HEADERS: ReadonlySet<string> = new Set()
+const REFUSING_STATUS = new Set([421, 429, 503, 400])
+
+/**
+ * @param options - request, connections and listeners
+ * @returns the attempt
+ */
+export function startAttempt (options: AttemptOptions): Attempt {
+  let head: { status: number, rawHeaders: string[], answer: AnswerMetadata, events: boolean } | undefined
+  let lastEventId = options.afterEventId
+  let bytes = 0
+  let ended = false
+  const chunks: Buffer[] = []
+  const splitter = createEventSplitter()
+
+  const fail = (failure: AttemptFailure, reason: string): void => {
+    if (ended) return
+    ended = true
+    exchange.abort()
+    options.onFailure(failure, reason)
+  }
+
+  const onHead = (status: number, headers: Map<string, string>, rawHeaders: string[]): void => {
+    const answer = options.wire.decodeAnswer(headers)
+    // A late answer to an earlier request may stand where this one's is expected; handing it on would give a caller another's answer.
+    if (answer.requestId !== undefined && answer.requestId !== options.requestId) {
+      fail('may_have_run', 'answer_of_another_request')
+      return
+    }
+    if (headers.has('content-encoding')) {
+      fail('may_have_run', 'encoded_answer')
+      return
+    }
+    const events = options.streams && status === 200
+    head = { status, rawHeaders: forwardedHeaders(rawHeaders, NO_HEADERS), answer, events }
+    const refuses = answer.notRun && REFUSING_STATUS.has(status)
+    if (status === 421 || refuses) return
+    if (!answer.signed || answer.requestId === undefined) {
+      fail('may_have_run', 'unsigned_answer')
+      return
+    }
+    if (events) options.onHead(head)
+  }
+
+  const onEvents = (chunk: Buffer): void => {
+    for (const block of splitter.push(chunk)) {
+      if (block.id !== undefined) {
+        if (lastEventId !== undefined && block.id !== lastEventId + 1) {
+          fail('may_have_run', 'events_out_of_order')
+          return
+        }
+        lastEventId = block.id
+      }
+      options.onEvent(block.bytes, block.id, block.data)
+      if (ended) return
+    }
+  }
+
+  const onData = (chunk: Buffer): void => {
+    if (ended || head === undefined) return
+    bytes += chunk.length
+    if (bytes > MAX_WHOLE_ANSWER_BYTES) fail('may_have_run', 'answer_too_large')
+    else if (!head.events) chunks.push(chunk)
+    else {
+      try {
+        onEvents(chunk)
+      } catch (error) {
+        fail('may_have_run', (error as Error).message)
+      }
+    }
+  }
+
+  const onComplete = (): void => {
+    if (ended) return
+    if (head === undefined) {
+      fail('may_have_run', 'no_answer')
+      return
+    }
+    if (head.status === 421 || (head.answer.notRun && REFUSING_STATUS.has(head.status))) {
+      fail('not_run', 'refused')
+      return
+    }
+    if (head.events && splitter.rest().length > 0) {
+      fail('may_have_run', 'cut_within_an_event')
+      return
+    }
+    // Such a status tells the client that the request has not run; this endpoint does not say so.
+    if (head.status === 503 || head.status === 429 || head.status === 408) {
+      fail('may_have_run', 'refusal_without_proof')
+      return
+    }
+    ended = true
+    options.onAnswer({ status: head.status, rawHeaders: head.rawHeaders, body: Buffer.concat(chunks) })
+  }
+
+  const exchange: Exchange = startExchange(options.pool, options.request, {
+    onHead,
+    onData,
+    onComplete,
+    onFailure: failure => fail(failure.notSent ? 'not_run' : 'may_have_run', failure.reason)
+  })
+  return {
+    abort: () => {
+      ended = true
+      exchange.abort()
+    }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -0,0 +1,79 @@
+/** The agent: runs batch items at the engine beside it and tells gateways how busy that engine is. */
+import { Pool } from 'undici'
+import { createLoadPublisher } from '../endpoints/loadFeed'
+import { startExchange } from '../endpoints/exchange'
+import { startHeartbeat } from '../peers/heartbeat'
+import { startBatchRunner } from '../runner/batchRunner'
+import { followPlatform } from './followPlatform'
+import type { EngineReport, EngineWire, RoleContext, RunningRole } from './types'
+import type { Clock } from 'anvilarch-utils'
+
+/** The engine is on the same host; one that takes longer for a report is down or silent. */
+const REPORT_TIMEOUT_MS = 300
+
+/** Items and reports each take a connection. */
+const ENGINE_CONNECTIONS = 32
+
+/**
+ * @param context - settings, store and wire
+ * @returns the running agent
+ */
+export async function startAgentRole (context: RoleContext): Promise<RunningRole> {
+  const { settings, clock, log } = context
+  const agent = settings.agent
+  if (agent === undefined) throw new Error('the agent role needs the address of an engine')
+  const view = followPlatform(context)
+  const heartbeat = startHeartbeat(context, 'agent')
+  const publisher = createLoadPublisher(clock, { ip: settings.ip, port: settings.peerPort }, log)
+  const pool = new Pool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  pool.on('connectionError', () => {
+    // The report or the item that wanted the connection hears of it.
+  })
+  const runner = startBatchRunner({
+    store: context.store,
+    work: view.work,
+    clock,
+    log: log.child('runner'),
+    metrics: context.metrics,
+    runner: settings.name,
+    incarnation: heartbeat.incarnation,
+    maxRowBytes: settings.maxRowBytes,
+    endpoints: view.endpoints,
+    configuration: view.configuration.current,
+    wire: context.wire,
+    pool,
+    engineAddress: agent.engineAddress,
+    service: agent.service,
+    readReport: () => readReport(pool, context.wire.engine, clock),
+    publish: publisher.publish
+  })
+  return {
+    stop: async () => {
+      await runner.stop()
+      heartbeat.stop()
+      publisher.close()
+      await pool.destroy()
+    }
+  }
+}
+
+function readReport (pool: Pool, wire: EngineWire, clock: Clock): Promise<EngineReport | undefined> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let status = 0
+    const exchange = startExchange(pool, { method: 'GET', path: wire.reportPath, headers: [], body: undefined }, {
+      onHead: answered => { status = answered },
+      onData: chunk => { chunks.push(chunk) },
+      onComplete: () => settle(status === 200 ? wire.decodeReport(Buffer.concat(chunks)) : undefined),
+      onFailure: () => settle(undefined)
+    })
+    const timeout = clock.after(REPORT_TIMEOUT_MS, () => {
+      exchange.abort()
+      settle(undefined)
+    })
+    const settle = (report: EngineReport | undefined): void => {
+      timeout.cancel()
+      resolve(report)
+    }
+  })
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -0,0 +1,73 @@
+/** Keeps configuration, endpoints and work of the store at hand for either role. */
+import { type ConfigurationHolder, createConfigurationHolder } from '../configuration/configurationHolder'
+import { createEndpointTable, type EndpointTable } from '../endpoints/endpointTable'
+import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
+import { WORK_TABLE } from '../jobs/jobRows'
+import { createWorkTable, type WorkTable } from '../jobs/workTable'
+import type { Endpoint } from '../model/types'
+import type { StoredRow } from '../store/types'
+import { followTable } from '../store/tableFollower'
+import type { RoleContext } from './types'
+
+/** Copies of what the store tells. */
+export interface PlatformView {
+  configuration: ConfigurationHolder
+  endpoints: EndpointTable
+  work: WorkTable
+}
+
+/** Operators and endpoints write to one partition without a name. */
+const SHARED_PARTITIONS = ['']
+
+/**
+ * @param context - store and wire
+ * @returns copies that follow the store until the process stops
+ */
+export function followPlatform (context: RoleContext): PlatformView {
+  const { store, clock, log, wire } = context
+  const configuration = createConfigurationHolder()
+  const endpoints = createEndpointTable({ clock, log, contact: store })
+  const work = createWorkTable()
+  const controller = new AbortController()
+  const follow = { store, clock, random: context.random, log, signal: controller.signal }
+
+  const offerConfiguration = (row: StoredRow): void => {
+    const decoded = wire.operator.decodeConfiguration(row)
+    if (decoded === undefined || !configuration.offer(decoded)) return
+    context.metrics.configurationVersion.set(decoded.version)
+    log.info('configuration in force', { version: decoded.version, routeCount: decoded.routes.length })
+  }
+
+  void followTable({
+    ...follow,
+    table: wire.operator.configurationTable,
+    partitions: SHARED_PARTITIONS,
+    listener: {
+      onListing: rows => rows.forEach(offerConfiguration),
+      onChange: change => { if (change.change === 'put') offerConfiguration(change.row) }
+    }
+  })
+  void followTable({
+    ...follow,
+    table: wire.operator.endpointTable,
+    partitions: SHARED_PARTITIONS,
+    listener: {
+      onListing: rows => endpoints.onListing(rows.map(wire.operator.decodeEndpoint).filter(isEndpoint)),
+      onChange: change => {
+        if (change.change === 'removed') {
+          endpoints.onRemoved(change.key.key)
+          return
+        }
+        const endpoint = wire.operator.decodeEndpoint(change.row)
+        if (endpoint !== undefined) endpoints.onEntry(endpoint)
+      }
+    }
+  })
+  void followTable({ ...follow, table: WORK_TABLE, partitions: [MEMBER_PARTITION, ...JOB_PARTITIONS], listener: work })
+  context.peers.use({ work, endpoints })
+  return { configuration, endpoints, work }
+}
+
+function isEndpoint (endpoint: Endpoint | undefined): endpoint is Endpoint {
+  return endpoint !== undefined
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -0,0 +1,176 @@
+/** The gateway: takes requests and job calls from clients. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { sleep } from 'anvilarch-utils'
+import { createConnectionPools } from '../endpoints/connectionPools'
+import { subscribeToLoads } from '../endpoints/loadFeed'
+import { createLoadTable } from '../endpoints/loadTable'
+import { createJobCalls, type JobCalls } from '../jobs/jobCalls'
+import { createResultReader } from '../jobs/resultReader'
+import type { Configuration } from '../model/types'
+import { type ClosingNotice, sendOwnAnswer } from '../requests/clientAnswer'
+import { type ForwardParts, forwardRequest } from '../requests/forwardRequest'
+import { readBody } from '../requests/readBody'
+import { matchRoute } from '../routing/matchRoute'
+import { startHeartbeat } from '../peers/heartbeat'
+import { followPlatform } from './followPlatform'
+import type { RoleContext, RunningRole } from './types'
+
+/** Clients come for this long after the process has reported that it leaves: two missed questions, one a second, and a margin. */
+const DRAIN_ACCEPT_MS = 2600
+
+/** The process is gone this long before it would be killed. */
+const STOP_MARGIN_MS = 700
+
+/** How often the end of the requests in progress is looked for. */
+const STOP_POLL_MS = 50
+
+/** A client may send again at once to a gateway that has its configuration. */
+const NOT_READY_RETRY_AFTER_MS = 500
+
+/** How often the server looks for heads that take too long. */
+const HEAD_CHECK_INTERVAL_MS = 500
+
+/** The announced limit is extended by this, so that a client that keeps to it never meets a closed connection. */
+const IDLE_MARGIN_MS = 2000
+
+/** A few gateways share the connections that an endpoint takes; each keeps to this part of them. */
+const CONNECTION_SHARE = 0.25
+
+/** Used before the configuration names a limit. */
+const DEFAULT_CONNECTION_LIMIT = 16
+
+/**
+ * @param context - settings, store and wire
+ * @returns the running gateway
+ */
+export async function startGatewayRole (context: RoleContext): Promise<RunningRole> {
+  const { settings, clock, log, wire } = context
+  const gateway = settings.gateway
+  if (gateway === undefined) throw new Error('the gateway role needs an address for clients and one for readiness')
+  let leaving = false
+  const notice: ClosingNotice = { isLeaving: () => leaving }
+  const view = followPlatform(context)
+  const loads = createLoadTable(clock)
+  const limitOf = (service: string): number => {
+    const limit = view.configuration.current()?.services.get(service)?.maxConnections
+    return limit === undefined ? DEFAULT_CONNECTION_LIMIT : Math.max(2, Math.floor(limit * CONNECTION_SHARE))
+  }
+  const pools = createConnectionPools({ limitOf })
+  view.endpoints.onGone(endpoint => {
+    pools.release(endpoint)
+    loads.forget(endpoint.id)
+  })
+  const forward: ForwardParts = {
+    clock,
+    log: log.child('requests'),
+    metrics: context.metrics,
+    endpoints: view.endpoints,
+    loads,
+    pools,
+    wire: wire.request,
+    notice,
+    ownFailureDomain: settings.failureDomain,
+    draw: () => context.random.next()
+  }
+  const jobs = createJobCalls({
+    store: context.store,
+    work: view.work,
+    clock,
+    log: log.child('jobs'),
+    metrics: context.metrics,
+    results: createResultReader(context.store),
+    wire: wire.job,
+    notice
+  })
+  const subscriber = subscribeToLoads({
+    clock,
+    log,
+    own: { ip: settings.ip, port: settings.peerPort },
+    agents: () => view.endpoints.all().map(endpoint => ({ ip: endpoint.address.split(':')[0], port: settings.peerPort })),
+    onReport: loads.onReport,
+    signal: context.stopping
+  })
+  const heartbeat = startHeartbeat(context, 'gateway')
+
+  let inProgress = 0
+  const clients = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0 }, (request, response) => {
+    inProgress++
+    response.on('close', () => { inProgress-- })
+    handleClient({ request, response, forward, jobs, configuration: view.configuration.current(), notice })
+      .catch(error => {
+        log.error('request handling failed', { reason: (error as Error).message })
+        response.destroy()
+      })
+  })
+  view.configuration.onChange(configuration => applyLimits(clients, configuration))
+  const readiness = createServer((_request, response) => {
+    const ready = !leaving && view.configuration.current() !== undefined && view.endpoints.hasListing()
+    response.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
+    response.end()
+  })
+  await listen(clients, gateway.clients.ip, gateway.clients.port)
+  await listen(readiness, gateway.readiness.ip, gateway.readiness.port)
+
+  return {
+    stop: async () => {
+      leaving = true
+      const stoppedAtMs = clock.nowMs()
+      heartbeat.stop()
+      await sleep(clock, DRAIN_ACCEPT_MS)
+      clients.close()
+      clients.closeIdleConnections()
+      while (inProgress > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
+      log.info('gateway stopped', { unfinishedRequests: inProgress })
+      subscriber.close()
+    }
+  }
+}
+
+interface ClientCall {
+  request: IncomingMessage
+  response: ServerResponse
+  forward: ForwardParts
+  jobs: JobCalls
+  configuration: Configuration | undefined
+  notice: ClosingNotice
+}
+
+async function handleClient (call: ClientCall): Promise<void> {
+  const { request, response, forward, configuration, notice } = call
+  const arrivedAtMs = forward.clock.nowMs()
+  if (configuration === undefined) {
+    sendOwnAnswer(response, { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }, notice)
+    return
+  }
+  if (await call.jobs.handle(request, response)) return
+  const route = matchRoute(configuration, request.headers.host ?? '', request.url ?? '/')
+  if (route === undefined) {
+    sendOwnAnswer(response, { status: 404, code: 'no_route', message: 'no route matches this host and path' }, notice)
+    return
+  }
+  const read = await readBody(request, configuration.limits.maxBodyBytes)
+  if (read.outcome === 'broken_off') return
+  if (read.outcome === 'too_large') {
+    response.setHeader('Connection', 'close')
+    sendOwnAnswer(response, { status: 413, code: 'body_too_large', message: `the body exceeds ${configuration.limits.maxBodyBytes} bytes` }, notice)
+    return
+  }
+  const metadata = forward.wire.decodeRequest(request.headers)
+  if (route.kind === 'batch' && request.method === 'POST') {
+    await call.jobs.submit({ request, response, route, body: read.body, metadata, arrivedAtMs })
+    return
+  }
+  forwardRequest(forward, { request, response, body: read.body, metadata, route, configurationVersion: configuration.version, arrivedAtMs })
+}
+
+function applyLimits (server: Server, configuration: Configuration): void {
+  server.headersTimeout = configuration.limits.headerTimeoutMs
+  server.keepAliveTimeout = configuration.limits.idleTimeoutMs + IDLE_MARGIN_MS
+}
+
+async function listen (server: Server, ip: string, port: number): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, ip, resolve)
+  })
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -0,0 +1,110 @@
+/** What an adapter hands to a role. */
+import type { Clock, Logger, Random } from 'anvilarch-utils'
+import type { LoadReport } from '../endpoints/loadTable'
+import type { PeerAddress } from '../endpoints/loadFeed'
+import type { JobItem } from '../jobs/types'
+import type { JobResult, ResultPage } from '../jobs/resultReader'
+import type { Configuration, Endpoint } from '../model/types'
+import type { PeerDirectory } from '../peers/peerDirectory'
+import type { RequestWire } from '../requests/types'
+import type { MetadataStore, RowChange, StoredRow } from '../store/types'
+import type { ServingMetrics } from '../telemetry/metrics'
+
+/** Settings of a process, decoded and checked. */
+export interface ServingSettings {
+  name: string
+  failureDomain: string
+  ip: string
+  /** Port for the project's own traffic between daemons, TCP and UDP. */
+  peerPort: number
+  /** How long after SIGTERM the process may live. */
+  stopGraceMs: number
+  maxRowBytes: number
+  /** Configured for the gateway only. */
+  gateway: GatewaySettings | undefined
+  /** Configured for the agent only. */
+  agent: AgentSettings | undefined
+}
+
+/** Where a gateway listens. */
+export interface GatewaySettings {
+  clients: PeerAddress
+  readiness: PeerAddress
+}
+
+/** The engine beside an agent. */
+export interface AgentSettings {
+  engineAddress: string
+  service: string
+}
+
+/** Job calls on the adapter's wire. */
+export interface JobWire {
+  /** Pattern of the path of a job's results, for find-my-way, with `:id`. */
+  resultsPath: string
+  /** Pattern of the path of an item's body. */
+  itemPath: string
+  /** Query parameter that names the first position wanted. */
+  afterParameter: string
+  /** Query parameter that names the item. */
+  itemParameter: string
+  /** @returns how long the client lets a read wait for results */
+  waitMs: (headers: NodeJS.Dict<string | string[]>) => number
+  /** @returns the items, or what is wrong with the body */
+  decodeSubmission: (body: Buffer) => JobItem[] | { problem: string }
+  encodePage: (page: ResultPage) => unknown
+}
+
+/** What an engine says of itself. */
+export interface EngineReport {
+  running: number
+  waiting: number
+  /** Ids of the requests that run, where the engine tells them. */
+  runningIds: string[] | undefined
+}
+
+/** Calls to an engine beside the requests themselves. */
+export interface EngineWire {
+  reportPath: string
+  decodeReport: (body: Buffer) => EngineReport | undefined
+  /** @returns the wire headers of an item's run */
+  encodeItem: (item: JobItem, host: string, terms: { deadlineMs: number, expectedEndpointId: string, lastEventId: number | undefined }) => string[]
+}
+
+/** How the store tells of endpoints and the configuration. */
+export interface OperatorWire {
+  configurationTable: string
+  decodeConfiguration: (row: StoredRow) => Configuration | undefined
+  endpointTable: string
+  decodeEndpoint: (row: StoredRow) => Endpoint | undefined
+}
+
+/** Everything that differs between platforms. */
+export interface PlatformWire {
+  request: RequestWire
+  job: JobWire
+  engine: EngineWire
+  operator: OperatorWire
+}
+
+/** Parts that each role gets. */
+export interface RoleContext {
+  settings: ServingSettings
+  wire: PlatformWire
+  store: MetadataStore
+  clock: Clock
+  random: Random
+  log: Logger
+  metrics: ServingMetrics
+  peers: PeerDirectory
+  /** Aborted when the process begins to stop. */
+  stopping: AbortSignal
+}
+
+/** A role that runs. */
+export interface RunningRole {
+  /** Finishes what is in progress; resolves when the process may exit. */
+  stop: () => Promise<void>
+}
+
+export type { JobResult, LoadReport, PeerAddress, RowChange }
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -0,0 +1,139 @@
+/** Claims, saves and lets go of items. The version of the claim's row fences every write about the item. */
+import { claimKey, encodeProgress, jobKey, progressKey, recordRow, resultKey, resultObject, type SavedProgress, decodeProgress } from '../jobs/jobRows'
+import { countFailure, listItem } from '../jobs/jobRecord'
+import { changeJob, type ChangeOutcome, type JobParts, learnConflict } from '../jobs/jobStore'
+import { OBJECT_MARK } from '../jobs/resultReader'
+import type { ClaimRecord, ItemOutcome } from '../jobs/types'
+import type { RowWrite } from '../store/types'
+
+/** Identity of a runner. */
+export interface RunnerIdentity {
+  runner: string
+  incarnation: string
+}
+
+/** Parts that claims need. */
+export interface ClaimParts extends JobParts, RunnerIdentity {
+  maxRowBytes: number
+}
+
+/** Rows carry a little less than the limit, which counts the value alone. */
+const ROW_SHARE = 0.95
+
+/** How long one change of a job is tried before its caller looks again whether it still applies. */
+const CHANGE_PATIENCE_MS = 2000
+
+/** @returns version of the claim if this runner holds the item */
+export function ownClaimVersion (parts: ClaimParts, jobId: string, item: number): number | undefined {
+  const claim = parts.work.claim(jobId, item)
+  if (claim === undefined || !claim.record.held) return undefined
+  if (claim.record.runner !== parts.runner || claim.record.incarnation !== parts.incarnation) return undefined
+  return claim.version
+}
+
+/**
+ * Takes an item. The version of the job's row is a condition too: an item of a job that has been ended must not start.
+ *
+ * @param parts - store and identity
+ * @param jobId - id of the job
+ * @param item - place of the item
+ * @returns whether this runner now holds the item
+ */
+export async function claimItem (parts: ClaimParts, jobId: string, item: number): Promise<boolean> {
+  const job = parts.work.job(jobId)
+  if (job === undefined) return false
+  const previous = parts.work.claim(jobId, item)
+  const record: ClaimRecord = {
+    jobId, item, runner: parts.runner, incarnation: parts.incarnation, held: true, savedEventId: previous?.record.savedEventId ?? 0
+  }
+  const conditions = [
+    { ...jobKey(jobId), version: job.version },
+    { ...claimKey(jobId, item), version: previous?.version ?? 0 }
+  ]
+  return await writeClaim(parts, record, conditions, [])
+}
+
+/**
+ * Saves the text of an unfinished item, so that its next run goes on from there.
+ *
+ * @param parts - store and identity
+ * @param jobId - id of the job
+ * @param item - place of the item
+ * @param progress - text so far; undefined keeps what is saved
+ * @param held - false lets go of the item
+ * @returns whether the store has taken it
+ */
+export async function saveClaim (parts: ClaimParts, jobId: string, item: number, progress: SavedProgress | undefined, held: boolean): Promise<boolean> {
+  const version = ownClaimVersion(parts, jobId, item)
+  const current = parts.work.claim(jobId, item)
+  if (version === undefined || current === undefined) return false
+  const bytes = progress === undefined ? undefined : encodeProgress(progress)
+  const fits = bytes !== undefined && bytes.length <= parts.maxRowBytes * ROW_SHARE
+  const record: ClaimRecord = { ...current.record, held, savedEventId: fits ? progress?.lastEventId ?? 0 : current.record.savedEventId }
+  const puts = fits && bytes !== undefined ? [{ ...progressKey(jobId, item), value: bytes }] : []
+  return await writeClaim(parts, record, [{ ...claimKey(jobId, item), version }], puts)
+}
+
+/** @returns the saved text, or undefined when there is none or it cannot be read now */
+export async function readProgress (parts: ClaimParts, jobId: string, item: number): Promise<SavedProgress | undefined> {
+  const key = progressKey(jobId, item)
+  const read = await parts.store.readRows({ ...key, from: key.key, to: key.key + '\u0001' })
+  if (read.err) return undefined
+  const row = read.val.rows.find(candidate => candidate.key === key.key)
+  return row === undefined ? undefined : decodeProgress(row.value)
+}
+
+/**
+ * Gives an item its position. The text and the position are written together.
+ *
+ * @param parts - store and identity
+ * @param jobId - id of the job
+ * @param item - place of the item
+ * @param outcome - how the item ended
+ * @param text - the whole output of a completed item
+ * @returns how the change ended; `not_applicable` when the item is no longer this runner's
+ */
+export async function finishItem (parts: ClaimParts, jobId: string, item: number, outcome: ItemOutcome, text: string): Promise<ChangeOutcome> {
+  const stored = outcome === 'completed' ? await resultRow(parts, jobId, item, text) : undefined
+  if (stored === 'refused') return 'refused'
+  return await changeOwnItem(parts, jobId, item, job => listItem(job, item, outcome), stored)
+}
+
+/** Counts a failed attempt and lets go of the item. */
+export async function failItem (parts: ClaimParts, jobId: string, item: number): Promise<ChangeOutcome> {
+  return await changeOwnItem(parts, jobId, item, job => countFailure(job, item), undefined)
+}
+
+async function changeOwnItem (
+  parts: ClaimParts, jobId: string, item: number, change: (job: Parameters<typeof listItem>[0]) => ReturnType<typeof listItem>, extra: RowWrite | undefined
+): Promise<ChangeOutcome> {
+  return await changeJob(parts, jobId, job => {
+    const next = change(job)
+    const version = ownClaimVersion(parts, jobId, item)
+    if (next === undefined || version === undefined) return undefined
+    return {
+      next,
+      conditions: [{ ...claimKey(jobId, item), version }],
+      puts: extra === undefined ? [] : [extra],
+      removes: [claimKey(jobId, item)]
+    }
+  }, parts.clock.nowMs() + CHANGE_PATIENCE_MS)
+}
+
+async function resultRow (parts: ClaimParts, jobId: string, item: number, text: string): Promise<RowWrite | 'refused'> {
+  const bytes = Buffer.from(text)
+  if (bytes.length <= parts.maxRowBytes * ROW_SHARE) return { ...resultKey(jobId, item), value: bytes }
+  const written = await parts.store.writeObject(resultObject(jobId, item), bytes)
+  return written === 'stored' || written === 'exists' ? { ...resultKey(jobId, item), value: OBJECT_MARK } : 'refused'
+}
+
+async function writeClaim (parts: ClaimParts, record: ClaimRecord, conditions: Array<ReturnType<typeof claimKey> & { version: number }>, puts: RowWrite[]): Promise<boolean> {
+  const row = recordRow(claimKey(record.jobId, record.item), record)
+  const outcome = await parts.store.commit({ conditions, puts: [row, ...puts], removes: [] })
+  if (outcome.outcome === 'committed') {
+    parts.work.learn({ ...row, version: outcome.version })
+    return true
+  }
+  if (outcome.outcome === 'conflict') learnConflict(parts, conditions, outcome.rows)
+  return false
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -0,0 +1,106 @@
+/** Runs one item at the engine beside the agent, with pauses, until it has ended. */
+import type { Clock, Timer } from 'anvilarch-utils'
+import type { Pool } from 'undici'
+import type { JobItem } from '../jobs/types'
+import { type Attempt, startAttempt } from '../requests/runAttempt'
+import type { RequestWire } from '../requests/types'
+import type { EngineWire } from '../roles/types'
+
+/** How a run ended. `interrupted`: without a whole answer, to be gone on with. */
+export type RunEnd =
+  | { end: 'completed', text: string }
+  | { end: 'failed' }
+  | { end: 'impossible' }
+  | { end: 'interrupted', reason: string }
+
+/** Text that an item has produced so far. */
+export interface ItemText {
+  lastEventId: number
+  /** Data of all events so far, in order. */
+  pieces: string[]
+}
+
+/** What a run needs and whom it tells. */
+export interface ItemRunOptions {
+  clock: Clock
+  pool: Pool
+  requestWire: RequestWire
+  engineWire: EngineWire
+  item: JobItem
+  host: string
+  endpointId: string
+  deadlineMs: number
+  /** Grows as events come; a later run goes on from it. */
+  text: ItemText
+  onEnd: (end: RunEnd) => void
+}
+
+/** An engine that makes no event for this long has lost the item; its events come every 25 ms, a few times that on a slow one. */
+const SILENCE_MS = 2500
+
+const IMPOSSIBLE_STATUS = 422
+const FAILED_STATUS = 500
+
+/**
+ * @param options - engine, item and text so far
+ * @returns the run; aborting it closes the connection and reports nothing
+ */
+export function runItem (options: ItemRunOptions): Attempt {
+  const { clock, text, item } = options
+  let silence: Timer | undefined
+  let ended = false
+  const finish = (end: RunEnd): void => {
+    if (ended) return
+    ended = true
+    silence?.cancel()
+    options.onEnd(end)
+  }
+  const watch = (): void => {
+    silence?.cancel()
+    silence = clock.after(SILENCE_MS, () => {
+      attempt.abort()
+      finish({ end: 'interrupted', reason: 'silent' })
+    })
+  }
+  const resumesAfter = text.lastEventId > 0 ? text.lastEventId : undefined
+  const attempt = startAttempt({
+    pool: options.pool,
+    wire: options.requestWire,
+    requestId: item.id,
+    request: {
+      method: 'POST',
+      path: item.path,
+      headers: options.engineWire.encodeItem(item, options.host, {
+        deadlineMs: options.deadlineMs, expectedEndpointId: options.endpointId, lastEventId: resumesAfter
+      }),
+      body: item.body
+    },
+    streams: true,
+    afterEventId: text.lastEventId,
+    onHead: watch,
+    onEvent: (_bytes, id, data) => {
+      if (id !== undefined) {
+        text.lastEventId = id
+        text.pieces.push(data)
+      }
+      watch()
+    },
+    onAnswer: answer => finish(endOfAnswer(answer.status, text)),
+    onFailure: (_failure, reason) => finish({ end: 'interrupted', reason })
+  })
+  watch()
+  return {
+    abort: () => {
+      ended = true
+      silence?.cancel()
+      attempt.abort()
+    }
+  }
+}
+
+function endOfAnswer (status: number, text: ItemText): RunEnd {
+  if (status === 200) return { end: 'completed', text: text.pieces.join('\n') }
+  if (status === IMPOSSIBLE_STATUS) return { end: 'impossible' }
+  if (status === FAILED_STATUS) return { end: 'failed' }
+  return { end: 'interrupted', reason: `status ${status}` }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -0,0 +1,41 @@
+/**
+ * Decides how many batch items an engine may run beside its online requests.
+ *
+ * Answers bursts of online requests: the engine admits in order of arrival and knows no priorities, so that a request
+ * which finds all slots taken waits for a batch item of several seconds. Batch items leave one slot free,
+ * and give way as soon as none is.
+ */
+
+/** What the engine reports and what the agent runs there. */
+export interface SlackInput {
+  slots: number
+  running: number
+  waiting: number
+  /** Batch items of this agent that the engine runs or is about to run. */
+  ownItems: number
+  /** Those of them that the engine has not shown as running yet. */
+  ownNotYetRunning: number
+}
+
+/** What to do now; at most one of both is above zero. */
+export interface SlackPlan {
+  start: number
+  stop: number
+}
+
+/**
+ * Free slots that batch leaves. Online requests come to an engine about every 100 ms in a burst, and the agent sees them
+ * within 25 ms; one free slot takes the request that comes meanwhile.
+ */
+export const RESERVED_SLOTS = 1
+
+/**
+ * @param input - report and own items
+ * @returns how many items to start or to stop
+ */
+export function planSlack (input: SlackInput): SlackPlan {
+  const taken = input.running + input.waiting + input.ownNotYetRunning
+  const free = input.slots - taken
+  if (free < RESERVED_SLOTS) return { start: 0, stop: Math.min(input.ownItems, RESERVED_SLOTS - free) }
+  return { start: Math.max(0, free - RESERVED_SLOTS - 1), stop: 0 }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -0,0 +1,93 @@
+/** Keeps a copy of a table by a listing and the feed of changes after it. */
+import { type Clock, type Logger, type Random, sleep } from 'anvilarch-utils'
+import type { MetadataStore, RowChange, StoredRow } from './types'
+
+/** What a follower tells its owner. */
+export interface TableListener {
+  /** The whole table, after a start or a gap in the history. */
+  onListing: (rows: StoredRow[]) => void
+  onChange: (change: RowChange) => void
+}
+
+/** Options of `followTable`. */
+export interface FollowOptions {
+  store: MetadataStore
+  clock: Clock
+  random: Random
+  log: Logger
+  table: string
+  /** Partitions that are listed; the feed covers all of them. */
+  partitions: readonly string[]
+  listener: TableListener
+  signal: AbortSignal
+}
+
+/** How long one call of the feed waits. Silence of the store is noticed after this and the call's own timeout. */
+export const FEED_WAIT_MS = 1000
+
+/** Changes are gathered for this long between two calls, so that frequent heartbeats do not cost a call each. */
+export const FEED_INTERVAL_MS = 60
+
+/** First pause after a failure. The bound on a new configuration is some seconds, so that several tries fit. */
+export const FEED_RETRY_MS = 100
+
+/** Longest pause after repeated failures. */
+export const FEED_MAX_RETRY_MS = 400
+
+const PAUSE_JITTER = 0.3
+
+/**
+ * Follows a table until the signal aborts.
+ *
+ * @param options - store, table and listener
+ * @returns a promise that resolves when following has ended
+ */
+export async function followTable (options: FollowOptions): Promise<void> {
+  let version: number | undefined
+  let retryMs = FEED_RETRY_MS
+  while (!options.signal.aborted) {
+    const next = version === undefined ? await listTable(options) : await readChanges(options, version)
+    if (next.outcome === 'failed') {
+      await pause(options, retryMs)
+      retryMs = Math.min(FEED_MAX_RETRY_MS, retryMs * 2)
+      continue
+    }
+    retryMs = FEED_RETRY_MS
+    version = next.version
+    if (next.outcome === 'changed') await pause(options, FEED_INTERVAL_MS)
+  }
+}
+
+type Step = { outcome: 'changed', version: number | undefined } | { outcome: 'failed' }
+
+async function listTable (options: FollowOptions): Promise<Step> {
+  const rows: StoredRow[] = []
+  let oldestVersion: number | undefined
+  for (const partition of options.partitions) {
+    const read = await options.store.readRows({ table: options.table, partition })
+    if (read.err) {
+      options.log.warn('table listing failed', { table: options.table, reason: read.val.reason })
+      return { outcome: 'failed' }
+    }
+    rows.push(...read.val.rows)
+    oldestVersion = Math.min(oldestVersion ?? read.val.version, read.val.version)
+  }
+  options.listener.onListing(rows)
+  options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion })
+  return { outcome: 'changed', version: oldestVersion }
+}
+
+async function readChanges (options: FollowOptions, version: number): Promise<Step> {
+  const read = await options.store.readFeed(options.table, version, FEED_WAIT_MS)
+  if (read.err) return { outcome: 'failed' }
+  if (read.val.outcome === 'history_lost') {
+    options.log.info('feed history lost, listing again', { table: options.table, version })
+    return { outcome: 'changed', version: undefined }
+  }
+  for (const change of read.val.changes) options.listener.onChange(change)
+  return { outcome: 'changed', version: read.val.version }
+}
+
+async function pause (options: FollowOptions, delayMs: number): Promise<void> {
+  await sleep(options.clock, options.random.jitter(delayMs, PAUSE_JITTER), options.signal)
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -0,0 +1,159 @@
+/** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
+import type { Clock, Logger, Random } from 'anvilarch-utils'
+import { Pool } from 'undici'
+import { startExchange } from '../endpoints/exchange'
+
+/** One call to the store, encoded. */
+export interface StoreCall {
+  /** Short name for metrics. */
+  name: string
+  method: string
+  path: string
+  /** Names and values in turn. */
+  headers: string[]
+  body: Buffer | undefined
+  timeoutMs: number
+}
+
+/** What came of a call. `not_done`: nothing reached the store. `no_answer`: it may have been done, or may be done later. */
+export type StoreAnswer =
+  | { outcome: 'answered', status: number, body: Buffer }
+  | { outcome: 'not_done', reason: string }
+  | { outcome: 'no_answer', reason: string }
+
+/** Sends one call. */
+export type StoreTransport = (call: StoreCall) => Promise<StoreAnswer>
+
+/** A connection that takes longer is one whose packets are dropped. */
+const CONNECT_TIMEOUT_MS = 500
+
+/** Calls in progress at once; feeds hold one each. */
+const MAX_CONNECTIONS = 64
+
+/**
+ * @param address - IP and port of the store or of a peer
+ * @param clock - local clock
+ * @returns a transport straight to that address
+ */
+export function createDirectTransport (address: string, clock: Clock): StoreTransport {
+  const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  pool.on('connectionError', () => {
+    // The call that wanted the connection hears of it.
+  })
+  return call => new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let status = 0
+    const settle = (answer: StoreAnswer): void => {
+      timeout.cancel()
+      resolve(answer)
+    }
+    const exchange = startExchange(pool, call, {
+      onHead: answered => { status = answered },
+      onData: chunk => { chunks.push(chunk) },
+      onComplete: () => settle({ outcome: 'answered', status, body: Buffer.concat(chunks) }),
+      onFailure: failure => settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
+    })
+    const timeout = clock.after(call.timeoutMs, () => {
+      exchange.abort()
+      settle({ outcome: 'no_answer', reason: 'timeout' })
+    })
+  })
+}
+
+/** How the store has lately answered this process. */
+export interface StoreContactState {
+  lastSuccessMs: number | undefined
+  lastFailureMs: number | undefined
+}
+
+/** Options of `createRelayedTransport`. */
+export interface RelayOptions {
+  clock: Clock
+  log: Logger
+  random: Random
+  direct: StoreTransport
+  /** Peer ports of other daemons. */
+  peers: () => string[]
+  /** @returns a transport through the relay of a peer */
+  through: (peerAddress: string) => StoreTransport
+}
+
+/** A transport and what it has seen. */
+export interface RelayedTransport {
+  call: StoreTransport
+  contact: StoreContactState
+}
+
+/** Direct calls that must fail in a row before peers are asked: single calls fail on ordinary days. */
+const TURNED_AWAY_FAILURES = 2
+
+/** While turned away, this often one call goes straight to the store, to notice its return. */
+const PROBE_INTERVAL_MS = 500
+
+/** After a call through a peer has failed as well, the store is probably away for all; peers are left alone for this long. */
+const RELAY_BACKOFF_MS = 250
+
+const BUSY_STATUS = new Set([429, 503])
+
+/**
+ * The store may turn some hosts away and serve the others. Calls of a daemon that is turned away go through a peer,
+ * so that its configuration and endpoints stay within their bounds and its clients' jobs are accepted.
+ *
+ * @param options - direct transport and peers
+ * @returns a transport that prefers the direct way
+ */
+export function createRelayedTransport (options: RelayOptions): RelayedTransport {
+  const { clock, log } = options
+  const contact: StoreContactState = { lastSuccessMs: undefined, lastFailureMs: undefined }
+  let failures = 0
+  let failingSinceMs = 0
+  let lastProbeMs = -Infinity
+  let relayAgainMs = -Infinity
+
+  const note = (answer: StoreAnswer): boolean => {
+    const nowMs = clock.nowMs()
+    const succeeded = answer.outcome === 'answered' && !BUSY_STATUS.has(answer.status)
+    if (succeeded) {
+      if (failures >= TURNED_AWAY_FAILURES) log.info('store answers again', { afterMs: Math.round(nowMs - failingSinceMs) })
+      failures = 0
+      contact.lastSuccessMs = nowMs
+      return true
+    }
+    failures++
+    contact.lastFailureMs = nowMs
+    if (failures === 1) failingSinceMs = nowMs
+    if (failures === TURNED_AWAY_FAILURES) log.warn('store does not serve this host', { reason: reasonOf(answer) })
+    return false
+  }
+
+  const relay = async (call: StoreCall): Promise<StoreAnswer | undefined> => {
+    const peers = options.peers()
+    if (peers.length === 0 || clock.nowMs() < relayAgainMs) return undefined
+    const answer = await options.through(options.random.pick(peers))(call)
+    if (answer.outcome === 'answered' && !BUSY_STATUS.has(answer.status)) {
+      contact.lastSuccessMs = clock.nowMs()
+      return answer
+    }
+    relayAgainMs = clock.nowMs() + RELAY_BACKOFF_MS
+    return answer
+  }
+
+  const call = async (storeCall: StoreCall): Promise<StoreAnswer> => {
+    const turnedAway = failures >= TURNED_AWAY_FAILURES
+    if (turnedAway && clock.nowMs() - lastProbeMs < PROBE_INTERVAL_MS) {
+      const relayed = await relay(storeCall)
+      if (relayed !== undefined) return relayed
+    }
+    lastProbeMs = clock.nowMs()
+    const answer = await options.direct(storeCall)
+    if (note(answer)) return answer
+    // A call without an answer may have been done; doing it again through a peer is left to the caller.
+    if (answer.outcome === 'no_answer') return answer
+    return await relay(storeCall) ?? answer
+  }
+  return { call, contact }
+}
+
+function reasonOf (answer: StoreAnswer): string {
+  return answer.outcome === 'answered' ? `status ${answer.status}` : answer.reason
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -0,0 +1,39 @@
+/** Counters and histograms of a process. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Bounds of latencies, in seconds: around the objectives of lookups and of first events. */
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 10]
+
+/** All metrics of the serving core. */
+export interface ServingMetrics {
+  registry: Registry
+  requests: Counter<'kind' | 'outcome'>
+  requestSeconds: Histogram<'kind'>
+  firstEventSeconds: Histogram
+  attemptFailures: Counter<'kind' | 'reason'>
+  storeCalls: Counter<'call' | 'result'>
+  jobCalls: Counter<'call' | 'outcome'>
+  itemRuns: Counter<'outcome'>
+  itemsInHand: Gauge
+  configurationVersion: Gauge
+  logLinesDropped: Counter
+}
+
+/** @returns metrics in a registry of their own */
+export function createServingMetrics (): ServingMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  return {
+    registry,
+    requests: new Counter({ name: 'anvilarch_requests_total', help: 'Client requests by kind and outcome', labelNames: ['kind', 'outcome'], registers }),
+    requestSeconds: new Histogram({ name: 'anvilarch_request_seconds', help: 'From the head of a request to its last byte', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
+    firstEventSeconds: new Histogram({ name: 'anvilarch_first_event_seconds', help: 'From the head of a stream request to its first event', buckets: LATENCY_BUCKETS_SECONDS, registers }),
+    attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
+    storeCalls: new Counter({ name: 'anvilarch_store_calls_total', help: 'Calls to the metadata store by result', labelNames: ['call', 'result'], registers }),
+    jobCalls: new Counter({ name: 'anvilarch_job_calls_total', help: 'Calls about jobs by outcome', labelNames: ['call', 'outcome'], registers }),
+    itemRuns: new Counter({ name: 'anvilarch_item_runs_total', help: 'Runs of batch items by outcome', labelNames: ['outcome'], registers }),
+    itemsInHand: new Gauge({ name: 'anvilarch_items_in_hand', help: 'Batch items that this process holds', registers }),
+    configurationVersion: new Gauge({ name: 'anvilarch_configuration_version', help: 'Version of the configuration in force', registers }),
+    logLinesDropped: new Counter({ name: 'anvilarch_log_lines_dropped_total', help: 'Log lines that a stalled reader has cost', registers })
+  }
+}
