--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -7,6 +7,7 @@
 import { followPlatform } from './followPlatform'
 import type { EngineReport, EngineWire, RoleContext, RunningRole } from './types'
 import type { Clock } from 'anvilarch-utils'
+import { once } from './once'
 
 /** The engine is on the same host; one that takes longer for a report is down or silent. */
 const REPORT_TIMEOUT_MS = 300
@@ -47,13 +48,19 @@
     readReport: () => readReport(pool, context.wire.engine, clock),
     publish: publisher.publish
   })
+  const close = once(async () => {
+    runner.halt()
+    heartbeat.stop()
+    view.close()
+    publisher.close()
+    await pool.destroy()
+  })
   return {
     stop: async () => {
       await runner.stop()
-      heartbeat.stop()
-      publisher.close()
-      await pool.destroy()
-    }
+      await close()
+    },
+    close
   }
 }
 
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -14,6 +14,8 @@
   configuration: ConfigurationHolder
   endpoints: EndpointTable
   work: WorkTable
+  /** Ends the following. */
+  close: () => void
 }
 
 /** Operators and endpoints write to one partition without a name. */
@@ -72,7 +74,7 @@
   })
   void followTable({ ...follow, table: WORK_TABLE, partitions: [MEMBER_PARTITION, ...JOB_PARTITIONS], listener: work })
   context.peers.use({ work, endpoints })
-  return { configuration, endpoints, work }
+  return { configuration, endpoints, work, close: () => controller.abort() }
 }
 
 function isEndpoint (endpoint: Endpoint | undefined): endpoint is Endpoint {
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -13,6 +13,7 @@
 import { matchRoute } from '../routing/matchRoute'
 import { startHeartbeat } from '../peers/heartbeat'
 import { followPlatform } from './followPlatform'
+import { once } from './once'
 import type { RoleContext, RunningRole } from './types'
 
 /** Clients come for this long after the process has reported that it leaves: two missed questions, one a second, and a margin. */
@@ -111,7 +112,19 @@
   await listen(clients, gateway.clients.ip, gateway.clients.port)
   await listen(readiness, gateway.readiness.ip, gateway.readiness.port)
 
+  const close = once(async () => {
+    heartbeat.stop()
+    view.close()
+    subscriber.close()
+    for (const server of [clients, readiness]) {
+      server.close()
+      server.closeAllConnections()
+    }
+    await pools.closeAll()
+  })
+
   return {
+    close,
     stop: async () => {
       leaving = true
       const stoppedAtMs = clock.nowMs()
@@ -121,7 +134,7 @@
       clients.closeIdleConnections()
       while (inProgress > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
       log.info('gateway stopped', { unfinishedRequests: inProgress })
-      subscriber.close()
+      await close()
     }
   }
 }
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -105,6 +105,8 @@
 export interface RunningRole {
   /** Finishes what is in progress; resolves when the process may exit. */
   stop: () => Promise<void>
+  /** Frees sockets and timers at once, whatever is in progress. May be called again. */
+  close: () => Promise<void>
 }
 
 export type { JobResult, LoadReport, PeerAddress, RowChange }
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -36,6 +36,8 @@
 export interface BatchRunner {
   /** Saves and lets go of everything; resolves when that is done or the store has not taken it in time. */
   stop: () => Promise<void>
+  /** Drops everything at once; the claims lapse. */
+  halt: () => void
 }
 
 /** An item that this process holds or is about to. */
@@ -340,6 +342,10 @@
   void expiryLoop()
 
   return {
+    halt: () => {
+      controller.abort()
+      for (const entry of [...held.values()]) drop(entry)
+    },
     stop: async () => {
       controller.abort()
       const untilMs = clock.nowMs() + STOP_PATIENCE_MS
