Do first what can still be done in time, and fill all slots but one

Besides, a runner left two slots free, since it needed two to start one. Ruled out: too few runners (all slots but those two were taken between bursts). Change: items that can't be done in time any more come after all others (pace learned from items that ended); one slot stays free.

--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -12,8 +12,9 @@
 import type { EngineReport, PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { type ClaimParts, claimItem, failItem, finishItem, ownClaimVersion, readProgress, saveClaim } from './claims'
-import { chooseItems } from './itemChoice'
+import { chooseItems, urgency } from './itemChoice'
 import { type ItemText, type RunEnd, runItem } from './itemRun'
+import { createPace } from './pace'
 import { planSlack } from './slack'
 
 /** Parts of the runner. */
@@ -51,6 +52,9 @@
   pausedAtMs: number
   run?: Attempt
   startedAtMs: number
+  /** Last event before the run in progress. */
+  startedAfterEventId: number
+  tokens: number
   itemId: string
   dueAtMs: number
 }
@@ -94,7 +98,7 @@
   const skippedUntilMs = new Map<string, number>()
   const submissions = createResultReader(parts.store)
   const controller = new AbortController()
-  let reportMisses = 0
+  const pace = createPace()
 
   const idOf = (jobId: string, item: number): string => `${jobId}/${item}`
   const drop = (entry: HeldItem): void => {
@@ -145,6 +149,10 @@
       pause(entry, end.reason)
       return
     }
+    if (end.end === 'completed') {
+      pace.onRun(entry.text.lastEventId - entry.startedAfterEventId, clock.nowMs() - entry.startedAtMs)
+      pace.onItem(entry.tokens, entry.text.lastEventId)
+    }
     entry.state = 'finishing'
     void settle(entry, end)
   }
@@ -168,6 +176,7 @@
   const run = (entry: HeldItem, job: JobRecord, item: JobItem, endpoint: Endpoint): void => {
     entry.state = 'running'
     entry.startedAtMs = clock.nowMs()
+    entry.startedAfterEventId = entry.text.lastEventId
     entry.savedAtMs = clock.nowMs()
     entry.run = runItem({
       clock,
@@ -185,7 +194,7 @@
 
   const begin = async (job: JobRecord, place: number): Promise<void> => {
     const entry: HeldItem = {
-      jobId: job.jobId, item: place, state: 'claiming', text: { lastEventId: 0, pieces: [] }, savedEventId: 0, savedAtMs: 0, pausedAtMs: clock.nowMs(), startedAtMs: clock.nowMs(), itemId: job.itemIds[place], dueAtMs: job.dueAtMs
+      jobId: job.jobId, item: place, state: 'claiming', text: { lastEventId: 0, pieces: [] }, savedEventId: 0, savedAtMs: 0, pausedAtMs: clock.nowMs(), startedAtMs: clock.nowMs(), startedAfterEventId: 0, tokens: job.itemTokens[place], itemId: job.itemIds[place], dueAtMs: job.dueAtMs
     }
     held.set(idOf(job.jobId, place), entry)
     parts.metrics.itemsInHand.set(held.size)
@@ -266,27 +275,35 @@
       storeNowMs,
       heartbeatsTrusted: nowMs - (parts.store.lastFailureMs() ?? -Infinity) > HEARTBEAT_GRACE_MS,
       mayRun,
+      remainingMs: pace.remainingMs,
       isSkipped: (jobId, item) => held.has(idOf(jobId, item)) || (skippedUntilMs.get(idOf(jobId, item)) ?? 0) > nowMs
     }
   }
 
+  const urgencyOf = (entry: HeldItem, storeNowMs: number): number =>
+    urgency(entry.dueAtMs - storeNowMs, pace.remainingMs(entry.tokens, entry.text.lastEventId))
+
   const startItems = (count: number): void => {
-    const paused = [...held.values()].filter(entry => entry.state === 'paused').sort((a, b) => a.dueAtMs - b.dueAtMs)
-    for (const entry of paused.slice(0, count)) {
-      entry.state = 'claiming'
-      void resume(entry)
-    }
     const storeNowMs = parts.store.storeNowMs()
-    const left = count - paused.length
+    if (storeNowMs === undefined) return
+    const paused = [...held.values()].filter(entry => entry.state === 'paused').map(entry => ({ entry, urgency: urgencyOf(entry, storeNowMs) }))
     // A claim names the life of its holder, which others know by its heartbeat.
-    if (left <= 0 || storeNowMs === undefined || parts.work.member(parts.runner)?.record.incarnation !== parts.incarnation) return
-    for (const candidate of chooseItems(choiceInput(storeNowMs), left)) {
-      begin(candidate.job, candidate.item).catch(error => log.error('item start failed', { reason: (error as Error).message }))
+    const mayClaim = parts.work.member(parts.runner)?.record.incarnation === parts.incarnation
+    const fresh = mayClaim ? chooseItems(choiceInput(storeNowMs), count) : []
+    const chosen = [...paused, ...fresh].sort((a, b) => a.urgency - b.urgency).slice(0, count)
+    for (const next of chosen) {
+      if ('entry' in next) {
+        next.entry.state = 'claiming'
+        void resume(next.entry)
+      } else {
+        begin(next.job, next.item).catch(error => log.error('item start failed', { reason: (error as Error).message }))
+      }
     }
   }
 
   const stopItems = (count: number): void => {
-    const running = [...held.values()].filter(entry => entry.state === 'running').sort((a, b) => b.dueAtMs - a.dueAtMs)
+    const storeNowMs = parts.store.storeNowMs() ?? 0
+    const running = [...held.values()].filter(entry => entry.state === 'running').sort((a, b) => urgencyOf(b, storeNowMs) - urgencyOf(a, storeNowMs))
     for (const entry of running.slice(0, count)) pause(entry, 'online_requests')
   }
 
@@ -294,7 +311,6 @@
     const report = await parts.readReport()
     const endpoint = own()
     review()
-    reportMisses = report === undefined ? reportMisses + 1 : 0
     if (endpoint !== undefined) {
       parts.publish({ endpointId: endpoint.id, running: report?.running ?? 0, waiting: report?.waiting ?? 0, batchRunning: countOf('running'), reachable: report !== undefined })
     }
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -8,6 +8,7 @@
 export interface Candidate {
   job: JobRecord
   item: number
+  urgency: number
 }
 
 /** What the choice depends on. */
@@ -22,32 +23,50 @@
   mayRun: (job: JobRecord) => boolean
   /** Items that this process has in hand or has just failed to run. */
   isSkipped: (jobId: string, item: number) => boolean
+  /** Estimate of the time that an item still runs. */
+  remainingMs: (tokens: number, lastEventId: number) => number
 }
 
+/**
+ * Order of work, the smallest first: what can still be done in time, by when it is due, and then the rest.
+ *
+ * Answers jobs that come faster than the slack of the engines can do them. By due time alone, each item would be done
+ * just after it was due; so the ones that are late already wait, and the others are in time.
+ *
+ * @param dueInMs - time until the item is due
+ * @param remainingMs - time that it still runs
+ * @returns sort key
+ */
+export function urgency (dueInMs: number, remainingMs: number): number {
+  return dueInMs >= remainingMs ? dueInMs : LATE_OFFSET_MS + dueInMs
+}
+
+/** Larger than any time until a job is due, so that late items come after all others. */
+const LATE_OFFSET_MS = 1e9
+
 /**
  * @param input - jobs, claims and members
  * @param limit - most items wanted
- * @returns unclaimed items, those that are due first in front
+ * @returns unclaimed items, the most urgent in front
  */
 export function chooseItems (input: ItemChoiceInput, limit: number): Candidate[] {
-  const jobs = [...input.work.jobs()]
-    .map(entry => entry.record)
-    .filter(job => !job.ended && job.listed.length < job.itemIds.length)
-    .sort((a, b) => a.dueAtMs - b.dueAtMs || a.jobId.localeCompare(b.jobId))
-  const chosen: Candidate[] = []
-  for (const job of jobs) {
-    if (chosen.length >= limit) break
-    if (!input.mayRun(job)) continue
-    const free = openItems(job).filter(item => !input.isSkipped(job.jobId, item) && isFree(input, job.jobId, item))
-    // Runners start at different places of a job, so that they seldom try to claim the same item.
-    free.sort((a, b) => orderOf(input.runner, job.jobId, a) - orderOf(input.runner, job.jobId, b))
-    for (const item of free) chosen.push({ job, item })
+  const candidates: Candidate[] = []
+  for (const { record: job } of input.work.jobs()) {
+    if (job.ended || job.listed.length >= job.itemIds.length || !input.mayRun(job)) continue
+    for (const item of openItems(job)) {
+      if (input.isSkipped(job.jobId, item) || !isFree(input, job.jobId, item)) continue
+      const savedEventId = input.work.claim(job.jobId, item)?.record.savedEventId ?? 0
+      const remainingMs = input.remainingMs(job.itemTokens[item], savedEventId)
+      candidates.push({ job, item, urgency: urgency(job.dueAtMs - input.storeNowMs, remainingMs) })
+    }
   }
-  return chosen.slice(0, limit)
+  candidates.sort((a, b) => a.urgency - b.urgency || orderOf(input.runner, a) - orderOf(input.runner, b))
+  return candidates.slice(0, limit)
 }
 
-function orderOf (runner: string, jobId: string, item: number): number {
-  return murmurhash(`${runner}/${jobId}/${item}`)
+/** Runners start at different places of a job, so that they seldom try to claim the same item. */
+function orderOf (runner: string, candidate: Candidate): number {
+  return murmurhash(`${runner}/${candidate.job.jobId}/${candidate.item}`)
 }
 
 function isFree (input: ItemChoiceInput, jobId: string, item: number): boolean {
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/pace.ts
@@ -0,0 +1,37 @@
+/** Learns how long items take, to tell which can still be done in time. */
+
+/** What is learned from items that have ended. */
+export interface Pace {
+  /** A run has ended after so many events, made in this time. */
+  onRun: (events: number, elapsedMs: number) => void
+  /** An item of so many tokens has ended with this many events in all. */
+  onItem: (tokens: number, events: number) => void
+  /** @returns estimate of the time that is left to run; 0 until something has been learned */
+  remainingMs: (tokens: number, lastEventId: number) => number
+}
+
+/** Weight of the newest item. An engine's pace changes within seconds, but single items differ by a quarter. */
+const SMOOTHING = 0.2
+
+/** Fewer events than this say little: their time is mostly that of reading the prompt. */
+const MIN_EVENTS = 10
+
+/** @returns a pace that has learned nothing */
+export function createPace (): Pace {
+  let eventMs: number | undefined
+  let eventsPerToken: number | undefined
+  const smooth = (previous: number | undefined, next: number): number =>
+    previous === undefined ? next : previous + SMOOTHING * (next - previous)
+  return {
+    onRun: (events, elapsedMs) => {
+      if (events >= MIN_EVENTS) eventMs = smooth(eventMs, elapsedMs / events)
+    },
+    onItem: (tokens, events) => {
+      if (tokens > 0) eventsPerToken = smooth(eventsPerToken, events / tokens)
+    },
+    remainingMs: (tokens, lastEventId) => {
+      if (eventMs === undefined || eventsPerToken === undefined) return 0
+      return Math.max(0, tokens * eventsPerToken - lastEventId) * eventMs
+    }
+  }
+}
--- a/packages/anvilarch-serving/src/runner/slack.ts
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -37,5 +37,5 @@
   const taken = input.running + input.waiting + input.ownNotYetRunning
   const free = input.slots - taken
   if (free < RESERVED_SLOTS) return { start: 0, stop: Math.min(input.ownItems, RESERVED_SLOTS - free) }
-  return { start: Math.max(0, free - RESERVED_SLOTS - 1), stop: 0 }
+  return { start: free - RESERVED_SLOTS, stop: 0 }
 }
