--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -11,6 +11,8 @@
 import { type AttemptFailure, isRepeatable, nextStep, silenceLimitMs } from './attemptDecision'
 import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import { type Attempt, type AttemptAnswer, startAttempt } from './runAttempt'
+import type { HoldTimes } from './holdTimes'
+import { checkOverload } from './overload'
 import type { RequestWire } from './types'
 
 /** Parts that forwarding needs. */
@@ -23,6 +25,7 @@
   pools: ConnectionPools
   wire: RequestWire
   notice: ClosingNotice
+  holdTimes: HoldTimes
   ownFailureDomain: string
   draw: () => number
 }
@@ -66,6 +69,7 @@
   let offers = 0
   let lastEventId = metadata.lastEventId
   let answerBegun = false
+  let firstEventAtMs: number | undefined
   let finished = false
   let silence: Timer | undefined
 
@@ -147,6 +151,8 @@
     attempt = undefined
     loads.onEnded(endpoint.id)
     loads.onSuccess(endpoint.id)
+    // The first event stands for the time in the queue; the slot is held from then on.
+    if (service !== undefined && firstEventAtMs !== undefined) parts.holdTimes.onAnswer(service, clock.nowMs() - firstEventAtMs)
     finish(whole.status < 400 ? 'answered' : 'endpoint_status', { endpoint: endpoint.id, status: whole.status })
     if (answerBegun) response.end()
     else sendWhole(response, whole, parts.notice)
@@ -185,6 +191,7 @@
         response.flushHeaders()
       },
       onEvent: (bytes, id) => {
+        firstEventAtMs ??= clock.nowMs()
         if (lastEventId === metadata.lastEventId) parts.metrics.firstEventSeconds.observe((clock.nowMs() - client.arrivedAtMs) / 1000)
         lastEventId = id ?? lastEventId
         response.write(bytes)
@@ -216,6 +223,22 @@
     finish('client_left')
   })
 
+  const overload = service === undefined
+    ? undefined
+    : checkOverload({
+      candidates: parts.endpoints.usable(service),
+      loadOf: loads.loadOf,
+      holdMs: parts.holdTimes.holdMs(service),
+      latencyObjectiveMs: route.latencyObjectiveMs,
+      remainingMs: remainingMs(),
+      fullTimeMs: route.timeoutMs,
+      draw: parts.draw
+    })
+  if (overload?.refused === true) {
+    log.info('request refused', { requestId: metadata.requestId, reason: overload.reason, waitMs: Math.round(overload.waitMs), remainingMs: Math.round(remainingMs()) })
+    answer({ status: 503, code: 'overloaded', message: 'all endpoints are full', retryAfterMs: overload.retryAfterMs })
+    return
+  }
   send()
 }
 
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -9,6 +9,7 @@
 import type { Configuration } from '../model/types'
 import { type ClosingNotice, sendOwnAnswer } from '../requests/clientAnswer'
 import { type ForwardParts, forwardRequest } from '../requests/forwardRequest'
+import { createHoldTimes } from '../requests/holdTimes'
 import { readBody } from '../requests/readBody'
 import { matchRoute } from '../routing/matchRoute'
 import { startHeartbeat } from '../peers/heartbeat'
@@ -70,6 +71,7 @@
     pools,
     wire: wire.request,
     notice,
+    holdTimes: createHoldTimes(),
     ownFailureDomain: settings.failureDomain,
     draw: () => context.random.next()
   }
