Leave an endpoint alone once its entry is gone

The engine's entry had been removed without a draining mark; the table still found it by its address, and nothing swept the table in an agent, which never asks for usable endpoints. Ruled out: a late feed (the removal was logged 0.3 s after its acknowledgement). Change: an entry that is gone is not found by its address, unless it may only have lapsed.

--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -13,7 +13,7 @@
   usable: (service: string) => Endpoint[]
   /** @returns the endpoint with this id, also while it is leaving */
   get: (id: string) => Endpoint | undefined
-  /** @returns the endpoint listed at this address */
+  /** @returns the endpoint listed at this address, unless its entry is gone; it may be draining */
   atAddress: (address: string) => Endpoint | undefined
   all: () => Endpoint[]
   hasListing: () => boolean
@@ -120,8 +120,10 @@
     },
     get: id => entries.get(id)?.endpoint,
     atAddress: address => {
+      const nowMs = clock.nowMs()
+      sweep(nowMs)
       const there = [...entries.values()].filter(entry => entry.endpoint.address === address)
-      return (there.find(entry => !entry.gone) ?? there[0])?.endpoint
+      return (there.find(entry => !entry.gone) ?? there.find(entry => takesRequests(entry, nowMs)))?.endpoint
     },
     all: () => [...entries.values()].filter(entry => !entry.gone).map(entry => entry.endpoint),
     hasListing: () => listed,
