Count a started item once

An item that reads its prompt is counted as running but not listed by the engine; the runner counted it twice and broke it off again. Ruled out: online requests (the agent's engine had 6 of 8 slots taken throughout). Change: an item is added to the report's count only if it was sent less than 15 ms before the report was asked for. Test fails before.

--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -59,8 +59,6 @@
 export interface EngineReport {
   running: number
   waiting: number
-  /** Ids of the requests that run, where the engine tells them. */
-  runningIds: string[] | undefined
 }
 
 /** Calls to an engine beside the requests themselves. */
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
@@ -0,0 +1,34 @@
+import { RESERVED_SLOTS, planSlack, unseenItems } from '../slack'
+
+describe('planSlack', () => {
+  it('fills all slots but the reserved ones', () => {
+    expect(planSlack({ slots: 8, running: 2, waiting: 0, ownItems: 0, ownUnseen: 0 })).toEqual({ start: 6 - RESERVED_SLOTS, stop: 0 })
+  })
+
+  it('counts items that the report does not show yet', () => {
+    expect(planSlack({ slots: 8, running: 2, waiting: 0, ownItems: 5, ownUnseen: 5 })).toEqual({ start: 0, stop: 0 })
+  })
+
+  it('gives way to requests that wait and restores the reserve', () => {
+    expect(planSlack({ slots: 8, running: 8, waiting: 2, ownItems: 5, ownUnseen: 0 })).toEqual({ start: 0, stop: 3 })
+  })
+
+  it('stops no more than there is', () => {
+    expect(planSlack({ slots: 8, running: 8, waiting: 20, ownItems: 2, ownUnseen: 0 })).toEqual({ start: 0, stop: 2 })
+  })
+
+  it('neither starts nor stops with just the reserve free', () => {
+    expect(planSlack({ slots: 8, running: 7, waiting: 0, ownItems: 4, ownUnseen: 0 })).toEqual({ start: 0, stop: 0 })
+  })
+})
+
+describe('unseenItems', () => {
+  // Symptom: an item is started and broken off again at each look at the engine, some twenty times a second.
+  // Sequence: the engine has one slot more than the reserve; an item starts and reads its prompt; the report counts it as running
+  // but does not list it yet; the runner counts it once more and takes the engine for full.
+  // Cause: an item was taken for unseen until the engine listed it, though the report counted it.
+  it('counts an item only until a report can show it', () => {
+    expect(unseenItems([100, 990, 996], 1000)).toBe(2)
+    expect(unseenItems([950], 1000)).toBe(0)
+  })
+})
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -15,7 +15,7 @@
 import { chooseItems, urgency } from './itemChoice'
 import { type ItemText, type RunEnd, runItem } from './itemRun'
 import { createPace } from './pace'
-import { planSlack } from './slack'
+import { planSlack, unseenItems } from './slack'
 
 /** Parts of the runner. */
 export interface RunnerParts extends ClaimParts {
@@ -308,6 +308,7 @@
   }
 
   const tick = async (): Promise<void> => {
+    const reportAskedAtMs = clock.nowMs()
     const report = await parts.readReport()
     const endpoint = own()
     review()
@@ -316,8 +317,9 @@
     }
     const takesWork = endpoint?.state === 'ready' && report !== undefined && storeIsFresh()
     if (report !== undefined && endpoint !== undefined) {
-      const notYet = countOf('claiming') + notYetRunning(report)
-      const plan = planSlack({ slots: endpoint.slots, running: report.running, waiting: report.waiting, ownItems: countOf('running'), ownNotYetRunning: notYet })
+      const started = [...held.values()].filter(entry => entry.state === 'running').map(entry => entry.startedAtMs)
+      const ownUnseen = countOf('claiming') + unseenItems(started, reportAskedAtMs)
+      const plan = planSlack({ slots: endpoint.slots, running: report.running, waiting: report.waiting, ownItems: countOf('running'), ownUnseen })
       if (plan.stop > 0) stopItems(plan.stop)
       if (plan.start > 0 && takesWork) startItems(plan.start)
     }
@@ -330,12 +332,6 @@
     }
   }
 
-  const notYetRunning = (report: EngineReport): number => {
-    const ids = report.runningIds
-    if (ids === undefined) return 0
-    return [...held.values()].filter(entry => entry.state === 'running' && !ids.includes(entry.itemId)).length
-  }
-
   const countOf = (state: HeldItem['state']): number => [...held.values()].filter(entry => entry.state === state).length
 
   const loop = async (): Promise<void> => {
--- a/packages/anvilarch-serving/src/runner/slack.ts
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -13,8 +13,8 @@
   waiting: number
   /** Batch items of this agent that the engine runs or is about to run. */
   ownItems: number
-  /** Those of them that the engine has not shown as running yet. */
-  ownNotYetRunning: number
+  /** Items that are about to start, or have started too lately for the report to count them. */
+  ownUnseen: number
 }
 
 /** What to do now; at most one of both is above zero. */
@@ -34,8 +34,20 @@
  * @returns how many items to start or to stop
  */
 export function planSlack (input: SlackInput): SlackPlan {
-  const taken = input.running + input.waiting + input.ownNotYetRunning
+  const taken = input.running + input.waiting + input.ownUnseen
   const free = input.slots - taken
   if (free < RESERVED_SLOTS) return { start: 0, stop: Math.min(input.ownItems, RESERVED_SLOTS - free) }
   return { start: free - RESERVED_SLOTS, stop: 0 }
 }
+
+/** A request reaches the engine beside the agent, and its report, within this time. */
+const UNSEEN_MS = 15
+
+/**
+ * @param startedAtMs - when each running item was sent
+ * @param reportAskedAtMs - when the report was asked for
+ * @returns how many items the report may not count yet
+ */
+export function unseenItems (startedAtMs: readonly number[], reportAskedAtMs: number): number {
+  return startedAtMs.filter(atMs => atMs > reportAskedAtMs - UNSEEN_MS).length
+}
