Split the runner into held items, steps and the loop; log errors of background tasks

Change: heldItems, itemSteps, batchRunner; runInBackground logs the error of each such task. An item whose submission can't be read stays held and is tried again; it was let go of without its claim being given up.

--- a/packages/anvilarch-serving/src/endpoints/loadFeed.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadFeed.ts
@@ -1,6 +1,6 @@
 /** Agents tell gateways how busy the engine beside them is. Datagrams: a lost one is replaced by the next. */
 import { createSocket, type Socket } from 'node:dgram'
-import { type Clock, type Logger, sleep } from 'anvilarch-utils'
+import { type Clock, type Logger, runInBackground, sleep } from 'anvilarch-utils'
 import type { LoadReport } from './loadTable'
 
 /** Where a process listens. */
@@ -46,7 +46,7 @@
     const report = decodeReport(message, options.log)
     if (report !== undefined) options.onReport(report)
   })
-  void renew(socket, options)
+  runInBackground(options.log, 'load subscriptions', () => renew(socket, options))
   return { close: () => socket.close() }
 }
 
--- a/packages/anvilarch-serving/src/peers/heartbeat.ts
+++ b/packages/anvilarch-serving/src/peers/heartbeat.ts
@@ -1,5 +1,5 @@
 /** Tells all daemons by a row of the store that this process is alive. */
-import { sleep } from 'anvilarch-utils'
+import { runInBackground, sleep } from 'anvilarch-utils'
 import { memberKey, recordRow } from '../jobs/jobRows'
 import type { MemberRecord } from '../jobs/types'
 import type { RoleContext } from '../roles/types'
@@ -28,7 +28,7 @@
 export function startHeartbeat (context: RoleContext, role: MemberRecord['role']): Heartbeat {
   const controller = new AbortController()
   const incarnation = context.random.between(0, 0x7ffffffe).toString(36)
-  void beat(context, role, incarnation, controller.signal)
+  runInBackground(context.log, 'heartbeat', () => beat(context, role, incarnation, controller.signal))
   return { incarnation, stop: () => controller.abort() }
 }
 
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -1,4 +1,5 @@
 /** Keeps configuration, endpoints and work of the store at hand for either role. */
+import { runInBackground } from 'anvilarch-utils'
 import { type ConfigurationHolder, createConfigurationHolder } from '../configuration/configurationHolder'
 import { createEndpointTable, type EndpointTable } from '../endpoints/endpointTable'
 import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
@@ -6,7 +7,7 @@
 import { createWorkTable, type WorkTable } from '../jobs/workTable'
 import type { Endpoint } from '../model/types'
 import type { StoredRow } from '../store/types'
-import { followTable } from '../store/tableFollower'
+import { type FollowOptions, followTable } from '../store/tableFollower'
 import type { RoleContext } from './types'
 
 /** Copies of what the store tells. */
@@ -37,7 +38,9 @@
   const endpoints = createEndpointTable({ clock, log, contact: store })
   const work = createWorkTable()
   const controller = new AbortController()
-  const follow = { store, clock, random: context.random, log, signal: controller.signal }
+  const follow = (table: Pick<FollowOptions, 'table' | 'partitions' | 'listener' | 'intervalMs'>): void => {
+    runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, signal: controller.signal, ...table }))
+  }
 
   const offerConfiguration = (row: StoredRow): void => {
     const decoded = wire.operator.decodeConfiguration(row)
@@ -46,8 +49,7 @@
     log.info('configuration in force', { version: decoded.version, routeCount: decoded.routes.length })
   }
 
-  void followTable({
-    ...follow,
+  follow({
     table: wire.operator.configurationTable,
     partitions: SHARED_PARTITIONS,
     listener: {
@@ -55,8 +57,7 @@
       onChange: change => { if (change.change === 'put') offerConfiguration(change.row) }
     }
   })
-  void followTable({
-    ...follow,
+  follow({
     table: wire.operator.endpointTable,
     partitions: SHARED_PARTITIONS,
     intervalMs: ENDPOINT_FEED_INTERVAL_MS,
@@ -72,7 +73,7 @@
       }
     }
   })
-  void followTable({ ...follow, table: WORK_TABLE, partitions: [MEMBER_PARTITION, ...JOB_PARTITIONS], listener: work })
+  follow({ table: WORK_TABLE, partitions: [MEMBER_PARTITION, ...JOB_PARTITIONS], listener: work })
   context.peers.use({ work, endpoints })
   return { configuration, endpoints, work, close: () => controller.abort() }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -95,10 +95,10 @@
   })
   const heartbeat = startHeartbeat(context, 'gateway')
 
-  let inProgress = 0
+  const inProgress = new Set<ServerResponse>()
   const clients = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0 }, (request, response) => {
-    inProgress++
-    response.on('close', () => { inProgress-- })
+    inProgress.add(response)
+    response.on('close', () => inProgress.delete(response))
     handleClient({ request, response, forward, jobs, configuration: view.configuration.current(), notice })
       .catch(error => {
         log.error('request handling failed', { reason: (error as Error).message })
@@ -134,8 +134,8 @@
       await sleep(clock, DRAIN_ACCEPT_MS)
       clients.close()
       clients.closeIdleConnections()
-      while (inProgress > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
-      log.info('gateway stopped', { unfinishedRequests: inProgress })
+      while (inProgress.size > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
+      log.info('gateway stopped', { unfinishedRequests: inProgress.size })
       await close()
     }
   }
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/heldItems.ts
@@ -0,0 +1,105 @@
+/** The items that a runner holds, and those that it leaves to others for a while. */
+import type { Clock } from 'anvilarch-utils'
+import type { JobRecord } from '../jobs/types'
+import type { Attempt } from '../requests/runAttempt'
+import type { ServingMetrics } from '../telemetry/metrics'
+import type { ItemText } from './itemRun'
+
+/**
+ * `claiming`: on the way into a run. `paused`: held without a run. `finishing`: ended, not yet in the store.
+ * `saving`: its text is being written before the item is let go.
+ */
+export type HeldState = 'claiming' | 'running' | 'paused' | 'finishing' | 'saving'
+
+/** An item that this process holds or is about to. */
+export interface HeldItem {
+  jobId: string
+  /** Place of the item in its job. */
+  item: number
+  itemId: string
+  tokens: number
+  /** Store time at which the item is due. */
+  dueAtMs: number
+  state: HeldState
+  text: ItemText
+  /** Last event whose text the store has. */
+  savedEventId: number
+  savedAtMs: number
+  pausedAtMs: number
+  startedAtMs: number
+  /** Last event before the run in progress. */
+  startedAfterEventId: number
+  run?: Attempt
+}
+
+/** All of them. */
+export interface HeldItems {
+  add: (job: JobRecord, item: number) => HeldItem
+  /** Ends the run and forgets the item. */
+  drop: (entry: HeldItem) => void
+  /** Leaves the item to other runners for a while. */
+  leaveToOthers: (entry: HeldItem) => void
+  isHeldOrLeft: (jobId: string, item: number) => boolean
+  all: () => HeldItem[]
+  inState: (state: HeldState) => HeldItem[]
+}
+
+/** An item that could not be claimed or run is left to others for this long. */
+const LEAVE_MS = 300
+
+/**
+ * @param clock - local clock
+ * @param metrics - shows how many are held
+ * @returns no items
+ */
+export function createHeldItems (clock: Clock, metrics: ServingMetrics): HeldItems {
+  const held = new Map<string, HeldItem>()
+  const leftUntilMs = new Map<string, number>()
+  const idOf = (jobId: string, item: number): string => `${jobId}/${item}`
+  const sweepLeft = (nowMs: number): void => {
+    for (const [id, untilMs] of leftUntilMs) if (untilMs <= nowMs) leftUntilMs.delete(id)
+  }
+  return {
+    add: (job, item) => {
+      const nowMs = clock.nowMs()
+      const entry: HeldItem = {
+        jobId: job.jobId,
+        item,
+        itemId: job.itemIds[item],
+        tokens: job.itemTokens[item],
+        dueAtMs: job.dueAtMs,
+        state: 'claiming',
+        text: { lastEventId: 0, pieces: [] },
+        savedEventId: 0,
+        savedAtMs: nowMs,
+        pausedAtMs: nowMs,
+        startedAtMs: nowMs,
+        startedAfterEventId: 0
+      }
+      held.set(idOf(entry.jobId, item), entry)
+      metrics.itemsInHand.set(held.size)
+      return entry
+    },
+    drop: entry => {
+      entry.run?.abort()
+      held.delete(idOf(entry.jobId, entry.item))
+      metrics.itemsInHand.set(held.size)
+    },
+    leaveToOthers: entry => {
+      const nowMs = clock.nowMs()
+      sweepLeft(nowMs)
+      leftUntilMs.set(idOf(entry.jobId, entry.item), nowMs + LEAVE_MS)
+    },
+    isHeldOrLeft: (jobId, item) => {
+      const id = idOf(jobId, item)
+      return held.has(id) || (leftUntilMs.get(id) ?? -Infinity) > clock.nowMs()
+    },
+    all: () => [...held.values()],
+    inState: state => [...held.values()].filter(entry => entry.state === state)
+  }
+}
+
+/** @returns the text of an item so far, as it is saved */
+export function progressOf (entry: HeldItem): { lastEventId: number, text: string } {
+  return { lastEventId: entry.text.lastEventId, text: entry.text.pieces.join('\n') }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -0,0 +1,198 @@
+/** The steps of one item at a runner: claim, run, pause, release, settle. */
+import { runInBackground, sleep } from 'anvilarch-utils'
+import type { Pool } from 'undici'
+import type { EndpointTable } from '../endpoints/endpointTable'
+import type { ResultReader } from '../jobs/resultReader'
+import type { JobItem, JobRecord } from '../jobs/types'
+import type { Endpoint } from '../model/types'
+import type { PlatformWire } from '../roles/types'
+import type { ServingMetrics } from '../telemetry/metrics'
+import { type ClaimParts, claimItem, failItem, finishItem, ownClaimVersion, readProgress, saveClaim } from './claims'
+import { type HeldItem, type HeldItems, progressOf } from './heldItems'
+import { type RunEnd, runItem } from './itemRun'
+import type { Pace } from './pace'
+
+/** Parts of the steps. */
+export interface StepParts extends ClaimParts {
+  metrics: ServingMetrics
+  endpoints: EndpointTable
+  wire: PlatformWire
+  /** Connections to the engine beside the agent. */
+  pool: Pool
+  engineAddress: string
+  held: HeldItems
+  pace: Pace
+  submissions: ResultReader
+  /** Aborted when nothing may start any more. */
+  stopping: AbortSignal
+}
+
+/** The steps. */
+export interface ItemSteps {
+  /** Claims an item and runs it. */
+  begin: (job: JobRecord, item: number) => Promise<void>
+  /** Runs a held item on from where it is. */
+  resume: (entry: HeldItem) => Promise<void>
+  pause: (entry: HeldItem, reason: string) => void
+  /** Saves the text and lets go of the item. @returns false if the store has not taken it */
+  release: (entry: HeldItem) => Promise<boolean>
+}
+
+/** Without an answer of the store for this long, nothing new starts: the job may have been ended meanwhile. */
+const STALE_WORK_MS = 1500
+
+/** Pause before the text of an ended item is offered to the store again. */
+const SETTLE_RETRY_MS = 200
+
+/** Deadline of an item that is past its age but still wanted. */
+const MIN_DEADLINE_MS = 1000
+
+type FinalEnd = Exclude<RunEnd, { end: 'interrupted' }>
+
+/** @returns whether the store has answered lately enough to start something on what it told */
+export function isWorkFresh (parts: Pick<StepParts, 'clock' | 'store'>): boolean {
+  return parts.clock.nowMs() - (parts.store.lastSuccessMs() ?? -Infinity) < STALE_WORK_MS
+}
+
+/**
+ * @param parts - store, engine and held items
+ * @returns the steps of items
+ */
+export function createItemSteps (parts: StepParts): ItemSteps {
+  const { clock, log, held } = parts
+
+  const pause = (entry: HeldItem, reason: string): void => {
+    entry.run?.abort()
+    entry.run = undefined
+    entry.state = 'paused'
+    entry.pausedAtMs = clock.nowMs()
+    parts.metrics.itemRuns.inc({ outcome: 'paused' })
+    log.info('item paused', { jobId: entry.jobId, itemId: entry.itemId, reason, lastEventId: entry.text.lastEventId })
+  }
+
+  const release = async (entry: HeldItem): Promise<boolean> => {
+    entry.run?.abort()
+    entry.run = undefined
+    entry.state = 'saving'
+    const progress = entry.text.lastEventId > entry.savedEventId ? progressOf(entry) : undefined
+    const saved = await saveClaim(parts, entry.jobId, entry.item, progress, false)
+    if (!saved && ownClaimVersion(parts, entry.jobId, entry.item) !== undefined) {
+      entry.state = 'paused'
+      entry.pausedAtMs = clock.nowMs()
+      return false
+    }
+    held.leaveToOthers(entry)
+    held.drop(entry)
+    log.info('item released', { jobId: entry.jobId, itemId: entry.itemId, saved, lastEventId: entry.text.lastEventId })
+    return true
+  }
+
+  /** The text of an ended item is kept until the store has it, or the item is another runner's. */
+  const settle = async (entry: HeldItem, end: FinalEnd): Promise<void> => {
+    for (;;) {
+      const outcome = await writeEnd(entry, end)
+      if (outcome === 'applied' || outcome === 'not_applicable' || outcome === 'no_such_job') {
+        log.info('item settled', { jobId: entry.jobId, itemId: entry.itemId, end: end.end, outcome })
+        if (end.end === 'failed') held.leaveToOthers(entry)
+        held.drop(entry)
+        return
+      }
+      await sleep(clock, SETTLE_RETRY_MS)
+    }
+  }
+
+  const writeEnd = (entry: HeldItem, end: FinalEnd): ReturnType<typeof finishItem> => {
+    if (end.end === 'failed') return failItem(parts, entry.jobId, entry.item)
+    if (end.end === 'impossible') return finishItem(parts, entry.jobId, entry.item, 'dead_letter', '')
+    return finishItem(parts, entry.jobId, entry.item, 'completed', end.text)
+  }
+
+  const onRunEnd = (entry: HeldItem, end: RunEnd): void => {
+    entry.run = undefined
+    parts.metrics.itemRuns.inc({ outcome: end.end })
+    log.info('item run ended', {
+      jobId: entry.jobId,
+      itemId: entry.itemId,
+      end: end.end,
+      reason: end.end === 'interrupted' ? end.reason : undefined,
+      lastEventId: entry.text.lastEventId,
+      elapsedMs: Math.round(clock.nowMs() - entry.startedAtMs)
+    })
+    if (end.end === 'interrupted') {
+      pause(entry, end.reason)
+      return
+    }
+    if (end.end === 'completed') {
+      parts.pace.onRun(entry.text.lastEventId - entry.startedAfterEventId, clock.nowMs() - entry.startedAtMs)
+      parts.pace.onItem(entry.tokens, entry.text.lastEventId)
+    }
+    entry.state = 'finishing'
+    runInBackground(log, 'settle item', () => settle(entry, end))
+  }
+
+  const run = (entry: HeldItem, job: JobRecord, item: JobItem, endpoint: Endpoint): void => {
+    const nowMs = clock.nowMs()
+    entry.state = 'running'
+    entry.startedAtMs = nowMs
+    entry.savedAtMs = nowMs
+    entry.startedAfterEventId = entry.text.lastEventId
+    entry.run = runItem({
+      clock,
+      pool: parts.pool,
+      requestWire: parts.wire.request,
+      engineWire: parts.wire.engine,
+      item,
+      host: job.host,
+      endpointId: endpoint.id,
+      deadlineMs: Math.max(MIN_DEADLINE_MS, Math.round(job.expiresAtMs - (parts.store.storeNowMs() ?? job.submittedAtMs))),
+      text: entry.text,
+      onEnd: end => onRunEnd(entry, end)
+    })
+  }
+
+  const resume = async (entry: HeldItem): Promise<void> => {
+    const items = await parts.submissions.items(entry.jobId)
+    const item = items.ok ? items.val?.[entry.item] : undefined
+    const job = parts.work.job(entry.jobId)?.record
+    if (job === undefined || job.ended || ownClaimVersion(parts, entry.jobId, entry.item) === undefined) {
+      held.drop(entry)
+      return
+    }
+    const endpoint = parts.endpoints.atAddress(parts.engineAddress)
+    if (item === undefined || endpoint?.state !== 'ready' || !isWorkFresh(parts) || parts.stopping.aborted) {
+      entry.state = 'paused'
+      return
+    }
+    run(entry, job, item, endpoint)
+  }
+
+  const begin = async (job: JobRecord, place: number): Promise<void> => {
+    const entry = held.add(job, place)
+    const [claimed, items] = await Promise.all([claimItem(parts, job.jobId, place), parts.submissions.items(job.jobId)])
+    if (!claimed) {
+      held.leaveToOthers(entry)
+      held.drop(entry)
+      return
+    }
+    if (items.err || items.val?.[place] === undefined) {
+      log.warn('items of a job cannot be read', { jobId: job.jobId, reason: items.err ? items.val.reason : 'no object' })
+      entry.state = 'paused'
+      return
+    }
+    const savedEventId = parts.work.claim(job.jobId, place)?.record.savedEventId ?? 0
+    const progress = savedEventId > 0 ? await readProgress(parts, job.jobId, place) : undefined
+    if (progress !== undefined) {
+      entry.text = { lastEventId: progress.lastEventId, pieces: progress.text.split('\n') }
+      entry.savedEventId = progress.lastEventId
+    }
+    log.info('item claimed', {
+      jobId: job.jobId,
+      itemId: entry.itemId,
+      fromEventId: entry.text.lastEventId,
+      dueInMs: Math.round(job.dueAtMs - (parts.store.storeNowMs() ?? 0))
+    })
+    await resume(entry)
+  }
+
+  return { begin, resume, pause, release }
+}
