--- /dev/null
+++ b/packages/anvilarch-serving/src/operations/readStore.ts
@@ -0,0 +1,76 @@
+/** Reads the whole state in the store, for an operator. */
+import { Ok, type Result } from 'ts-results'
+import { decodeWorkRow, WORK_TABLE } from '../jobs/jobRows'
+import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
+import type { JobRecord, MemberRecord } from '../jobs/types'
+import type { Configuration, Endpoint } from '../model/types'
+import type { OperatorWire } from '../roles/types'
+import type { MetadataStore, StoreFailure } from '../store/types'
+
+/** All that the store knows of a deployment. */
+export interface StoreSnapshot {
+  configuration: Configuration | undefined
+  endpoints: Endpoint[]
+  members: MemberRecord[]
+  jobs: JobRecord[]
+  /** The store's clock when it was read; ages of jobs are told by it. */
+  storeNowMs: number | undefined
+}
+
+/**
+ * @param store - client of the store
+ * @param wire - decoders of the operator's rows
+ * @returns the state, or why it cannot be read
+ */
+export async function readStore (store: MetadataStore, wire: OperatorWire): Promise<Result<StoreSnapshot, StoreFailure>> {
+  const snapshot: StoreSnapshot = { configuration: undefined, endpoints: [], members: [], jobs: [], storeNowMs: undefined }
+  const configurationRows = await store.readRows({ table: wire.configurationTable, partition: '' })
+  if (configurationRows.err) return configurationRows
+  for (const row of configurationRows.val.rows) snapshot.configuration = wire.decodeConfiguration(row) ?? snapshot.configuration
+  const endpointRows = await store.readRows({ table: wire.endpointTable, partition: '' })
+  if (endpointRows.err) return endpointRows
+  snapshot.endpoints = endpointRows.val.rows.map(wire.decodeEndpoint).filter(endpoint => endpoint !== undefined)
+  for (const partition of [MEMBER_PARTITION, ...JOB_PARTITIONS]) {
+    const read = await store.readRows({ table: WORK_TABLE, partition })
+    if (read.err) return read
+    for (const row of read.val.rows) {
+      const decoded = decodeWorkRow(row, row.value)
+      if (decoded?.kind === 'member') snapshot.members.push(decoded.record)
+      if (decoded?.kind === 'job') snapshot.jobs.push(decoded.record)
+    }
+  }
+  snapshot.storeNowMs = store.storeNowMs()
+  return Ok(snapshot)
+}
+
+/** State of a job as an operator sees it. */
+export type JobState = 'open' | 'done' | 'ended'
+
+/** A job in a line. */
+export interface JobSummary {
+  jobId: string
+  state: JobState
+  itemCount: number
+  completed: number
+  givenUp: number
+  /** Time until the job is due; negative when it is past that. */
+  dueInMs: number | undefined
+}
+
+/**
+ * @param job - the row
+ * @param storeNowMs - the store's clock
+ * @returns what an operator wants to know of it
+ */
+export function summarizeJob (job: JobRecord, storeNowMs: number | undefined): JobSummary {
+  const completed = job.listed.filter(entry => entry.outcome === 'completed').length
+  const done = job.listed.length >= job.itemIds.length
+  return {
+    jobId: job.jobId,
+    state: job.ended ? 'ended' : done ? 'done' : 'open',
+    itemCount: job.itemIds.length,
+    completed,
+    givenUp: job.listed.length - completed,
+    dueInMs: storeNowMs === undefined ? undefined : Math.round(job.dueAtMs - storeNowMs)
+  }
+}
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -7,6 +7,7 @@
 import type { LoadTable } from '../endpoints/loadTable'
 import type { Endpoint, RequestMetadata, Route } from '../model/types'
 import { chooseService } from '../routing/matchRoute'
+import type { LineBudget } from '../telemetry/lineBudget'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { type AttemptFailure, isRepeatable, nextStep, silenceLimitMs } from './attemptDecision'
 import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
@@ -26,6 +27,8 @@
   wire: RequestWire
   notice: ClosingNotice
   holdTimes: HoldTimes
+  /** Bounds the lines about requests that went well. */
+  lines: LineBudget
   ownFailureDomain: string
   draw: () => number
 }
@@ -82,8 +85,11 @@
     silence?.cancel()
     parts.metrics.requests.inc({ kind: route.kind, outcome })
     parts.metrics.requestSeconds.observe({ kind: route.kind }, (clock.nowMs() - client.arrivedAtMs) / 1000)
-    const level = outcome === 'answered' ? 'debug' : 'info'
-    log[level]('request ended', {
+    if (outcome === 'answered' && !parts.lines.take()) {
+      parts.metrics.logLinesLeftOut.inc()
+      return
+    }
+    log.info('request ended', {
       requestId: metadata.requestId,
       route: route.name,
       kind: route.kind,
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -12,6 +12,7 @@
 import { createHoldTimes } from '../requests/holdTimes'
 import { readBody } from '../requests/readBody'
 import { matchRoute } from '../routing/matchRoute'
+import { createLineBudget } from '../telemetry/lineBudget'
 import { startHeartbeat } from '../peers/heartbeat'
 import { followPlatform } from './followPlatform'
 import { once } from './once'
@@ -38,6 +39,9 @@
 /** A few gateways share the connections that an endpoint takes; each keeps to this part of them. */
 const CONNECTION_SHARE = 0.25
 
+/** Lines about requests that went well; those about others are always written. A line is about 300 bytes. */
+const GOOD_LINES_PER_SECOND = 20
+
 /** Used before the configuration names a limit. */
 const DEFAULT_CONNECTION_LIMIT = 16
 
@@ -72,6 +76,7 @@
     wire: wire.request,
     notice,
     holdTimes: createHoldTimes(),
+    lines: createLineBudget(clock, GOOD_LINES_PER_SECOND),
     ownFailureDomain: settings.failureDomain,
     draw: () => context.random.next()
   }
--- /dev/null
+++ b/packages/anvilarch-serving/src/telemetry/__tests__/telemetry.test.ts
@@ -0,0 +1,33 @@
+import { Writable } from 'node:stream'
+import { createFakeClock } from 'anvilarch-utils'
+import { createBoundedLog } from '../boundedLog'
+import { createLineBudget } from '../lineBudget'
+import { createServingMetrics } from '../metrics'
+
+describe('createLineBudget', () => {
+  it('bounds the lines of each second', () => {
+    const clock = createFakeClock()
+    const budget = createLineBudget(clock, 3)
+    const taken = (): number => Array.from({ length: 10 }, () => budget.take()).filter(Boolean).length
+    expect(taken()).toBe(3)
+    clock.advance(999)
+    expect(taken()).toBe(0)
+    clock.advance(1)
+    expect(taken()).toBe(3)
+  })
+})
+
+describe('createBoundedLog', () => {
+  // Symptom: all requests of a process stand still.
+  // Sequence: the reader of its standard output stalls; the pipe fills up.
+  // Cause: a write to a full pipe blocks, unless lines are dropped beyond a bound.
+  it('drops and counts lines while their reader stalls, and never waits', async () => {
+    const metrics = createServingMetrics()
+    const stalled = new Writable({ write: () => {} })
+    const write = createBoundedLog(stalled, metrics.logLinesDropped)
+    for (let index = 0; index < 3000; index++) write('x'.repeat(1000))
+    expect(stalled.writableLength).toBeLessThan(1.1 * 1024 * 1024)
+    const [dropped] = (await metrics.logLinesDropped.get()).values
+    expect(dropped.value).toBeGreaterThan(1900)
+  })
+})
--- /dev/null
+++ b/packages/anvilarch-serving/src/telemetry/lineBudget.ts
@@ -0,0 +1,31 @@
+/** Bounds how many lines are written about what went well. */
+import type { Clock } from 'anvilarch-utils'
+
+/** Says whether one more line may be written. */
+export interface LineBudget {
+  take: () => boolean
+}
+
+const SECOND_MS = 1000
+
+/**
+ * @param clock - local clock
+ * @param linesPerSecond - lines that are written in any second
+ * @returns a budget that is full at the start of each second
+ */
+export function createLineBudget (clock: Clock, linesPerSecond: number): LineBudget {
+  let secondStartMs = -Infinity
+  let left = 0
+  return {
+    take: () => {
+      const nowMs = clock.nowMs()
+      if (nowMs - secondStartMs >= SECOND_MS) {
+        secondStartMs = nowMs
+        left = linesPerSecond
+      }
+      if (left === 0) return false
+      left--
+      return true
+    }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch/src/commands/storeShow.ts
@@ -0,0 +1,55 @@
+/** `anvilarch store show` */
+import { option, string } from 'cmd-ts'
+import { openStore } from 'anvilarch-platform'
+import { readStore, type StoreSnapshot, summarizeJob } from 'anvilarch-serving'
+import { SILENT_LOGGER } from 'anvilarch-utils'
+import { CliError } from '../cliError'
+import { defineCommand } from '../defineCommand'
+import { formatTable } from '../output/table'
+
+/** Shows what the platform's store knows: configuration in force, endpoints, daemons and jobs. */
+export const storeShow = defineCommand({
+  name: 'show',
+  description: 'Show configuration, endpoints, daemons and jobs as the platform\'s store has them',
+  args: {
+    address: option({ long: 'address', type: string, description: 'IP and port of the store' })
+  },
+  examples: [{ description: 'State of the deployment', line: 'anvilarch store show --address 10.200.1.7:8142' }],
+  run: async ({ address }, session) => {
+    const { store, wire } = openStore(address, session.environment.clock, SILENT_LOGGER)
+    const read = await readStore(store, wire)
+    if (read.err) {
+      throw new CliError(`The store at ${address} can't be read: ${read.val.reason}.`, {
+        code: 'platform_unavailable', step: 'store.read', peer: address, exit: 'unreachable', ran: 'not_run', hint: 'Check the address in the settings file of a daemon, and try again.'
+      })
+    }
+    return { json: toJson(read.val), text: formatSnapshot(read.val) }
+  }
+})
+
+function toJson (snapshot: StoreSnapshot): unknown {
+  const { configuration, endpoints, members, jobs, storeNowMs } = snapshot
+  return {
+    configurationVersion: configuration?.version,
+    routes: configuration?.routes,
+    endpoints,
+    members,
+    jobs: jobs.map(job => summarizeJob(job, storeNowMs))
+  }
+}
+
+function formatSnapshot (snapshot: StoreSnapshot): string {
+  const { configuration, endpoints, members, jobs, storeNowMs } = snapshot
+  const routes = configuration?.routes.map(route => [route.name, route.kind, route.host + route.pathPrefix, route.targets.map(target => target.service).join(', '), route.maxAttempts, route.timeoutMs]) ?? []
+  const summaries = jobs.map(job => summarizeJob(job, storeNowMs))
+  return [
+    `configuration  version ${configuration?.version ?? 'none'}`,
+    formatTable(['route', 'kind', 'path', 'services', 'attempts', 'timeoutMs'], routes),
+    '',
+    formatTable(['endpoint', 'service', 'address', 'domain', 'state', 'slots'], endpoints.map(endpoint => [endpoint.id, endpoint.service, endpoint.address, endpoint.failureDomain, endpoint.state, endpoint.slots])),
+    '',
+    formatTable(['daemon', 'role', 'address', 'alive'], members.map(member => [member.name, member.role, member.peerAddress, storeNowMs === undefined || member.aliveUntilMs > storeNowMs])),
+    '',
+    formatTable(['job', 'state', 'items', 'completed', 'givenUp', 'dueInMs'], summaries.map(job => [job.jobId, job.state, job.itemCount, job.completed, job.givenUp, job.dueInMs]))
+  ].join('\n')
+}
--- a/packages/anvilarch/src/createProgram.ts
+++ b/packages/anvilarch/src/createProgram.ts
@@ -7,6 +7,7 @@
 import { configValidate } from './commands/configValidate'
 import { endpointDrain } from './commands/endpointDrain'
 import { endpointList } from './commands/endpointList'
+import { explain } from './commands/explain'
 import { jobCancel } from './commands/jobCancel'
 import { jobList } from './commands/jobList'
 import { jobResults } from './commands/jobResults'
@@ -14,6 +15,7 @@
 import { jobSubmit } from './commands/jobSubmit'
 import { serviceList } from './commands/serviceList'
 import { status } from './commands/status'
+import { storeShow } from './commands/storeShow'
 import { timeline } from './commands/timeline'
 import type { CommandFactory, ExitListener } from './defineCommand'
 import type { CliEnvironment } from './environment'
@@ -30,11 +32,12 @@
     commands: { submit: jobSubmit, show: jobShow, results: jobResults, cancel: jobCancel, list: jobList }
   },
   service: { description: 'services', commands: { list: serviceList } },
-  endpoint: { description: 'endpoints', commands: { list: endpointList, drain: endpointDrain } }
+  endpoint: { description: 'endpoints', commands: { list: endpointList, drain: endpointDrain } },
+  store: { description: 'the platform\'s store', commands: { show: storeShow } }
 }
 
 /** Commands without a group. */
-const SINGLE_COMMANDS: Record<string, CommandFactory> = { status, timeline }
+const SINGLE_COMMANDS: Record<string, CommandFactory> = { status, timeline, explain }
 
 /**
  * @param environment - the process around the program
