Send a request elsewhere when an endpoint answers with a failure; remove jobs past their retention

Cause: an endpoint that fails part of its requests while it counts as healthy had its failures handed on although the request may be repeated. Objects of jobs stayed in the store for ever, which holds 400 MB. Change: a 5xx of an endpoint is an attempt that may have run; what may be repeated goes to another endpoint within its attempts, and the endpoint's own answer is handed on when none is left. Runners remove closed jobs after 1.5 times the time that results are promised.

--- /dev/null
+++ b/packages/anvilarch-serving/src/jobs/retention.ts
@@ -0,0 +1,56 @@
+/** Removes jobs whose results nobody may ask for any more: the store's space for objects is bounded. */
+import type { Logger } from 'anvilarch-utils'
+import type { RowKey } from '../store/types'
+import { isClosed } from './jobRecord'
+import { claimKey, jobKey, progressKey, resultKey, resultObject, submissionObject } from './jobRows'
+import type { JobParts } from './jobStore'
+import type { JobRecord } from './types'
+
+/** Results stay for this multiple of the time that is promised, so that a slow reader still finds them. */
+const RETENTION_FACTOR = 1.5
+
+/** A transaction holds at most 100 entries. */
+const MAX_REMOVES = 90
+
+/**
+ * @param job - the row
+ * @param storeNowMs - the store's clock
+ * @param retentionMs - how long results are promised, from the submission on
+ * @returns whether the job may be removed
+ */
+export function isRetired (job: JobRecord, storeNowMs: number, retentionMs: number): boolean {
+  return isClosed(job) && storeNowMs - job.submittedAtMs > RETENTION_FACTOR * retentionMs
+}
+
+/**
+ * Removes a job: objects and results first, its row last, so that a removal that breaks off is gone on with later.
+ *
+ * @param parts - store and copy
+ * @param job - a retired job
+ * @param log - told of the removal
+ * @returns whether all of it is gone
+ */
+export async function removeJob (parts: JobParts, job: JobRecord, log: Logger): Promise<boolean> {
+  const items = job.itemIds.map((_, item) => item)
+  for (const item of items) {
+    const large = await parts.store.readRows({ ...resultKey(job.jobId, item), from: resultKey(job.jobId, item).key, to: resultKey(job.jobId, item).key + '\u0001' })
+    if (large.err) return false
+    const isObject = large.val.rows.some(row => row.value.length === 1 && row.value[0] === 0xff)
+    if (isObject && !await parts.store.removeObject(resultObject(job.jobId, item))) return false
+  }
+  const keys = items.flatMap(item => [resultKey(job.jobId, item), progressKey(job.jobId, item), claimKey(job.jobId, item)])
+  for (let from = 0; from < keys.length; from += MAX_REMOVES) {
+    if (!await removeRows(parts, keys.slice(from, from + MAX_REMOVES))) return false
+  }
+  await parts.store.removeObject(submissionObject(job.jobId))
+  const removed = await removeRows(parts, [jobKey(job.jobId)])
+  if (removed) log.info('job removed after its retention', { jobId: job.jobId })
+  return removed
+}
+
+async function removeRows (parts: JobParts, keys: RowKey[]): Promise<boolean> {
+  const outcome = await parts.store.commit({ conditions: [], puts: [], removes: keys })
+  if (outcome.outcome !== 'committed') return false
+  for (const key of keys) parts.work.forget(key, outcome.version)
+  return true
+}
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -51,6 +51,9 @@
 /** When there is no endpoint at all; a replaced one is listed after about a heartbeat. */
 const NO_ENDPOINT_RETRY_AFTER_MS = 800
 
+/** Endpoints answer failures of their own with this status or a higher one. */
+const FIRST_FAILURE_STATUS = 500
+
 /** How often a request that an endpoint has refused as full is offered to others. */
 const MAX_OFFERS = 6
 
@@ -73,6 +76,7 @@
   let lastEventId = metadata.lastEventId
   let answerBegun = false
   let firstEventAtMs: number | undefined
+  let failedAnswer: AttemptAnswer | undefined
   let finished = false
   let silence: Timer | undefined
 
@@ -104,6 +108,12 @@
   }
 
   const answer = (own: OwnAnswer): void => {
+    if (failedAnswer !== undefined) {
+      // An endpoint has answered, if only with a failure: that is what the client gets, not one of our own.
+      finish('endpoint_status', { status: failedAnswer.status })
+      sendWhole(response, failedAnswer, parts.notice)
+      return
+    }
     finish(own.code, { status: own.status })
     sendOwnAnswer(response, own, parts.notice)
   }
@@ -153,10 +163,27 @@
     })
   }
 
+  /** Goes elsewhere after a failure that the endpoint has answered itself, if that is allowed. @returns whether it does */
+  const triesElsewhere = (endpoint: Endpoint, whole: AttemptAnswer): boolean => {
+    if (whole.status < FIRST_FAILURE_STATUS || answerBegun) return false
+    attemptsThatMayHaveRun++
+    loads.onFailure(endpoint.id)
+    const candidate = service !== undefined && choose(service) !== undefined
+    const step = nextStep(route, 'may_have_run', { attemptsThatMayHaveRun, answerBegun, hasUntriedEndpoint: candidate, remainingMs: remainingMs() })
+    if (step !== 'send_again') return false
+    log.info('attempt failed', { requestId: metadata.requestId, endpoint: endpoint.id, failure: 'may_have_run', reason: `status ${whole.status}`, remainingMs: Math.round(remainingMs()) })
+    parts.metrics.attemptFailures.inc({ kind: route.kind, reason: 'endpoint_status' })
+    failedAnswer = whole
+    send()
+    return true
+  }
+
   const onAnswer = (endpoint: Endpoint, whole: AttemptAnswer): void => {
     attempt = undefined
+    silence?.cancel()
     loads.onEnded(endpoint.id)
-    loads.onSuccess(endpoint.id)
+    if (triesElsewhere(endpoint, whole)) return
+    if (whole.status < FIRST_FAILURE_STATUS) loads.onSuccess(endpoint.id)
     // The first event stands for the time in the queue; the slot is held from then on.
     if (service !== undefined && firstEventAtMs !== undefined) parts.holdTimes.onAnswer(service, clock.nowMs() - firstEventAtMs)
     finish(whole.status < 400 ? 'answered' : 'endpoint_status', { endpoint: endpoint.id, status: whole.status })
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -45,6 +45,7 @@
     pool,
     engineAddress: agent.engineAddress,
     service: agent.service,
+    retentionMs: settings.retentionMs,
     readReport: () => readReport(pool, context.wire.engine, clock),
     publish: publisher.publish
   })
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -20,6 +20,8 @@
   /** How long after SIGTERM the process may live. */
   stopGraceMs: number
   maxRowBytes: number
+  /** How long results of a job are promised, from its submission on. */
+  retentionMs: number
   /** Configured for the gateway only. */
   gateway: GatewaySettings | undefined
   /** Configured for the agent only. */
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -1,10 +1,12 @@
 /** Runs batch items in the slack of the engine beside the agent. */
 import { runInBackground, sleep } from 'anvilarch-utils'
+import { v3 as murmurhash } from 'murmurhash'
 import type { Pool } from 'undici'
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { LoadReport } from '../endpoints/loadTable'
 import { isClosed, isExpired } from '../jobs/jobRecord'
 import { createResultReader } from '../jobs/resultReader'
+import { isRetired, removeJob } from '../jobs/retention'
 import type { JobRecord } from '../jobs/types'
 import type { Configuration, Endpoint } from '../model/types'
 import type { EngineReport, PlatformWire } from '../roles/types'
@@ -27,6 +29,8 @@
   pool: Pool
   engineAddress: string
   service: string
+  /** How long results are promised, from the submission on. */
+  retentionMs: number
   readReport: () => Promise<EngineReport | undefined>
   publish: (report: LoadReport) => void
 }
@@ -57,6 +61,9 @@
 /** How often jobs are looked through for items past their age. */
 const EXPIRY_INTERVAL_MS = 2000
 
+/** How often jobs are looked through for those that are past their retention. */
+const RETENTION_INTERVAL_MS = 10_000
+
 /** How long a stop tries to save items. */
 const STOP_PATIENCE_MS = 3000
 
@@ -194,6 +201,18 @@
     }
   }
 
+  /** Each job is removed by the runner that its id falls on among those alive, so that they do not all try. */
+  const retire = async (): Promise<void> => {
+    const storeNowMs = parts.store.storeNowMs()
+    if (storeNowMs === undefined) return
+    const retired = [...parts.work.jobs()].map(entry => entry.record).filter(job => isRetired(job, storeNowMs, parts.retentionMs))
+    const runners = [...parts.work.members()].map(member => member.record).filter(member => member.role === 'agent' && member.aliveUntilMs > storeNowMs)
+    for (const job of retired) {
+      const names = runners.map(member => member.name).sort()
+      if (names[murmurhash(job.jobId) % names.length] === parts.runner) await removeJob(parts, job, log)
+    }
+  }
+
   const repeat = async (intervalMs: () => number, action: () => Promise<void>): Promise<void> => {
     while (!controller.signal.aborted) {
       try {
@@ -205,6 +224,7 @@
     }
   }
   runInBackground(log, 'runner', () => repeat(() => held.all().length > 0 ? BUSY_TICK_MS : IDLE_TICK_MS, tick))
+  runInBackground(log, 'retention', () => repeat(() => RETENTION_INTERVAL_MS, retire))
   runInBackground(log, 'expiry', () => repeat(() => EXPIRY_INTERVAL_MS, expire))
 
   return {
