--- a/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
@@ -17,6 +17,13 @@
     expect(planSlack({ slots: 8, running: 8, waiting: 20, ownItems: 2, ownUnseen: 0 })).toEqual({ start: 0, stop: 2 })
   })
 
+  // Symptom: items are broken off right after their start, though no request waits.
+  // Sequence: three items start; the report shows them running; they count as unseen for some milliseconds more.
+  // Cause: the same item was counted twice when deciding what to stop.
+  it('does not stop what it may have counted twice', () => {
+    expect(planSlack({ slots: 4, running: 3, waiting: 0, ownItems: 3, ownUnseen: 3 })).toEqual({ start: 0, stop: 0 })
+  })
+
   it('neither starts nor stops with just the reserve free', () => {
     expect(planSlack({ slots: 8, running: 7, waiting: 0, ownItems: 4, ownUnseen: 0 })).toEqual({ start: 0, stop: 0 })
   })
--- a/packages/anvilarch-serving/src/runner/slack.ts
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -34,10 +34,11 @@
  * @returns how many items to start or to stop
  */
 export function planSlack (input: SlackInput): SlackPlan {
-  const taken = input.running + input.waiting + input.ownUnseen
-  const free = input.slots - taken
-  if (free < RESERVED_SLOTS) return { start: 0, stop: Math.min(input.ownItems, RESERVED_SLOTS - free) }
-  return { start: free - RESERVED_SLOTS, stop: 0 }
+  const reportedFree = input.slots - input.running - input.waiting
+  // An item that has just started may be in the report already; to stop for it would break off what has hardly begun.
+  if (reportedFree < RESERVED_SLOTS) return { start: 0, stop: Math.min(input.ownItems, RESERVED_SLOTS - reportedFree) }
+  return { start: Math.max(0, reportedFree - input.ownUnseen - RESERVED_SLOTS), stop: 0 }
+}
 }
 
 /** A request reaches the engine beside the agent, and its report, within this time. */
