--- a/packages/anvilarch-serving/src/runner/slack.ts
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -39,7 +39,6 @@
   if (reportedFree < RESERVED_SLOTS) return { start: 0, stop: Math.min(input.ownItems, RESERVED_SLOTS - reportedFree) }
   return { start: Math.max(0, reportedFree - input.ownUnseen - RESERVED_SLOTS), stop: 0 }
 }
-}
 
 /** A request reaches the engine beside the agent, and its report, within this time. */
 const UNSEEN_MS = 15
