Leave to other runners what only they can do in time

Change: agents tell their engine's pace with their heartbeat; an item that would be late here and in time at the median pace is not taken, and handed over if it runs. Pace is learned every 0.5 s from runs in progress. Tests fail before.

--- a/packages/anvilarch-serving/src/jobs/types.ts
+++ b/packages/anvilarch-serving/src/jobs/types.ts
@@ -68,4 +68,6 @@
   failureDomain: string
   /** Store time until which the daemon is taken to be alive. */
   aliveUntilMs: number
+  /** Time between two events of batch items at the daemon's engine; left out until it is known. */
+  eventMs?: number
 }
--- a/packages/anvilarch-serving/src/peers/heartbeat.ts
+++ b/packages/anvilarch-serving/src/peers/heartbeat.ts
@@ -20,19 +20,31 @@
   stop: () => void
 }
 
+/** What a heartbeat tells beside the fact that its process lives. */
+export type HeartbeatDetails = Pick<MemberRecord, 'eventMs'>
+
 /**
  * @param context - store and settings
  * @param role - what this process does
+ * @param details - asked at each beat
  * @returns the heartbeat, which starts at once
  */
-export function startHeartbeat (context: RoleContext, role: MemberRecord['role']): Heartbeat {
+export function startHeartbeat (context: RoleContext, role: MemberRecord['role'], details: () => HeartbeatDetails = () => ({})): Heartbeat {
   const controller = new AbortController()
   const incarnation = context.random.between(0, 0x7ffffffe).toString(36)
-  runInBackground(context.log, 'heartbeat', () => beat(context, role, incarnation, controller.signal))
+  runInBackground(context.log, 'heartbeat', () => beat({ context, role, incarnation, details, signal: controller.signal }))
   return { incarnation, stop: () => controller.abort() }
 }
 
-async function beat (context: RoleContext, role: MemberRecord['role'], incarnation: string, signal: AbortSignal): Promise<void> {
+interface BeatOptions {
+  context: RoleContext
+  role: MemberRecord['role']
+  incarnation: string
+  details: () => HeartbeatDetails
+  signal: AbortSignal
+}
+
+async function beat ({ context, role, incarnation, details, signal }: BeatOptions): Promise<void> {
   const { store, clock, settings } = context
   while (!signal.aborted) {
     const storeNowMs = store.storeNowMs()
@@ -44,7 +56,8 @@
         incarnation,
         peerAddress: `${settings.ip}:${settings.peerPort}`,
         failureDomain: settings.failureDomain,
-        aliveUntilMs: storeNowMs + ALIVE_MS
+        aliveUntilMs: storeNowMs + ALIVE_MS,
+        ...details()
       }
       const outcome = await store.commit({ conditions: [], puts: [recordRow(memberKey(settings.name), record)], removes: [] })
       written = outcome.outcome === 'committed'
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -4,6 +4,7 @@
 import { startExchange } from '../endpoints/exchange'
 import { startHeartbeat } from '../peers/heartbeat'
 import { startBatchRunner } from '../runner/batchRunner'
+import { createPace } from '../runner/pace'
 import { followPlatform } from './followPlatform'
 import type { EngineReport, EngineWire, RoleContext, RunningRole } from './types'
 import type { Clock } from 'anvilarch-utils'
@@ -24,7 +25,8 @@
   const agent = settings.agent
   if (agent === undefined) throw new Error('the agent role needs the address of an engine')
   const view = followPlatform(context)
-  const heartbeat = startHeartbeat(context, 'agent')
+  const pace = createPace()
+  const heartbeat = startHeartbeat(context, 'agent', () => ({ eventMs: pace.eventMs() }))
   const publisher = createLoadPublisher(clock, { ip: settings.ip, port: settings.peerPort }, log)
   const pool = new Pool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
   pool.on('connectionError', () => {
@@ -47,7 +49,8 @@
     service: agent.service,
     retentionMs: settings.retentionMs,
     readReport: () => readReport(pool, context.wire.engine, clock),
-    publish: publisher.publish
+    publish: publisher.publish,
+    pace
   })
   const close = once(async () => {
     runner.halt()
--- a/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
@@ -30,6 +30,7 @@
     mayRun: () => true,
     isSkipped: () => false,
     remainingMs: () => 5000,
+    remainingElsewhereMs: () => 5000,
     ...change
   }
 }
@@ -56,6 +57,15 @@
     expect(chosen.map(candidate => candidate.job.jobId)).toEqual(['possible', 'possible'])
   })
 
+  // Symptom: items that a slow engine has taken end long after they are due, while others have room.
+  // Sequence: an engine turns slow; its runner takes items as before.
+  // Cause: each runner knew only its own pace.
+  it('leaves to others what only they can do in time', () => {
+    const jobs = [job('a', NOW_MS + 8000, 1)]
+    expect(chooseItems(input({ jobs }, { remainingMs: () => 20_000 }), 1)).toHaveLength(0)
+    expect(chooseItems(input({ jobs }, { remainingMs: () => 20_000, remainingElsewhereMs: () => 20_000 }), 1)).toHaveLength(1)
+  })
+
   it('leaves ended jobs and listed items alone', () => {
     const partly = { ...job('a', 20_000), listed: [{ item: 0, outcome: 'completed' as const }] }
     const chosen = chooseItems(input({ jobs: [partly, { ...job('b', 20_000), ended: true }] }), 9)
--- a/packages/anvilarch-serving/src/runner/__tests__/pace.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/pace.test.ts
@@ -9,6 +9,8 @@
     expect(pace.remainingMs(2000, 0)).toBe(4000)
     expect(pace.remainingMs(2000, 150)).toBe(1000)
     expect(pace.remainingMs(2000, 300)).toBe(0)
+    expect(pace.remainingMs(2000, 0, 100)).toBe(20_000)
+    expect(pace.eventMs()).toBe(20)
   })
 
   it('learns nothing from runs of a few events', () => {
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -14,9 +14,10 @@
 import type { ServingMetrics } from '../telemetry/metrics'
 import { type ClaimParts, claimItem, finishItem, ownClaimVersion, saveClaim } from './claims'
 import { createHeldItems, type HeldItem, progressOf } from './heldItems'
-import { chooseItems, type ItemChoiceInput, urgency } from './itemChoice'
+import { fleetEventMs } from './fleetPace'
+import { chooseItems, isBetterElsewhere, type ItemChoiceInput, urgency } from './itemChoice'
 import { createItemSteps, isWorkFresh } from './itemSteps'
-import { createPace } from './pace'
+import type { Pace } from './pace'
 import { planSlack, unseenItems } from './slack'
 
 /** Parts of the runner. */
@@ -33,6 +34,7 @@
   retentionMs: number
   readReport: () => Promise<EngineReport | undefined>
   publish: (report: LoadReport) => void
+  pace: Pace
 }
 
 /** A batch runner at work. */
@@ -52,6 +54,9 @@
 /** A paused item waits for this long on its own engine before others may take it: two thirds of a burst are shorter. */
 const PAUSE_HOLD_MS = 800
 
+/** Pace is learned from runs in progress this often, so that an engine that turns slow is noticed within a second. */
+const PACE_INTERVAL_MS = 500
+
 /** Running items save what they have this often, so that a lost host costs a resume. */
 const SAVE_INTERVAL_MS = 1500
 
@@ -78,8 +83,8 @@
   const { clock, log } = parts
   const controller = new AbortController()
   const held = createHeldItems(clock, parts.metrics)
-  const pace = createPace()
-  const steps = createItemSteps({ ...parts, held, pace, submissions: createResultReader(parts.store), stopping: controller.signal })
+  const { pace } = parts
+  const steps = createItemSteps({ ...parts, held, submissions: createResultReader(parts.store), stopping: controller.signal })
 
   const mayRun = (job: JobRecord): boolean => {
     const configuration = parts.configuration()
@@ -95,6 +100,7 @@
     heartbeatsTrusted: clock.nowMs() - (parts.store.lastFailureMs() ?? -Infinity) > HEARTBEAT_GRACE_MS,
     mayRun,
     remainingMs: pace.remainingMs,
+    remainingElsewhereMs: (tokens, lastEventId) => pace.remainingMs(tokens, lastEventId, fleetEventMs(parts.work, storeNowMs)),
     isSkipped: held.isHeldOrLeft
   })
 
@@ -109,6 +115,28 @@
     }
   }
 
+  const learnPace = (): void => {
+    const nowMs = clock.nowMs()
+    for (const entry of held.inState('running')) {
+      if (nowMs - entry.pacedAtMs < PACE_INTERVAL_MS) continue
+      pace.onRun(entry.text.lastEventId - entry.pacedEventId, nowMs - entry.pacedAtMs)
+      entry.pacedAtMs = nowMs
+      entry.pacedEventId = entry.text.lastEventId
+    }
+  }
+
+  /** Items that would be late at this engine and in time at another. */
+  const betterElsewhere = (): HeldItem[] => {
+    const storeNowMs = parts.store.storeNowMs()
+    if (storeNowMs === undefined) return []
+    const eventMs = fleetEventMs(parts.work, storeNowMs)
+    return held.inState('running').filter(entry => isBetterElsewhere(
+      entry.dueAtMs - storeNowMs,
+      pace.remainingMs(entry.tokens, entry.text.lastEventId),
+      pace.remainingMs(entry.tokens, entry.text.lastEventId, eventMs)
+    ))
+  }
+
   const saveRunning = (): void => {
     const nowMs = clock.nowMs()
     for (const entry of held.inState('running')) {
@@ -166,7 +194,8 @@
     const nowMs = clock.nowMs()
     const leaving = endpoint?.state === 'ready' ? [] : held.inState('running')
     const longPaused = held.inState('paused').filter(entry => nowMs - entry.pausedAtMs > PAUSE_HOLD_MS)
-    for (const entry of [...leaving, ...longPaused]) runInBackground(log, 'release item', () => steps.release(entry))
+    const slow = leaving.length > 0 ? [] : betterElsewhere()
+    for (const entry of [...leaving, ...longPaused, ...slow]) runInBackground(log, 'release item', () => steps.release(entry))
   }
 
   const tick = async (): Promise<void> => {
@@ -184,6 +213,7 @@
       })
     }
     if (report !== undefined && endpoint !== undefined) balance(report, endpoint, reportAskedAtMs)
+    learnPace()
     saveRunning()
     releaseUnwanted(endpoint)
   }
--- a/packages/anvilarch-serving/src/runner/heldItems.ts
+++ b/packages/anvilarch-serving/src/runner/heldItems.ts
@@ -27,8 +27,9 @@
   savedAtMs: number
   pausedAtMs: number
   startedAtMs: number
-  /** Last event before the run in progress. */
-  startedAfterEventId: number
+  /** Up to where the pace of this run has been learned. */
+  pacedAtMs: number
+  pacedEventId: number
   run?: Attempt
 }
 
@@ -74,7 +75,8 @@
         savedAtMs: nowMs,
         pausedAtMs: nowMs,
         startedAtMs: nowMs,
-        startedAfterEventId: 0
+        pacedAtMs: nowMs,
+        pacedEventId: 0
       }
       held.set(idOf(entry.jobId, item), entry)
       metrics.itemsInHand.set(held.size)
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -23,10 +23,30 @@
   mayRun: (job: JobRecord) => boolean
   /** Items that this process has in hand or has just failed to run. */
   isSkipped: (jobId: string, item: number) => boolean
-  /** Estimate of the time that an item still runs. */
+  /** Estimate of the time that an item still runs here. */
   remainingMs: (tokens: number, lastEventId: number) => number
+  /** The same at an ordinary engine of the fleet. */
+  remainingElsewhereMs: (tokens: number, lastEventId: number) => number
 }
 
+/**
+ * Whether an item is better left to other runners.
+ *
+ * Answers engines that turn slow: one that runs at a fifth of its pace would hold items beyond the time they are due,
+ * which the others could have done.
+ *
+ * @param dueInMs - time until the item is due
+ * @param remainingMs - time that it still runs here
+ * @param remainingElsewhereMs - the same at an ordinary engine
+ * @returns whether it would be late here and in time there
+ */
+export function isBetterElsewhere (dueInMs: number, remainingMs: number, remainingElsewhereMs: number): boolean {
+  return dueInMs < remainingMs && dueInMs >= remainingElsewhereMs + HANDOVER_MS
+}
+
+/** Saving, claiming and resuming an item take about 100 ms; the rest is for finding a free slot. */
+const HANDOVER_MS = 500
+
 /**
  * Order of work, the smallest first: what can still be done in time, by when it is due, and then the rest.
  *
@@ -56,8 +76,11 @@
     for (const item of openItems(job)) {
       if (input.isSkipped(job.jobId, item) || !isFree(input, job.jobId, item)) continue
       const savedEventId = input.work.claim(job.jobId, item)?.record.savedEventId ?? 0
-      const remainingMs = input.remainingMs(job.itemTokens[item], savedEventId)
-      candidates.push({ job, item, urgency: urgency(job.dueAtMs - input.storeNowMs, remainingMs) })
+      const tokens = job.itemTokens[item]
+      const remainingMs = input.remainingMs(tokens, savedEventId)
+      const dueInMs = job.dueAtMs - input.storeNowMs
+      if (isBetterElsewhere(dueInMs, remainingMs, input.remainingElsewhereMs(tokens, savedEventId))) continue
+      candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs) })
     }
   }
   candidates.sort((a, b) => a.urgency - b.urgency || orderOf(input.runner, a) - orderOf(input.runner, b))
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -122,10 +122,7 @@
       pause(entry, end.reason)
       return
     }
-    if (end.end === 'completed') {
-      parts.pace.onRun(entry.text.lastEventId - entry.startedAfterEventId, clock.nowMs() - entry.startedAtMs)
-      parts.pace.onItem(entry.tokens, entry.text.lastEventId)
-    }
+    if (end.end === 'completed') parts.pace.onItem(entry.tokens, entry.text.lastEventId)
     entry.state = 'finishing'
     runInBackground(log, 'settle item', () => settle(entry, end))
   }
@@ -135,7 +132,8 @@
     entry.state = 'running'
     entry.startedAtMs = nowMs
     entry.savedAtMs = nowMs
-    entry.startedAfterEventId = entry.text.lastEventId
+    entry.pacedAtMs = nowMs
+    entry.pacedEventId = entry.text.lastEventId
     entry.run = runItem({
       clock,
       pool: parts.pool,
