--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -6,6 +6,7 @@
 import { createLoadTable } from '../endpoints/loadTable'
 import { createJobCalls, type JobCalls } from '../jobs/jobCalls'
 import { createResultReader } from '../jobs/resultReader'
+import type { ConfigurationHolder } from '../configuration/configurationHolder'
 import type { Configuration } from '../model/types'
 import { type ClosingNotice, sendOwnAnswer } from '../requests/clientAnswer'
 import { type ForwardParts, forwardRequest } from '../requests/forwardRequest'
@@ -30,6 +31,12 @@
 /** A client may send again at once to a gateway that has its configuration. */
 const NOT_READY_RETRY_AFTER_MS = 500
 
+/** How long a client waits for a gateway that has just started: ten times what a start takes while the store answers. */
+const START_PATIENCE_MS = 300
+
+/** How often a waiting client's request looks for the configuration. */
+const START_POLL_MS = 10
+
 /** How often the server looks for heads that take too long. */
 const HEAD_CHECK_INTERVAL_MS = 500
 
@@ -104,7 +111,7 @@
   const clients = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0 }, (request, response) => {
     inProgress.add(response)
     response.on('close', () => inProgress.delete(response))
-    handleClient({ request, response, forward, jobs, configuration: view.configuration.current(), notice })
+    handleClient({ request, response, forward, jobs, configuration: view.configuration, notice })
       .catch(error => {
         log.error('request handling failed', { reason: (error as Error).message })
         response.destroy()
@@ -151,13 +158,14 @@
   response: ServerResponse
   forward: ForwardParts
   jobs: JobCalls
-  configuration: Configuration | undefined
+  configuration: ConfigurationHolder
   notice: ClosingNotice
 }
 
 async function handleClient (call: ClientCall): Promise<void> {
-  const { request, response, forward, configuration, notice } = call
+  const { request, response, forward, notice } = call
   const arrivedAtMs = forward.clock.nowMs()
+  const configuration = await waitForConfiguration(call)
   if (configuration === undefined) {
     sendOwnAnswer(response, { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }, notice)
     return
@@ -183,6 +191,20 @@
   forwardRequest(forward, { request, response, body: read.body, metadata, route, configurationVersion: configuration.version, arrivedAtMs })
 }
 
+/**
+ * A process that has just started knows configuration and endpoints some 30 ms after it listens. Clients who come
+ * meanwhile wait for that; many have no further try after a refusal.
+ */
+async function waitForConfiguration ({ configuration, forward }: ClientCall): Promise<Configuration | undefined> {
+  const untilMs = forward.clock.nowMs() + START_PATIENCE_MS
+  for (;;) {
+    const current = configuration.current()
+    if (current !== undefined && forward.endpoints.hasListing()) return current
+    if (forward.clock.nowMs() > untilMs) return current
+    await sleep(forward.clock, START_POLL_MS)
+  }
+}
+
 function applyLimits (server: Server, configuration: Configuration): void {
   server.headersTimeout = configuration.limits.headerTimeoutMs
   server.keepAliveTimeout = configuration.limits.idleTimeoutMs + IDLE_MARGIN_MS
