--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -31,7 +31,7 @@
 const QUEUE_SHARE = 0.7
 
 /** A client with less than this part of the full time has been refused before: it is not sent away twice. */
-const FRESH_SHARE = 0.85
+const FRESH_SHARE = 0.95
 
 /** Clients keep to a Retry-After of up to a third of their time. */
 const RETRY_AFTER_SHARE = 1 / 3
