--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -38,8 +38,11 @@
   release: (entry: HeldItem) => Promise<boolean>
 }
 
-/** Without an answer of the store for this long, nothing new starts: the job may have been ended meanwhile. */
-const STALE_WORK_MS = 1500
+/**
+ * Without an answer of the store for this long, nothing starts or goes on after a pause: 6 s after the last heartbeat others
+ * may take the item. Until then held items run on, so that an outage of some seconds costs no work.
+ */
+const STALE_WORK_MS = 4500
 
 /** Pause before the text of an ended item is offered to the store again. */
 const SETTLE_RETRY_MS = 200
