--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -34,6 +34,13 @@
  */
 export async function acceptJob (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
   if (parts.work.job(submission.jobId) !== undefined) return 'accepted'
+  const prepared = await within(parts, untilMs, prepare(parts, route, submission, untilMs))
+  if (prepared === 'ready') return await createJob(parts, route, submission, untilMs)
+  return prepared ?? 'refused'
+}
+
+/** All that comes before the job exists: until then it cannot run, whatever of this is done late. */
+async function prepare (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome | 'ready'> {
   // A repeat may come before the feed has told of the job: a limit that the job itself has filled must not turn it away.
   const known = await readJob(parts, submission.jobId)
   if (known.ok && known.val !== undefined) return 'accepted'
@@ -42,8 +49,23 @@
     reserveTokens(parts, route, submission, untilMs)
   ])
   if (reserved !== 'accepted') return reserved
-  if (!stored) return 'refused'
-  return await createJob(parts, route, submission, untilMs)
+  return stored ? 'ready' : 'refused'
+}
+
+/**
+ * Calls to a silent store last as long as their own timeouts, one after another. The client is answered when its time is up,
+ * so that it can ask another gateway.
+ *
+ * @returns what the work comes to, or undefined when the time is up first
+ */
+async function within<Value> (parts: JobParts, untilMs: number, work: Promise<Value>): Promise<Value | undefined> {
+  const ended = new AbortController()
+  const timeout = sleep(parts.clock, untilMs - parts.clock.nowMs(), ended.signal).then(() => undefined)
+  try {
+    return await Promise.race([work, timeout])
+  } finally {
+    ended.abort()
+  }
 }
 
 async function storeItems (parts: JobParts, submission: Submission, untilMs: number): Promise<boolean> {
