Take the entry written last for the endpoint at an address

Gateways knew their configuration again at 35.97 s and listed both incarnations of each engine; until the former entries lapsed at 36.9 to 37.8 s, 229 attempts went to them and were refused, 11 requests found no other, and agents, which took the first entry at their engine's address, had 98 runs refused. Ruled out: the store (it answered), slow starts (all gateways listened by 35.96 s). Change: of the entries at one address only the one written last counts. Test fails before. Besides: one of the two processes that outlived their grace had 3 s of it when the power went; the other had an open request.

--- a/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from '../../model/types'
 import { createEndpointTable, type EndpointTable, LAPSE_GRACE_MS, LAST_RESORT_MS } from '../endpointTable'
 
-const ENDPOINT: Endpoint = { id: 'e1', service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0 }
+const ENDPOINT: Endpoint = { id: 'e1', service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 
 let clock: FakeClock
 let lastFailureMs: number | undefined
@@ -56,6 +56,19 @@
   })
 })
 
+describe('an endpoint that has restarted', () => {
+  // Symptom: for some seconds after engines have restarted, requests are refused and items are sent and refused again.
+  // Sequence: the engine lists its new incarnation; the entry of the former one is still there for three heartbeats.
+  // Cause: both entries were taken for endpoints, and an agent found the former one at its engine's address.
+  it('is sent to as its new incarnation only', () => {
+    table.onEntry({ ...ENDPOINT, id: 'e3', listedVersion: 5 })
+    expect(usableIds()).toEqual(['e2', 'e3'])
+    expect(table.atAddress(ENDPOINT.address)?.id).toBe('e3')
+    table.onEntry({ ...ENDPOINT, listedVersion: 1 })
+    expect(usableIds()).toEqual(['e2', 'e3'])
+  })
+})
+
 describe('atAddress', () => {
   // Symptom: an agent sends items to an engine more than two seconds after the store has said that it leaves.
   // Sequence: the engine's entry is removed without having been marked as draining; the engine serves on for a while.
--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -85,6 +85,18 @@
     log.info('endpoint removed from the list', { endpoint: id, service: entry.endpoint.service, held: lapsed })
   }
 
+  /**
+   * An endpoint that restarts lists its new incarnation at once, while the entry of the former one lapses only after three
+   * heartbeats. Whatever is sent to the former one is refused, so only the entry written last counts at an address.
+   */
+  const isSuperseded = (entry: Entry): boolean => {
+    for (const other of entries.values()) {
+      if (other.gone || other.endpoint.address !== entry.endpoint.address) continue
+      if (other.endpoint.listedVersion > entry.endpoint.listedVersion) return true
+    }
+    return false
+  }
+
   const takesRequests = (entry: Entry, nowMs: number): boolean => {
     if (!entry.gone) return entry.endpoint.state === 'ready'
     return entry.heldUntilMs !== undefined && nowMs < entry.heldUntilMs
@@ -113,7 +125,7 @@
     usable: service => {
       const nowMs = clock.nowMs()
       sweep(nowMs)
-      const ofService = [...entries.values()].filter(entry => entry.endpoint.service === service)
+      const ofService = [...entries.values()].filter(entry => entry.endpoint.service === service && !isSuperseded(entry))
       const ready = ofService.filter(entry => takesRequests(entry, nowMs))
       const chosen = ready.length > 0 ? ready : ofService.filter(entry => lastResort(entry, nowMs))
       return chosen.map(entry => entry.endpoint)
@@ -122,7 +134,7 @@
     atAddress: address => {
       const nowMs = clock.nowMs()
       sweep(nowMs)
-      const there = [...entries.values()].filter(entry => entry.endpoint.address === address)
+      const there = [...entries.values()].filter(entry => entry.endpoint.address === address && !isSuperseded(entry))
       return (there.find(entry => !entry.gone) ?? there.find(entry => takesRequests(entry, nowMs)))?.endpoint
     },
     all: () => [...entries.values()].filter(entry => !entry.gone).map(entry => entry.endpoint),
--- a/packages/anvilarch-serving/src/model/types.ts
+++ b/packages/anvilarch-serving/src/model/types.ts
@@ -81,6 +81,8 @@
   state: EndpointState
   /** How much longer the endpoint is slow after its start. */
   coldLeftMs: number
+  /** Version of the store at which the entry was last written. */
+  listedVersion: number
 }
 
 /** What a client says about its request, decoded from the headers. */
