Split the forwarding of a request into its state, its attempts and its end

Cause: forwardRequest.ts was one closure of 284 lines, in which the end, the attempts and the client's side changed the same ten variables. An exchange on a closed pool now fails after the call has returned: it failed inside it, before its sender had it. Ruled out: a change of decisions; the same tests pass unchanged.

--- a/packages/anvilarch-serving/src/endpoints/exchange.ts
+++ b/packages/anvilarch-serving/src/endpoints/exchange.ts
@@ -65,8 +65,13 @@
       return true
     },
     onComplete: () => finish(listener.onComplete),
-    onError: fail
+    // A closed pool fails within the call, before the sender has the exchange in hand.
+    onError: (error: Error) => {
+      if (dispatched) fail(error)
+      else queueMicrotask(() => fail(error))
+    }
   }
+  let dispatched = false
   try {
     pool.dispatch({
       method: request.method as 'POST',
@@ -77,6 +82,7 @@
   } catch (error) {
     queueMicrotask(() => fail(error as Error))
   }
+  dispatched = true
   return {
     abort: () => {
       aborted = true
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -0,0 +1,62 @@
+/** What forwarding one client request works with. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock, Logger } from 'anvilarch-utils'
+import type { ConnectionPools } from '../endpoints/connectionPools'
+import type { EndpointTable } from '../endpoints/endpointTable'
+import type { LoadTable } from '../endpoints/loadTable'
+import type { RequestMetadata, Route } from '../model/types'
+import type { LineBudget } from '../telemetry/lineBudget'
+import type { ServingMetrics } from '../telemetry/metrics'
+import type { ClosingNotice } from './clientAnswer'
+import type { HoldTimes } from './holdTimes'
+import type { AttemptAnswer } from './runAttempt'
+import type { RequestWire } from './types'
+
+/** Parts that forwarding needs. */
+export interface ForwardParts {
+  clock: Clock
+  log: Logger
+  metrics: ServingMetrics
+  endpoints: EndpointTable
+  loads: LoadTable
+  pools: ConnectionPools
+  wire: RequestWire
+  notice: ClosingNotice
+  holdTimes: HoldTimes
+  /** Bounds the lines about requests that went well. */
+  lines: LineBudget
+  ownFailureDomain: string
+  draw: () => number
+}
+
+/** A client request that has been read. */
+export interface ClientRequest {
+  request: IncomingMessage
+  response: ServerResponse
+  body: Buffer
+  metadata: RequestMetadata
+  route: Route
+  configurationVersion: number
+  /** Local time at which the head had arrived. */
+  arrivedAtMs: number
+}
+
+/** How far a request has come. */
+export interface RequestState {
+  /** Service that the request goes to; undefined when its route has none. */
+  readonly service: string | undefined
+  readonly limitMs: number
+  readonly deadlineAtMs: number
+  /** Endpoints that the request has been offered to. */
+  readonly tried: Set<string>
+  attemptsThatMayHaveRun: number
+  /** Sends in all, refused ones included. */
+  offers: number
+  /** Last event that the client has. */
+  lastEventId: number | undefined
+  /** Whether the head of the answer has gone to the client. */
+  answerBegun: boolean
+  firstEventAtMs: number | undefined
+  /** An endpoint's own failure; the client gets it if no other endpoint does better. */
+  failedAnswer: AttemptAnswer | undefined
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -0,0 +1,96 @@
+/** Ends one client request, once: its answer, its metrics and its line in the log. */
+import type { ServerResponse } from 'node:http'
+import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
+import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import type { AttemptAnswer } from './runAttempt'
+
+/** Fields of the line about the end of a request. */
+type EndFields = Record<string, string | number | undefined>
+
+/** The end of one request. Whatever comes after the first end is ignored. */
+export interface RequestEnd {
+  hasEnded: () => boolean
+  /** Answers from this process, or with the failure that an endpoint has answered before. */
+  answer: (own: OwnAnswer) => void
+  /** Hands on what an endpoint has answered. */
+  answerWhole: (endpointId: string, whole: AttemptAnswer) => void
+  /** Closes the connection, so that the answer cannot look complete. */
+  breakOff: (reason: string) => void
+  clientLeft: () => void
+}
+
+/** From this status on an answer tells the client that its request has failed. */
+const FIRST_ERROR_STATUS = 400
+
+/**
+ * @param parts - clock, log and metrics
+ * @param client - the request
+ * @param state - how far it has come
+ * @param onEnd - called once, before anything is answered
+ * @returns the ways in which the request ends
+ */
+export function createRequestEnd (parts: ForwardParts, client: ClientRequest, state: RequestState, onEnd: () => void): RequestEnd {
+  const { clock, log, metrics, notice } = parts
+  const { response, route, metadata } = client
+  let ended = false
+
+  const logEnd = (outcome: string, fields: EndFields): void => {
+    log.info('request ended', {
+      requestId: metadata.requestId,
+      route: route.name,
+      kind: route.kind,
+      outcome,
+      configurationVersion: client.configurationVersion,
+      attempts: state.attemptsThatMayHaveRun,
+      offers: state.offers,
+      lastEventId: state.lastEventId,
+      elapsedMs: Math.round(clock.nowMs() - client.arrivedAtMs),
+      ...fields
+    })
+  }
+
+  /** @returns whether this is the first end */
+  const end = (outcome: string, fields: EndFields = {}): boolean => {
+    if (ended) return false
+    ended = true
+    onEnd()
+    metrics.requests.inc({ kind: route.kind, outcome })
+    metrics.requestSeconds.observe({ kind: route.kind }, (clock.nowMs() - client.arrivedAtMs) / 1000)
+    if (outcome === 'answered' && !parts.lines.take()) metrics.logLinesLeftOut.inc()
+    else logEnd(outcome, fields)
+    return true
+  }
+
+  return {
+    hasEnded: () => ended,
+    answer: own => {
+      const failed = state.failedAnswer
+      if (failed !== undefined) {
+        // An endpoint has answered, if only with a failure: that is what the client gets, not one of our own.
+        if (end('endpoint_status', { status: failed.status })) sendWhole(response, failed, notice)
+        return
+      }
+      if (end(own.code, { status: own.status })) sendOwnAnswer(response, own, notice)
+    },
+    answerWhole: (endpointId, whole) => {
+      const outcome = whole.status < FIRST_ERROR_STATUS ? 'answered' : 'endpoint_status'
+      if (!end(outcome, { endpoint: endpointId, status: whole.status })) return
+      if (state.answerBegun) response.end()
+      else sendWhole(response, whole, notice)
+    },
+    breakOff: reason => {
+      if (end('broken_off', { reason })) response.destroy()
+    },
+    clientLeft: () => {
+      end('client_left')
+    }
+  }
+}
+
+function sendWhole (response: ServerResponse, whole: AttemptAnswer, notice: ClosingNotice): void {
+  if (notice.isLeaving()) response.setHeader('Connection', 'close')
+  const headers = [...whole.rawHeaders]
+  if (whole.status !== 204 && whole.status !== 304) headers.push('Content-Length', String(whole.body.length))
+  response.writeHead(whole.status, headers)
+  response.end(whole.body)
+}
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -41,6 +41,13 @@
 const NO_HEADERS: ReadonlySet<string> = new Set()
 const REFUSING_STATUS = new Set([421, 429, 503, 400])
 
+const REFUSED = 'refused'
+
+/** @returns whether an attempt has failed only because the endpoint is full */
+export function isFullRefusal (reason: string): boolean {
+  return reason === REFUSED
+}
+
 /**
  * @param options - request, connections and listeners
  * @returns the attempt
@@ -117,7 +124,7 @@
       return
     }
     if (head.status === 421 || (head.answer.notRun && REFUSING_STATUS.has(head.status))) {
-      fail('not_run', 'refused')
+      fail('not_run', REFUSED)
       return
     }
     if (head.events && splitter.rest().length > 0) {
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -0,0 +1,204 @@
+/** Sends one request to endpoints, one after another, until one has answered or none may be tried any more. */
+import type { Timer } from 'anvilarch-utils'
+import { chooseEndpoint } from '../endpoints/chooseEndpoint'
+import type { Endpoint } from '../model/types'
+import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
+import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import type { RequestEnd } from './requestEnd'
+import { type Attempt, type AttemptAnswer, isFullRefusal, startAttempt } from './runAttempt'
+
+/** The attempts of one request. */
+export interface Attempts {
+  /** Sends to the best endpoint that has not been tried. */
+  send: () => void
+  /** Ends the attempt in progress; nothing is sent afterwards. */
+  stop: () => void
+  /** Answers that no whole answer came in time. */
+  timeOut: () => void
+}
+
+/** When a refused client may come back: slots free up within some hundred milliseconds. */
+const REFUSED_RETRY_AFTER_MS = 300
+
+/** When there is no endpoint at all; a replaced one is listed after about a heartbeat. */
+const NO_ENDPOINT_RETRY_AFTER_MS = 800
+
+/** Endpoints answer failures of their own with this status or a higher one. */
+const FIRST_FAILURE_STATUS = 500
+
+/** How often a request that an endpoint has refused as full is offered to others. */
+const MAX_OFFERS = 6
+
+/** An attempt in progress and where it is. */
+interface Running {
+  endpoint: Endpoint
+  attempt: Attempt
+}
+
+/**
+ * @param parts - endpoints, connections and wire
+ * @param client - the request
+ * @param state - how far it has come; the attempts change it
+ * @param end - ends the request
+ * @returns the attempts, none sent yet
+ */
+export function createAttempts (parts: ForwardParts, client: ClientRequest, state: RequestState, end: RequestEnd): Attempts {
+  const { clock, loads, log, metrics } = parts
+  const { route, response, metadata } = client
+  let running: Running | undefined
+  let silence: Timer | undefined
+
+  const remainingMs = (): number => state.deadlineAtMs - clock.nowMs()
+
+  const choose = (): Endpoint | undefined => {
+    if (state.service === undefined) return undefined
+    return chooseEndpoint({
+      candidates: parts.endpoints.usable(state.service),
+      loadOf: loads.loadOf,
+      excluded: state.tried,
+      sharedParts: metadata.promptParts.slice(0, -1),
+      ownFailureDomain: parts.ownFailureDomain,
+      draw: parts.draw
+    })
+  }
+
+  const mayOfferOnceMore = (): boolean => state.offers < MAX_OFFERS && choose() !== undefined
+
+  const stepAfter = (failure: AttemptFailure): NextStep => nextStep(route, failure, {
+    attemptsThatMayHaveRun: state.attemptsThatMayHaveRun,
+    answerBegun: state.answerBegun,
+    hasUntriedEndpoint: mayOfferOnceMore(),
+    remainingMs: remainingMs()
+  })
+
+  /** @returns the attempt that was in progress, which no longer counts as load */
+  const leaveRunning = (): Running | undefined => {
+    const left = running
+    running = undefined
+    silence?.cancel()
+    if (left !== undefined) loads.onEnded(left.endpoint.id)
+    return left
+  }
+
+  const logFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
+    log.info('attempt failed', {
+      requestId: metadata.requestId,
+      endpoint: endpoint.id,
+      failure,
+      reason,
+      lastEventId: state.lastEventId,
+      remainingMs: Math.round(remainingMs())
+    })
+  }
+
+  const steps: Record<NextStep, (reason: string) => void> = {
+    send_again: () => send(),
+    refuse: reason => end.answer({ status: 503, code: 'not_run', message: `no endpoint took the request (${reason})`, retryAfterMs: REFUSED_RETRY_AFTER_MS }),
+    fail: reason => end.answer({ status: 502, code: 'endpoint_failed', message: `the endpoint gave no whole answer (${reason})` }),
+    time_out: reason => end.answer({ status: 504, code: 'timeout', message: `no whole answer within ${state.limitMs} ms (${reason})` }),
+    break_off: reason => end.breakOff(reason)
+  }
+
+  const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
+    leaveRunning()
+    if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
+    if (!isFullRefusal(reason)) loads.onFailure(endpoint.id)
+    metrics.attemptFailures.inc({ kind: route.kind, reason })
+    logFailure(endpoint, failure, reason)
+    steps[stepAfter(failure)](reason)
+  }
+
+  const watchSilence = (endpoint: Endpoint): void => {
+    silence?.cancel()
+    if (!isRepeatable(route) || state.attemptsThatMayHaveRun + 1 >= route.maxAttempts) return
+    silence = clock.after(silenceLimitMs(route, state.answerBegun), () => {
+      if (running === undefined || choose() === undefined) return
+      running.attempt.abort()
+      onFailure(endpoint, 'may_have_run', 'silent')
+    })
+  }
+
+  /** Goes elsewhere after a failure that the endpoint has answered itself, if that is allowed. @returns whether it does */
+  const triesElsewhere = (endpoint: Endpoint, whole: AttemptAnswer): boolean => {
+    if (whole.status < FIRST_FAILURE_STATUS || state.answerBegun) return false
+    state.attemptsThatMayHaveRun++
+    loads.onFailure(endpoint.id)
+    if (stepAfter('may_have_run') !== 'send_again') return false
+    logFailure(endpoint, 'may_have_run', `status ${whole.status}`)
+    metrics.attemptFailures.inc({ kind: route.kind, reason: 'endpoint_status' })
+    state.failedAnswer = whole
+    send()
+    return true
+  }
+
+  const onAnswer = (endpoint: Endpoint, whole: AttemptAnswer): void => {
+    leaveRunning()
+    if (triesElsewhere(endpoint, whole)) return
+    if (whole.status < FIRST_FAILURE_STATUS) loads.onSuccess(endpoint.id)
+    // The first event stands for the time in the queue; the slot is held from then on.
+    if (state.service !== undefined && state.firstEventAtMs !== undefined) {
+      parts.holdTimes.onAnswer(state.service, clock.nowMs() - state.firstEventAtMs)
+    }
+    end.answerWhole(endpoint.id, whole)
+  }
+
+  const onHead = (head: { status: number, rawHeaders: string[] }): void => {
+    if (state.answerBegun) return
+    state.answerBegun = true
+    if (parts.notice.isLeaving()) response.setHeader('Connection', 'close')
+    response.writeHead(head.status, head.rawHeaders)
+    response.flushHeaders()
+  }
+
+  const onEvent = (endpoint: Endpoint, bytes: Buffer, id: number | undefined): void => {
+    state.firstEventAtMs ??= clock.nowMs()
+    if (state.lastEventId === metadata.lastEventId) metrics.firstEventSeconds.observe((clock.nowMs() - client.arrivedAtMs) / 1000)
+    state.lastEventId = id ?? state.lastEventId
+    response.write(bytes)
+    watchSilence(endpoint)
+  }
+
+  const startAt = (endpoint: Endpoint): Attempt => startAttempt({
+    pool: parts.pools.poolOf(endpoint),
+    wire: parts.wire,
+    requestId: metadata.requestId,
+    request: {
+      method: client.request.method ?? 'GET',
+      path: client.request.url ?? '/',
+      headers: parts.wire.encodeSend(client.request.rawHeaders, {
+        deadlineMs: Math.max(1, Math.floor(remainingMs())),
+        expectedEndpointId: endpoint.id,
+        lastEventId: state.lastEventId
+      }),
+      body: client.body.length > 0 ? client.body : undefined
+    },
+    streams: route.kind === 'stream',
+    afterEventId: state.lastEventId,
+    onHead,
+    onEvent: (bytes, id) => onEvent(endpoint, bytes, id),
+    onAnswer: whole => onAnswer(endpoint, whole),
+    onFailure: (failure, reason) => onFailure(endpoint, failure, reason)
+  })
+
+  const send = (): void => {
+    const endpoint = choose()
+    if (endpoint === undefined) {
+      end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
+      return
+    }
+    state.tried.add(endpoint.id)
+    state.offers++
+    loads.onSent(endpoint.id)
+    running = { endpoint, attempt: startAt(endpoint) }
+    watchSilence(endpoint)
+  }
+
+  return {
+    send,
+    stop: () => leaveRunning()?.attempt.abort(),
+    timeOut: () => {
+      if (state.answerBegun) end.breakOff('timeout')
+      else steps.time_out('timeout')
+    }
+  }
+}
