Space out what is sent to an engine that refuses

Ruled out: the list of endpoints as the only cause; a full engine refuses too. Change: sends without an event count by item and by engine; the next one waits 40 ms, doubled up to 640 ms. An event ends both counts.

--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -18,6 +18,7 @@
 import { chooseItems, isBetterElsewhere, type ItemChoiceInput, urgency } from './itemChoice'
 import { createItemSteps, isWorkFresh } from './itemSteps'
 import type { Pace } from './pace'
+import { createRefusals } from './refusals'
 import { planSlack, unseenItems } from './slack'
 
 /** Parts of the runner. */
@@ -84,7 +85,8 @@
   const controller = new AbortController()
   const held = createHeldItems(clock, parts.metrics)
   const { pace } = parts
-  const steps = createItemSteps({ ...parts, held, submissions: createResultReader(parts.store), stopping: controller.signal })
+  const engineRefusals = createRefusals(clock)
+  const steps = createItemSteps({ ...parts, held, engineRefusals, submissions: createResultReader(parts.store), stopping: controller.signal })
 
   const mayRun = (job: JobRecord): boolean => {
     const configuration = parts.configuration()
@@ -155,8 +157,9 @@
 
   const startItems = (count: number): void => {
     const storeNowMs = parts.store.storeNowMs()
-    if (storeNowMs === undefined) return
-    const paused = held.inState('paused').map(entry => ({ entry, urgency: urgencyOf(entry, storeNowMs) }))
+    if (storeNowMs === undefined || !engineRefusals.mayStart()) return
+    const resumable = held.inState('paused').filter(entry => entry.refusals.mayStart())
+    const paused = resumable.map(entry => ({ entry, urgency: urgencyOf(entry, storeNowMs) }))
     // A claim names the life of its holder, which others know by its heartbeat.
     const mayClaim = parts.work.member(parts.runner)?.record.incarnation === parts.incarnation
     const fresh = mayClaim ? chooseItems(choiceInput(storeNowMs), count) : []
--- a/packages/anvilarch-serving/src/runner/heldItems.ts
+++ b/packages/anvilarch-serving/src/runner/heldItems.ts
@@ -4,6 +4,7 @@
 import type { Attempt } from '../requests/runAttempt'
 import type { ServingMetrics } from '../telemetry/metrics'
 import type { ItemText } from './itemRun'
+import { createRefusals, type Refusals } from './refusals'
 
 /**
  * `claiming`: on the way into a run. `paused`: held without a run. `finishing`: ended, not yet in the store.
@@ -30,6 +31,8 @@
   /** Up to where the pace of this run has been learned. */
   pacedAtMs: number
   pacedEventId: number
+  /** Sends of this item that made no event. */
+  refusals: Refusals
   run?: Attempt
 }
 
@@ -76,7 +79,8 @@
         pausedAtMs: nowMs,
         startedAtMs: nowMs,
         pacedAtMs: nowMs,
-        pacedEventId: 0
+        pacedEventId: 0,
+        refusals: createRefusals(clock)
       }
       held.set(idOf(entry.jobId, item), entry)
       metrics.itemsInHand.set(held.size)
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -32,6 +32,7 @@
   deadlineMs: number
   /** Grows as events come; a later run goes on from it. */
   text: ItemText
+  onEvent: () => void
   onEnd: (end: RunEnd) => void
 }
 
@@ -83,6 +84,7 @@
         text.lastEventId = id
         text.pieces.push(data)
       }
+      options.onEvent()
       watch()
     },
     onAnswer: answer => finish(endOfAnswer(answer.status, text)),
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -11,6 +11,7 @@
 import { type HeldItem, type HeldItems, progressOf } from './heldItems'
 import { type RunEnd, runItem } from './itemRun'
 import type { Pace } from './pace'
+import type { Refusals } from './refusals'
 
 /** Parts of the steps. */
 export interface StepParts extends ClaimParts {
@@ -23,6 +24,8 @@
   held: HeldItems
   pace: Pace
   submissions: ResultReader
+  /** Sends of any item that made no event. */
+  engineRefusals: Refusals
   /** Aborted when nothing may start any more. */
   stopping: AbortSignal
 }
@@ -110,7 +113,12 @@
     return finishItem(parts, entry.jobId, entry.item, 'completed', end.text)
   }
 
-  const onRunEnd = (entry: HeldItem, end: RunEnd): void => {
+  const onEvent = (entry: HeldItem): void => {
+    entry.refusals.onEvent()
+    parts.engineRefusals.onEvent()
+  }
+
+  const onRunEnd = (entry: HeldItem, end: RunEnd, fromEventId: number): void => {
     entry.run = undefined
     parts.metrics.itemRuns.inc({ outcome: end.end })
     log.info('item run ended', {
@@ -122,6 +130,10 @@
       elapsedMs: Math.round(clock.nowMs() - entry.startedAtMs)
     })
     if (end.end === 'interrupted') {
+      if (entry.text.lastEventId === fromEventId) {
+        entry.refusals.onFruitless()
+        parts.engineRefusals.onFruitless()
+      }
       pause(entry, end.reason)
       return
     }
@@ -137,6 +149,7 @@
     entry.savedAtMs = nowMs
     entry.pacedAtMs = nowMs
     entry.pacedEventId = entry.text.lastEventId
+    const fromEventId = entry.text.lastEventId
     entry.run = runItem({
       clock,
       pool: parts.pool,
@@ -147,7 +160,8 @@
       endpointId: endpoint.id,
       deadlineMs: Math.max(MIN_DEADLINE_MS, Math.round(job.expiresAtMs - (parts.store.storeNowMs() ?? job.submittedAtMs))),
       text: entry.text,
-      onEnd: end => onRunEnd(entry, end)
+      onEvent: () => onEvent(entry),
+      onEnd: end => onRunEnd(entry, end, fromEventId)
     })
   }
 
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/refusals.ts
@@ -0,0 +1,46 @@
+/** Spaces out what is sent to an engine that refuses, or breaks off before the first event. */
+import type { Clock } from 'anvilarch-utils'
+
+/**
+ * Counts sends in a row that made no event.
+ *
+ * Answers an engine that refuses all it gets, as one does that has restarted and is not listed yet, or is full:
+ * sent at each look at the engine, an item costs fifty messages a second, and others are claimed only to be refused too.
+ */
+export interface Refusals {
+  onFruitless: () => void
+  onEvent: () => void
+  /** @returns whether something may be sent again */
+  mayStart: () => boolean
+}
+
+/** First pause: two looks at the engine. */
+export const FIRST_PAUSE_MS = 40
+
+/** Longest pause; an engine that has restarted is listed within about a second. */
+export const LONGEST_PAUSE_MS = 640
+
+/**
+ * @param fruitlessRuns - sends in a row without an event
+ * @returns pause before the next one
+ */
+export function pauseAfterMs (fruitlessRuns: number): number {
+  return fruitlessRuns === 0 ? 0 : Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (fruitlessRuns - 1))
+}
+
+/**
+ * @param clock - local clock
+ * @returns no refusals yet
+ */
+export function createRefusals (clock: Clock): Refusals {
+  let fruitlessRuns = 0
+  let lastAtMs = -Infinity
+  return {
+    onFruitless: () => {
+      fruitlessRuns++
+      lastAtMs = clock.nowMs()
+    },
+    onEvent: () => { fruitlessRuns = 0 },
+    mayStart: () => clock.nowMs() >= lastAtMs + pauseAfterMs(fruitlessRuns)
+  }
+}
