Pass over an endpoint that refuses as another incarnation

Cause: a 421 was counted as the refusal of a full endpoint, so the former entry of a restarted endpoint, which has no load, was chosen again and again; the log called both 'refused'. Ruled out: the list alone; the new entry comes up to a heartbeat later. Change: reasons full, other_incarnation, too_many_calls, malformed; the second counts as a failure of the endpoint.

--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -39,13 +39,35 @@
 const MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
 
 const NO_HEADERS: ReadonlySet<string> = new Set()
-const REFUSING_STATUS = new Set([421, 429, 503, 400])
+/** Another incarnation answers at the address: the one that was expected is gone. */
+const OTHER_INCARNATION_STATUS = 421
 
-const REFUSED = 'refused'
+/** Why an endpoint has not run a request, by its status. */
+const REFUSALS: ReadonlyMap<number, RefusalReason> = new Map([
+  [OTHER_INCARNATION_STATUS, 'other_incarnation'],
+  [429, 'too_many_calls'],
+  [503, 'full'],
+  [400, 'malformed']
+])
 
-/** @returns whether an attempt has failed only because the endpoint is full */
-export function isFullRefusal (reason: string): boolean {
-  return reason === REFUSED
+/** Reasons of refusals, as logs and metrics show them. */
+export type RefusalReason = 'other_incarnation' | 'too_many_calls' | 'full' | 'malformed'
+
+/** Reasons for which another request may well be taken by the same endpoint. */
+const PASSING_REASONS: ReadonlySet<string> = new Set<RefusalReason>(['too_many_calls', 'full', 'malformed'])
+
+/**
+ * @param reason - of a failed attempt
+ * @returns whether it says nothing against the endpoint; one that has been replaced refuses every request
+ */
+export function isPassingRefusal (reason: string): boolean {
+  return PASSING_REASONS.has(reason)
+}
+
+/** @returns why the endpoint has not run the request; undefined when it does not say so */
+function refusalOf (status: number, answer: AnswerMetadata): RefusalReason | undefined {
+  if (status !== OTHER_INCARNATION_STATUS && !answer.notRun) return undefined
+  return REFUSALS.get(status)
 }
 
 /**
@@ -80,8 +102,7 @@
     }
     const events = options.streams && status === 200
     head = { status, rawHeaders: forwardedHeaders(rawHeaders, NO_HEADERS), answer, events }
-    const refuses = answer.notRun && REFUSING_STATUS.has(status)
-    if (status === 421 || refuses) return
+    if (refusalOf(status, answer) !== undefined) return
     if (!answer.signed || answer.requestId === undefined) {
       fail('may_have_run', 'unsigned_answer')
       return
@@ -123,8 +144,9 @@
       fail('may_have_run', 'no_answer')
       return
     }
-    if (head.status === 421 || (head.answer.notRun && REFUSING_STATUS.has(head.status))) {
-      fail('not_run', REFUSED)
+    const refusal = refusalOf(head.status, head.answer)
+    if (refusal !== undefined) {
+      fail('not_run', refusal)
       return
     }
     if (head.events && splitter.rest().length > 0) {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -5,7 +5,7 @@
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { RequestEnd } from './requestEnd'
-import { type Attempt, type AttemptAnswer, isFullRefusal, startAttempt } from './runAttempt'
+import { type Attempt, type AttemptAnswer, isPassingRefusal, startAttempt } from './runAttempt'
 
 /** The attempts of one request. */
 export interface Attempts {
@@ -102,7 +102,7 @@
   const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
     leaveRunning()
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
-    if (!isFullRefusal(reason)) loads.onFailure(endpoint.id)
+    if (!isPassingRefusal(reason)) loads.onFailure(endpoint.id)
     metrics.attemptFailures.inc({ kind: route.kind, reason })
     logFailure(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
