Bound what clients send and how long they take

Cause: the parser's own 16 KiB stood for the configured size of a head, so heads that a configuration allows were refused, and larger ones than a small limit were let through; a body that stopped kept its connection for ever, and broken bytes behind a request wrote 400 into the answer in progress. Ruled out: the limits on bodies, on slow heads and idle times; their tests passed before the change. Change: clientServer.ts (listener, head size by configuration, answers to bytes that are no request), readBody.ts with a time limit (408).

--- a/packages/anvilarch-serving/src/peers/relayServer.ts
+++ b/packages/anvilarch-serving/src/peers/relayServer.ts
@@ -1,6 +1,6 @@
 /** Passes calls to the store on for peers that the store turns away. */
 import { createServer, type Server } from 'node:http'
-import type { Logger } from 'anvilarch-utils'
+import type { Clock, Logger } from 'anvilarch-utils'
 import { readBody } from '../requests/readBody'
 import type { StoreTransport } from '../store/transport'
 
@@ -24,13 +24,16 @@
 /**
  * @param direct - straight to the store; a relay never asks another relay
  * @param log - logger
+ * @param clock - local clock
  * @returns the server, not listening yet
  */
-export function createRelayServer (direct: StoreTransport, log: Logger): Server {
+export function createRelayServer (direct: StoreTransport, log: Logger, clock: Clock): Server {
   return createServer((request, response) => {
     const handle = async (): Promise<void> => {
-      const read = await readBody(request, MAX_RELAYED_BYTES)
+      const timeoutMs = Number(request.headers[RELAY_TIMEOUT_HEADER]) || DEFAULT_TIMEOUT_MS
+      const read = await readBody(request, { maxBytes: MAX_RELAYED_BYTES, timeoutMs }, clock)
       if (read.outcome !== 'read') {
+        log.warn('relayed call not read', { reason: read.outcome })
         response.destroy()
         return
       }
@@ -41,7 +44,7 @@
         path: request.url ?? '/',
         headers,
         body: read.body.length > 0 ? read.body : undefined,
-        timeoutMs: Number(request.headers[RELAY_TIMEOUT_HEADER]) || DEFAULT_TIMEOUT_MS
+        timeoutMs
       })
       const status = answer.outcome === 'answered' ? answer.status : answer.outcome === 'no_answer' ? RELAY_NO_ANSWER_STATUS : RELAY_NOT_DONE_STATUS
       const body = answer.outcome === 'answered' ? answer.body : Buffer.from(answer.reason)
--- a/packages/anvilarch-serving/src/requests/readBody.ts
+++ b/packages/anvilarch-serving/src/requests/readBody.ts
@@ -1,32 +1,47 @@
 /** Reads the whole body of a client's request. */
 import type { IncomingMessage } from 'node:http'
+import type { Clock } from 'anvilarch-utils'
 
 /** How the reading ended. */
 export type BodyRead =
   | { outcome: 'read', body: Buffer }
   | { outcome: 'too_large' }
+  | { outcome: 'too_slow' }
   | { outcome: 'broken_off' }
 
+/** Bounds of a body. */
+export interface BodyBounds {
+  maxBytes: number
+  /** The whole body is to be here in this time; a client that sends no more would keep its connection for ever. */
+  timeoutMs: number
+}
+
 /**
  * @param request - the client's request
- * @param maxBytes - limit of the configuration
+ * @param bounds - size and time
+ * @param clock - local clock
  * @returns the body, or why there is none
  */
-export function readBody (request: IncomingMessage, maxBytes: number): Promise<BodyRead> {
+export function readBody (request: IncomingMessage, bounds: BodyBounds, clock: Clock): Promise<BodyRead> {
   return new Promise(resolve => {
     const chunks: Buffer[] = []
     let bytes = 0
+    const patience = clock.after(bounds.timeoutMs, () => stop({ outcome: 'too_slow' }))
+    const end = (read: BodyRead): void => {
+      patience.cancel()
+      resolve(read)
+    }
+    const stop = (read: BodyRead): void => {
+      request.pause()
+      end(read)
+    }
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length
-      if (bytes > maxBytes) {
-        request.pause()
-        resolve({ outcome: 'too_large' })
-        return
-      }
-      chunks.push(chunk)
+      if (bytes > bounds.maxBytes) stop({ outcome: 'too_large' })
+      else chunks.push(chunk)
     })
-    request.on('end', () => resolve({ outcome: 'read', body: Buffer.concat(chunks) }))
-    request.on('error', () => resolve({ outcome: 'broken_off' }))
-    request.on('close', () => resolve({ outcome: 'broken_off' }))
+    request.on('end', () => end({ outcome: 'read', body: Buffer.concat(chunks) }))
+    request.on('error', () => end({ outcome: 'broken_off' }))
+    request.on('close', () => end({ outcome: 'broken_off' }))
   })
 }
--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -0,0 +1,82 @@
+/** The listener for clients: bounds what they send and how long they take, and answers bytes that are no request. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Logger } from 'anvilarch-utils'
+import type { ClientLimits } from '../model/types'
+
+/** A listener for clients. */
+export interface ClientServer {
+  server: Server
+  /** Puts the times of a configuration in force. Sizes depend on the configuration that a request meets. */
+  applyLimits: (limits: ClientLimits) => void
+  /** @returns requests that have no whole answer yet */
+  unfinishedRequests: () => number
+}
+
+/** Options of `createClientServer`. */
+export interface ClientServerOptions {
+  log: Logger
+  onRequest: (request: IncomingMessage, response: ServerResponse) => void
+}
+
+/** How often the server looks for heads that take too long. */
+const HEAD_CHECK_INTERVAL_MS = 500
+
+/** The announced limit is extended by this, so that a client that keeps to it never meets a closed connection. */
+const IDLE_MARGIN_MS = 2000
+
+/**
+ * The parser gives up at this size whatever the configuration says, since it is set once, before there is a configuration.
+ * Node's default of 16 KiB would refuse heads that a configuration allows.
+ */
+const HEAD_CEILING_BYTES = 256 * 1024
+
+/** Statuses of what the parser rejects, by its error code; all else is malformed. */
+const REJECTIONS: ReadonlyMap<string, { status: number, reason: string }> = new Map([
+  ['HPE_HEADER_OVERFLOW', { status: 431, reason: 'Request Header Fields Too Large' }],
+  ['ERR_HTTP_REQUEST_TIMEOUT', { status: 408, reason: 'Request Timeout' }]
+])
+
+const MALFORMED = { status: 400, reason: 'Bad Request' }
+
+/**
+ * @param options - log and handler
+ * @returns the listener, which does not listen yet
+ */
+export function createClientServer (options: ClientServerOptions): ClientServer {
+  const inProgress = new Map<ServerResponse, Socket>()
+  const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: HEAD_CEILING_BYTES }, (request, response) => {
+    inProgress.set(response, request.socket)
+    response.on('close', () => inProgress.delete(response))
+    options.onRequest(request, response)
+  })
+  server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
+    const { status, reason } = REJECTIONS.get(error.code ?? '') ?? MALFORMED
+    const midway = [...inProgress.values()].includes(socket)
+    if (error.code === 'ECONNRESET' || !socket.writable || midway) {
+      // Bytes of ours within an answer in progress would pass for a part of it.
+      socket.destroy()
+      return
+    }
+    options.log.info('client bytes rejected', { status, reason: error.code ?? error.message })
+    socket.end(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  })
+  return {
+    server,
+    applyLimits: limits => {
+      server.headersTimeout = limits.headerTimeoutMs
+      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    },
+    unfinishedRequests: () => inProgress.size
+  }
+}
+
+/**
+ * @param request - whose head has been read
+ * @returns size of its head on the wire
+ */
+export function headBytes (request: IncomingMessage): number {
+  const lineBytes = (request.method ?? '').length + (request.url ?? '').length + ' HTTP/1.1\r\n\r\n'.length + 1
+  // Each name is followed by a colon and a space, each value by the end of the line.
+  return request.rawHeaders.reduce((bytes, part) => bytes + part.length + 2, lineBytes)
+}
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -16,6 +16,7 @@
 import { matchRoute } from '../routing/matchRoute'
 import { createLineBudget } from '../telemetry/lineBudget'
 import { startHeartbeat } from '../peers/heartbeat'
+import { createClientServer, headBytes } from './clientServer'
 import { followPlatform } from './followPlatform'
 import { once } from './once'
 import type { RoleContext, RunningRole } from './types'
@@ -38,12 +39,6 @@
 /** How often a waiting client's request looks for the configuration. */
 const START_POLL_MS = 10
 
-/** How often the server looks for heads that take too long. */
-const HEAD_CHECK_INTERVAL_MS = 500
-
-/** The announced limit is extended by this, so that a client that keeps to it never meets a closed connection. */
-const IDLE_MARGIN_MS = 2000
-
 /** A few gateways share the connections that an endpoint takes; each keeps to this part of them. */
 const CONNECTION_SHARE = 0.25
 
@@ -108,30 +103,30 @@
   })
   const heartbeat = startHeartbeat(context, 'gateway')
 
-  const inProgress = new Set<ServerResponse>()
-  const clients = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0 }, (request, response) => {
-    inProgress.add(response)
-    response.on('close', () => inProgress.delete(response))
-    handleClient({ request, response, forward, jobs, configuration: view.configuration, notice })
-      .catch(error => {
-        log.error('request handling failed', { reason: (error as Error).message })
-        response.destroy()
-      })
+  const clients = createClientServer({
+    log,
+    onRequest: (request, response) => {
+      handleClient({ request, response, forward, jobs, configuration: view.configuration, notice })
+        .catch(error => {
+          log.error('request handling failed', { reason: (error as Error).message })
+          response.destroy()
+        })
+    }
   })
-  view.configuration.onChange(configuration => applyLimits(clients, configuration))
+  view.configuration.onChange(configuration => clients.applyLimits(configuration.limits))
   const readiness = createServer((_request, response) => {
     const ready = !leaving && view.configuration.current() !== undefined && view.endpoints.hasListing()
     response.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
     response.end()
   })
-  await listen(clients, gateway.clients.ip, gateway.clients.port)
+  await listen(clients.server, gateway.clients.ip, gateway.clients.port)
   await listen(readiness, gateway.readiness.ip, gateway.readiness.port)
 
   const close = once(async () => {
     heartbeat.stop()
     view.close()
     subscriber.close()
-    for (const server of [clients, readiness]) {
+    for (const server of [clients.server, readiness]) {
       server.close()
       server.closeAllConnections()
     }
@@ -145,10 +140,10 @@
       const stoppedAtMs = clock.nowMs()
       heartbeat.stop()
       await sleep(clock, DRAIN_ACCEPT_MS)
-      clients.close()
-      clients.closeIdleConnections()
-      while (inProgress.size > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
-      log.info('gateway stopped', { unfinishedRequests: inProgress.size })
+      clients.server.close()
+      clients.server.closeIdleConnections()
+      while (clients.unfinishedRequests() > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
+      log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests() })
       await close()
     }
   }
@@ -172,19 +167,27 @@
     return
   }
   if (await call.jobs.handle(request, response)) return
+  if (headBytes(request) > configuration.limits.maxHeaderBytes) {
+    rejectClient(call, 431, 'head_too_large', `the head of the request exceeds ${configuration.limits.maxHeaderBytes} bytes`)
+    return
+  }
   const route = matchRoute(configuration, request.headers.host ?? '', request.url ?? '/')
   if (route === undefined) {
     sendOwnAnswer(response, { status: 404, code: 'no_route', message: 'no route matches this host and path' }, notice)
     return
   }
-  const read = await readBody(request, configuration.limits.maxBodyBytes)
+  const metadata = forward.wire.decodeRequest(request.headers)
+  const timeoutMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
+  const read = await readBody(request, { maxBytes: configuration.limits.maxBodyBytes, timeoutMs }, forward.clock)
   if (read.outcome === 'broken_off') return
   if (read.outcome === 'too_large') {
-    response.setHeader('Connection', 'close')
-    sendOwnAnswer(response, { status: 413, code: 'body_too_large', message: `the body exceeds ${configuration.limits.maxBodyBytes} bytes` }, notice)
+    rejectClient(call, 413, 'body_too_large', `the body exceeds ${configuration.limits.maxBodyBytes} bytes`)
+    return
+  }
+  if (read.outcome === 'too_slow') {
+    rejectClient(call, 408, 'body_too_slow', `the body was not whole after ${timeoutMs} ms`)
     return
   }
-  const metadata = forward.wire.decodeRequest(request.headers)
   if (route.kind === 'batch' && request.method === 'POST') {
     await call.jobs.submit({ request, response, route, body: read.body, metadata, arrivedAtMs })
     return
@@ -192,6 +195,13 @@
   forwardRequest(forward, { request, response, body: read.body, metadata, route, configurationVersion: configuration.version, arrivedAtMs })
 }
 
+/** Answers a request that has not been read whole; what the client still sends cannot be told from its next request. */
+function rejectClient ({ request, response, forward, notice }: ClientCall, status: number, code: string, message: string): void {
+  forward.log.info('client bytes rejected', { requestId: forward.wire.decodeRequest(request.headers).requestId, status, reason: code })
+  response.setHeader('Connection', 'close')
+  sendOwnAnswer(response, { status, code, message }, notice)
+}
+
 /**
  * A process that has just started knows configuration and endpoints some 30 ms after it listens. Clients who come
  * meanwhile wait for that; many have no further try after a refusal.
@@ -206,11 +216,6 @@
   }
 }
 
-function applyLimits (server: Server, configuration: Configuration): void {
-  server.headersTimeout = configuration.limits.headerTimeoutMs
-  server.keepAliveTimeout = configuration.limits.idleTimeoutMs + IDLE_MARGIN_MS
-}
-
 async function listen (server: Server, ip: string, port: number): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
