Log from one typed catalogue, and keep a request's decisions until it goes wrong

Cause: messages and fields were free text at each place; of a request that failed, the log did not say why its endpoints were chosen. Change: telemetry/events.ts lists each event with its fields, and the serving core logs through that type only. requestTrail.ts keeps 'endpoint chosen' (with the load that decided it) and 'answer begun' and writes them once an attempt has failed or the request has not been answered. 'item released' says why. The newest entry at an address is found once per change of the list, not by a search over all entries for each of them at each request. Ruled out: writing them always; a request that went well keeps its one line. Test: requestTrail.test.ts; operationsPage.test.ts knows the new events.

--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -1,6 +1,7 @@
 /** The endpoints that may be sent to, from what the store lists. */
-import type { Clock, Logger } from 'anvilarch-utils'
+import type { Clock } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
+import type { EventLog } from '../telemetry/events'
 
 /** Endpoints by service. */
 export interface EndpointTable {
@@ -28,7 +29,7 @@
 /** Options of `createEndpointTable`. */
 export interface EndpointTableOptions {
   clock: Clock
-  log: Logger
+  log: EventLog
   contact: StoreContact
 }
 
@@ -59,8 +60,11 @@
   const entries = new Map<string, Entry>()
   const goneListeners: Array<(endpoint: Endpoint) => void> = []
   let listed = false
+  /** Version of the entry written last at each address; found again after each change of the list. */
+  let newestAt: Map<string, number> | undefined
 
   const put = (endpoint: Endpoint): void => {
+    newestAt = undefined
     const known = entries.get(endpoint.id)
     const draining = endpoint.state === 'draining'
     if (known === undefined || known.endpoint.state !== endpoint.state || known.gone) {
@@ -76,6 +80,7 @@
   const remove = (id: string): void => {
     const entry = entries.get(id)
     if (entry === undefined || entry.gone) return
+    newestAt = undefined
     const nowMs = clock.nowMs()
     const failedAtMs = contact.lastFailureMs()
     const lapsed = failedAtMs !== undefined && nowMs - failedAtMs < LAPSE_GRACE_MS && entry.endpoint.state === 'ready'
@@ -90,11 +95,8 @@
    * heartbeats. Whatever is sent to the former one is refused, so only the entry written last counts at an address.
    */
   const isSuperseded = (entry: Entry): boolean => {
-    for (const other of entries.values()) {
-      if (other.gone || other.endpoint.address !== entry.endpoint.address) continue
-      if (other.endpoint.listedVersion > entry.endpoint.listedVersion) return true
-    }
-    return false
+    newestAt ??= newestVersions(entries.values())
+    return (newestAt.get(entry.endpoint.address) ?? 0) > entry.endpoint.listedVersion
   }
 
   const takesRequests = (entry: Entry, nowMs: number): boolean => {
@@ -142,3 +144,11 @@
     onGone: listener => { goneListeners.push(listener) }
   }
 }
+
+function newestVersions (entries: Iterable<Entry>): Map<string, number> {
+  const newest = new Map<string, number>()
+  for (const { endpoint, gone } of entries) {
+    if (!gone) newest.set(endpoint.address, Math.max(newest.get(endpoint.address) ?? 0, endpoint.listedVersion))
+  }
+  return newest
+}
--- a/packages/anvilarch-serving/src/endpoints/loadFeed.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadFeed.ts
@@ -1,7 +1,8 @@
 /** Agents tell gateways how busy the engine beside them is. Datagrams: a lost one is replaced by the next. */
 import { createSocket, type Socket } from 'node:dgram'
-import { type Clock, type Logger, runInBackground, sleep } from 'anvilarch-utils'
+import { type Clock, runInBackground, sleep } from 'anvilarch-utils'
 import type { LoadReport } from './loadTable'
+import type { EventLog } from '../telemetry/events'
 
 /** Where a process listens. */
 export interface PeerAddress {
@@ -28,7 +29,7 @@
 /** Options of `subscribeToLoads`. */
 export interface SubscribeOptions {
   clock: Clock
-  log: Logger
+  log: EventLog
   own: PeerAddress
   /** Agents to subscribe to. */
   agents: () => PeerAddress[]
@@ -69,7 +70,7 @@
  * @param log - logger
  * @returns a publisher without subscribers
  */
-export function createLoadPublisher (clock: Clock, own: PeerAddress, log: Logger): LoadPublisher {
+export function createLoadPublisher (clock: Clock, own: PeerAddress, log: EventLog): LoadPublisher {
   const subscribers = new Map<string, { address: PeerAddress, untilMs: number }>()
   let lastMessage = ''
   let lastSentMs = -Infinity
@@ -96,7 +97,7 @@
   }
 }
 
-function openSocket (own: PeerAddress, log: Logger): Socket {
+function openSocket (own: PeerAddress, log: EventLog): Socket {
   const socket = createSocket('udp4')
   socket.on('error', error => log.warn('load feed socket failed', { reason: error.message }))
   socket.bind(own.port, own.ip)
@@ -109,7 +110,7 @@
   })
 }
 
-function decodeReport (message: Buffer, log: Logger): LoadReport | undefined {
+function decodeReport (message: Buffer, log: EventLog): LoadReport | undefined {
   try {
     const report = JSON.parse(message.toString()) as LoadReport
     return typeof report.endpointId === 'string' ? report : undefined
--- a/packages/anvilarch-serving/src/jobs/jobStore.ts
+++ b/packages/anvilarch-serving/src/jobs/jobStore.ts
@@ -1,17 +1,18 @@
 /** Reads and writes jobs in the store. Every change of a job is a transaction on the version of its row. */
-import { type Clock, type Logger, sleep } from 'anvilarch-utils'
+import { type Clock, sleep } from 'anvilarch-utils'
 import { Err, Ok, type Result } from 'ts-results'
 import type { MetadataStore, RowCondition, RowKey, RowWrite, StoreFailure, StoredRow, TransactionOutcome } from '../store/types'
 import { decodeWorkRow, jobKey, recordRow } from './jobRows'
 import type { JobRecord } from './types'
 import type { Versioned, WorkTable } from './workTable'
+import type { EventLog } from '../telemetry/events'
 
 /** Parts that jobs need. */
 export interface JobParts {
   store: MetadataStore
   work: WorkTable
   clock: Clock
-  log: Logger
+  log: EventLog
 }
 
 /** Rows that change together with the job's. */
--- a/packages/anvilarch-serving/src/jobs/retention.ts
+++ b/packages/anvilarch-serving/src/jobs/retention.ts
@@ -1,10 +1,10 @@
 /** Removes jobs whose results nobody may ask for any more: the store's space for objects is bounded. */
-import type { Logger } from 'anvilarch-utils'
 import type { RowKey } from '../store/types'
 import { isClosed } from './jobRecord'
 import { claimKey, jobKey, progressKey, resultKey, resultObject, submissionObject } from './jobRows'
 import type { JobParts } from './jobStore'
 import type { JobRecord } from './types'
+import type { EventLog } from '../telemetry/events'
 
 /** Results stay for this multiple of the time that is promised, so that a slow reader still finds them. */
 const RETENTION_FACTOR = 1.5
@@ -30,7 +30,7 @@
  * @param log - told of the removal
  * @returns whether all of it is gone
  */
-export async function removeJob (parts: JobParts, job: JobRecord, log: Logger): Promise<boolean> {
+export async function removeJob (parts: JobParts, job: JobRecord, log: EventLog): Promise<boolean> {
   const items = job.itemIds.map((_, item) => item)
   for (const item of items) {
     const large = await parts.store.readRows({ ...resultKey(job.jobId, item), from: resultKey(job.jobId, item).key, to: resultKey(job.jobId, item).key + '\u0001' })
--- a/packages/anvilarch-serving/src/peers/relayServer.ts
+++ b/packages/anvilarch-serving/src/peers/relayServer.ts
@@ -1,8 +1,9 @@
 /** Passes calls to the store on for peers that the store turns away. */
 import { createServer, type Server } from 'node:http'
-import type { Clock, Logger } from 'anvilarch-utils'
+import type { Clock } from 'anvilarch-utils'
 import { readBody } from '../requests/readBody'
 import type { StoreTransport } from '../store/transport'
+import type { EventLog } from '../telemetry/events'
 
 /** Names the timeout of a call that is passed on. */
 export const RELAY_TIMEOUT_HEADER = 'x-anvilarch-timeout-ms'
@@ -27,7 +28,7 @@
  * @param clock - local clock
  * @returns the server, not listening yet
  */
-export function createRelayServer (direct: StoreTransport, log: Logger, clock: Clock): Server {
+export function createRelayServer (direct: StoreTransport, log: EventLog, clock: Clock): Server {
   return createServer((request, response) => {
     const handle = async (): Promise<void> => {
       const timeoutMs = Number(request.headers[RELAY_TIMEOUT_HEADER]) || DEFAULT_TIMEOUT_MS
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import { checkOverload, type Overload } from './overload'
 import { createRequestEnd } from './requestEnd'
+import { createRequestTrail } from './requestTrail'
 import { createAttempts } from './sendAttempts'
 
 /**
@@ -47,6 +48,7 @@
     service: chooseService(route.targets, parts.draw()),
     limitMs,
     deadlineAtMs: arrivedAtMs + limitMs,
+    trail: createRequestTrail(parts.log),
     tried: new Set(),
     attemptsThatMayHaveRun: 0,
     offers: 0,
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -1,6 +1,6 @@
 /** What forwarding one client request works with. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Clock, Logger } from 'anvilarch-utils'
+import type { Clock } from 'anvilarch-utils'
 import type { ConnectionPools } from '../endpoints/connectionPools'
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { LoadTable } from '../endpoints/loadTable'
@@ -9,13 +9,15 @@
 import type { ServingMetrics } from '../telemetry/metrics'
 import type { ClosingNotice } from './clientAnswer'
 import type { HoldTimes } from './holdTimes'
+import type { RequestTrail } from './requestTrail'
 import type { AttemptAnswer } from './runAttempt'
 import type { RequestWire } from './types'
+import type { EventLog } from '../telemetry/events'
 
 /** Parts that forwarding needs. */
 export interface ForwardParts {
   clock: Clock
-  log: Logger
+  log: EventLog
   metrics: ServingMetrics
   endpoints: EndpointTable
   loads: LoadTable
@@ -47,6 +49,7 @@
   readonly service: string | undefined
   readonly limitMs: number
   readonly deadlineAtMs: number
+  readonly trail: RequestTrail
   /** Endpoints that the request has been offered to. */
   readonly tried: Set<string>
   attemptsThatMayHaveRun: number
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http'
 import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import { elapsedMs } from './requestTrail'
 import type { AttemptAnswer } from './runAttempt'
 
 /** Fields of the line about the end of a request. */
@@ -44,7 +45,7 @@
       attempts: state.attemptsThatMayHaveRun,
       offers: state.offers,
       lastEventId: state.lastEventId,
-      elapsedMs: Math.round(clock.nowMs() - client.arrivedAtMs),
+      elapsedMs: elapsedMs(clock, client.arrivedAtMs),
       ...fields
     })
   }
@@ -56,6 +57,7 @@
     onEnd()
     metrics.requests.inc({ kind: route.kind, outcome })
     metrics.requestSeconds.observe({ kind: route.kind }, (clock.nowMs() - client.arrivedAtMs) / 1000)
+    if (outcome !== 'answered') state.trail.reveal()
     if (outcome === 'answered' && !parts.lines.take()) metrics.logLinesLeftOut.inc()
     else logEnd(outcome, fields)
     return true
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -5,6 +5,7 @@
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { RequestEnd } from './requestEnd'
+import { elapsedMs } from './requestTrail'
 import { type Attempt, type AttemptAnswer, isPassingRefusal, startAttempt } from './runAttempt'
 
 /** The attempts of one request. */
@@ -47,13 +48,17 @@
   const { route, response, metadata } = client
   let running: Running | undefined
   let silence: Timer | undefined
+  /** Of the last choice. */
+  let candidateCount = 0
 
   const remainingMs = (): number => state.deadlineAtMs - clock.nowMs()
 
   const choose = (): Endpoint | undefined => {
     if (state.service === undefined) return undefined
+    const candidates = parts.endpoints.usable(state.service)
+    candidateCount = candidates.length
     return chooseEndpoint({
-      candidates: parts.endpoints.usable(state.service),
+      candidates,
       loadOf: loads.loadOf,
       excluded: state.tried,
       sharedParts: metadata.promptParts.slice(0, -1),
@@ -81,6 +86,7 @@
   }
 
   const logFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
+    state.trail.reveal()
     log.info('attempt failed', {
       requestId: metadata.requestId,
       endpoint: endpoint.id,
@@ -142,7 +148,8 @@
     end.answerWhole(endpoint.id, whole)
   }
 
-  const onHead = (head: { status: number, rawHeaders: string[] }): void => {
+  const onHead = (endpoint: Endpoint, head: { status: number, rawHeaders: string[] }): void => {
+    state.trail.note('answer begun', { requestId: metadata.requestId, endpoint: endpoint.id, status: head.status, afterMs: elapsedMs(clock, client.arrivedAtMs) })
     if (state.answerBegun) return
     state.answerBegun = true
     if (parts.notice.isLeaving()) response.setHeader('Connection', 'close')
@@ -174,18 +181,34 @@
     },
     streams: route.kind === 'stream',
     afterEventId: state.lastEventId,
-    onHead,
+    onHead: head => onHead(endpoint, head),
     onEvent: (bytes, id) => onEvent(endpoint, bytes, id),
     onAnswer: whole => onAnswer(endpoint, whole),
     onFailure: (failure, reason) => onFailure(endpoint, failure, reason)
   })
 
+  const noteChoice = (endpoint: Endpoint): void => {
+    const load = loads.loadOf(endpoint.id)
+    state.trail.note('endpoint chosen', {
+      requestId: metadata.requestId,
+      endpoint: endpoint.id,
+      online: load.online,
+      batchRunning: load.batchRunning,
+      slots: endpoint.slots,
+      suspected: load.suspected,
+      candidateCount,
+      remainingMs: Math.round(remainingMs()),
+      afterMs: elapsedMs(clock, client.arrivedAtMs)
+    })
+  }
+
   const send = (): void => {
     const endpoint = choose()
     if (endpoint === undefined) {
       end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
       return
     }
+    noteChoice(endpoint)
     state.tried.add(endpoint.id)
     state.offers++
     loads.onSent(endpoint.id)
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,8 +1,8 @@
 /** The listener for clients: bounds what they send and how long they take, and answers bytes that are no request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Logger } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
+import type { EventLog } from '../telemetry/events'
 
 /** A listener for clients. */
 export interface ClientServer {
@@ -15,7 +15,7 @@
 
 /** Options of `createClientServer`. */
 export interface ClientServerOptions {
-  log: Logger
+  log: EventLog
   onRequest: (request: IncomingMessage, response: ServerResponse) => void
 }
 
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -1,5 +1,5 @@
 /** What an adapter hands to a role. */
-import type { Clock, Logger, Random } from 'anvilarch-utils'
+import type { Clock, Random } from 'anvilarch-utils'
 import type { LoadReport } from '../endpoints/loadTable'
 import type { PeerAddress } from '../endpoints/loadFeed'
 import type { JobItem } from '../jobs/types'
@@ -9,6 +9,7 @@
 import type { RequestWire } from '../requests/types'
 import type { MetadataStore, RowChange, StoredRow } from '../store/types'
 import type { ServingMetrics } from '../telemetry/metrics'
+import type { EventLog } from '../telemetry/events'
 
 /** Settings of a process, decoded and checked. */
 export interface ServingSettings {
@@ -94,7 +95,7 @@
   store: MetadataStore
   clock: Clock
   random: Random
-  log: Logger
+  log: EventLog
   metrics: ServingMetrics
   peers: PeerDirectory
   /** Aborted when the process begins to stop. */
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -16,7 +16,7 @@
 import { createHeldItems, type HeldItem, progressOf } from './heldItems'
 import { fleetEventMs } from './fleetPace'
 import { chooseItems, isBetterElsewhere, type ItemChoiceInput, urgency } from './itemChoice'
-import { createItemSteps, isWorkFresh } from './itemSteps'
+import { createItemSteps, isWorkFresh, type ReleaseReason } from './itemSteps'
 import type { Pace } from './pace'
 import { createRefusals } from './refusals'
 import { planSlack, unseenItems } from './slack'
@@ -195,10 +195,13 @@
 
   const releaseUnwanted = (endpoint: Endpoint | undefined): void => {
     const nowMs = clock.nowMs()
-    const leaving = endpoint?.state === 'ready' ? [] : held.inState('running')
-    const longPaused = held.inState('paused').filter(entry => nowMs - entry.pausedAtMs > PAUSE_HOLD_MS)
-    const slow = leaving.length > 0 ? [] : betterElsewhere()
-    for (const entry of [...leaving, ...longPaused, ...slow]) runInBackground(log, 'release item', () => steps.release(entry))
+    const isReady = endpoint?.state === 'ready'
+    const releaseAll = (entries: HeldItem[], reason: ReleaseReason): void => {
+      for (const entry of entries) runInBackground(log, 'release item', () => steps.release(entry, reason))
+    }
+    releaseAll(held.inState('paused').filter(entry => nowMs - entry.pausedAtMs > PAUSE_HOLD_MS), 'long_paused')
+    if (isReady) releaseAll(betterElsewhere(), 'better_elsewhere')
+    else releaseAll(held.inState('running'), 'endpoint_not_ready')
   }
 
   const tick = async (): Promise<void> => {
@@ -270,7 +273,7 @@
       const untilMs = clock.nowMs() + STOP_PATIENCE_MS
       while (held.all().length > 0 && clock.nowMs() < untilMs) {
         for (const entry of held.inState('running')) steps.pause(entry, 'stopping')
-        await Promise.all(held.inState('paused').map(steps.release))
+        await Promise.all(held.inState('paused').map(entry => steps.release(entry, 'stopping')))
         if (held.all().length > 0) await sleep(clock, STOP_RETRY_MS)
       }
       log.info('runner stopped', { unsavedItems: held.all().length })
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -30,6 +30,9 @@
   stopping: AbortSignal
 }
 
+/** Why an item is let go of before it has ended. */
+export type ReleaseReason = 'long_paused' | 'endpoint_not_ready' | 'better_elsewhere' | 'stopping'
+
 /** The steps. */
 export interface ItemSteps {
   /** Claims an item and runs it. */
@@ -38,7 +41,7 @@
   resume: (entry: HeldItem) => Promise<void>
   pause: (entry: HeldItem, reason: string) => void
   /** Saves the text and lets go of the item. @returns false if the store has not taken it */
-  release: (entry: HeldItem) => Promise<boolean>
+  release: (entry: HeldItem, reason: ReleaseReason) => Promise<boolean>
 }
 
 /**
@@ -76,7 +79,7 @@
     log.info('item paused', { jobId: entry.jobId, itemId: entry.itemId, reason, lastEventId: entry.text.lastEventId })
   }
 
-  const release = async (entry: HeldItem): Promise<boolean> => {
+  const release = async (entry: HeldItem, reason: ReleaseReason): Promise<boolean> => {
     entry.run?.abort()
     entry.run = undefined
     entry.state = 'saving'
@@ -89,7 +92,7 @@
     }
     held.leaveToOthers(entry)
     held.drop(entry)
-    log.info('item released', { jobId: entry.jobId, itemId: entry.itemId, saved, lastEventId: entry.text.lastEventId })
+    log.info('item released', { jobId: entry.jobId, itemId: entry.itemId, reason, saved, lastEventId: entry.text.lastEventId })
     return true
   }
 
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -1,6 +1,7 @@
 /** Keeps a copy of a table by a listing and the feed of changes after it. */
-import { type Clock, type Logger, type Random, sleep } from 'anvilarch-utils'
+import { type Clock, type Random, sleep } from 'anvilarch-utils'
 import type { MetadataStore, RowChange, StoredRow } from './types'
+import type { EventLog } from '../telemetry/events'
 
 /** What a follower tells its owner. */
 export interface TableListener {
@@ -14,7 +15,7 @@
   store: MetadataStore
   clock: Clock
   random: Random
-  log: Logger
+  log: EventLog
   table: string
   /** Partitions that are listed; the feed covers all of them. */
   partitions: readonly string[]
@@ -75,7 +76,7 @@
     oldestVersion = Math.min(oldestVersion ?? read.val.version, read.val.version)
   }
   options.listener.onListing(rows)
-  options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion })
+  options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion ?? 0 })
   return { outcome: 'changed', version: oldestVersion }
 }
 
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,7 +1,8 @@
 /** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
-import type { Clock, Logger, Random } from 'anvilarch-utils'
+import type { Clock, Random } from 'anvilarch-utils'
 import { Pool } from 'undici'
 import { startExchange } from '../endpoints/exchange'
+import type { EventLog } from '../telemetry/events'
 
 /** One call to the store, encoded. */
 export interface StoreCall {
@@ -69,7 +70,7 @@
 /** Options of `createRelayedTransport`. */
 export interface RelayOptions {
   clock: Clock
-  log: Logger
+  log: EventLog
   random: Random
   direct: StoreTransport
   /** Peer ports of other daemons. */
--- /dev/null
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -0,0 +1,116 @@
+/** The catalogue of what is logged: each event and its fields. Fields carry their unit; ids come first. */
+
+/** Fields of each event, by its message. */
+export interface EventFields {
+  // Life of the process.
+  started: { role: string, address: string }
+  stopping: { graceMs: number }
+  'gateway stopped': { unfinishedRequests: number }
+  'runner stopped': { unsavedItems: number }
+  'stop failed': { reason: string }
+  'stop cut short': { afterMs: number }
+  'settings read again': { path: string }
+  'settings not taken': { reason: string }
+
+  // What the process believes of configuration and endpoints.
+  'configuration in force': { version: number, routeCount: number }
+  'endpoint listed': { endpoint: string, service: string, address: string, state: string }
+  'endpoint removed from the list': { endpoint: string, service: string, held: boolean }
+
+  // The store.
+  'store does not serve this host': { reason: string }
+  'store answers again': { afterMs: number }
+  'store answer cannot be read': { reason: string }
+  'store rejects a transaction': { status: number, body: string }
+  'table listed': { table: string, rowCount: number, version: number }
+  'table listing failed': { table: string, reason: string }
+  'feed history lost, listing again': { table: string, version: number }
+  'row is not JSON': { table: string, key: string, reason: string }
+  'row cannot be used': { table: string, key: string, field: string, reason: string }
+
+  // Requests.
+  'request ended': RequestEndFields
+  'request refused': { requestId: string, reason: string, waitMs: number, remainingMs: number }
+  'endpoint chosen': EndpointChoiceFields
+  'answer begun': { requestId: string, endpoint: string, status: number, afterMs: number }
+  'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, lastEventId: number | undefined, remainingMs: number }
+  'request handling failed': { reason: string }
+  'client bytes rejected': { requestId?: string, status: number, reason: string }
+
+  // Jobs and items.
+  'job submitted': { jobId: string, route: string, itemCount: number, outcome: string, elapsedMs: number }
+  'job over the limit of waiting tokens': { jobId: string, tokens: number, waitingTokens: number, limitTokens: number }
+  'job ended by its client': { jobId: string, outcome: string }
+  'job removed after its retention': { jobId: string }
+  'items of a job cannot be read': { jobId: string, reason: string }
+  'item claimed': { jobId: string, itemId: string, fromEventId: number, dueInMs: number }
+  'item paused': { jobId: string, itemId: string, reason: string, lastEventId: number }
+  'item released': { jobId: string, itemId: string, reason: string, saved: boolean, lastEventId: number }
+  'item dropped': { jobId: string, itemId: string, reason: string }
+  'item run ended': { jobId: string, itemId: string, end: string, reason: string | undefined, lastEventId: number, elapsedMs: number }
+  'item settled': { jobId: string, itemId: string, end: string, outcome: string }
+
+  // Traffic between daemons.
+  'load feed socket failed': { reason: string }
+  'load report is not JSON': { reason: string }
+  'relayed call not read': { reason: string }
+  'relayed call failed': { reason: string }
+
+  // Errors of the program.
+  'runner step failed': { reason: string }
+  'background task failed': { task: string, reason: string }
+  'unhandled rejection': { reason: string }
+  'uncaught exception': { reason: string }
+}
+
+/** The end of a request. Absent fields do not apply to the outcome. */
+// A type literal, since only those may pass for the plain record of fields that the log library takes.
+
+type RequestEndFields = {
+  requestId: string
+  route: string
+  kind: string
+  outcome: string
+  configurationVersion: number
+  /** Attempts that may have run. */
+  attempts: number
+  /** Sends in all. */
+  offers: number
+  lastEventId: number | undefined
+  elapsedMs: number
+  endpoint?: string
+  status?: number
+  reason?: string
+}
+
+/** Why an endpoint was chosen: its load and the choice there was. */
+
+type EndpointChoiceFields = {
+  requestId: string
+  endpoint: string
+  /** Requests there that do not give way, as far as this process knew. */
+  online: number
+  batchRunning: number
+  slots: number
+  suspected: boolean
+  /** Endpoints that could have been chosen. */
+  candidateCount: number
+  remainingMs: number
+  afterMs: number
+}
+
+/** Message of an event. */
+export type EventName = keyof EventFields
+
+/** Logs one event of the catalogue. */
+type LogEvent = <Name extends EventName>(message: Name, fields: EventFields[Name]) => void
+
+/** A log that takes events of the catalogue only. */
+export interface EventLog {
+  debug: LogEvent
+  info: LogEvent
+  warn: LogEvent
+  error: LogEvent
+  /** @returns a log that adds a slice name to each line */
+  child: (slice: string) => EventLog
+}
