Measure queues, pauses, sends, refusals, age of knowledge and the event loop

Cause: the metrics could not tell a slow endpoint from a slow process, nor on how old a list a process decides; a resumed item left no line. Change: endpoint wait, event gaps, sends (first, again, resumed), refusals by reason, service as a label, age of each followed table, open jobs, waiting tokens, event-loop delay; event 'item run started'. Ruled out: sampling the event loop every 10 ms, prom-client's default, since each sample wakes the process; 100 ms.

--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -23,6 +23,9 @@
 /** From this status on an answer tells the client that its request has failed. */
 const FIRST_ERROR_STATUS = 400
 
+/** Tells the client that its request has not run and never will. */
+const REFUSED_STATUS = 503
+
 /**
  * @param parts - clock, log and metrics
  * @param client - the request
@@ -55,7 +58,7 @@
     if (ended) return false
     ended = true
     onEnd()
-    metrics.requests.inc({ kind: route.kind, outcome })
+    metrics.requests.inc({ kind: route.kind, service: state.service ?? 'none', outcome })
     metrics.requestSeconds.observe({ kind: route.kind }, (clock.nowMs() - client.arrivedAtMs) / 1000)
     if (outcome !== 'answered') state.trail.reveal()
     if (outcome === 'answered' && !parts.lines.take()) metrics.logLinesLeftOut.inc()
@@ -72,7 +75,9 @@
         if (end('endpoint_status', { status: failed.status })) sendWhole(response, failed, notice)
         return
       }
-      if (end(own.code, { status: own.status })) sendOwnAnswer(response, own, notice)
+      if (!end(own.code, { status: own.status })) return
+      if (own.status === REFUSED_STATUS) metrics.refusals.inc({ kind: route.kind, reason: own.code })
+      sendOwnAnswer(response, own, notice)
     },
     answerWhole: (endpointId, whole) => {
       const outcome = whole.status < FIRST_ERROR_STATUS ? 'answered' : 'endpoint_status'
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -48,6 +48,9 @@
   const { route, response, metadata } = client
   let running: Running | undefined
   let silence: Timer | undefined
+  let lastEventAtMs: number | undefined
+  /** Of the send in progress, until its first event or answer. */
+  let sentAtMs: number | undefined
   /** Of the last choice. */
   let candidateCount = 0
 
@@ -139,6 +142,7 @@
 
   const onAnswer = (endpoint: Endpoint, whole: AttemptAnswer): void => {
     leaveRunning()
+    observeWait()
     if (triesElsewhere(endpoint, whole)) return
     if (whole.status < FIRST_FAILURE_STATUS) loads.onSuccess(endpoint.id)
     // The first event stands for the time in the queue; the slot is held from then on.
@@ -158,8 +162,12 @@
   }
 
   const onEvent = (endpoint: Endpoint, bytes: Buffer, id: number | undefined): void => {
-    state.firstEventAtMs ??= clock.nowMs()
-    if (state.lastEventId === metadata.lastEventId) metrics.firstEventSeconds.observe((clock.nowMs() - client.arrivedAtMs) / 1000)
+    const nowMs = clock.nowMs()
+    state.firstEventAtMs ??= nowMs
+    if (state.lastEventId === metadata.lastEventId) metrics.firstEventSeconds.observe((nowMs - client.arrivedAtMs) / 1000)
+    if (lastEventAtMs !== undefined) metrics.eventGapSeconds.observe((nowMs - lastEventAtMs) / 1000)
+    lastEventAtMs = nowMs
+    observeWait()
     state.lastEventId = id ?? state.lastEventId
     response.write(bytes)
     watchSilence(endpoint)
@@ -187,6 +195,16 @@
     onFailure: (failure, reason) => onFailure(endpoint, failure, reason)
   })
 
+  const observeWait = (): void => {
+    if (sentAtMs !== undefined) metrics.endpointWaitSeconds.observe({ kind: route.kind }, (clock.nowMs() - sentAtMs) / 1000)
+    sentAtMs = undefined
+  }
+
+  const sendName = (): 'first' | 'again' | 'resumed' => {
+    if (state.offers === 0) return 'first'
+    return state.lastEventId === metadata.lastEventId ? 'again' : 'resumed'
+  }
+
   const noteChoice = (endpoint: Endpoint): void => {
     const load = loads.loadOf(endpoint.id)
     state.trail.note('endpoint chosen', {
@@ -210,7 +228,9 @@
     }
     noteChoice(endpoint)
     state.tried.add(endpoint.id)
+    metrics.sends.inc({ kind: route.kind, send: sendName() })
     state.offers++
+    sentAtMs = clock.nowMs()
     loads.onSent(endpoint.id)
     running = { endpoint, attempt: startAt(endpoint) }
     watchSilence(endpoint)
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from '../model/types'
 import type { StoredRow } from '../store/types'
 import { type FollowOptions, followTable } from '../store/tableFollower'
+import { registerStateMetrics } from '../telemetry/stateMetrics'
 import type { RoleContext } from './types'
 
 /** Copies of what the store tells. */
@@ -38,8 +39,10 @@
   const endpoints = createEndpointTable({ clock, log, contact: store })
   const work = createWorkTable()
   const controller = new AbortController()
+  const tableAnsweredAtMs = new Map<string, number>()
   const follow = (table: Pick<FollowOptions, 'table' | 'partitions' | 'listener' | 'intervalMs'>): void => {
-    runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, signal: controller.signal, ...table }))
+    const onAnswer = (): void => { tableAnsweredAtMs.set(table.table, clock.nowMs()) }
+    runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, signal: controller.signal, onAnswer, ...table }))
   }
 
   const offerConfiguration = (row: StoredRow): void => {
@@ -75,7 +78,16 @@
   })
   follow({ table: WORK_TABLE, partitions: [MEMBER_PARTITION, ...JOB_PARTITIONS], listener: work })
   context.peers.use({ work, endpoints })
-  return { configuration, endpoints, work, close: () => controller.abort() }
+  const stateMetrics = registerStateMetrics(context.metrics.registry, { clock, work, tableAnsweredAtMs })
+  return {
+    configuration,
+    endpoints,
+    work,
+    close: () => {
+      controller.abort()
+      stateMetrics.close()
+    }
+  }
 }
 
 function isEndpoint (endpoint: Endpoint | undefined): endpoint is Endpoint {
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -153,6 +153,7 @@
     entry.pacedAtMs = nowMs
     entry.pacedEventId = entry.text.lastEventId
     const fromEventId = entry.text.lastEventId
+    log.info('item run started', { jobId: entry.jobId, itemId: entry.itemId, endpoint: endpoint.id, fromEventId })
     entry.run = runItem({
       clock,
       pool: parts.pool,
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -20,6 +20,8 @@
   /** Partitions that are listed; the feed covers all of them. */
   partitions: readonly string[]
   listener: TableListener
+  /** Called after each answer of the store about the table, also without changes. */
+  onAnswer?: () => void
   /** Changes are gathered for this long between two calls; `FEED_INTERVAL_MS` by default. */
   intervalMs?: number
   signal: AbortSignal
@@ -55,6 +57,7 @@
       retryMs = Math.min(FEED_MAX_RETRY_MS, retryMs * 2)
       continue
     }
+    options.onAnswer?.()
     retryMs = FEED_RETRY_MS
     version = next.version
     if (next.outcome === 'changed') await pause(options, options.intervalMs ?? FEED_INTERVAL_MS)
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -44,6 +44,7 @@
   'job removed after its retention': { jobId: string }
   'items of a job cannot be read': { jobId: string, reason: string }
   'item claimed': { jobId: string, itemId: string, fromEventId: number, dueInMs: number }
+  'item run started': { jobId: string, itemId: string, endpoint: string, fromEventId: number }
   'item paused': { jobId: string, itemId: string, reason: string, lastEventId: number }
   'item released': { jobId: string, itemId: string, reason: string, saved: boolean, lastEventId: number }
   'item dropped': { jobId: string, itemId: string, reason: string }
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -7,9 +7,13 @@
 /** All metrics of the serving core. */
 export interface ServingMetrics {
   registry: Registry
-  requests: Counter<'kind' | 'outcome'>
+  requests: Counter<'kind' | 'service' | 'outcome'>
   requestSeconds: Histogram<'kind'>
   firstEventSeconds: Histogram
+  eventGapSeconds: Histogram
+  endpointWaitSeconds: Histogram<'kind'>
+  sends: Counter<'kind' | 'send'>
+  refusals: Counter<'kind' | 'reason'>
   attemptFailures: Counter<'kind' | 'reason'>
   storeCalls: Counter<'call' | 'result'>
   jobCalls: Counter<'call' | 'outcome'>
@@ -26,9 +30,13 @@
   const registers = [registry]
   return {
     registry,
-    requests: new Counter({ name: 'anvilarch_requests_total', help: 'Client requests by kind and outcome', labelNames: ['kind', 'outcome'], registers }),
+    requests: new Counter({ name: 'anvilarch_requests_total', help: 'Client requests by kind, service and outcome', labelNames: ['kind', 'service', 'outcome'], registers }),
     requestSeconds: new Histogram({ name: 'anvilarch_request_seconds', help: 'From the head of a request to its last byte', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
     firstEventSeconds: new Histogram({ name: 'anvilarch_first_event_seconds', help: 'From the head of a stream request to its first event', buckets: LATENCY_BUCKETS_SECONDS, registers }),
+    eventGapSeconds: new Histogram({ name: 'anvilarch_event_gap_seconds', help: 'Between two events of a stream as they are handed on', buckets: LATENCY_BUCKETS_SECONDS, registers }),
+    endpointWaitSeconds: new Histogram({ name: 'anvilarch_endpoint_wait_seconds', help: 'From a send to the first event or the whole answer: queue and work', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
+    sends: new Counter({ name: 'anvilarch_sends_total', help: 'Sends to endpoints: first, again, or resumed after an event', labelNames: ['kind', 'send'], registers }),
+    refusals: new Counter({ name: 'anvilarch_refusals_total', help: 'Requests refused by this process by reason', labelNames: ['kind', 'reason'], registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
     storeCalls: new Counter({ name: 'anvilarch_store_calls_total', help: 'Calls to the metadata store by result', labelNames: ['call', 'result'], registers }),
     jobCalls: new Counter({ name: 'anvilarch_job_calls_total', help: 'Calls about jobs by outcome', labelNames: ['call', 'outcome'], registers }),
