Split the batch runner into slots, care of held items and upkeep

Change: slotBalance.ts (start and stop by the engine's slots), heldItemCare.ts (save, learn, let go), upkeep.ts (age and retention), types.ts; batchRunner.ts is the loop. No decision changed; the same tests pass.

--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/heldItemCare.ts
@@ -0,0 +1,93 @@
+/** Looks after the items that a runner holds: saves them, learns from them, and lets go of those better run elsewhere. */
+import { runInBackground } from 'anvilarch-utils'
+import type { Endpoint } from '../model/types'
+import { ownClaimVersion, saveClaim } from './claims'
+import { fleetEventMs } from './fleetPace'
+import { type HeldItem, progressOf } from './heldItems'
+import { isBetterElsewhere } from './itemChoice'
+import type { ReleaseReason } from './itemSteps'
+import type { RunnerParts, RunnerState } from './types'
+
+/** What is done for held items after each look at the engine. */
+export interface HeldItemCare {
+  /** Ends what is no longer this runner's or no longer wanted. */
+  review: () => void
+  learnPace: () => void
+  saveRunning: () => void
+  /** Lets go of what waits too long, of what is better run elsewhere, and of all when the endpoint leaves. */
+  releaseUnwanted: (endpoint: Endpoint | undefined) => void
+}
+
+/** A paused item waits for this long on its own engine before others may take it: two thirds of a burst are shorter. */
+const PAUSE_HOLD_MS = 800
+
+/** Pace is learned from runs in progress this often, so that an engine that turns slow is noticed within a second. */
+const PACE_INTERVAL_MS = 500
+
+/** Running items save what they have this often, so that a lost host costs a resume. */
+const SAVE_INTERVAL_MS = 1500
+
+/**
+ * @param parts - engine, store and work
+ * @param state - items of the runner
+ * @returns the care
+ */
+export function createHeldItemCare (parts: RunnerParts, state: Pick<RunnerState, 'held' | 'steps'>): HeldItemCare {
+  const { clock, log, pace } = parts
+  const { held, steps } = state
+
+  /** Items that would be late at this engine and in time at another. */
+  const betterElsewhere = (): HeldItem[] => {
+    const storeNowMs = parts.store.storeNowMs()
+    if (storeNowMs === undefined) return []
+    const eventMs = fleetEventMs(parts.work, storeNowMs)
+    return held.inState('running').filter(entry => isBetterElsewhere(
+      entry.dueAtMs - storeNowMs,
+      pace.remainingMs(entry.tokens, entry.text.lastEventId),
+      pace.remainingMs(entry.tokens, entry.text.lastEventId, eventMs)
+    ))
+  }
+
+  const releaseAll = (entries: HeldItem[], reason: ReleaseReason): void => {
+    for (const entry of entries) runInBackground(log, 'release item', () => steps.release(entry, reason))
+  }
+
+  return {
+    review: () => {
+      for (const entry of [...held.inState('running'), ...held.inState('paused')]) {
+        const job = parts.work.job(entry.jobId)?.record
+        const lost = ownClaimVersion(parts, entry.jobId, entry.item) === undefined
+        if (job !== undefined && !job.ended && !lost) continue
+        log.info('item dropped', { jobId: entry.jobId, itemId: entry.itemId, reason: lost ? 'claim_lost' : 'job_ended' })
+        held.drop(entry)
+      }
+    },
+    learnPace: () => {
+      const nowMs = clock.nowMs()
+      for (const entry of held.inState('running')) {
+        if (nowMs - entry.pacedAtMs < PACE_INTERVAL_MS) continue
+        pace.onRun(entry.text.lastEventId - entry.pacedEventId, nowMs - entry.pacedAtMs)
+        entry.pacedAtMs = nowMs
+        entry.pacedEventId = entry.text.lastEventId
+      }
+    },
+    saveRunning: () => {
+      const nowMs = clock.nowMs()
+      for (const entry of held.inState('running')) {
+        if (nowMs - entry.savedAtMs < SAVE_INTERVAL_MS || entry.text.lastEventId <= entry.savedEventId) continue
+        entry.savedAtMs = nowMs
+        const progress = progressOf(entry)
+        runInBackground(log, 'save progress', async () => {
+          const saved = await saveClaim(parts, entry.jobId, entry.item, progress, true)
+          if (saved) entry.savedEventId = progress.lastEventId
+        })
+      }
+    },
+    releaseUnwanted: endpoint => {
+      const nowMs = clock.nowMs()
+      releaseAll(held.inState('paused').filter(entry => nowMs - entry.pausedAtMs > PAUSE_HOLD_MS), 'long_paused')
+      if (endpoint?.state === 'ready') releaseAll(betterElsewhere(), 'better_elsewhere')
+      else releaseAll(held.inState('running'), 'endpoint_not_ready')
+    }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/slotBalance.ts
@@ -0,0 +1,63 @@
+/** Keeps as many items running as the engine has slots to spare. */
+import { runInBackground } from 'anvilarch-utils'
+import type { Endpoint } from '../model/types'
+import type { EngineReport } from '../roles/types'
+import type { HeldItem } from './heldItems'
+import { chooseItems, urgency } from './itemChoice'
+import { isWorkFresh } from './itemSteps'
+import { planSlack, unseenItems } from './slack'
+import type { RunnerParts, RunnerState } from './types'
+
+/** Starts and stops items after each look at the engine. */
+export type SlotBalance = (report: EngineReport, endpoint: Endpoint, reportAskedAtMs: number) => void
+
+/**
+ * @param parts - engine, store and work
+ * @param state - items of the runner
+ * @returns the balance
+ */
+export function createSlotBalance (parts: RunnerParts, state: RunnerState): SlotBalance {
+  const { log } = parts
+  const { held, steps, engineRefusals } = state
+
+  const urgencyOf = (entry: HeldItem, storeNowMs: number): number =>
+    urgency(entry.dueAtMs - storeNowMs, parts.pace.remainingMs(entry.tokens, entry.text.lastEventId))
+
+  const startItems = (count: number): void => {
+    const storeNowMs = parts.store.storeNowMs()
+    if (storeNowMs === undefined || !engineRefusals.mayStart()) return
+    const resumable = held.inState('paused').filter(entry => entry.refusals.mayStart())
+    const paused = resumable.map(entry => ({ entry, urgency: urgencyOf(entry, storeNowMs) }))
+    // A claim names the life of its holder, which others know by its heartbeat.
+    const mayClaim = parts.work.member(parts.runner)?.record.incarnation === parts.incarnation
+    const fresh = mayClaim ? chooseItems(state.choiceInput(storeNowMs), count) : []
+    const chosen = [...paused, ...fresh].sort((a, b) => a.urgency - b.urgency).slice(0, count)
+    for (const next of chosen) {
+      if ('entry' in next) {
+        next.entry.state = 'claiming'
+        runInBackground(log, 'resume item', () => steps.resume(next.entry))
+      } else {
+        runInBackground(log, 'begin item', () => steps.begin(next.job, next.item))
+      }
+    }
+  }
+
+  const stopItems = (count: number): void => {
+    const storeNowMs = parts.store.storeNowMs() ?? 0
+    const leastUrgentFirst = held.inState('running').sort((a, b) => urgencyOf(b, storeNowMs) - urgencyOf(a, storeNowMs))
+    for (const entry of leastUrgentFirst.slice(0, count)) steps.pause(entry, 'online_requests')
+  }
+
+  return (report, endpoint, reportAskedAtMs) => {
+    const running = held.inState('running')
+    const plan = planSlack({
+      slots: endpoint.slots,
+      running: report.running,
+      waiting: report.waiting,
+      ownItems: running.length,
+      ownUnseen: held.inState('claiming').length + unseenItems(running.map(entry => entry.startedAtMs), reportAskedAtMs)
+    })
+    if (plan.stop > 0) stopItems(plan.stop)
+    if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start)
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -0,0 +1,40 @@
+/** What the parts of a batch runner work with. */
+import type { Pool } from 'undici'
+import type { EndpointTable } from '../endpoints/endpointTable'
+import type { LoadReport } from '../endpoints/loadTable'
+import type { Configuration } from '../model/types'
+import type { EngineReport, PlatformWire } from '../roles/types'
+import type { ServingMetrics } from '../telemetry/metrics'
+import type { ClaimParts } from './claims'
+import type { HeldItems } from './heldItems'
+import type { ItemChoiceInput } from './itemChoice'
+import type { ItemSteps } from './itemSteps'
+import type { Pace } from './pace'
+import type { Refusals } from './refusals'
+
+/** Parts of a runner. */
+export interface RunnerParts extends ClaimParts {
+  metrics: ServingMetrics
+  endpoints: EndpointTable
+  configuration: () => Configuration | undefined
+  wire: PlatformWire
+  /** Connections to the engine beside the agent. */
+  pool: Pool
+  engineAddress: string
+  service: string
+  /** How long results are promised, from the submission on. */
+  retentionMs: number
+  readReport: () => Promise<EngineReport | undefined>
+  publish: (report: LoadReport) => void
+  pace: Pace
+}
+
+/** What the parts of one runner share. */
+export interface RunnerState {
+  held: HeldItems
+  steps: ItemSteps
+  /** Sends of any item that made no event. */
+  engineRefusals: Refusals
+  /** @returns what the choice of items depends on */
+  choiceInput: (storeNowMs: number) => ItemChoiceInput
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/upkeep.ts
@@ -0,0 +1,65 @@
+/** Gives up items past their age, and removes jobs past their retention. */
+import { v3 as murmurhash } from 'murmurhash'
+import { isClosed, isExpired } from '../jobs/jobRecord'
+import { isRetired, removeJob } from '../jobs/retention'
+import type { JobRecord } from '../jobs/types'
+import type { EventLog } from '../telemetry/events'
+import { type ClaimParts, claimItem, finishItem } from './claims'
+import { chooseItems, type ItemChoiceInput } from './itemChoice'
+
+/** Parts of the upkeep. */
+export interface UpkeepParts extends ClaimParts {
+  log: EventLog
+  /** How long results are promised, from the submission on. */
+  retentionMs: number
+  choiceInput: (storeNowMs: number) => ItemChoiceInput
+}
+
+/** What is done from time to time. */
+export interface Upkeep {
+  /** Gives up what is past its age and held by nobody. */
+  expire: () => Promise<void>
+  /** Removes jobs past their retention. */
+  retire: () => Promise<void>
+}
+
+/**
+ * @param parts - store, work and identity
+ * @returns the upkeep
+ */
+export function createUpkeep (parts: UpkeepParts): Upkeep {
+  const { work, store, log } = parts
+  const jobsThat = (holds: (job: JobRecord) => boolean): JobRecord[] => [...work.jobs()].map(entry => entry.record).filter(holds)
+
+  const expireJob = async (job: JobRecord, storeNowMs: number): Promise<void> => {
+    const input = parts.choiceInput(storeNowMs)
+    const mayRun = (candidate: JobRecord): boolean => candidate.jobId === job.jobId && input.mayRun(candidate)
+    for (const candidate of chooseItems({ ...input, mayRun }, job.itemIds.length)) {
+      if (await claimItem(parts, job.jobId, candidate.item)) await finishItem(parts, job.jobId, candidate.item, 'dead_letter', '')
+    }
+  }
+
+  /** Names of the runners that are alive, alike at each of them. */
+  const livingRunners = (storeNowMs: number): string[] => [...work.members()]
+    .map(member => member.record)
+    .filter(member => member.role === 'agent' && member.aliveUntilMs > storeNowMs)
+    .map(member => member.name)
+    .sort()
+
+  return {
+    expire: async () => {
+      const storeNowMs = store.storeNowMs()
+      if (storeNowMs === undefined) return
+      for (const job of jobsThat(job => !isClosed(job) && isExpired(job, storeNowMs))) await expireJob(job, storeNowMs)
+    },
+    retire: async () => {
+      const storeNowMs = store.storeNowMs()
+      if (storeNowMs === undefined) return
+      const runners = livingRunners(storeNowMs)
+      for (const job of jobsThat(job => isRetired(job, storeNowMs, parts.retentionMs))) {
+        // Each job falls on one runner by its id, so that they do not all try.
+        if (runners[murmurhash(job.jobId) % runners.length] === parts.runner) await removeJob(parts, job, log)
+      }
+    }
+  }
+}
