Bound on a fake clock how fast an item gives way; count refusals that come together once

Cause: the test of batch beside online requests had lost its bounds in time; and seven items that an engine refuses together counted seven refusals, so the first pause was 640 ms at once. Change: runnerHarness.ts (runner, engine and store in memory on a fake clock); refusals.ts counts what fails within one pause once. Ruled out: bounds on the wall clock; they failed when the machine was busy.

--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -0,0 +1,129 @@
+/** A batch runner on a fake clock, with an engine and a store in memory. */
+import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { Ok } from 'ts-results'
+import type { Pool } from 'undici'
+import { newJob } from '../../jobs/jobRecord'
+import { jobKey, memberKey, recordRow } from '../../jobs/jobRows'
+import { encodeSubmission } from '../../jobs/submission'
+import { createWorkTable } from '../../jobs/workTable'
+import type { Configuration, Endpoint, Route } from '../../model/types'
+import type { PlatformWire } from '../../roles/types'
+import type { MetadataStore } from '../../store/types'
+import { createServingMetrics } from '../../telemetry/metrics'
+import { type BatchRunner, startBatchRunner } from '../batchRunner'
+import { createPace } from '../pace'
+
+/** A run at the engine. */
+export interface EngineRun {
+  itemId: string
+  startedAtMs: number
+  abortedAtMs: number | undefined
+}
+
+/** The runner and what is around it. */
+export interface RunnerHarness {
+  clock: FakeClock
+  runner: BatchRunner
+  runs: EngineRun[]
+  /** Requests of online clients, which the engine runs or lets wait. */
+  online: { running: number, waiting: number }
+  runningItems: () => EngineRun[]
+}
+
+/** Time between two events of a run. */
+const EVENT_INTERVAL_MS = 20
+
+const RUNNER = 'agent'
+const INCARNATION = 'life'
+const ENDPOINT_ADDRESS = '127.0.0.1:1'
+
+/** Handler of an exchange, as undici calls it. */
+interface ExchangeHandler {
+  onConnect: (abort: () => void) => void
+  onHeaders: (status: number, rawHeaders: Buffer[]) => void
+  onData: (chunk: Buffer) => void
+}
+
+/**
+ * @param slots - of the engine
+ * @param itemCount - items of the only job, each of which runs for longer than a test
+ * @returns a runner at work
+ */
+export function createRunnerHarness (slots: number, itemCount: number): RunnerHarness {
+  const clock = createFakeClock()
+  const runs: EngineRun[] = []
+  const online = { running: 0, waiting: 0 }
+  const runningItems = (): EngineRun[] => runs.filter(run => run.abortedAtMs === undefined)
+  const items = Array.from({ length: itemCount }, (_, index) => ({ id: `item${index}`, path: '/', headers: {}, body: Buffer.alloc(0), tokens: 1000 }))
+  const job = newJob(items, { jobId: 'job', host: 'h', path: '/jobs', nowMs: 0, dueMs: 600_000, expiryMs: 900_000, maxAttempts: 3 })
+  const work = createWorkTable()
+  work.learn({ ...recordRow(jobKey('job'), job), version: 1 })
+  work.learn({
+    ...recordRow(memberKey(RUNNER), { name: RUNNER, role: 'agent', incarnation: INCARNATION, peerAddress: '', failureDomain: '', aliveUntilMs: Infinity }),
+    version: 1
+  })
+
+  let version = 1
+  const store: MetadataStore = {
+    commit: async () => ({ outcome: 'committed', version: ++version }),
+    readRows: async () => Ok({ rows: [], version }),
+    readFeed: async () => Ok({ outcome: 'changes' as const, changes: [], version }),
+    writeObject: async () => 'stored',
+    readObject: async () => Ok(encodeSubmission(items)),
+    removeObject: async () => true,
+    storeNowMs: () => clock.nowMs(),
+    lastFailureMs: () => undefined,
+    lastSuccessMs: () => clock.nowMs()
+  }
+
+  const dispatch = (options: { headers: string[] }, handler: ExchangeHandler): boolean => {
+    const run: EngineRun = { itemId: options.headers[1], startedAtMs: clock.nowMs(), abortedAtMs: undefined }
+    runs.push(run)
+    handler.onConnect(() => { run.abortedAtMs ??= clock.nowMs() })
+    handler.onHeaders(200, ['x-id', run.itemId].map(text => Buffer.from(text)))
+    let eventId = Number(options.headers[3])
+    const next = (): void => {
+      if (run.abortedAtMs !== undefined) return
+      eventId++
+      handler.onData(Buffer.from(`id: ${eventId}\ndata: x\n\n`))
+      clock.after(EVENT_INTERVAL_MS, next)
+    }
+    clock.after(EVENT_INTERVAL_MS, next)
+    return true
+  }
+
+  const runner = startBatchRunner({
+    store,
+    work,
+    clock,
+    log: SILENT_LOGGER,
+    metrics: createServingMetrics(),
+    runner: RUNNER,
+    incarnation: INCARNATION,
+    maxRowBytes: 100_000,
+    endpoints: { atAddress: () => endpointWith(slots) } as never,
+    configuration: () => CONFIGURATION,
+    wire: WIRE,
+    pool: { dispatch } as unknown as Pool,
+    engineAddress: ENDPOINT_ADDRESS,
+    service: 'models',
+    retentionMs: 900_000,
+    readReport: async () => ({ running: runningItems().length + online.running, waiting: online.waiting }),
+    publish: () => {},
+    pace: createPace()
+  })
+  return { clock, runner, runs, online, runningItems }
+}
+
+function endpointWith (slots: number): Endpoint {
+  return { id: 'e1', service: 'models', address: ENDPOINT_ADDRESS, failureDomain: 'a', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+}
+
+const ROUTE = { name: 'jobs', host: 'h', pathPrefix: '/jobs', kind: 'batch', targets: [{ service: 'models', weight: 1 }] } as unknown as Route
+
+const CONFIGURATION = { version: 1, routes: [ROUTE], services: new Map() } as unknown as Configuration
+
+const WIRE = {
+  request: { decodeAnswer: (headers: ReadonlyMap<string, string>) => ({ requestId: headers.get('x-id'), signed: true, notRun: false }) },
+  engine: { encodeItem: (item: { id: string }, _host: string, terms: { lastEventId?: number }) => ['x-id', item.id, 'x-after', String(terms.lastEventId ?? 0)] }
+} as unknown as PlatformWire
--- a/packages/anvilarch-serving/src/runner/refusals.ts
+++ b/packages/anvilarch-serving/src/runner/refusals.ts
@@ -35,12 +35,15 @@
 export function createRefusals (clock: Clock): Refusals {
   let fruitlessRuns = 0
   let lastAtMs = -Infinity
+  const mayStart = (): boolean => clock.nowMs() >= lastAtMs + pauseAfterMs(fruitlessRuns)
   return {
     onFruitless: () => {
+      // Items that were sent together fail together, and tell no more than one of them.
+      if (!mayStart()) return
       fruitlessRuns++
       lastAtMs = clock.nowMs()
     },
     onEvent: () => { fruitlessRuns = 0 },
-    mayStart: () => clock.nowMs() >= lastAtMs + pauseAfterMs(fruitlessRuns)
+    mayStart
   }
 }
