Find failures in logs and show what surrounded them

Cause: explain told the lines of an id and no more: neither that its gateway had been killed, nor that the endpoint had left; and one had to know the id first. Change: 'anvilarch logs failures' lists requests, jobs and items that went wrong and processes that ended without a word; 'anvilarch logs volume' counts lines and bytes a request; explain adds the state of its processes and endpoints around it. The JSON of explain is now an object with lines, around, lostLives.

--- a/packages/anvilarch/src/commands/explain.ts
+++ b/packages/anvilarch/src/commands/explain.ts
@@ -1,15 +1,11 @@
 /** `anvilarch explain` */
-import { readdirSync, readFileSync, statSync } from 'node:fs'
-import { join } from 'node:path'
 import { option, optional, positional, string } from 'cmd-ts'
-import { CliError } from '../cliError'
 import { defineCommand } from '../defineCommand'
-import { formatFields, linesAbout, type LogLine, parseLogs } from '../explain/readLogs'
+import { readLogSources } from '../explain/logSources'
+import { formatFields, linesAbout, type LogLine } from '../explain/readLogs'
+import { linesAround, type LostLife, lostLives } from '../explain/surroundings'
 import { formatCount, formatTable } from '../output/table'
 
-/** File descriptor of standard input. */
-const STANDARD_INPUT = 0
-
 /** Tells the story of one request, item, job or endpoint from the logs of all processes. */
 export const explain = defineCommand({
   name: 'explain',
@@ -23,26 +19,34 @@
     { description: 'The same from a stream of logs', line: 'cat *.log | anvilarch explain 9c41d07be2a35f68' }
   ],
   run: async ({ id, logs }) => {
-    const lines = linesAbout(readSources(logs).flatMap(parseLogs), id)
-    return { json: lines, text: formatStory(id, lines), exit: lines.length === 0 ? 'failed' : 'ok' }
+    const all = readLogSources(logs)
+    const lines = linesAbout(all, id)
+    const around = linesAround(all, lines)
+    const lost = lostLivesOf(all, lines)
+    return { json: { lines, around, lostLives: lost }, text: formatStory(id, lines, around, lost), exit: lines.length === 0 ? 'failed' : 'ok' }
   }
 })
 
-function readSources (path: string | undefined): string[] {
-  if (path === undefined) return [readFileSync(STANDARD_INPUT, 'utf8')]
-  try {
-    const files = statSync(path).isDirectory() ? readdirSync(path).map(name => join(path, name)) : [path]
-    return files.filter(file => statSync(file).isFile()).map(file => readFileSync(file, 'utf8'))
-  } catch (error) {
-    throw new CliError(`The logs at ${path} can't be read: ${(error as Error).message}.`, {
-      code: 'bad_request', step: 'explain.read', exit: 'usage', ran: 'not_run', hint: 'Give a folder of log files, or one file, with --logs.'
-    })
-  }
+/** Lives of the story's processes that ended without a word while it went on, or right after it. */
+function lostLivesOf (all: readonly LogLine[], story: readonly LogLine[]): LostLife[] {
+  const processes = new Set(story.map(line => line.process))
+  return lostLives(all).filter(life => processes.has(life.process) && Date.parse(life.startedAgainAt) >= Date.parse(story[0].at))
 }
 
-function formatStory (id: string, lines: LogLine[]): string {
-  if (lines.length === 0) return `no line tells of ${id}: check the id; or its lines were left out under load, or lost with their process`
+function formatStory (id: string, lines: LogLine[], around: LogLine[], lost: LostLife[]): string {
+  if (lines.length === 0) {
+    return `no line tells of ${id}: check the id; or its lines were left out under load, or lost with their process (anvilarch logs failures names those)`
+  }
   const processes = new Set(lines.map(line => line.process)).size
-  const rows = lines.map(line => [line.at.slice(11, 23), line.process, line.message, formatFields(line)])
-  return [formatTable(['time', 'process', 'what', 'with'], rows), '', `${formatCount(lines.length, 'line')} of ${formatCount(processes, 'process', 'processes')}`].join('\n')
+  return [
+    formatLines(lines),
+    '',
+    `${formatCount(lines.length, 'line')} of ${formatCount(processes, 'process', 'processes')}`,
+    ...around.length === 0 ? [] : ['', 'around it, of the same processes and endpoints:', formatLines(around)],
+    ...lost.map(life => `${life.process} ended without a word after ${life.lastLineAt} and started again at ${life.startedAgainAt}`)
+  ].join('\n')
+}
+
+function formatLines (lines: LogLine[]): string {
+  return formatTable(['time', 'process', 'what', 'with'], lines.map(line => [line.at.slice(11, 23), line.process, line.message, formatFields(line)]))
 }
--- a/packages/anvilarch/src/createProgram.ts
+++ b/packages/anvilarch/src/createProgram.ts
@@ -8,6 +8,8 @@
 import { endpointDrain } from './commands/endpointDrain'
 import { endpointList } from './commands/endpointList'
 import { explain } from './commands/explain'
+import { logsFailures } from './commands/logsFailures'
+import { logsVolume } from './commands/logsVolume'
 import { jobCancel } from './commands/jobCancel'
 import { jobList } from './commands/jobList'
 import { jobResults } from './commands/jobResults'
@@ -33,6 +35,7 @@
   },
   service: { description: 'services', commands: { list: serviceList } },
   endpoint: { description: 'endpoints', commands: { list: endpointList, drain: endpointDrain } },
+  logs: { description: 'logs of daemons', commands: { failures: logsFailures, volume: logsVolume } },
   store: { description: 'the platform\'s store', commands: { show: storeShow } }
 }
 
--- a/packages/anvilarch/src/explain/__tests__/explain.test.ts
+++ b/packages/anvilarch/src/explain/__tests__/explain.test.ts
@@ -35,7 +35,7 @@
   })
 
   it('prints the lines as JSON', async () => {
-    expect((await runCommand(['explain', 'j1', '--logs', folder, '--json'])).json()).toHaveLength(2)
+    expect((await runCommand(['explain', 'j1', '--logs', folder, '--json'])).json()).toMatchObject({ lines: [{ jobId: 'j1' }, { jobId: 'j1' }] })
   })
 
   it('fails for an id that no line names, and for logs that are not there', async () => {
--- /dev/null
+++ b/packages/anvilarch/src/explain/surroundings.ts
@@ -0,0 +1,58 @@
+/** What else happened around a request: the state of its processes and endpoints, and lives that ended without a word. */
+import type { LogLine } from './readLogs'
+
+/** Lines that close to the story may have caused it. The longest notice before a failure is a draining mark, 2 s ahead. */
+const AROUND_MS = 2000
+
+/** Events that tell of a process or an endpoint rather than of one request. */
+const STATE_EVENTS: ReadonlySet<string> = new Set([
+  'started', 'stopping', 'gateway stopped', 'runner stopped', 'stop cut short', 'configuration in force', 'endpoint listed',
+  'endpoint removed from the list', 'store does not serve this host', 'store answers again', 'table listing failed',
+  'feed history lost, listing again', 'uncaught exception', 'unhandled rejection', 'runner step failed'
+])
+
+/** A process that was started anew although the life before had not said that it stops. */
+export interface LostLife {
+  process: string
+  lastLineAt: string
+  startedAgainAt: string
+}
+
+/**
+ * @param lines - of all processes
+ * @param story - lines about one id, in order
+ * @returns lines about the processes and endpoints of the story, shortly before, during and after it
+ */
+export function linesAround (lines: readonly LogLine[], story: readonly LogLine[]): LogLine[] {
+  if (story.length === 0) return []
+  const fromMs = Date.parse(story[0].at) - AROUND_MS
+  const untilMs = Date.parse(story[story.length - 1].at) + AROUND_MS
+  const processes = new Set(story.map(line => line.process))
+  const endpoints = new Set(story.map(line => line.endpoint).filter(endpoint => endpoint !== undefined))
+  return lines
+    .filter(line => STATE_EVENTS.has(line.message))
+    .filter(line => Date.parse(line.at) >= fromMs && Date.parse(line.at) <= untilMs)
+    .filter(line => line.endpoint === undefined ? processes.has(line.process) : processes.has(line.process) && endpoints.has(line.endpoint))
+    .sort((a, b) => Date.parse(a.at) - Date.parse(b.at))
+}
+
+/**
+ * A process that is killed writes nothing about it; that its next life starts without a stop before tells.
+ *
+ * @param lines - of all processes
+ * @returns lives that ended without a word, in the order of their ends
+ */
+export function lostLives (lines: readonly LogLine[]): LostLife[] {
+  const lost: LostLife[] = []
+  const last = new Map<string, { at: string, stopping: boolean }>()
+  const inOrder = [...lines].sort((a, b) => Date.parse(a.at) - Date.parse(b.at))
+  for (const line of inOrder) {
+    const before = last.get(line.process)
+    if (line.message === 'started' && before !== undefined && !before.stopping) {
+      lost.push({ process: line.process, lastLineAt: before.at, startedAgainAt: line.at })
+    }
+    const stopping = line.message === 'stopping' || (line.message !== 'started' && (before?.stopping ?? false))
+    last.set(line.process, { at: line.at, stopping })
+  }
+  return lost.sort((a, b) => Date.parse(a.lastLineAt) - Date.parse(b.lastLineAt))
+}
