--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,6 +1,7 @@
 /** The listener for clients: bounds what they send and how long they take, and answers bytes that are no request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Clock } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
 
@@ -10,12 +11,21 @@
   /** Puts the times of a configuration in force. Sizes depend on the configuration that a request meets. */
   applyLimits: (limits: ClientLimits) => void
   /** @returns requests that have no whole answer yet */
-  unfinishedRequests: () => number
+  unfinishedRequests: () => UnfinishedRequest[]
+}
+
+/** A request that has no whole answer yet. */
+export interface UnfinishedRequest {
+  method: string
+  path: string
+  /** Local time at which its head had arrived. */
+  arrivedAtMs: number
 }
 
 /** Options of `createClientServer`. */
 export interface ClientServerOptions {
   log: EventLog
+  clock: Clock
   onRequest: (request: IncomingMessage, response: ServerResponse) => void
 }
 
@@ -44,15 +54,16 @@
  * @returns the listener, which does not listen yet
  */
 export function createClientServer (options: ClientServerOptions): ClientServer {
-  const inProgress = new Map<ServerResponse, Socket>()
+  const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
   const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: HEAD_CEILING_BYTES }, (request, response) => {
-    inProgress.set(response, request.socket)
+    const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
+    inProgress.set(response, { socket: request.socket, unfinished })
     response.on('close', () => inProgress.delete(response))
     options.onRequest(request, response)
   })
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     const { status, reason } = REJECTIONS.get(error.code ?? '') ?? MALFORMED
-    const midway = [...inProgress.values()].includes(socket)
+    const midway = [...inProgress.values()].some(entry => entry.socket === socket)
     if (error.code === 'ECONNRESET' || !socket.writable || midway) {
       // Bytes of ours within an answer in progress would pass for a part of it.
       socket.destroy()
@@ -67,7 +78,7 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
-    unfinishedRequests: () => inProgress.size
+    unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished)
   }
 }
 
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -1,6 +1,6 @@
 /** The gateway: takes requests and job calls from clients. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { sleep } from 'anvilarch-utils'
+import { type Clock, sleep } from 'anvilarch-utils'
 import { createConnectionPools } from '../endpoints/connectionPools'
 import { subscribeToLoads } from '../endpoints/loadFeed'
 import { createLoadTable } from '../endpoints/loadTable'
@@ -14,9 +14,10 @@
 import { createHoldTimes } from '../requests/holdTimes'
 import { readBody } from '../requests/readBody'
 import { matchRoute } from '../routing/matchRoute'
+import type { EventLog } from '../telemetry/events'
 import { createLineBudget } from '../telemetry/lineBudget'
 import { startHeartbeat } from '../peers/heartbeat'
-import { createClientServer, headBytes } from './clientServer'
+import { type ClientServer, createClientServer, headBytes } from './clientServer'
 import { followPlatform } from './followPlatform'
 import { once } from './once'
 import type { RoleContext, RunningRole } from './types'
@@ -105,6 +106,7 @@
 
   const clients = createClientServer({
     log,
+    clock,
     onRequest: (request, response) => {
       handleClient({ request, response, forward, jobs, configuration: view.configuration, notice })
         .catch(error => {
@@ -142,13 +144,27 @@
       await sleep(clock, DRAIN_ACCEPT_MS)
       clients.server.close()
       clients.server.closeIdleConnections()
-      while (clients.unfinishedRequests() > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
-      log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests() })
+      logUnfinished(clients, log, clock)
+      while (clients.unfinishedRequests().length > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
+      log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests().length })
       await close()
     }
   }
 }
 
+/** Says for what a stop waits: a process that is killed at the end of its grace cannot say so any more. */
+function logUnfinished (clients: ClientServer, log: EventLog, clock: Clock): void {
+  const unfinished = clients.unfinishedRequests()
+  if (unfinished.length === 0) return
+  const oldest = unfinished.reduce((first, other) => other.arrivedAtMs < first.arrivedAtMs ? other : first)
+  log.info('stop waits for requests', {
+    requestCount: unfinished.length,
+    oldestMethod: oldest.method,
+    oldestPath: oldest.path,
+    oldestAgeMs: Math.round(clock.nowMs() - oldest.arrivedAtMs)
+  })
+}
+
 interface ClientCall {
   request: IncomingMessage
   response: ServerResponse
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -5,6 +5,7 @@
   // Life of the process.
   started: { role: string, address: string }
   stopping: { graceMs: number }
+  'stop waits for requests': { requestCount: number, oldestMethod: string, oldestPath: string, oldestAgeMs: number }
   'gateway stopped': { unfinishedRequests: number }
   'runner stopped': { unsavedItems: number }
   'stop failed': { reason: string }
