--- /dev/null
+++ b/packages/anvilarch-bench/src/experiments/logCost.ts
@@ -0,0 +1,102 @@
+/** What logs cost: lines, bytes and processor time of a request on the platform, by what is written of it. */
+import { PassThrough } from 'node:stream'
+import { createBoundedLog, createRequestTrail, createServingMetrics, type EventFields, type EventLog } from 'anvilarch-serving'
+import { createLogger, SILENT_LOGGER } from 'anvilarch-utils'
+import type { Experiment, RunContext, Variant, VariantRun } from '../harness/types'
+import { barsByFigure } from '../plots/resultPlots'
+
+/**
+ * Of each hundred requests of the heaviest day of the Chamber (journal entry of scale-1 with logs), these do not go well:
+ * refused at once, and failed after an attempt.
+ */
+const REFUSED_PERCENT = 5
+const FAILED_PERCENT = 3
+
+const REQUESTS_PER_ROUND = 2000
+const MICROSECONDS_PER_MS = 1000
+
+/** What is written of a request. */
+type Detail = 'nothing' | 'one_line' | 'by_outcome' | 'everything'
+
+export const logCost: Experiment = {
+  name: 'logCost',
+  question: 'What do logs cost a request, by what is written of it?',
+  defaults: { runs: 5, seconds: 3 },
+  warmUpMs: 500,
+  variants: () => [variant('nothing'), variant('one_line'), variant('by_outcome'), variant('everything')],
+  aims: [
+    { text: 'lines by outcome take no more than 0.1 ms of processor time a request', variant: 'by_outcome', figure: 'processorMsPerRequest', compare: 'value', bound: 'at_most', limit: 0.1 }
+  ],
+  summary: ['linesPerRequest', 'bytesPerRequest', 'processorMsPerRequest'],
+  plots: result => [
+    barsByFigure(result, { processorMsPerRequest: 'processor time of a request' }, { name: 'log-cost', title: 'Processor time of logs', yLabel: 'ms' })
+  ]
+}
+
+function variant (detail: Detail): Variant {
+  return { name: detail, settings: { detail }, run: context => measure(context, detail) }
+}
+
+async function measure (context: RunContext, detail: Detail): Promise<VariantRun> {
+  const output = new PassThrough()
+  const counted = { lines: 0, bytes: 0 }
+  output.on('data', (chunk: Buffer) => { counted.bytes += chunk.length })
+  const write = createBoundedLog(output, createServingMetrics().logLinesDropped)
+  const log: EventLog = detail === 'nothing'
+    ? SILENT_LOGGER
+    : createLogger({
+      level: 'info',
+      process: 'frontend-1',
+      write: line => {
+        counted.lines++
+        write(line)
+      }
+    })
+  await playFor(context, context.warmUpMs, log, detail)
+  counted.lines = 0
+  counted.bytes = 0
+  const before = process.cpuUsage()
+  const requests = await playFor(context, context.durationMs, log, detail)
+  const used = process.cpuUsage(before)
+  return {
+    figures: {
+      linesPerRequest: counted.lines / requests,
+      bytesPerRequest: counted.bytes / requests,
+      processorMsPerRequest: (used.user + used.system) / MICROSECONDS_PER_MS / requests
+    }
+  }
+}
+
+/** @returns how many requests were played */
+async function playFor (context: RunContext, durationMs: number, log: EventLog, detail: Detail): Promise<number> {
+  const untilMs = context.clock.nowMs() + durationMs
+  let requests = 0
+  while (context.clock.nowMs() < untilMs) {
+    for (let index = 0; index < REQUESTS_PER_ROUND; index++) playRequest(log, detail, `${context.round}-${requests++}`, requests % 100)
+    // The stream takes its turn, as between the requests of a gateway.
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  return requests
+}
+
+function playRequest (log: EventLog, detail: Detail, requestId: string, percentile: number): void {
+  const failed = percentile < FAILED_PERCENT
+  const refused = !failed && percentile < FAILED_PERCENT + REFUSED_PERCENT
+  const trail = createRequestTrail(log)
+  if (detail === 'everything') trail.reveal()
+  const notes = detail === 'by_outcome' || detail === 'everything'
+  if (notes && !refused) {
+    trail.note('endpoint chosen', { requestId, endpoint: 'i-25e40e7ffa', online: 5, batchRunning: 2, slots: 8, suspected: false, candidateCount: 6, remainingMs: 4983, afterMs: 2 })
+    trail.note('answer begun', { requestId, endpoint: 'i-25e40e7ffa', status: 200, afterMs: 31 })
+  }
+  if (notes && failed) {
+    trail.reveal()
+    log.info('attempt failed', { requestId, endpoint: 'i-25e40e7ffa', failure: 'may_have_run', reason: 'UND_ERR_SOCKET', lastEventId: 12, remainingMs: 4732 })
+  }
+  if (notes && refused) log.info('request refused', { requestId, reason: 'wait_too_long', waitMs: 340, remainingMs: 4483 })
+  log.info('request ended', endOf(requestId, failed ? 'broken_off' : refused ? 'overloaded' : 'answered'))
+}
+
+function endOf (requestId: string, outcome: string): EventFields['request ended'] {
+  return { requestId, route: 'r-pes2etv', kind: 'stream', outcome, configurationVersion: 7, attempts: 1, offers: 1, lastEventId: 35, elapsedMs: 794, endpoint: 'i-25e40e7ffa', status: 200 }
+}
--- a/packages/anvilarch-bench/src/experiments/registry.ts
+++ b/packages/anvilarch-bench/src/experiments/registry.ts
@@ -4,13 +4,14 @@
 import { configuration } from './configuration'
 import { control } from './control'
 import { jobs } from './jobs'
+import { logCost } from './logCost'
 import { lookup } from './lookup'
 import { loss } from './loss'
 import { mix } from './mix'
 import { overhead } from './overhead'
 import { overload } from './overload'
 
-const ALL: readonly Experiment[] = [mix, lookup, overhead, affinity, overload, loss, jobs, configuration, control]
+const ALL: readonly Experiment[] = [mix, lookup, overhead, affinity, overload, loss, jobs, configuration, control, logCost]
 
 /** Experiments in the order of the report. */
 export const EXPERIMENTS: ReadonlyMap<string, Experiment> = new Map(ALL.map(experiment => [experiment.name, experiment]))
