--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -208,7 +208,8 @@
       jobId: job.jobId,
       itemId: entry.itemId,
       fromEventId: entry.text.lastEventId,
-      dueInMs: Math.round(job.dueAtMs - (parts.store.storeNowMs() ?? 0))
+      dueInMs: Math.round(job.dueAtMs - (parts.store.storeNowMs() ?? 0)),
+      expectedMs: Math.round(parts.pace.remainingMs(entry.tokens, entry.text.lastEventId))
     })
     await resume(entry)
   }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -44,7 +44,7 @@
   'job ended by its client': { jobId: string, outcome: string }
   'job removed after its retention': { jobId: string }
   'items of a job cannot be read': { jobId: string, reason: string }
-  'item claimed': { jobId: string, itemId: string, fromEventId: number, dueInMs: number }
+  'item claimed': { jobId: string, itemId: string, fromEventId: number, dueInMs: number, expectedMs: number }
   'item run started': { jobId: string, itemId: string, endpoint: string, fromEventId: number }
   'item paused': { jobId: string, itemId: string, reason: string, lastEventId: number }
   'item released': { jobId: string, itemId: string, reason: string, saved: boolean, lastEventId: number }
