Reject answers that name no length

An endpoint answered without Content-Length and without chunks and broke off; the end of its connection was taken for the end of the answer, which went to the client with the length of what had come. Ruled out: the cut of a framed answer (undici reports it). Change: such an answer is a failed attempt that may have run. Test: requests.test.ts 'an answer that names no length', played before the change: 200 with half of the answer, fails.

--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -70,6 +70,19 @@
   return REFUSALS.get(status)
 }
 
+const STATUSES_WITHOUT_BODY = new Set([204, 304])
+
+/**
+ * An answer that names neither a length nor chunks ends with its connection, so that one which was broken off looks whole.
+ *
+ * @param status - of the answer
+ * @param headers - of the answer
+ * @returns whether the end of the answer can be told from a break
+ */
+function isFramed (status: number, headers: ReadonlyMap<string, string>): boolean {
+  return headers.has('content-length') || headers.has('transfer-encoding') || STATUSES_WITHOUT_BODY.has(status)
+}
+
 /**
  * @param options - request, connections and listeners
  * @returns the attempt
@@ -107,6 +120,10 @@
       fail('may_have_run', 'unsigned_answer')
       return
     }
+    if (!isFramed(status, headers)) {
+      fail('may_have_run', 'unframed_answer')
+      return
+    }
     if (events) options.onHead(head)
   }
 
