Say at a refusal how full the endpoints were, and in explain what failed in the same moment

Change: objectiveMs, candidateCount, suspectedCount, leastOnline and slots in 'request refused'; explain counts what failed within 20 ms. Test: failures.test.ts.

--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -1,4 +1,5 @@
 /** Takes one client request through its attempts until it is answered, its time is over or its client has left. */
+import type { Endpoint } from '../model/types'
 import { chooseService } from '../routing/matchRoute'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import { checkOverload, type Overload } from './overload'
@@ -13,7 +14,7 @@
  * @param client - the request
  */
 export function forwardRequest (parts: ForwardParts, client: ClientRequest): void {
-  const { clock, log } = parts
+  const { clock } = parts
   const state = createRequestState(parts, client)
   const end = createRequestEnd(parts, client, state, () => expiry.cancel())
   const attempts = createAttempts(parts, client, state, end)
@@ -28,16 +29,23 @@
     end.clientLeft()
   })
 
-  const overload = overloadOf(parts, client, state)
+  const candidates = state.service === undefined ? [] : parts.endpoints.usable(state.service)
+  const overload = overloadOf(parts, client, state, candidates)
   if (!overload.refused) {
     attempts.send()
     return
   }
-  log.info('request refused', {
+  const loads = candidates.map(candidate => parts.loads.loadOf(candidate.id))
+  parts.log.info('request refused', {
     requestId: client.metadata.requestId,
     reason: overload.reason,
     waitMs: Math.round(overload.waitMs),
-    remainingMs: Math.round(state.deadlineAtMs - clock.nowMs())
+    objectiveMs: client.route.latencyObjectiveMs,
+    remainingMs: Math.round(state.deadlineAtMs - clock.nowMs()),
+    candidateCount: candidates.length,
+    suspectedCount: loads.filter(load => load.suspected).length,
+    leastOnline: Math.min(...loads.map(load => load.online)),
+    slots: candidates[0]?.slots ?? 0
   })
   end.answer({ status: 503, code: 'overloaded', message: 'all endpoints are full', retryAfterMs: overload.retryAfterMs })
 }
@@ -59,10 +67,10 @@
   }
 }
 
-function overloadOf (parts: ForwardParts, { route }: ClientRequest, state: RequestState): Overload {
+function overloadOf (parts: ForwardParts, { route }: ClientRequest, state: RequestState, candidates: readonly Endpoint[]): Overload {
   if (state.service === undefined) return { refused: false }
   return checkOverload({
-    candidates: parts.endpoints.usable(state.service),
+    candidates,
     loadOf: parts.loads.loadOf,
     holdMs: parts.holdTimes.holdMs(state.service),
     latencyObjectiveMs: route.latencyObjectiveMs,
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -31,7 +31,7 @@
 
   // Requests.
   'request ended': RequestEndFields
-  'request refused': { requestId: string, reason: string, waitMs: number, remainingMs: number }
+  'request refused': RefusalFields
   'endpoint chosen': EndpointChoiceFields
   'answer begun': { requestId: string, endpoint: string, status: number, afterMs: number }
   'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, lastEventId: number | undefined, remainingMs: number }
@@ -85,6 +85,21 @@
   reason?: string
 }
 
+/** Why a request was refused before any attempt: the wait against the objective, and how full the endpoints were. */
+type RefusalFields = {
+  requestId: string
+  reason: string
+  /** Estimate of the wait at the endpoint that would be free first. */
+  waitMs: number
+  objectiveMs: number
+  remainingMs: number
+  /** Endpoints that could have been chosen, those under suspicion among them, and requests at the least loaded one. */
+  candidateCount: number
+  suspectedCount: number
+  leastOnline: number
+  slots: number
+}
+
 /** Why an endpoint was chosen: its load and the choice there was. */
 
 type EndpointChoiceFields = {
--- a/packages/anvilarch/src/commands/explain.ts
+++ b/packages/anvilarch/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import { defineCommand } from '../defineCommand'
 import { readLogSources } from '../explain/logSources'
 import { formatFields, linesAbout, type LogLine } from '../explain/readLogs'
-import { linesAround, type LostLife, lostLives } from '../explain/surroundings'
+import { failedTogether, linesAround, type LostLife, lostLives } from '../explain/surroundings'
 import { formatCount, formatTable } from '../output/table'
 
 /** Tells the story of one request, item, job or endpoint from the logs of all processes. */
@@ -23,7 +23,8 @@
     const lines = linesAbout(all, id)
     const around = linesAround(all, lines)
     const lost = lostLivesOf(all, lines)
-    return { json: { lines, around, lostLives: lost }, text: formatStory(id, lines, around, lost), exit: lines.length === 0 ? 'failed' : 'ok' }
+    const together = failedTogether(all, lines)
+    return { json: { lines, around, lostLives: lost, failedTogether: together }, text: formatStory(id, lines, around, lost, together), exit: lines.length === 0 ? 'failed' : 'ok' }
   }
 })
 
@@ -33,7 +34,7 @@
   return lostLives(all).filter(life => processes.has(life.process) && Date.parse(life.startedAgainAt) >= Date.parse(story[0].at))
 }
 
-function formatStory (id: string, lines: LogLine[], around: LogLine[], lost: LostLife[]): string {
+function formatStory (id: string, lines: LogLine[], around: LogLine[], lost: LostLife[], together: number): string {
   if (lines.length === 0) {
     return `no line tells of ${id}: check the id; or its lines were left out under load, or lost with their process (anvilarch logs failures names those)`
   }
@@ -42,6 +43,7 @@
     formatLines(lines),
     '',
     `${formatCount(lines.length, 'line')} of ${formatCount(processes, 'process', 'processes')}`,
+    ...together === 0 ? [] : [`${formatCount(together, 'other request')} failed, or lost its client, in the same moment`],
     ...around.length === 0 ? [] : ['', 'around it, of the same processes and endpoints:', formatLines(around)],
     ...lost.map(life => `${life.process} ended without a word after ${life.lastLineAt} and started again at ${life.startedAgainAt}`)
   ].join('\n')
--- a/packages/anvilarch/src/explain/__tests__/failures.test.ts
+++ b/packages/anvilarch/src/explain/__tests__/failures.test.ts
@@ -1,7 +1,7 @@
 import { findFailures } from '../failures'
 import { logVolume } from '../logVolume'
 import type { LogLine } from '../readLogs'
-import { linesAround, lostLives } from '../surroundings'
+import { failedTogether, linesAround, lostLives } from '../surroundings'
 
 function line (second: number, process: string, message: string, fields: Record<string, unknown> = {}): LogLine {
   return { at: `2026-01-01T00:00:${String(second).padStart(2, '0')}.000Z`, process, message, ...fields }
@@ -49,6 +49,19 @@
   })
 })
 
+describe('failedTogether', () => {
+  it('counts other requests that failed in the same moment', () => {
+    const end = line(5, 'g', 'request ended', { requestId: 'r1', outcome: 'client_left' })
+    const lines = [
+      end,
+      line(5, 'h', 'request ended', { requestId: 'r2', outcome: 'broken_off' }),
+      line(5, 'g', 'request ended', { requestId: 'r3', outcome: 'answered' }),
+      line(6, 'g', 'request ended', { requestId: 'r4', outcome: 'timeout' })
+    ]
+    expect(failedTogether(lines, [end])).toBe(1)
+  })
+})
+
 describe('logVolume', () => {
   it('counts lines and bytes by message and names the requests once', () => {
     const lines = [line(1, 'g', 'attempt failed', { requestId: 'r' }), line(2, 'g', 'request ended', { requestId: 'r' }), line(3, 'g', 'started')]
--- a/packages/anvilarch/src/explain/surroundings.ts
+++ b/packages/anvilarch/src/explain/surroundings.ts
@@ -36,6 +36,22 @@
     .sort((a, b) => Date.parse(a.at) - Date.parse(b.at))
 }
 
+/** Failures this close to each other have most likely one cause, such as connections that were cut together. */
+const TOGETHER_MS = 20
+
+/**
+ * @param lines - of all processes
+ * @param story - lines about one request, in order
+ * @returns how many other requests that were in progress at any process failed in the same moment, or were left by their clients
+ */
+export function failedTogether (lines: readonly LogLine[], story: readonly LogLine[]): number {
+  const end = story.find(line => line.message === 'request ended' && line.outcome !== 'answered')
+  if (end === undefined) return 0
+  const endMs = Date.parse(end.at)
+  return lines.filter(line => line.message === 'request ended' && line !== end && line.outcome !== 'answered' && line.outcome !== 'overloaded' &&
+    Math.abs(Date.parse(line.at) - endMs) <= TOGETHER_MS).length
+}
+
 /**
  * A process that is killed writes nothing about it; that its next life starts without a stop before tells.
  *
