--- a/packages/anvilarch/src/commands/explain.ts
+++ b/packages/anvilarch/src/commands/explain.ts
@@ -43,7 +43,7 @@
     formatLines(lines),
     '',
     `${formatCount(lines.length, 'line')} of ${formatCount(processes, 'process', 'processes')}`,
-    ...together === 0 ? [] : [`${formatCount(together, 'other request')} failed, or lost its client, in the same moment`],
+    ...together === 0 ? [] : [`${formatCount(together, 'other request')} ended without a whole answer in the same moment`],
     ...around.length === 0 ? [] : ['', 'around it, of the same processes and endpoints:', formatLines(around)],
     ...lost.map(life => `${life.process} ended without a word after ${life.lastLineAt} and started again at ${life.startedAgainAt}`)
   ].join('\n')
