--- a/packages/anvilarch-bench/src/experiments/logCost.ts
+++ b/packages/anvilarch-bench/src/experiments/logCost.ts
@@ -93,7 +93,7 @@
     trail.reveal()
     log.info('attempt failed', { requestId, endpoint: 'i-25e40e7ffa', failure: 'may_have_run', reason: 'UND_ERR_SOCKET', lastEventId: 12, remainingMs: 4732 })
   }
-  if (notes && refused) log.info('request refused', { requestId, reason: 'wait_too_long', waitMs: 340, remainingMs: 4483 })
+  if (notes && refused) log.info('request refused', { requestId, reason: 'wait_too_long', waitMs: 340, objectiveMs: 300, remainingMs: 4483, candidateCount: 6, suspectedCount: 0, leastOnline: 9, slots: 8 })
   log.info('request ended', endOf(requestId, failed ? 'broken_off' : refused ? 'overloaded' : 'answered'))
 }
 
