--- a/packages/anvilarch-bench/src/experiments/logCost.ts
+++ b/packages/anvilarch-bench/src/experiments/logCost.ts
@@ -6,7 +6,7 @@
 import { barsByFigure } from '../plots/resultPlots'
 
 /**
- * Of each hundred requests of the heaviest day of the Chamber (journal entry of scale-1 with logs), these do not go well:
+ * Of each hundred requests under the heaviest load measured (docs/MEASUREMENTS.md, volume of logs), these do not go well:
  * refused at once, and failed after an attempt.
  */
 const REFUSED_PERCENT = 5
--- a/packages/anvilarch-serving/src/jobs/types.ts
+++ b/packages/anvilarch-serving/src/jobs/types.ts
@@ -50,7 +50,7 @@
   item: number
   /** Host of the runner. */
   runner: string
-  /** The life of the runner's process. */
+  /** Incarnation of the runner's process. */
   incarnation: string
   /** False once the runner has let go of the item. */
   held: boolean
--- a/packages/anvilarch-serving/src/peers/heartbeat.ts
+++ b/packages/anvilarch-serving/src/peers/heartbeat.ts
@@ -15,12 +15,12 @@
 
 /** The heartbeat of this process. */
 export interface Heartbeat {
-  /** The life of this process. */
+  /** Incarnation of this process; a restart has another. */
   incarnation: string
   stop: () => void
 }
 
-/** What a heartbeat tells beside the fact that its process lives. */
+/** What a heartbeat tells beside the fact that its process runs. */
 export type HeartbeatDetails = Pick<MemberRecord, 'eventMs'>
 
 /**
--- a/packages/anvilarch-serving/src/runner/slotBalance.ts
+++ b/packages/anvilarch-serving/src/runner/slotBalance.ts
@@ -28,7 +28,7 @@
     if (storeNowMs === undefined || !engineRefusals.mayStart()) return
     const resumable = held.inState('paused').filter(entry => entry.refusals.mayStart())
     const paused = resumable.map(entry => ({ entry, urgency: urgencyOf(entry, storeNowMs) }))
-    // A claim names the life of its holder, which others know by its heartbeat.
+    // A claim names the incarnation of its holder, which others know by its heartbeat.
     const mayClaim = parts.work.member(parts.runner)?.record.incarnation === parts.incarnation
     const fresh = mayClaim ? chooseItems(state.choiceInput(storeNowMs), count) : []
     const chosen = [...paused, ...fresh].sort((a, b) => a.urgency - b.urgency).slice(0, count)
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -2,7 +2,7 @@
 
 /** Fields of each event, by its message. */
 export interface EventFields {
-  // Life of the process.
+  // Start and stop of the process.
   started: { role: string, address: string }
   stopping: { graceMs: number }
   'stop waits for requests': { requestCount: number, oldestMethod: string, oldestPath: string, oldestAgeMs: number }
--- a/packages/anvilarch/src/commands/explain.ts
+++ b/packages/anvilarch/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import { defineCommand } from '../defineCommand'
 import { readLogSources } from '../explain/logSources'
 import { formatFields, linesAbout, type LogLine } from '../explain/readLogs'
-import { failedTogether, linesAround, type LostLife, lostLives } from '../explain/surroundings'
+import { failedTogether, linesAround, type AbruptEnd, findAbruptEnds } from '../explain/surroundings'
 import { formatCount, formatTable } from '../output/table'
 
 /** Tells the story of one request, item, job or endpoint from the logs of all processes. */
@@ -22,19 +22,19 @@
     const all = readLogSources(logs)
     const lines = linesAbout(all, id)
     const around = linesAround(all, lines)
-    const lost = lostLivesOf(all, lines)
+    const ends = abruptEndsOf(all, lines)
     const together = failedTogether(all, lines)
-    return { json: { lines, around, lostLives: lost, failedTogether: together }, text: formatStory(id, lines, around, lost, together), exit: lines.length === 0 ? 'failed' : 'ok' }
+    return { json: { lines, around, abruptEnds: ends, failedTogether: together }, text: formatStory(id, lines, around, ends, together), exit: lines.length === 0 ? 'failed' : 'ok' }
   }
 })
 
-/** Lives of the story's processes that ended without a word while it went on, or right after it. */
-function lostLivesOf (all: readonly LogLine[], story: readonly LogLine[]): LostLife[] {
+/** Abrupt ends of the story's processes while it went on, or after it. */
+function abruptEndsOf (all: readonly LogLine[], story: readonly LogLine[]): AbruptEnd[] {
   const processes = new Set(story.map(line => line.process))
-  return lostLives(all).filter(life => processes.has(life.process) && Date.parse(life.startedAgainAt) >= Date.parse(story[0].at))
+  return findAbruptEnds(all).filter(end => processes.has(end.process) && Date.parse(end.startedAgainAt) >= Date.parse(story[0].at))
 }
 
-function formatStory (id: string, lines: LogLine[], around: LogLine[], lost: LostLife[], together: number): string {
+function formatStory (id: string, lines: LogLine[], around: LogLine[], ends: AbruptEnd[], together: number): string {
   if (lines.length === 0) {
     return `no line tells of ${id}: check the id; or its lines were left out under load, or lost with their process (anvilarch logs failures names those)`
   }
@@ -45,7 +45,7 @@
     `${formatCount(lines.length, 'line')} of ${formatCount(processes, 'process', 'processes')}`,
     ...together === 0 ? [] : [`${formatCount(together, 'other request')} ended without a whole answer in the same moment`],
     ...around.length === 0 ? [] : ['', 'around it, of the same processes and endpoints:', formatLines(around)],
-    ...lost.map(life => `${life.process} ended without a word after ${life.lastLineAt} and started again at ${life.startedAgainAt}`)
+    ...ends.map(end => `${end.process} ended without logging a stop after ${end.lastLineAt} and started again at ${end.startedAgainAt}`)
   ].join('\n')
 }
 
--- a/packages/anvilarch/src/commands/logsFailures.ts
+++ b/packages/anvilarch/src/commands/logsFailures.ts
@@ -3,13 +3,13 @@
 import { defineCommand } from '../defineCommand'
 import { findFailures, type LoggedFailure } from '../explain/failures'
 import { readLogSources } from '../explain/logSources'
-import { lostLives } from '../explain/surroundings'
+import { findAbruptEnds } from '../explain/surroundings'
 import { formatCount, formatTable } from '../output/table'
 
 /** Lists what went wrong, with the ids that `explain` takes. */
 export const logsFailures = defineCommand({
   name: 'failures',
-  description: 'List requests, jobs and items that went wrong, and processes that ended without a word',
+  description: 'List requests, jobs and items that went wrong, and processes that ended without logging a stop',
   args: {
     logs: option({ long: 'logs', type: optional(string), description: 'folder or file with the logs; standard input if left out' })
   },
@@ -17,14 +17,14 @@
   run: async ({ logs }) => {
     const lines = readLogSources(logs)
     const failures = findFailures(lines)
-    const lives = lostLives(lines)
+    const ends = findAbruptEnds(lines)
     const text = [
       formatTable(['time', 'process', 'id', 'outcome', 'reason'], failures.map(failureRow)),
       '',
-      ...lives.map(life => `${life.process} ended without a word after ${life.lastLineAt} and started again at ${life.startedAgainAt}`),
-      `${formatCount(failures.length, 'failure')}, ${formatCount(lives.length, 'lost life', 'lost lives')}`
+      ...ends.map(end => `${end.process} ended without logging a stop after ${end.lastLineAt} and started again at ${end.startedAgainAt}`),
+      `${formatCount(failures.length, 'failure')}, ${formatCount(ends.length, 'abrupt end')}`
     ].join('\n')
-    return { json: { failures, lostLives: lives }, text, exit: 'ok' }
+    return { json: { failures, abruptEnds: ends }, text, exit: 'ok' }
   }
 })
 
--- a/packages/anvilarch/src/explain/__tests__/failures.test.ts
+++ b/packages/anvilarch/src/explain/__tests__/failures.test.ts
@@ -1,7 +1,7 @@
 import { findFailures } from '../failures'
 import { logVolume } from '../logVolume'
 import type { LogLine } from '../readLogs'
-import { failedTogether, linesAround, lostLives } from '../surroundings'
+import { failedTogether, findAbruptEnds, linesAround } from '../surroundings'
 
 function line (second: number, process: string, message: string, fields: Record<string, unknown> = {}): LogLine {
   return { at: `2026-01-01T00:00:${String(second).padStart(2, '0')}.000Z`, process, message, ...fields }
@@ -24,13 +24,13 @@
   })
 })
 
-describe('lostLives', () => {
+describe('findAbruptEnds', () => {
   it('names processes that started again without having stopped', () => {
     const lines = [
       line(0, 'killed', 'started'), line(3, 'killed', 'request ended'), line(6, 'killed', 'started'),
       line(0, 'stopped', 'started'), line(2, 'stopped', 'stopping'), line(4, 'stopped', 'gateway stopped'), line(6, 'stopped', 'started')
     ]
-    expect(lostLives(lines)).toEqual([{ process: 'killed', lastLineAt: lines[1].at, startedAgainAt: lines[2].at }])
+    expect(findAbruptEnds(lines)).toEqual([{ process: 'killed', lastLineAt: lines[1].at, startedAgainAt: lines[2].at }])
   })
 })
 
--- a/packages/anvilarch/src/explain/surroundings.ts
+++ b/packages/anvilarch/src/explain/surroundings.ts
@@ -1,4 +1,4 @@
-/** What else happened around a request: the state of its processes and endpoints, and lives that ended without a word. */
+/** What else happened around a request: the state of its processes and endpoints, and processes that ended without logging a stop. */
 import type { LogLine } from './readLogs'
 
 /** Lines that close to the story may have caused it. The longest notice before a failure is a draining mark, 2 s ahead. */
@@ -11,8 +11,8 @@
   'feed history lost, listing again', 'uncaught exception', 'unhandled rejection', 'runner step failed'
 ])
 
-/** A process that was started anew although the life before had not said that it stops. */
-export interface LostLife {
+/** A process that was started again although it had not logged that it stops. */
+export interface AbruptEnd {
   process: string
   lastLineAt: string
   startedAgainAt: string
@@ -53,22 +53,22 @@
 }
 
 /**
- * A process that is killed writes nothing about it; that its next life starts without a stop before tells.
+ * A process that is killed logs nothing about it; a second start without a stop before it tells.
  *
  * @param lines - of all processes
- * @returns lives that ended without a word, in the order of their ends
+ * @returns ends without a logged stop, in their order
  */
-export function lostLives (lines: readonly LogLine[]): LostLife[] {
-  const lost: LostLife[] = []
+export function findAbruptEnds (lines: readonly LogLine[]): AbruptEnd[] {
+  const ends: AbruptEnd[] = []
   const last = new Map<string, { at: string, stopping: boolean }>()
   const inOrder = [...lines].sort((a, b) => Date.parse(a.at) - Date.parse(b.at))
   for (const line of inOrder) {
     const before = last.get(line.process)
     if (line.message === 'started' && before !== undefined && !before.stopping) {
-      lost.push({ process: line.process, lastLineAt: before.at, startedAgainAt: line.at })
+      ends.push({ process: line.process, lastLineAt: before.at, startedAgainAt: line.at })
     }
     const stopping = line.message === 'stopping' || (line.message !== 'started' && (before?.stopping ?? false))
     last.set(line.process, { at: line.at, stopping })
   }
-  return lost.sort((a, b) => Date.parse(a.lastLineAt) - Date.parse(b.lastLineAt))
+  return ends.sort((a, b) => Date.parse(a.lastLineAt) - Date.parse(b.lastLineAt))
 }
