--- a/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
@@ -1,20 +1,34 @@
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
-import type { Endpoint } from '../../model/types'
-import { createEndpointTable, type EndpointTable, LAPSE_HOLD_MS, LAST_RESORT_MS, MIN_LAPSE_OUTAGE_MS } from '../endpointTable'
+import { type Endpoint, startIdOf } from '../../model/types'
+import { createEndpointTable, type EndpointTable } from '../endpointTable'
+import { LAPSE_HOLD_MS, LAST_RESORT_MS, MIN_LAPSE_OUTAGE_MS } from '../entryLife'
 
-const ENDPOINT: Endpoint = { id: 'e1', service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+const ENDPOINT: Endpoint = { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 
 let clock: FakeClock
 let lastFailureMs: number | undefined
 let lastOutageMs: number
 let table: EndpointTable
+let services: string[]
+
+/** @returns the row of an endpoint that differs from the usual one */
+function rowOf (change: Partial<Endpoint> = {}): { row: 'endpoint', endpoint: Endpoint } {
+  const endpoint = { ...ENDPOINT, ...change }
+  return { row: 'endpoint', endpoint: { ...endpoint, startId: startIdOf(endpoint.id, endpoint.bornAtMs) } }
+}
 
 beforeEach(() => {
   clock = createFakeClock(100_000)
   lastFailureMs = undefined
   lastOutageMs = MIN_LAPSE_OUTAGE_MS
-  table = createEndpointTable({ clock, log: SILENT_LOGGER, contact: { lastFailureMs: () => lastFailureMs, lastOutageMs: () => lastOutageMs } })
-  table.onListing([ENDPOINT, { ...ENDPOINT, id: 'e2', address: '10.0.0.2:80' }])
+  services = ['s']
+  table = createEndpointTable({
+    clock,
+    log: SILENT_LOGGER,
+    contact: { lastFailureMs: () => lastFailureMs, lastOutageMs: () => lastOutageMs },
+    knowsService: service => services.includes(service)
+  })
+  table.onListing([rowOf(), rowOf({ id: 'e2', address: '10.0.0.2:80' })])
 })
 
 function usableIds (): string[] {
@@ -23,12 +37,12 @@
 
 describe('usable', () => {
   it('leaves draining endpoints out while there are others', () => {
-    table.onEntry({ ...ENDPOINT, state: 'draining' })
+    table.onRow(rowOf({ state: 'draining' }))
     expect(usableIds()).toEqual(['e2'])
   })
 
   it('falls back to an endpoint that has just begun to leave, for a short time', () => {
-    table.onEntry({ ...ENDPOINT, state: 'draining' })
+    table.onRow(rowOf({ state: 'draining' }))
     table.onRemoved('e2')
     expect(usableIds()).toEqual(['e1', 'e2'])
     clock.advance(LAST_RESORT_MS + 1)
@@ -37,7 +51,7 @@
 
   it('does not lengthen that time when a draining endpoint is removed', () => {
     table.onRemoved('e2')
-    table.onEntry({ ...ENDPOINT, state: 'draining' })
+    table.onRow(rowOf({ state: 'draining' }))
     clock.advance(LAST_RESORT_MS - 1)
     table.onRemoved('e1')
     clock.advance(2)
@@ -52,7 +66,7 @@
     table.onListing([])
     expect(usableIds()).toEqual(['e1', 'e2'])
     clock.advance(LAPSE_HOLD_MS - 1)
-    table.onEntry(ENDPOINT)
+    table.onRow(rowOf())
     clock.advance(2)
     expect(usableIds()).toEqual(['e1'])
   })
@@ -84,10 +98,10 @@
   // Sequence: the engine lists its new incarnation; the entry of the former one is still there for three heartbeats.
   // Cause: both entries were taken for endpoints, and an agent found the former one at its engine's address.
   it('is sent to as its new incarnation only', () => {
-    table.onEntry({ ...ENDPOINT, id: 'e3', listedVersion: 5 })
+    table.onRow(rowOf({ id: 'e3', listedVersion: 5 }))
     expect(usableIds()).toEqual(['e2', 'e3'])
     expect(table.atAddress(ENDPOINT.address)?.id).toBe('e3')
-    table.onEntry({ ...ENDPOINT, listedVersion: 1 })
+    table.onRow(rowOf({ listedVersion: 1 }))
     expect(usableIds()).toEqual(['e2', 'e3'])
   })
 })
@@ -103,7 +117,7 @@
 
   it('finds the new incarnation at an address', () => {
     table.onRemoved('e1')
-    table.onEntry({ ...ENDPOINT, id: 'e3' })
+    table.onRow(rowOf({ id: 'e3' }))
     expect(table.atAddress(ENDPOINT.address)?.id).toBe('e3')
   })
 
@@ -115,3 +129,93 @@
     expect(table.atAddress(ENDPOINT.address)).toBeUndefined()
   })
 })
+
+describe('an endpoint that starts again under its id', () => {
+  const gone: string[] = []
+
+  beforeEach(() => {
+    gone.length = 0
+    table.onGone(endpoint => gone.push(endpoint.startId))
+    table.onListing([rowOf({ bornAtMs: 1000 }), rowOf({ id: 'e2', address: '10.0.0.2:80', bornAtMs: 1000 })])
+    gone.length = 0
+  })
+
+  // Symptom: an endpoint that has just come back is passed over, or gets more than it can take.
+  // Sequence: it crashes with requests in progress and starts again under the id that it had, before its entry has lapsed.
+  // Cause: suspicion, loads and connections were kept by id, so that those of the former start counted for the new one.
+  it('is another endpoint, and the former start is gone', () => {
+    table.onRow(rowOf({ bornAtMs: 2000, listedVersion: 2 }))
+    expect(gone).toEqual(['e1@1000'])
+    expect(table.usable('s').map(endpoint => endpoint.startId)).toEqual(['e2@1000', 'e1@2000'])
+    expect([table.hasStart('e1@1000'), table.hasStart('e1@2000')]).toEqual([false, true])
+  })
+
+  // Symptom: an endpoint that has just come back gets nothing for a heartbeat, or its former start is sent to.
+  // Sequence: a write of the former start is done late, after the entry of the new one.
+  // Cause: the row written last was taken for the newest word, whichever start it was of.
+  it('is not replaced by a late row of its former start', () => {
+    table.onRow(rowOf({ bornAtMs: 2000, listedVersion: 2 }))
+    table.onRow(rowOf({ bornAtMs: 1000, state: 'draining', listedVersion: 3 }))
+    expect(table.atAddress(ENDPOINT.address)).toMatchObject({ startId: 'e1@2000', state: 'ready' })
+  })
+
+  it('does not inherit the time since which its former start has been leaving', () => {
+    table.onRow(rowOf({ bornAtMs: 1000, state: 'draining' }))
+    table.onRemoved('e2')
+    clock.advance(LAST_RESORT_MS + 1)
+    expect(usableIds()).toEqual([])
+    table.onRow(rowOf({ bornAtMs: 2000, state: 'draining' }))
+    expect(usableIds()).toEqual(['e1'])
+  })
+
+  it('is not kept as lapsed when a later start has been listed', () => {
+    lastFailureMs = clock.nowMs() - 500
+    table.onRow(rowOf({ bornAtMs: 2000, listedVersion: 2 }))
+    table.onRemoved('e1')
+    expect(table.usable('s').map(endpoint => endpoint.startId)).toEqual(['e2@1000', 'e1@2000'])
+  })
+})
+
+describe('rows that name no endpoint', () => {
+  const UNUSABLE = { row: 'unusable' as const, id: 'e1', field: 'state', reason: 'not known' }
+
+  it('take the endpoint that they replace out of use at once, also after an outage', () => {
+    lastFailureMs = clock.nowMs() - 500
+    table.onRow(UNUSABLE)
+    expect(usableIds()).toEqual(['e2'])
+    expect(table.atAddress(ENDPOINT.address)).toBeUndefined()
+    table.onRow(rowOf())
+    expect(usableIds()).toEqual(['e2', 'e1'])
+  })
+
+  it('take it out of use in a listing too, and let it come back', () => {
+    lastFailureMs = clock.nowMs() - 500
+    table.onListing([UNUSABLE, rowOf({ id: 'e2', address: '10.0.0.2:80' })])
+    expect(usableIds()).toEqual(['e2'])
+    table.onListing([rowOf(), rowOf({ id: 'e2', address: '10.0.0.2:80' })])
+    expect(usableIds().sort()).toEqual(['e1', 'e2'])
+  })
+
+  it('are those that no longer say when the endpoint was started', () => {
+    table.onListing([rowOf({ bornAtMs: 1000 }), rowOf({ id: 'e2', address: '10.0.0.2:80', bornAtMs: 1000 })])
+    table.onRow(rowOf())
+    expect(usableIds()).toEqual(['e2'])
+  })
+
+  it('are those without a start where most endpoints say theirs, and no others', () => {
+    table.onListing([rowOf({ bornAtMs: 1000 }), rowOf({ id: 'e2', address: '10.0.0.2:80', bornAtMs: 1000 }), rowOf({ id: 'e3', address: '10.0.0.3:80' })])
+    expect(usableIds()).toEqual(['e1', 'e2'])
+    table.onListing([rowOf({ id: 'f1' }), rowOf({ id: 'f2', address: '10.0.0.2:80' }), rowOf({ id: 'f3', address: '10.0.0.3:80', bornAtMs: 1000 })])
+    expect(usableIds().sort()).toEqual(['f1', 'f2', 'f3'])
+  })
+
+  it('are those of services that the configuration does not name, until it does', () => {
+    table.onRow(rowOf({ id: 'e3', service: 'other', listedVersion: 9 }))
+    expect(usableIds()).toEqual(['e1', 'e2'])
+    expect(table.usable('other')).toEqual([])
+    services = ['s', 'other']
+    table.onServicesChanged()
+    expect(table.usable('other').map(endpoint => endpoint.id)).toEqual(['e3'])
+    expect(usableIds()).toEqual(['e2'])
+  })
+})
--- a/packages/anvilarch-serving/src/endpoints/__tests__/loadTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/loadTable.test.ts
@@ -9,9 +9,22 @@
   table = createLoadTable(clock)
 })
 
+describe('an endpoint that is gone', () => {
+  // Symptom: the memory of a gateway grows with each endpoint that is replaced.
+  // Sequence: an endpoint leaves while requests are in progress there; they end after it has been forgotten.
+  // Cause: the end of a request made the entry anew.
+  it('is not known again by the end of a request', () => {
+    table.onSent('e')
+    table.forget('e')
+    table.onEnded('e')
+    table.onFailure('e')
+    expect(table.loadOf('e')).toEqual({ online: 0, waiting: 0, batchRunning: 0, ownInProgress: 0, suspected: false })
+  })
+})
+
 describe('loadOf', () => {
   it('adds what was sent after the report, and takes off what has ended since', () => {
-    table.onReport({ endpointId: 'e', running: 5, waiting: 1, batchRunning: 2, reachable: true })
+    table.onReport({ startId: 'e', running: 5, waiting: 1, batchRunning: 2, reachable: true })
     clock.advance(20)
     table.onSent('e')
     table.onSent('e')
@@ -22,23 +35,24 @@
   it('keeps what was sent just before a report, which cannot show it yet', () => {
     table.onSent('e')
     clock.advance(REPORT_TRANSIT_MS / 2)
-    table.onReport({ endpointId: 'e', running: 0, waiting: 0, batchRunning: 0, reachable: true })
+    table.onReport({ startId: 'e', running: 0, waiting: 0, batchRunning: 0, reachable: true })
     expect(table.loadOf('e').online).toBe(1)
   })
 
   it('goes by own counts when reports are old', () => {
-    table.onReport({ endpointId: 'e', running: 8, waiting: 4, batchRunning: 0, reachable: true })
+    table.onReport({ startId: 'e', running: 8, waiting: 4, batchRunning: 0, reachable: true })
     table.onSent('e')
     clock.advance(REPORT_MAX_AGE_MS + 1)
     expect(table.loadOf('e').online).toBe(1)
   })
 
   it('suspects an endpoint that its agent cannot reach', () => {
-    table.onReport({ endpointId: 'e', running: 0, waiting: 0, batchRunning: 0, reachable: false })
+    table.onReport({ startId: 'e', running: 0, waiting: 0, batchRunning: 0, reachable: false })
     expect(table.loadOf('e').suspected).toBe(true)
   })
 
   it('passes an endpoint over for longer with each failure in a row, and not at all after a success', () => {
+    table.onSent('e')
     table.onFailure('e')
     clock.advance(SUSPECT_MS + 1)
     expect(table.loadOf('e').suspected).toBe(false)
--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -11,8 +11,8 @@
 /** What the choice depends on. */
 export interface ChoiceInput {
   candidates: readonly Endpoint[]
-  loadOf: (endpointId: string) => EndpointLoad
-  /** Endpoints that have been tried. */
+  loadOf: (startId: string) => EndpointLoad
+  /** Starts of endpoints that have been tried. */
   excluded: ReadonlySet<string>
   /** Parts of the prompt that other requests share, outermost first. */
   sharedParts: readonly string[]
@@ -37,9 +37,9 @@
  * @returns the least loaded candidate, one under suspicion only when there are no others; undefined without candidates
  */
 export function chooseEndpoint (input: ChoiceInput): Endpoint | undefined {
-  const allowed = input.candidates.filter(candidate => !input.excluded.has(candidate.id))
+  const allowed = input.candidates.filter(candidate => !input.excluded.has(candidate.startId))
   if (allowed.length === 0) return undefined
-  const trusted = allowed.filter(candidate => !input.loadOf(candidate.id).suspected)
+  const trusted = allowed.filter(candidate => !input.loadOf(candidate.startId).suspected)
   const pool = trusted.length > 0 ? trusted : allowed
   const preferred = preferredId(pool, input.sharedParts)
   let best: Endpoint | undefined
@@ -56,7 +56,7 @@
 }
 
 function scoreOf (candidate: Endpoint, input: ChoiceInput, preferredId: string | undefined): number {
-  const load = input.loadOf(candidate.id)
+  const load = input.loadOf(candidate.startId)
   const slots = Math.max(1, candidate.slots)
   let score = load.online + BATCH_WEIGHT * load.batchRunning
   if (load.online >= slots) score += load.online - slots + 1
--- a/packages/anvilarch-serving/src/endpoints/connectionPools.ts
+++ b/packages/anvilarch-serving/src/endpoints/connectionPools.ts
@@ -1,4 +1,4 @@
-/** Kept connections to endpoints, one pool for each incarnation. */
+/** Kept connections to endpoints, one pool for each start of an endpoint. */
 import type { Endpoint } from '../model/types'
 import { Pool } from 'undici'
 
@@ -31,7 +31,7 @@
  */
 export function createConnectionPools (options: ConnectionPoolOptions): ConnectionPools {
   const pools = new Map<string, Pool>()
-  const idOf = (endpoint: Endpoint): string => `${endpoint.id}@${endpoint.address}`
+  const idOf = (endpoint: Endpoint): string => `${endpoint.startId} ${endpoint.address}`
   return {
     poolOf: endpoint => {
       const id = idOf(endpoint)
--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -1,170 +1,206 @@
 /** The endpoints that may be sent to, from what the store lists. */
 import type { Clock } from 'anvilarch-utils'
-import type { Endpoint } from '../model/types'
+import type { Endpoint, EndpointRow, UnusableRow } from '../model/types'
 import type { EventLog } from '../telemetry/events'
+import { createLineBudget } from '../telemetry/lineBudget'
+import { type EntryLife, lastResort, LAPSE_HOLD_MS, mayHaveLapsed, type StoreContact, takesRequests, untilNextChangeMs } from './entryLife'
 
 /** Endpoints by service. */
 export interface EndpointTable {
-  /** A new or changed entry. */
-  onEntry: (endpoint: Endpoint) => void
+  /** A new or changed row. */
+  onRow: (row: EndpointRow) => void
   onRemoved: (id: string) => void
   /** The whole list. */
-  onListing: (endpoints: Endpoint[]) => void
+  onListing: (rows: EndpointRow[]) => void
+  /** Forgets what followed from the services that were known before. */
+  onServicesChanged: () => void
   /** @returns endpoints that take new requests; those that are about to leave only when there are no others */
-  usable: (service: string) => Endpoint[]
-  /** @returns the endpoint with this id, also while it is leaving */
-  get: (id: string) => Endpoint | undefined
+  usable: (service: string) => readonly Endpoint[]
   /** @returns the endpoint listed at this address, unless its entry is gone; it may be draining */
   atAddress: (address: string) => Endpoint | undefined
+  /** @returns whether this start of an endpoint is listed */
+  hasStart: (startId: string) => boolean
   all: () => Endpoint[]
   hasListing: () => boolean
+  /** Calls the listener once for each start of an endpoint, when nothing may be sent to it any more. */
   onGone: (listener: (endpoint: Endpoint) => void) => void
 }
 
-/** When the store last failed a call of this process. */
-export interface StoreContact {
-  lastFailureMs: () => number | undefined
-  /** How long calls had failed, one after another, when the store last failed. */
-  lastOutageMs: () => number
-}
-
 /** Options of `createEndpointTable`. */
 export interface EndpointTableOptions {
   clock: Clock
   log: EventLog
   contact: StoreContact
+  /** @returns whether the configuration names the service; an entry of any other service is no endpoint */
+  knowsService: (service: string) => boolean
 }
 
-/** An endpoint that leaves is used as a last resort for this long. It serves for 2 s after the store has said so. */
-export const LAST_RESORT_MS = 1000
-
-/** An entry that goes this soon after a failed call may have lapsed: with the store back, it comes back within two seconds. */
-export const LAPSE_GRACE_MS = 2200
-
-/**
- * Entries lapse after three heartbeats of 1.2 s that cannot be written. A shorter outage, seen from here, lets none lapse;
- * a connection that was reset costs a call or two.
- */
-export const MIN_LAPSE_OUTAGE_MS = 800
-
-/**
- * An entry that may have lapsed counts as there for this long. An endpoint that has really left must get nothing
- * 2 s after the store has said so; the rest is for the way of the word here and of the request there.
- */
-export const LAPSE_HOLD_MS = 1700
-
-interface Entry {
+interface Entry extends EntryLife {
   endpoint: Endpoint
-  /** When the entry began to leave: it drains or is gone. */
-  leavingSinceMs?: number
-  gone: boolean
-  /** An entry that may only have lapsed counts as there until this time. */
-  heldUntilMs?: number
 }
 
+/** Lines about rows that cannot be used; whoever writes such a row may do so again and again. */
+const UNUSABLE_LINES_PER_SECOND = 2
+
 /**
- * @param options - clock and contact to the store
+ * @param options - clock, services and contact to the store
  * @returns a table without endpoints
  */
 export function createEndpointTable (options: EndpointTableOptions): EndpointTable {
   const { clock, log, contact } = options
   const entries = new Map<string, Entry>()
+  /** Why the row with an id names no endpoint, as it was last logged. */
+  const unusableReasons = new Map<string, string>()
+  const unusableLines = createLineBudget(clock, UNUSABLE_LINES_PER_SECOND)
   const goneListeners: Array<(endpoint: Endpoint) => void> = []
   let listed = false
-  /** Version of the entry written last at each address; found again after each change of the list. */
-  let newestAt: Map<string, number> | undefined
+  /** Answers of `usable`, until an entry changes or the time at which one changes by itself. */
+  const usableByService = new Map<string, { untilMs: number, endpoints: readonly Endpoint[] }>()
+  /** What follows from all entries together; found again after each change of the list. */
+  let standing: Standing | undefined
+
+  const forgetAnswers = (): void => {
+    standing = undefined
+    usableByService.clear()
+  }
+
+  const drop = (id: string, entry: Entry): void => {
+    entries.delete(id)
+    for (const listener of goneListeners) listener(entry.endpoint)
+  }
+
+  /** An unusable row says nothing for the endpoint that it replaces, not even that it may have lapsed. */
+  const putUnusable = (row: UnusableRow): void => {
+    const known = entries.get(row.id)
+    const reason = `${row.field}: ${row.reason}`
+    if (unusableReasons.get(row.id) !== reason && unusableLines.take()) {
+      log.warn('endpoint entry not usable', { endpoint: row.id, field: row.field, reason: row.reason, replacedGood: known !== undefined && !known.gone })
+    }
+    unusableReasons.set(row.id, reason)
+    if (known !== undefined) drop(row.id, known)
+  }
 
   const put = (endpoint: Endpoint): void => {
-    newestAt = undefined
     const known = entries.get(endpoint.id)
-    const draining = endpoint.state === 'draining'
-    if (known === undefined || known.endpoint.state !== endpoint.state || known.gone) {
-      log.info('endpoint listed', { endpoint: endpoint.id, service: endpoint.service, address: endpoint.address, state: endpoint.state })
+    if (known !== undefined && isEarlierStart(endpoint, known.endpoint)) return
+    if (known?.endpoint.bornAtMs !== undefined && endpoint.bornAtMs === undefined) {
+      // Each start says when it was; a row that no longer does comes from somebody else.
+      putUnusable({ row: 'unusable', id: endpoint.id, field: 'bornAtMs', reason: 'missing, although an earlier row had it' })
+      return
+    }
+    unusableReasons.delete(endpoint.id)
+    const restarted = known !== undefined && known.endpoint.startId !== endpoint.startId
+    if (restarted) drop(endpoint.id, known)
+    const same = restarted ? undefined : known
+    if (same === undefined || same.endpoint.state !== endpoint.state || same.gone) {
+      log.info('endpoint listed', { endpoint: endpoint.startId, service: endpoint.service, address: endpoint.address, state: endpoint.state, restarted })
     }
     entries.set(endpoint.id, {
       endpoint,
+      state: endpoint.state,
       gone: false,
-      ...draining ? { leavingSinceMs: known?.leavingSinceMs ?? clock.nowMs() } : {}
+      leavingSinceMs: endpoint.state === 'draining' ? same?.leavingSinceMs ?? clock.nowMs() : undefined,
+      heldUntilMs: undefined
     })
   }
 
-  const entriesMayLapse = (nowMs: number): boolean => {
-    const failedAtMs = contact.lastFailureMs()
-    if (failedAtMs === undefined || nowMs - failedAtMs >= LAPSE_GRACE_MS) return false
-    return contact.lastOutageMs() >= MIN_LAPSE_OUTAGE_MS
+  const putRow = (row: EndpointRow): void => {
+    forgetAnswers()
+    if (row.row === 'endpoint') put(row.endpoint)
+    else putUnusable(row)
   }
 
   const remove = (id: string): void => {
+    unusableReasons.delete(id)
     const entry = entries.get(id)
     if (entry === undefined || entry.gone) return
-    newestAt = undefined
+    forgetAnswers()
     const nowMs = clock.nowMs()
-    const lapsed = entry.endpoint.state === 'ready' && entriesMayLapse(nowMs)
+    const lapsed = entry.state === 'ready' && mayHaveLapsed(contact, nowMs)
     entry.gone = true
     entry.leavingSinceMs ??= nowMs
     if (lapsed) entry.heldUntilMs = nowMs + LAPSE_HOLD_MS
-    log.info('endpoint removed from the list', { endpoint: id, service: entry.endpoint.service, held: lapsed })
-  }
-
-  /**
-   * An endpoint that restarts lists its new incarnation at once, while the entry of the former one lapses only after three
-   * heartbeats. Whatever is sent to the former one is refused, so only the entry written last counts at an address.
-   */
-  const isSuperseded = (entry: Entry): boolean => {
-    newestAt ??= newestVersions(entries.values())
-    return (newestAt.get(entry.endpoint.address) ?? 0) > entry.endpoint.listedVersion
+    log.info('endpoint removed from the list', { endpoint: entry.endpoint.startId, service: entry.endpoint.service, held: lapsed })
   }
 
-  const takesRequests = (entry: Entry, nowMs: number): boolean => {
-    if (!entry.gone) return entry.endpoint.state === 'ready'
-    return entry.heldUntilMs !== undefined && nowMs < entry.heldUntilMs
+  const namesEndpoint = (entry: Entry): boolean => {
+    standing ??= standingOf(entries.values(), options.knowsService)
+    return standing.names(entry)
   }
 
-  const lastResort = (entry: Entry, nowMs: number): boolean =>
-    entry.leavingSinceMs !== undefined && nowMs - entry.leavingSinceMs < LAST_RESORT_MS
-
   const sweep = (nowMs: number): void => {
     for (const [id, entry] of entries) {
-      if (!entry.gone || takesRequests(entry, nowMs) || lastResort(entry, nowMs)) continue
-      entries.delete(id)
-      for (const listener of goneListeners) listener(entry.endpoint)
+      if (entry.gone && !takesRequests(entry, nowMs) && !lastResort(entry, nowMs)) drop(id, entry)
     }
   }
 
+  const findUsable = (service: string, nowMs: number): Endpoint[] => {
+    sweep(nowMs)
+    const ofService = [...entries.values()].filter(entry => entry.endpoint.service === service && namesEndpoint(entry))
+    const ready = ofService.filter(entry => takesRequests(entry, nowMs))
+    const chosen = ready.length > 0 ? ready : ofService.filter(entry => lastResort(entry, nowMs))
+    return chosen.map(entry => entry.endpoint)
+  }
+
   return {
-    onEntry: put,
+    onRow: putRow,
     onRemoved: remove,
-    onListing: endpoints => {
+    onListing: rows => {
       listed = true
-      const ids = new Set(endpoints.map(endpoint => endpoint.id))
+      const ids = new Set(rows.map(row => row.row === 'endpoint' ? row.endpoint.id : row.id))
       for (const id of [...entries.keys()]) if (!ids.has(id)) remove(id)
-      endpoints.forEach(put)
+      for (const id of [...unusableReasons.keys()]) if (!ids.has(id)) unusableReasons.delete(id)
+      rows.forEach(putRow)
     },
+    onServicesChanged: forgetAnswers,
     usable: service => {
       const nowMs = clock.nowMs()
-      sweep(nowMs)
-      const ofService = [...entries.values()].filter(entry => entry.endpoint.service === service && !isSuperseded(entry))
-      const ready = ofService.filter(entry => takesRequests(entry, nowMs))
-      const chosen = ready.length > 0 ? ready : ofService.filter(entry => lastResort(entry, nowMs))
-      return chosen.map(entry => entry.endpoint)
+      const known = usableByService.get(service)
+      if (known !== undefined && nowMs < known.untilMs) return known.endpoints
+      const endpoints = findUsable(service, nowMs)
+      usableByService.set(service, { endpoints, untilMs: nowMs + untilNextChangeMs(entries.values(), nowMs) })
+      return endpoints
     },
-    get: id => entries.get(id)?.endpoint,
     atAddress: address => {
       const nowMs = clock.nowMs()
       sweep(nowMs)
-      const there = [...entries.values()].filter(entry => entry.endpoint.address === address && !isSuperseded(entry))
+      const there = [...entries.values()].filter(entry => entry.endpoint.address === address && namesEndpoint(entry))
       return (there.find(entry => !entry.gone) ?? there.find(entry => takesRequests(entry, nowMs)))?.endpoint
     },
-    all: () => [...entries.values()].filter(entry => !entry.gone).map(entry => entry.endpoint),
+    hasStart: startId => [...entries.values()].some(entry => entry.endpoint.startId === startId),
+    all: () => [...entries.values()].filter(entry => !entry.gone && namesEndpoint(entry)).map(entry => entry.endpoint),
     hasListing: () => listed,
     onGone: listener => { goneListeners.push(listener) }
   }
 }
 
-function newestVersions (entries: Iterable<Entry>): Map<string, number> {
-  const newest = new Map<string, number>()
-  for (const { endpoint, gone } of entries) {
-    if (!gone) newest.set(endpoint.address, Math.max(newest.get(endpoint.address) ?? 0, endpoint.listedVersion))
+/** A write of a former start may reach the store after the entry of its successor. It says nothing of the successor. */
+function isEarlierStart (endpoint: Endpoint, known: Endpoint): boolean {
+  return endpoint.bornAtMs !== undefined && known.bornAtMs !== undefined && endpoint.bornAtMs < known.bornAtMs
+}
+
+interface Standing {
+  /** @returns whether the entry names an endpoint that may be used, gone or not */
+  names: (entry: Entry) => boolean
+}
+
+/**
+ * What entries mean beside each other.
+ *
+ * An endpoint that restarts under a new id lists itself at once, while the entry of the former start lapses only after three
+ * heartbeats. Whatever is sent to the former one is refused, so only the entry written last counts at an address.
+ *
+ * Rows of other writers may lack fields. Where most endpoints say when they were started, one that does not say so is none.
+ */
+function standingOf (entries: Iterable<Entry>, knowsService: (service: string) => boolean): Standing {
+  const named = [...entries].filter(entry => knowsService(entry.endpoint.service))
+  const withStart = named.filter(entry => entry.endpoint.bornAtMs !== undefined).length
+  const startsAreTold = withStart * 2 > named.length
+  const counted = named.filter(entry => !startsAreTold || entry.endpoint.bornAtMs !== undefined)
+  const countedEntries = new Set(counted)
+  const newestAt = new Map<string, number>()
+  for (const { endpoint, gone } of counted) {
+    if (!gone) newestAt.set(endpoint.address, Math.max(newestAt.get(endpoint.address) ?? 0, endpoint.listedVersion))
   }
-  return newest
+  return { names: entry => countedEntries.has(entry) && (newestAt.get(entry.endpoint.address) ?? 0) <= entry.endpoint.listedVersion }
 }
--- a/packages/anvilarch-serving/src/endpoints/loadFeed.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadFeed.ts
@@ -113,7 +113,7 @@
 function decodeReport (message: Buffer, log: EventLog): LoadReport | undefined {
   try {
     const report = JSON.parse(message.toString()) as LoadReport
-    return typeof report.endpointId === 'string' ? report : undefined
+    return typeof report.startId === 'string' ? report : undefined
   } catch (error) {
     log.warn('load report is not JSON', { reason: (error as Error).message })
     return undefined
--- a/packages/anvilarch-serving/src/endpoints/loadTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadTable.ts
@@ -3,7 +3,8 @@
 
 /** What an agent says of the engine beside it. */
 export interface LoadReport {
-  endpointId: string
+  /** The start of the engine that the report is about; see `startIdOf`. */
+  startId: string
   /** Requests that run, batch items included. */
   running: number
   waiting: number
@@ -25,16 +26,16 @@
   suspected: boolean
 }
 
-/** Loads by endpoint. */
+/** Loads by start of an endpoint. */
 export interface LoadTable {
   onReport: (report: LoadReport) => void
-  onSent: (endpointId: string) => void
-  onEnded: (endpointId: string) => void
+  onSent: (startId: string) => void
+  onEnded: (startId: string) => void
   /** The endpoint failed to answer or answered with bytes that are no answer. */
-  onFailure: (endpointId: string) => void
-  onSuccess: (endpointId: string) => void
-  loadOf: (endpointId: string) => EndpointLoad
-  forget: (endpointId: string) => void
+  onFailure: (startId: string) => void
+  onSuccess: (startId: string) => void
+  loadOf: (startId: string) => EndpointLoad
+  forget: (startId: string) => void
 }
 
 /** Reports come every 50 ms; an older one than this says nothing, and own counts alone are used. */
@@ -49,6 +50,9 @@
 /** Longest time that an endpoint is passed over before it is tried again. */
 export const MAX_SUSPECT_MS = 4000
 
+/** Of an endpoint that this process has heard nothing of, or has forgotten since it is gone. */
+const UNKNOWN_LOAD: EndpointLoad = { online: 0, waiting: 0, batchRunning: 0, ownInProgress: 0, suspected: false }
+
 interface Entry {
   report?: LoadReport
   reportedAtMs: number
@@ -66,47 +70,51 @@
  */
 export function createLoadTable (clock: Clock): LoadTable {
   const entries = new Map<string, Entry>()
-  const entryOf = (endpointId: string): Entry => {
-    let entry = entries.get(endpointId)
+  const entryOf = (startId: string): Entry => {
+    let entry = entries.get(startId)
     if (entry === undefined) {
       entry = { reportedAtMs: -Infinity, ownInProgress: 0, sentAtMs: [], endedAtMs: [], failures: 0, suspectedUntilMs: -Infinity }
-      entries.set(endpointId, entry)
+      entries.set(startId, entry)
     }
     return entry
   }
 
   return {
     onReport: report => {
-      const entry = entryOf(report.endpointId)
+      const entry = entryOf(report.startId)
       const nowMs = clock.nowMs()
       entry.report = report
       entry.reportedAtMs = nowMs
       entry.sentAtMs = entry.sentAtMs.filter(atMs => atMs > nowMs - REPORT_TRANSIT_MS)
       entry.endedAtMs = entry.endedAtMs.filter(atMs => atMs > nowMs - REPORT_TRANSIT_MS)
     },
-    onSent: endpointId => {
-      const entry = entryOf(endpointId)
+    onSent: startId => {
+      const entry = entryOf(startId)
       entry.ownInProgress++
       entry.sentAtMs.push(clock.nowMs())
     },
-    onEnded: endpointId => {
-      const entry = entryOf(endpointId)
+    onEnded: startId => {
+      const entry = entries.get(startId)
+      if (entry === undefined) return
       entry.ownInProgress = Math.max(0, entry.ownInProgress - 1)
       entry.endedAtMs.push(clock.nowMs())
     },
-    onFailure: endpointId => {
-      const entry = entryOf(endpointId)
+    onFailure: startId => {
+      const entry = entries.get(startId)
+      if (entry === undefined) return
       entry.failures++
       const passOverMs = Math.min(MAX_SUSPECT_MS, SUSPECT_MS * 2 ** (entry.failures - 1))
       entry.suspectedUntilMs = clock.nowMs() + passOverMs
     },
-    onSuccess: endpointId => {
-      const entry = entryOf(endpointId)
+    onSuccess: startId => {
+      const entry = entries.get(startId)
+      if (entry === undefined) return
       entry.failures = 0
       entry.suspectedUntilMs = -Infinity
     },
-    loadOf: endpointId => {
-      const entry = entryOf(endpointId)
+    loadOf: startId => {
+      const entry = entries.get(startId)
+      if (entry === undefined) return UNKNOWN_LOAD
       const nowMs = clock.nowMs()
       const fresh = entry.report !== undefined && nowMs - entry.reportedAtMs <= REPORT_MAX_AGE_MS
       const suspected = nowMs < entry.suspectedUntilMs || (fresh && entry.report?.reachable === false)
@@ -123,6 +131,6 @@
         suspected
       }
     },
-    forget: endpointId => { entries.delete(endpointId) }
+    forget: startId => { entries.delete(startId) }
   }
 }
--- a/packages/anvilarch-serving/src/model/types.ts
+++ b/packages/anvilarch-serving/src/model/types.ts
@@ -69,10 +69,14 @@
 /** Whether an endpoint takes new requests. */
 export type EndpointState = 'ready' | 'draining'
 
-/** One incarnation of an endpoint, as the store lists it. */
+/** One start of an endpoint, as the store lists it. */
 export interface Endpoint {
-  /** Id of the incarnation; a restarted endpoint has a new one. */
+  /** Id by which an endpoint is addressed. An endpoint that starts again may bear it again, and holds nothing of before. */
   id: string
+  /** Time of day at which the endpoint says it was started, in Unix milliseconds; undefined where endpoints do not say. */
+  bornAtMs: number | undefined
+  /** Tells one start from another: everything that is kept about an endpoint is kept under it. See `startIdOf`. */
+  startId: string
   service: string
   /** IP and port. */
   address: string
@@ -85,6 +89,26 @@
   listedVersion: number
 }
 
+/** A row of the list of endpoints, decoded. */
+export type EndpointRow = { row: 'endpoint', endpoint: Endpoint } | UnusableRow
+
+/** A row that names no endpoint: it lacks a field, or a field holds what is not known. */
+export interface UnusableRow {
+  row: 'unusable'
+  id: string
+  field: string
+  reason: string
+}
+
+/**
+ * @param id - of an endpoint
+ * @param bornAtMs - when it was started, if it says so
+ * @returns an id that no other start has
+ */
+export function startIdOf (id: string, bornAtMs: number | undefined): string {
+  return bornAtMs === undefined ? id : `${id}@${bornAtMs}`
+}
+
 /** What a client says about its request, decoded from the headers. */
 export interface RequestMetadata {
   requestId: string
--- a/packages/anvilarch-serving/src/operations/readStore.ts
+++ b/packages/anvilarch-serving/src/operations/readStore.ts
@@ -29,7 +29,7 @@
   for (const row of configurationRows.val.rows) snapshot.configuration = wire.decodeConfiguration(row) ?? snapshot.configuration
   const endpointRows = await store.readRows({ table: wire.endpointTable, partition: '' })
   if (endpointRows.err) return endpointRows
-  snapshot.endpoints = endpointRows.val.rows.map(wire.decodeEndpoint).filter(endpoint => endpoint !== undefined)
+  snapshot.endpoints = endpointRows.val.rows.map(wire.decodeEndpoint).flatMap(row => row.row === 'endpoint' ? [row.endpoint] : [])
   for (const partition of [MEMBER_PARTITION, ...JOB_PARTITIONS]) {
     const read = await store.readRows({ table: WORK_TABLE, partition })
     if (read.err) return read
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -1,12 +1,23 @@
 /** Takes one client request through its attempts until it is answered, its time is over or its client has left. */
 import type { Endpoint } from '../model/types'
 import { chooseService } from '../routing/matchRoute'
-import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import type { OwnAnswer } from './clientAnswer'
+import { type ClientRequest, type ForwardParts, repeatedRequestOf, type RequestState } from './forwardTypes'
 import { checkOverload, type Overload } from './overload'
 import { createRequestEnd } from './requestEnd'
 import { createRequestTrail } from './requestTrail'
 import { createAttempts } from './sendAttempts'
 
+/** When a caller whose request has crashed endpoints may ask again; what crashes them is mended by hand, if at all. */
+const QUARANTINED_RETRY_AFTER_MS = 60_000
+
+const QUARANTINED_ANSWER: OwnAnswer = {
+  status: 503,
+  code: 'quarantined',
+  message: 'endpoints crash when they run this request; it is not run again',
+  retryAfterMs: QUARANTINED_RETRY_AFTER_MS
+}
+
 /**
  * Answers a client request from an endpoint.
  *
@@ -29,13 +40,17 @@
     end.clientLeft()
   })
 
+  if (!parts.crashes.mayRun(repeatedRequestOf(client))) {
+    end.answer(QUARANTINED_ANSWER)
+    return
+  }
   const candidates = state.service === undefined ? [] : parts.endpoints.usable(state.service)
   const overload = overloadOf(parts, client, state, candidates)
   if (!overload.refused) {
     attempts.send()
     return
   }
-  const loads = candidates.map(candidate => parts.loads.loadOf(candidate.id))
+  const loads = candidates.map(candidate => parts.loads.loadOf(candidate.startId))
   parts.log.info('request refused', {
     requestId: client.metadata.requestId,
     reason: overload.reason,
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -1,6 +1,8 @@
 /** What forwarding one client request works with. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from 'anvilarch-utils'
+import type { CrashWatch } from '../crashes/crashWatch'
+import type { RepeatedRequest } from '../crashes/fingerprint'
 import type { ConnectionPools } from '../endpoints/connectionPools'
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { LoadTable } from '../endpoints/loadTable'
@@ -25,6 +27,7 @@
   wire: RequestWire
   notice: ClosingNotice
   holdTimes: HoldTimes
+  crashes: CrashWatch
   /** Bounds the lines about requests that went well. */
   lines: LineBudget
   ownFailureDomain: string
@@ -43,6 +46,11 @@
   arrivedAtMs: number
 }
 
+/** @returns what the request is recognized by when its caller sends it again */
+export function repeatedRequestOf ({ request, body }: ClientRequest): RepeatedRequest {
+  return { method: request.method ?? '', host: request.headers.host ?? '', path: request.url ?? '', body }
+}
+
 /** How far a request has come. */
 export interface RequestState {
   /** Service that the request goes to; undefined when its route has none. */
@@ -50,7 +58,7 @@
   readonly limitMs: number
   readonly deadlineAtMs: number
   readonly trail: RequestTrail
-  /** Endpoints that the request has been offered to. */
+  /** Starts of endpoints that the request has been offered to. */
   readonly tried: Set<string>
   attemptsThatMayHaveRun: number
   /** Sends in all, refused ones included. */
--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -11,7 +11,7 @@
 /** What the decision depends on. */
 export interface OverloadInput {
   candidates: readonly Endpoint[]
-  loadOf: (endpointId: string) => EndpointLoad
+  loadOf: (startId: string) => EndpointLoad
   /** How long a request holds a slot; undefined until enough have been seen. */
   holdMs: number | undefined
   latencyObjectiveMs: number
@@ -59,7 +59,7 @@
 
 /** Requests that wait at an endpoint get a slot one after another, each after the hold time divided by the slots. */
 function shortestWaitMs (input: OverloadInput, holdMs: number): number {
-  const loads = input.candidates.map(candidate => ({ load: input.loadOf(candidate.id), slots: Math.max(1, candidate.slots) }))
+  const loads = input.candidates.map(candidate => ({ load: input.loadOf(candidate.startId), slots: Math.max(1, candidate.slots) }))
   const trusted = loads.filter(({ load }) => !load.suspected)
   const waits = (trusted.length > 0 ? trusted : loads).map(({ load, slots }) => Math.max(0, load.online - slots + 1) * holdMs / slots)
   return Math.min(...waits)
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -64,6 +64,19 @@
   return PASSING_REASONS.has(reason)
 }
 
+/** Errors of a connection that the other side has ended. */
+const BROKEN_REASONS: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'])
+
+/** @returns whether an attempt has failed since its connection broke while it was in progress */
+export function isBrokenConnection (reason: string): boolean {
+  return BROKEN_REASONS.has(reason)
+}
+
+/** @returns whether an attempt has failed since nobody listens at the endpoint's address */
+export function isConnectionRefused (reason: string): boolean {
+  return reason === 'ECONNREFUSED'
+}
+
 /** @returns why the endpoint has not run the request; undefined when it does not say so */
 function refusalOf (status: number, answer: AnswerMetadata): RefusalReason | undefined {
   if (status !== OTHER_INCARNATION_STATUS && !answer.notRun) return undefined
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -3,10 +3,10 @@
 import { chooseEndpoint } from '../endpoints/chooseEndpoint'
 import type { Endpoint } from '../model/types'
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
-import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import { type ClientRequest, type ForwardParts, repeatedRequestOf, type RequestState } from './forwardTypes'
 import type { RequestEnd } from './requestEnd'
 import { elapsedMs } from './requestTrail'
-import { type Attempt, type AttemptAnswer, isPassingRefusal, startAttempt } from './runAttempt'
+import { type Attempt, type AttemptAnswer, isBrokenConnection, isConnectionRefused, isPassingRefusal, startAttempt } from './runAttempt'
 
 /** The attempts of one request. */
 export interface Attempts {
@@ -75,7 +75,7 @@
   const stepAfter = (failure: AttemptFailure): NextStep => nextStep(route, failure, {
     attemptsThatMayHaveRun: state.attemptsThatMayHaveRun,
     answerBegun: state.answerBegun,
-    hasUntriedEndpoint: mayOfferOnceMore(),
+    hasUntriedEndpoint: mayOfferOnceMore() && parts.crashes.mayRun(repeatedRequestOf(client)),
     remainingMs: remainingMs()
   })
 
@@ -84,7 +84,7 @@
     const left = running
     running = undefined
     silence?.cancel()
-    if (left !== undefined) loads.onEnded(left.endpoint.id)
+    if (left !== undefined) loads.onEnded(left.endpoint.startId)
     return left
   }
 
@@ -92,7 +92,7 @@
     state.trail.reveal()
     log.info('attempt failed', {
       requestId: metadata.requestId,
-      endpoint: endpoint.id,
+      endpoint: endpoint.startId,
       failure,
       reason,
       lastEventId: state.lastEventId,
@@ -111,7 +111,9 @@
   const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
     leaveRunning()
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
-    if (!isPassingRefusal(reason)) loads.onFailure(endpoint.id)
+    if (!isPassingRefusal(reason)) loads.onFailure(endpoint.startId)
+    if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
+    if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onBroken(repeatedRequestOf(client), endpoint.startId)
     metrics.attemptFailures.inc({ kind: route.kind, reason })
     logFailure(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
@@ -131,7 +133,7 @@
   const triesElsewhere = (endpoint: Endpoint, whole: AttemptAnswer): boolean => {
     if (whole.status < FIRST_FAILURE_STATUS || state.answerBegun) return false
     state.attemptsThatMayHaveRun++
-    loads.onFailure(endpoint.id)
+    loads.onFailure(endpoint.startId)
     if (stepAfter('may_have_run') !== 'send_again') return false
     logFailure(endpoint, 'may_have_run', `status ${whole.status}`)
     metrics.attemptFailures.inc({ kind: route.kind, reason: 'endpoint_status' })
@@ -144,16 +146,16 @@
     leaveRunning()
     observeWait()
     if (triesElsewhere(endpoint, whole)) return
-    if (whole.status < FIRST_FAILURE_STATUS) loads.onSuccess(endpoint.id)
+    if (whole.status < FIRST_FAILURE_STATUS) loads.onSuccess(endpoint.startId)
     // The first event stands for the time in the queue; the slot is held from then on.
     if (state.service !== undefined && state.firstEventAtMs !== undefined) {
       parts.holdTimes.onAnswer(state.service, clock.nowMs() - state.firstEventAtMs)
     }
-    end.answerWhole(endpoint.id, whole)
+    end.answerWhole(endpoint.startId, whole)
   }
 
   const onHead = (endpoint: Endpoint, head: { status: number, rawHeaders: string[] }): void => {
-    state.trail.note('answer begun', { requestId: metadata.requestId, endpoint: endpoint.id, status: head.status, afterMs: elapsedMs(clock, client.arrivedAtMs) })
+    state.trail.note('answer begun', { requestId: metadata.requestId, endpoint: endpoint.startId, status: head.status, afterMs: elapsedMs(clock, client.arrivedAtMs) })
     if (state.answerBegun) return
     state.answerBegun = true
     if (parts.notice.isLeaving()) response.setHeader('Connection', 'close')
@@ -206,10 +208,10 @@
   }
 
   const noteChoice = (endpoint: Endpoint): void => {
-    const load = loads.loadOf(endpoint.id)
+    const load = loads.loadOf(endpoint.startId)
     state.trail.note('endpoint chosen', {
       requestId: metadata.requestId,
-      endpoint: endpoint.id,
+      endpoint: endpoint.startId,
       online: load.online,
       batchRunning: load.batchRunning,
       slots: endpoint.slots,
@@ -227,11 +229,11 @@
       return
     }
     noteChoice(endpoint)
-    state.tried.add(endpoint.id)
+    state.tried.add(endpoint.startId)
     metrics.sends.inc({ kind: route.kind, send: sendName() })
     state.offers++
     sentAtMs = clock.nowMs()
-    loads.onSent(endpoint.id)
+    loads.onSent(endpoint.startId)
     running = { endpoint, attempt: startAt(endpoint) }
     watchSilence(endpoint)
   }
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -5,7 +5,6 @@
 import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
 import { WORK_TABLE } from '../jobs/jobRows'
 import { createWorkTable, type WorkTable } from '../jobs/workTable'
-import type { Endpoint } from '../model/types'
 import type { StoredRow } from '../store/types'
 import { type FollowOptions, followTable } from '../store/tableFollower'
 import { registerStateMetrics } from '../telemetry/stateMetrics'
@@ -16,12 +15,17 @@
   configuration: ConfigurationHolder
   endpoints: EndpointTable
   work: WorkTable
+  /** Follows one more table until the view is closed. */
+  follow: (table: FollowedTable) => void
   /** Ends the following. */
   close: () => void
 }
 
 /** Operators and endpoints write to one partition without a name. */
-const SHARED_PARTITIONS = ['']
+export const SHARED_PARTITIONS = ['']
+
+/** A table that is followed. */
+export type FollowedTable = Pick<FollowOptions, 'table' | 'partitions' | 'listener' | 'intervalMs'>
 
 /**
  * Each endpoint's heartbeat is a change, some eight a second on the smallest deployments. Gathering them takes 60 in 100
@@ -36,11 +40,17 @@
 export function followPlatform (context: RoleContext): PlatformView {
   const { store, clock, log, wire } = context
   const configuration = createConfigurationHolder()
-  const endpoints = createEndpointTable({ clock, log, contact: store })
+  const endpoints = createEndpointTable({
+    clock,
+    log,
+    contact: store,
+    knowsService: service => configuration.current()?.services.has(service) ?? true
+  })
+  configuration.onChange(endpoints.onServicesChanged)
   const work = createWorkTable()
   const controller = new AbortController()
   const tableAnsweredAtMs = new Map<string, number>()
-  const follow = (table: Pick<FollowOptions, 'table' | 'partitions' | 'listener' | 'intervalMs'>): void => {
+  const follow = (table: FollowedTable): void => {
     const onAnswer = (): void => { tableAnsweredAtMs.set(table.table, clock.nowMs()) }
     runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, signal: controller.signal, onAnswer, ...table }))
   }
@@ -65,14 +75,10 @@
     partitions: SHARED_PARTITIONS,
     intervalMs: ENDPOINT_FEED_INTERVAL_MS,
     listener: {
-      onListing: rows => endpoints.onListing(rows.map(wire.operator.decodeEndpoint).filter(isEndpoint)),
+      onListing: rows => endpoints.onListing(rows.map(wire.operator.decodeEndpoint)),
       onChange: change => {
-        if (change.change === 'removed') {
-          endpoints.onRemoved(change.key.key)
-          return
-        }
-        const endpoint = wire.operator.decodeEndpoint(change.row)
-        if (endpoint !== undefined) endpoints.onEntry(endpoint)
+        if (change.change === 'removed') endpoints.onRemoved(change.key.key)
+        else endpoints.onRow(wire.operator.decodeEndpoint(change.row))
       }
     }
   })
@@ -83,13 +89,10 @@
     configuration,
     endpoints,
     work,
+    follow,
     close: () => {
       controller.abort()
       stateMetrics.close()
     }
   }
 }
-
-function isEndpoint (endpoint: Endpoint | undefined): endpoint is Endpoint {
-  return endpoint !== undefined
-}
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -1,6 +1,9 @@
 /** The gateway: takes requests and job calls from clients. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, sleep } from 'anvilarch-utils'
+import { createCrashWatch } from '../crashes/crashWatch'
+import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
+import { createSuspectTable } from '../crashes/suspectTable'
 import { createConnectionPools } from '../endpoints/connectionPools'
 import { subscribeToLoads } from '../endpoints/loadFeed'
 import { createLoadTable } from '../endpoints/loadTable'
@@ -18,7 +21,7 @@
 import { createLineBudget } from '../telemetry/lineBudget'
 import { startHeartbeat } from '../peers/heartbeat'
 import { type ClientServer, createClientServer, headBytes } from './clientServer'
-import { followPlatform } from './followPlatform'
+import { followPlatform, SHARED_PARTITIONS } from './followPlatform'
 import { once } from './once'
 import type { RoleContext, RunningRole } from './types'
 
@@ -66,9 +69,15 @@
     return limit === undefined ? DEFAULT_CONNECTION_LIMIT : Math.max(2, Math.floor(limit * CONNECTION_SHARE))
   }
   const pools = createConnectionPools({ limitOf })
+  const suspects = createSuspectTable(clock, context.store.storeNowMs)
+  const shared = shareSuspects(context, suspects)
+  const crashes = createCrashWatch(suspects, shared.publish)
+  view.follow({ table: SUSPECT_TABLE, partitions: SHARED_PARTITIONS, listener: shared.listener })
   view.endpoints.onGone(endpoint => {
     pools.release(endpoint)
-    loads.forget(endpoint.id)
+    loads.forget(endpoint.startId)
+    // One that drains ends by plan.
+    if (endpoint.state === 'ready') crashes.onEndpointLost(endpoint.startId)
   })
   const forward: ForwardParts = {
     clock,
@@ -80,6 +89,7 @@
     wire: wire.request,
     notice,
     holdTimes: createHoldTimes(),
+    crashes,
     lines: createLineBudget(clock, GOOD_LINES_PER_SECOND),
     ownFailureDomain: settings.failureDomain,
     draw: () => context.random.next()
@@ -99,7 +109,12 @@
     log,
     own: { ip: settings.ip, port: settings.peerPort },
     agents: () => view.endpoints.all().map(endpoint => ({ ip: endpoint.address.split(':')[0], port: settings.peerPort })),
-    onReport: loads.onReport,
+    // A report about a start that is not listed yet comes again; kept, it would stay for ever if that start never is.
+    onReport: report => {
+      if (!view.endpoints.hasStart(report.startId)) return
+      loads.onReport(report)
+      if (!report.reachable) crashes.onEndpointLost(report.startId)
+    },
     signal: context.stopping
   })
   const heartbeat = startHeartbeat(context, 'gateway')
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -4,7 +4,7 @@
 import type { PeerAddress } from '../endpoints/loadFeed'
 import type { JobItem } from '../jobs/types'
 import type { JobResult, ResultPage } from '../jobs/resultReader'
-import type { Configuration, Endpoint } from '../model/types'
+import type { Configuration, EndpointRow } from '../model/types'
 import type { PeerDirectory } from '../peers/peerDirectory'
 import type { RequestWire } from '../requests/types'
 import type { MetadataStore, RowChange, StoredRow } from '../store/types'
@@ -62,6 +62,8 @@
 export interface EngineReport {
   running: number
   waiting: number
+  /** When the engine says it was started, in Unix milliseconds; undefined where engines do not say. */
+  bornAtMs: number | undefined
 }
 
 /** Calls to an engine beside the requests themselves. */
@@ -77,7 +79,7 @@
   configurationTable: string
   decodeConfiguration: (row: StoredRow) => Configuration | undefined
   endpointTable: string
-  decodeEndpoint: (row: StoredRow) => Endpoint | undefined
+  decodeEndpoint: (row: StoredRow) => EndpointRow
 }
 
 /** Everything that differs between platforms. */
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -117,7 +117,7 @@
 }
 
 function endpointWith (slots: number): Endpoint {
-  return { id: 'e1', service: 'models', address: ENDPOINT_ADDRESS, failureDomain: 'a', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+  return { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 'models', address: ENDPOINT_ADDRESS, failureDomain: 'a', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
 
 const ROUTE = { name: 'jobs', host: 'h', pathPrefix: '/jobs', kind: 'batch', targets: [{ service: 'models', weight: 1 }] } as unknown as Route
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
@@ -0,0 +1,49 @@
+import { SILENT_LOGGER } from 'anvilarch-utils'
+import { type Endpoint, startIdOf } from '../../model/types'
+import { createEngineView, type EngineView } from '../engineView'
+
+let listed: Endpoint | undefined
+let restarts: number
+let view: EngineView
+
+function endpoint (bornAtMs: number | undefined): Endpoint {
+  return { id: 'e1', startId: startIdOf('e1', bornAtMs), bornAtMs, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+}
+
+beforeEach(() => {
+  listed = endpoint(1000)
+  restarts = 0
+  view = createEngineView({ log: SILENT_LOGGER, listed: () => listed, onRestart: () => { restarts++ } })
+})
+
+describe('createEngineView', () => {
+  // Symptom: items are sent to an engine on the word of an entry that its former start wrote.
+  // Sequence: the engine crashes and starts again under its id; its report answers at once, its entry comes a heartbeat later.
+  // Cause: the id fits both starts, so that the former entry was taken for that of the new one.
+  it('knows no engine between a restart and the entry of the new start', () => {
+    expect(view.look({ running: 0, waiting: 0, bornAtMs: 1000 })).toBe(listed)
+    expect(view.look({ running: 0, waiting: 0, bornAtMs: 2000 })).toBeUndefined()
+    expect(view.current()).toBeUndefined()
+    listed = endpoint(2000)
+    expect(view.look({ running: 0, waiting: 0, bornAtMs: 2000 })).toBe(listed)
+    expect(restarts).toBe(1)
+  })
+
+  it('goes by the list where engines do not say when they were started', () => {
+    listed = endpoint(undefined)
+    expect(view.look({ running: 0, waiting: 0, bornAtMs: undefined })).toBe(listed)
+    listed = { ...endpoint(undefined), id: 'e2', startId: 'e2' }
+    expect(view.look({ running: 0, waiting: 0, bornAtMs: undefined })).toBe(listed)
+    expect(restarts).toBe(1)
+  })
+
+  it('sees no restart in an engine that does not answer for a while', () => {
+    view.look({ running: 0, waiting: 0, bornAtMs: 1000 })
+    view.look(undefined)
+    listed = undefined
+    view.look(undefined)
+    listed = endpoint(1000)
+    view.look({ running: 0, waiting: 0, bornAtMs: 1000 })
+    expect(restarts).toBe(0)
+  })
+})
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -3,6 +3,7 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { JobRecord } from '../jobs/types'
 import { matchRoute } from '../routing/matchRoute'
+import { createEngineView } from './engineView'
 import { fleetEventMs } from './fleetPace'
 import { createHeldItemCare } from './heldItemCare'
 import { createHeldItems } from './heldItems'
@@ -52,7 +53,16 @@
   const held = createHeldItems(clock, parts.metrics)
   const { pace } = parts
   const engineRefusals = createRefusals(clock)
-  const steps = createItemSteps({ ...parts, held, engineRefusals, submissions: createResultReader(parts.store), stopping: controller.signal })
+  const engine = createEngineView({
+    log,
+    listed: () => parts.endpoints.atAddress(parts.engineAddress),
+    onRestart: () => {
+      pace.onEngineRestart()
+      engineRefusals.reset()
+      held.all().forEach(entry => entry.refusals.reset())
+    }
+  })
+  const steps = createItemSteps({ ...parts, engine, held, engineRefusals, submissions: createResultReader(parts.store), stopping: controller.signal })
 
   const mayRun = (job: JobRecord): boolean => {
     const configuration = parts.configuration()
@@ -80,11 +90,11 @@
   const tick = async (): Promise<void> => {
     const reportAskedAtMs = clock.nowMs()
     const report = await parts.readReport()
-    const endpoint = parts.endpoints.atAddress(parts.engineAddress)
+    const endpoint = engine.look(report)
     care.review()
     if (endpoint !== undefined) {
       parts.publish({
-        endpointId: endpoint.id,
+        startId: endpoint.startId,
         running: report?.running ?? 0,
         waiting: report?.waiting ?? 0,
         batchRunning: held.inState('running').length,
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -1,12 +1,12 @@
 /** The steps of one item at a runner: claim, run, pause, release, settle. */
 import { runInBackground, sleep } from 'anvilarch-utils'
 import type { Pool } from 'undici'
-import type { EndpointTable } from '../endpoints/endpointTable'
 import type { ResultReader } from '../jobs/resultReader'
 import type { JobItem, JobRecord } from '../jobs/types'
 import type { Endpoint } from '../model/types'
 import type { PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
+import type { EngineView } from './engineView'
 import { type ClaimParts, claimItem, failItem, finishItem, ownClaimVersion, readProgress, saveClaim } from './claims'
 import { type HeldItem, type HeldItems, progressOf } from './heldItems'
 import { type RunEnd, runItem } from './itemRun'
@@ -16,11 +16,10 @@
 /** Parts of the steps. */
 export interface StepParts extends ClaimParts {
   metrics: ServingMetrics
-  endpoints: EndpointTable
+  engine: EngineView
   wire: PlatformWire
   /** Connections to the engine beside the agent. */
   pool: Pool
-  engineAddress: string
   held: HeldItems
   pace: Pace
   submissions: ResultReader
@@ -153,7 +152,7 @@
     entry.pacedAtMs = nowMs
     entry.pacedEventId = entry.text.lastEventId
     const fromEventId = entry.text.lastEventId
-    log.info('item run started', { jobId: entry.jobId, itemId: entry.itemId, endpoint: endpoint.id, fromEventId })
+    log.info('item run started', { jobId: entry.jobId, itemId: entry.itemId, endpoint: endpoint.startId, fromEventId })
     entry.run = runItem({
       clock,
       pool: parts.pool,
@@ -177,7 +176,7 @@
       held.drop(entry)
       return
     }
-    const endpoint = parts.endpoints.atAddress(parts.engineAddress)
+    const endpoint = parts.engine.current()
     if (item === undefined || endpoint?.state !== 'ready' || !isWorkFresh(parts) || parts.stopping.aborted) {
       entry.state = 'paused'
       return
--- a/packages/anvilarch-serving/src/runner/pace.ts
+++ b/packages/anvilarch-serving/src/runner/pace.ts
@@ -6,6 +6,8 @@
   onRun: (events: number, elapsedMs: number) => void
   /** An item of so many tokens has ended with this many events in all. */
   onItem: (tokens: number, events: number) => void
+  /** The engine holds nothing of before, and may be faster or slower: its pace is to be learned anew. */
+  onEngineRestart: () => void
   /** @returns time between two events; undefined until something has been learned */
   eventMs: () => number | undefined
   /** @returns estimate of the time that is left to run, here or at an engine of another pace; 0 until something has been learned */
@@ -31,6 +33,7 @@
     onItem: (tokens, events) => {
       if (tokens > 0) eventsPerToken = smooth(eventsPerToken, events / tokens)
     },
+    onEngineRestart: () => { ownEventMs = undefined },
     eventMs: () => ownEventMs,
     remainingMs: (tokens, lastEventId, eventMs = ownEventMs) => {
       if (eventMs === undefined || eventsPerToken === undefined) return 0
--- a/packages/anvilarch-serving/src/runner/refusals.ts
+++ b/packages/anvilarch-serving/src/runner/refusals.ts
@@ -10,6 +10,8 @@
 export interface Refusals {
   onFruitless: () => void
   onEvent: () => void
+  /** Forgets the sends so far, as when the engine has been started anew. */
+  reset: () => void
   /** @returns whether something may be sent again */
   mayStart: () => boolean
 }
@@ -36,6 +38,7 @@
   let fruitlessRuns = 0
   let lastAtMs = -Infinity
   const mayStart = (): boolean => clock.nowMs() >= lastAtMs + pauseAfterMs(fruitlessRuns)
+  const reset = (): void => { fruitlessRuns = 0 }
   return {
     onFruitless: () => {
       // Items that were sent together fail together, and tell no more than one of them.
@@ -43,7 +46,8 @@
       fruitlessRuns++
       lastAtMs = clock.nowMs()
     },
-    onEvent: () => { fruitlessRuns = 0 },
+    onEvent: reset,
+    reset,
     mayStart
   }
 }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -15,9 +15,14 @@
 
   // What the process believes of configuration and endpoints.
   'configuration in force': { version: number, routeCount: number }
-  'endpoint listed': { endpoint: string, service: string, address: string, state: string }
+  'endpoint listed': { endpoint: string, service: string, address: string, state: string, restarted: boolean }
+  'endpoint entry not usable': { endpoint: string, field: string, reason: string, replacedGood: boolean }
+  'engine started anew': { endpoint: string, bornAtMs: number }
   'endpoint removed from the list': { endpoint: string, service: string, held: boolean }
 
+  'request in progress at a crash': { fingerprint: string, crashCount: number, endpoint: string }
+  'suspects not shared': { recordCount: number }
+
   // The store.
   'store does not serve this host': { reason: string }
   'store answers again': { afterMs: number }
@@ -26,7 +31,6 @@
   'table listed': { table: string, rowCount: number, version: number }
   'table listing failed': { table: string, reason: string }
   'feed history lost, listing again': { table: string, version: number }
-  'row is not JSON': { table: string, key: string, reason: string }
   'row cannot be used': { table: string, key: string, field: string, reason: string }
 
   // Requests.
