--- a/packages/anvilarch-serving/src/endpoints/connectionPools.ts
+++ b/packages/anvilarch-serving/src/endpoints/connectionPools.ts
@@ -1,6 +1,6 @@
 /** Kept connections to endpoints, one pool for each start of an endpoint. */
 import type { Endpoint } from '../model/types'
-import { Pool } from 'undici'
+import { createPool, type Pool } from './httpPool'
 
 /** Pools by endpoint. */
 export interface ConnectionPools {
@@ -37,7 +37,7 @@
       const id = idOf(endpoint)
       let pool = pools.get(id)
       if (pool === undefined) {
-        pool = new Pool(`http://${endpoint.address}`, {
+        pool = createPool(`http://${endpoint.address}`, {
           connections: options.limitOf(endpoint.service),
           pipelining: 1,
           connectTimeout: CONNECT_TIMEOUT_MS,
@@ -47,8 +47,6 @@
           headersTimeout: 0,
           bodyTimeout: 0
         })
-        // Failures to connect reach the request that wanted the connection.
-        pool.on('connectionError', () => {})
         pools.set(id, pool)
       }
       return pool
--- a/packages/anvilarch-serving/src/endpoints/exchange.ts
+++ b/packages/anvilarch-serving/src/endpoints/exchange.ts
@@ -1,5 +1,5 @@
 /** One HTTP exchange with an endpoint over a kept connection. */
-import type { Pool } from 'undici'
+import type { Pool } from './httpPool'
 
 /** What is sent. */
 export interface ExchangeRequest {
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -1,5 +1,5 @@
 /** One attempt at an endpoint: checks that the answer is this request's, whole and in order. */
-import type { Pool } from 'undici'
+import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { AttemptFailure } from './attemptDecision'
 import { createEventSplitter } from './eventBlocks'
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -1,11 +1,11 @@
 /** The agent: runs batch items at the engine beside it and tells gateways how busy that engine is. */
-import { Pool } from 'undici'
 import { createLoadPublisher } from '../endpoints/loadFeed'
 import { startExchange } from '../endpoints/exchange'
+import { createPool, type Pool } from '../endpoints/httpPool'
 import { startHeartbeat } from '../peers/heartbeat'
 import { CLAIM_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
 import { JOB_PARTITIONS } from '../jobs/partitions'
-import { type BatchRunner, startBatchRunner } from '../runner/batchRunner'
+import { startBatchRunner } from '../runner/batchRunner'
 import { createPace } from '../runner/pace'
 import { followPlatform } from './followPlatform'
 import type { EngineReport, EngineWire, RoleContext, RunningRole } from './types'
@@ -35,17 +35,14 @@
   const { settings, clock, log } = context
   const agent = settings.agent
   if (agent === undefined) throw new Error('the agent role needs the address of an engine')
-  let runner: BatchRunner | undefined
-  const view = followPlatform(context, { membersIntervalMs: () => runner?.watchesOthers() === true ? BUSY_MEMBERS_INTERVAL_MS : IDLE_MEMBERS_INTERVAL_MS })
+  let othersHoldItems = (): boolean => false
+  const view = followPlatform(context, { membersIntervalMs: () => othersHoldItems() ? BUSY_MEMBERS_INTERVAL_MS : IDLE_MEMBERS_INTERVAL_MS })
   view.follow({ table: CLAIM_TABLE, partitions: JOB_PARTITIONS, listener: view.work.listeners.claims, intervalMs: CLAIM_FEED_INTERVAL_MS })
   const pace = createPace()
   const heartbeat = startHeartbeat(context, { role: 'agent', onWritten: view.work.learn, details: () => ({ eventMs: pace.eventMs() }) })
   const publisher = createLoadPublisher(clock, { ip: settings.ip, port: settings.peerPort }, log)
-  const pool = new Pool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
-  pool.on('connectionError', () => {
-    // The report or the item that wanted the connection hears of it.
-  })
-  const batchRunner = startBatchRunner({
+  const pool = createPool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  const runner = startBatchRunner({
     store: context.store,
     work: view.work,
     clock,
@@ -66,9 +63,9 @@
     publish: publisher.publish,
     pace
   })
-  runner = batchRunner
+  othersHoldItems = runner.watchesOthers
   const close = once(async () => {
-    batchRunner.halt()
+    runner.halt()
     heartbeat.stop()
     view.close()
     publisher.close()
@@ -76,7 +73,7 @@
   })
   return {
     stop: async () => {
-      await batchRunner.stop()
+      await runner.stop()
       await close()
     },
     close
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -1,6 +1,6 @@
 /** Runs one item at the engine beside the agent, with pauses, until it has ended. */
 import type { Clock, Timer } from 'anvilarch-utils'
-import type { Pool } from 'undici'
+import type { Pool } from '../endpoints/httpPool'
 import type { JobItem } from '../jobs/types'
 import { type Attempt, startAttempt } from '../requests/runAttempt'
 import type { RequestWire } from '../requests/types'
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -1,13 +1,13 @@
 /** The steps of one item at a runner: claim, run, pause, release, settle. */
 import { runInBackground, sleep } from 'anvilarch-utils'
-import type { Pool } from 'undici'
+import type { Pool } from '../endpoints/httpPool'
 import type { ResultReader } from '../jobs/resultReader'
 import type { JobItem, JobRecord } from '../jobs/types'
 import type { Endpoint } from '../model/types'
 import type { PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
-import type { EngineView } from './engineView'
 import { type ClaimParts, claimItem, failItem, finishItem, ownClaimVersion, readProgress, saveClaim } from './claims'
+import type { EngineView } from './engineView'
 import { type HeldItem, type HeldItems, progressOf } from './heldItems'
 import { type RunEnd, runItem } from './itemRun'
 import type { Pace } from './pace'
@@ -16,8 +16,8 @@
 /** Parts of the steps. */
 export interface StepParts extends ClaimParts {
   metrics: ServingMetrics
-  engine: EngineView
   wire: PlatformWire
+  engine: EngineView
   /** Connections to the engine beside the agent. */
   pool: Pool
   held: HeldItems
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -1,5 +1,5 @@
 /** What the parts of a batch runner work with. */
-import type { Pool } from 'undici'
+import type { Pool } from '../endpoints/httpPool'
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { LoadReport } from '../endpoints/loadTable'
 import type { Configuration } from '../model/types'
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,7 +1,7 @@
 /** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
 import type { Clock, Random } from 'anvilarch-utils'
-import { Pool } from 'undici'
 import { startExchange } from '../endpoints/exchange'
+import { createPool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
 
 /** One call to the store, encoded. */
@@ -37,10 +37,7 @@
  * @returns a transport straight to that address
  */
 export function createDirectTransport (address: string, clock: Clock): StoreTransport {
-  const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
-  pool.on('connectionError', () => {
-    // The call that wanted the connection hears of it.
-  })
+  const pool = createPool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
   return call => new Promise(resolve => {
     const chunks: Buffer[] = []
     let status = 0
