Ask a few agents before a request is placed, and tell an agent of each request, instead of telling everybody of every change

Cause: each agent asked its engine every 20 to 40 ms and told each gateway of each change. Processor time was the largest price of the further customer, and what one daemon spent grew with the number of the others.

A gateway asks four agents before it places a request (eight more if those are full) and waits 8 ms at most; it tells the agent when a request has been sent or has ended, so that a batch item gives way at once. The agent looks at its engine when a slot may be free, and else every 120 ms.

--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -1,26 +1,29 @@
 /**
- * Chooses the endpoint of a request.
+ * Chooses the endpoint of a request. Pure.
  *
  * Answers the load of bursts, when nearly all slots are taken: a request that queues behind others misses its objective
- * although a slot is free elsewhere, and batch items give way only after their agent has noticed.
+ * although a slot is free elsewhere.
  */
 import { v3 as murmurhash } from 'murmurhash'
 import type { Endpoint } from '../model/types'
 import type { EndpointLoad } from './loadTable'
+import { isFresh } from './whomToAsk'
 
 /** What the choice depends on. */
 export interface ChoiceInput {
   candidates: readonly Endpoint[]
-  loadOf: (startId: string) => EndpointLoad
-  /** Starts of endpoints that have been tried. */
-  excluded: ReadonlySet<string>
+  loadOf: (endpoint: Endpoint) => EndpointLoad
+  /** @returns whether the agent of the endpoint answers, as far as is known */
+  answers: (endpoint: Endpoint) => boolean
   /** Parts of the prompt that other requests share, outermost first. */
   sharedParts: readonly string[]
   ownFailureDomain: string
+  /** Gateways that send to the same endpoints. */
+  gatewayCount: number
   draw: () => number
 }
 
-/** A batch item beside the request counts as this part of an online one: it gives way, but only after about 30 ms. */
+/** A batch item beside the request counts as this part of an online one: it gives way, but its prompt has to be read again. */
 const BATCH_WEIGHT = 0.25
 
 /** A warm prefix saves the prefill of some hundred tokens, about 2 ms; more than half a request of load is not worth that. */
@@ -32,16 +35,16 @@
 /** A cold endpoint is slower by about half. */
 const COLD_PENALTY = 2
 
+/** Where no agent tells the load, other gateways have probably sent as much as this one; the rest stands for what is not known. */
+const UNKNOWN_LOAD_PENALTY = 1
+
 /**
  * @param input - candidates, loads and what is known of the request
  * @returns the least loaded candidate, one under suspicion only when there are no others; undefined without candidates
  */
 export function chooseEndpoint (input: ChoiceInput): Endpoint | undefined {
-  const allowed = input.candidates.filter(candidate => !input.excluded.has(candidate.startId))
-  if (allowed.length === 0) return undefined
-  const trusted = allowed.filter(candidate => !input.loadOf(candidate.startId).suspected)
-  const pool = trusted.length > 0 ? trusted : allowed
-  const preferred = preferredId(pool, input.sharedParts)
+  const pool = trustedAmong(comparableAmong(input), input)
+  const preferred = preferredEndpoint(pool, input.sharedParts)
   let best: Endpoint | undefined
   let bestScore = Infinity
   const offset = Math.floor(input.draw() * pool.length)
@@ -55,28 +58,54 @@
   return best
 }
 
-function scoreOf (candidate: Endpoint, input: ChoiceInput, preferredId: string | undefined): number {
-  const load = input.loadOf(candidate.startId)
+/** Where some loads are known now, an older word of other endpoints is not compared with them; those without an agent stay. */
+function comparableAmong (input: ChoiceInput): readonly Endpoint[] {
+  const { candidates } = input
+  if (!candidates.some(candidate => isFresh(input.loadOf(candidate)))) return candidates
+  return candidates.filter(candidate => isFresh(input.loadOf(candidate)) || !input.answers(candidate))
+}
+
+function trustedAmong (candidates: readonly Endpoint[], input: ChoiceInput): readonly Endpoint[] {
+  const trusted = candidates.filter(candidate => !input.loadOf(candidate).suspected)
+  if (trusted.length > 0) return trusted
+  // All that are known now are under suspicion: any other one is better.
+  const others = input.candidates.filter(candidate => !input.loadOf(candidate).suspected)
+  return others.length > 0 ? others : candidates
+}
+
+function scoreOf (candidate: Endpoint, input: ChoiceInput, preferred: Endpoint | undefined): number {
+  const load = input.loadOf(candidate)
   const slots = Math.max(1, candidate.slots)
-  let score = load.online + BATCH_WEIGHT * load.batchRunning
-  if (load.online >= slots) score += load.online - slots + 1
-  if (candidate.id === preferredId) score -= AFFINITY_BONUS
+  const online = onlineAt(load, input.gatewayCount)
+  let score = online + BATCH_WEIGHT * load.batchRunning
+  if (online >= slots) score += online - slots + 1
+  if (candidate === preferred) score -= AFFINITY_BONUS
   if (candidate.failureDomain === input.ownFailureDomain) score -= SAME_DOMAIN_BONUS
   if (candidate.coldLeftMs > 0) score += COLD_PENALTY
   return score
 }
 
-/** Rendezvous hashing: the same part prefers the same endpoint for as long as that endpoint is there. */
-function preferredId (pool: readonly Endpoint[], sharedParts: readonly string[]): string | undefined {
+function onlineAt (load: EndpointLoad, gatewayCount: number): number {
+  return load.ageMs === Infinity ? load.ownInProgress * gatewayCount + UNKNOWN_LOAD_PENALTY : load.online
+}
+
+/**
+ * Rendezvous hashing: the same part prefers the same endpoint for as long as that endpoint is there.
+ *
+ * @param candidates - endpoints
+ * @param sharedParts - parts of the prompt that other requests share, outermost first
+ * @returns where the last shared part is probably cached; undefined without shared parts
+ */
+export function preferredEndpoint (candidates: readonly Endpoint[], sharedParts: readonly string[]): Endpoint | undefined {
   const part = sharedParts.at(-1)
   if (part === undefined) return undefined
-  let preferred: string | undefined
+  let preferred: Endpoint | undefined
   let highest = -1
-  for (const candidate of pool) {
+  for (const candidate of candidates) {
     const weight = murmurhash(part + candidate.id)
     if (weight <= highest) continue
     highest = weight
-    preferred = candidate.id
+    preferred = candidate
   }
   return preferred
 }
--- /dev/null
+++ b/packages/anvilarch-serving/src/endpoints/loadAsker.ts
@@ -0,0 +1,141 @@
+/**
+ * Asks the agents of a few endpoints how busy their engines are, just before a request is placed.
+ *
+ * Answers fleets of any size: what one request costs does not grow with the number of endpoints or gateways. Were each agent
+ * to tell each gateway of each change, 40 agents and 40 gateways would exchange 16,000 datagrams a second for 200 requests;
+ * asked, they exchange 2,000.
+ */
+import type { Clock } from 'anvilarch-utils'
+import type { Endpoint } from '../model/types'
+import type { LoadReport, PeerMessage } from './peerMessages'
+import type { PeerAddress } from './peerSocket'
+
+/** Asks agents. */
+export interface LoadAsker {
+  /**
+   * @param endpoints - whose agents are asked; those that have lately not answered are left out
+   * @returns a promise that resolves when enough have answered, or when waiting longer would cost more than the answers are worth
+   */
+  ask: (endpoints: readonly Endpoint[]) => Promise<void>
+  onAnswer: (number: number, report: LoadReport | undefined) => void
+  /** @returns whether the agent of the endpoint answers, as far as is known */
+  answers: (endpoint: Endpoint) => boolean
+  forget: (endpoint: Endpoint) => void
+}
+
+/** Options of `createLoadAsker`. */
+export interface LoadAskerOptions {
+  clock: Clock
+  send: (message: PeerMessage, to: PeerAddress) => void
+  peerPort: number
+  onReport: (report: LoadReport) => void
+}
+
+/** No request waits longer than this for answers: agents answer within 2 to 3 ms, and the shortest objective is some 120 ms. */
+export const ANSWER_PATIENCE_MS = 8
+
+/** Once two have answered, the others have until this long after the question: one that is slow to answer is slow to serve. */
+export const ENOUGH_AFTER_MS = 4
+
+const ENOUGH_ANSWERS = 2
+
+/** An agent that has left so many questions in a row without an answer is not waited for. */
+export const MAX_UNANSWERED = 2
+
+/** One that does not answer is asked again after this, so that it is noticed when it comes back. */
+export const RETRY_AFTER_MS = 500
+
+interface AgentState {
+  unanswered: number
+  lastAskedMs: number
+}
+
+interface Round {
+  waitingFor: number
+  answered: number
+  askedAtMs: number
+  settle: () => void
+}
+
+interface Question {
+  startId: string
+  round: Round
+}
+
+/**
+ * @param options - clock and sender
+ * @returns an asker that has asked nobody
+ */
+export function createLoadAsker (options: LoadAskerOptions): LoadAsker {
+  const { clock } = options
+  const agents = new Map<string, AgentState>()
+  const questions = new Map<number, Question>()
+  let lastNumber = 0
+
+  const stateOf = (startId: string): AgentState => {
+    const known = agents.get(startId) ?? { unanswered: 0, lastAskedMs: -Infinity }
+    agents.set(startId, known)
+    return known
+  }
+
+  const mayAsk = (startId: string, nowMs: number): boolean => {
+    const state = stateOf(startId)
+    return state.unanswered < MAX_UNANSWERED || nowMs - state.lastAskedMs > RETRY_AFTER_MS
+  }
+
+  const put = (endpoint: Endpoint, round: Round): void => {
+    const state = stateOf(endpoint.startId)
+    // One that is asked only to see whether it is back holds nobody up.
+    const waitedFor = state.unanswered < MAX_UNANSWERED
+    state.unanswered++
+    state.lastAskedMs = round.askedAtMs
+    lastNumber++
+    if (waitedFor) round.waitingFor++
+    questions.set(lastNumber, { startId: endpoint.startId, round })
+    options.send({ message: 'load_question', number: lastNumber }, { ip: endpoint.address.split(':')[0], port: options.peerPort })
+  }
+
+  const forgetOld = (nowMs: number): void => {
+    for (const [number, { round }] of questions) {
+      if (nowMs - round.askedAtMs < RETRY_AFTER_MS) return
+      questions.delete(number)
+    }
+  }
+
+  return {
+    ask: async endpoints => {
+      const nowMs = clock.nowMs()
+      forgetOld(nowMs)
+      const asked = endpoints.filter(endpoint => mayAsk(endpoint.startId, nowMs))
+      if (asked.length === 0) return
+      await new Promise<void>(resolve => {
+        const round: Round = { waitingFor: 0, answered: 0, askedAtMs: nowMs, settle: resolve }
+        asked.forEach(endpoint => put(endpoint, round))
+        if (round.waitingFor === 0) {
+          resolve()
+          return
+        }
+        const enough = clock.after(ENOUGH_AFTER_MS, () => { if (round.answered >= ENOUGH_ANSWERS) round.settle() })
+        const patience = clock.after(ANSWER_PATIENCE_MS, () => round.settle())
+        round.settle = () => {
+          enough.cancel()
+          patience.cancel()
+          resolve()
+        }
+      })
+    },
+    onAnswer: (number, report) => {
+      const question = questions.get(number)
+      if (question === undefined) return
+      questions.delete(number)
+      stateOf(question.startId).unanswered = 0
+      if (report !== undefined) options.onReport(report)
+      const { round } = question
+      round.answered++
+      const late = clock.nowMs() - round.askedAtMs >= ENOUGH_AFTER_MS
+      if (round.answered >= round.waitingFor || (late && round.answered >= ENOUGH_ANSWERS)) round.settle()
+    },
+    answers: endpoint => stateOf(endpoint.startId).unanswered < MAX_UNANSWERED,
+    forget: endpoint => { agents.delete(endpoint.startId) }
+  }
+}
--- a/packages/anvilarch-serving/src/endpoints/loadTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadTable.ts
@@ -1,29 +1,18 @@
-/** How busy each endpoint is: reports of its agent, and what this process has sent since. */
+/** How busy each endpoint is: what its agent has answered, and what this process has sent since. */
 import type { Clock } from 'anvilarch-utils'
-
-/** What an agent says of the engine beside it. */
-export interface LoadReport {
-  /** The start of the engine that the report is about; see `startIdOf`. */
-  startId: string
-  /** Requests that run, batch items included. */
-  running: number
-  waiting: number
-  /** Batch items among those that run; they give way within some ten milliseconds. */
-  batchRunning: number
-  /** False when the engine does not answer its agent. */
-  reachable: boolean
-}
+import type { LoadReport } from './peerMessages'
 
 /** Load as far as this process can tell. */
 export interface EndpointLoad {
-  /** Requests that run or wait and do not give way. */
+  /** Requests that run or wait and do not give way; of this process alone where no agent has told. */
   online: number
-  waiting: number
   batchRunning: number
   /** Requests of this process that are in progress there. */
   ownInProgress: number
   /** Failures have been seen that other endpoints do not show. */
   suspected: boolean
+  /** Time since the agent told; `Infinity` where it has not, or so long ago that it says nothing any more. */
+  ageMs: number
 }
 
 /** Loads by start of an endpoint. */
@@ -38,11 +27,11 @@
   forget: (startId: string) => void
 }
 
-/** Reports come every 50 ms; an older one than this says nothing, and own counts alone are used. */
+/** An older report than this says nothing, and own counts alone are used. */
 export const REPORT_MAX_AGE_MS = 600
 
-/** A report does not show what was sent this shortly before it came: the way to the engine and back. */
-export const REPORT_TRANSIT_MS = 10
+/** A report does not show what was sent this shortly before it came: the way to the agent and back. */
+export const REPORT_TRANSIT_MS = 3
 
 /** First time that an endpoint is passed over after a failure, doubled by each further one. */
 export const SUSPECT_MS = 300
@@ -51,7 +40,7 @@
 export const MAX_SUSPECT_MS = 4000
 
 /** Of an endpoint that this process has heard nothing of, or has forgotten since it is gone. */
-const UNKNOWN_LOAD: EndpointLoad = { online: 0, waiting: 0, batchRunning: 0, ownInProgress: 0, suspected: false }
+const UNKNOWN_LOAD: EndpointLoad = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: Infinity }
 
 interface Entry {
   report?: LoadReport
@@ -91,13 +80,13 @@
     onSent: startId => {
       const entry = entryOf(startId)
       entry.ownInProgress++
-      entry.sentAtMs.push(clock.nowMs())
+      if (entry.report !== undefined) entry.sentAtMs.push(clock.nowMs())
     },
     onEnded: startId => {
       const entry = entries.get(startId)
       if (entry === undefined) return
       entry.ownInProgress = Math.max(0, entry.ownInProgress - 1)
-      entry.endedAtMs.push(clock.nowMs())
+      if (entry.report !== undefined) entry.endedAtMs.push(clock.nowMs())
     },
     onFailure: startId => {
       const entry = entries.get(startId)
@@ -116,19 +105,17 @@
       const entry = entries.get(startId)
       if (entry === undefined) return UNKNOWN_LOAD
       const nowMs = clock.nowMs()
-      const fresh = entry.report !== undefined && nowMs - entry.reportedAtMs <= REPORT_MAX_AGE_MS
-      const suspected = nowMs < entry.suspectedUntilMs || (fresh && entry.report?.reachable === false)
-      if (!fresh || entry.report === undefined) {
-        return { online: entry.ownInProgress, waiting: 0, batchRunning: 0, ownInProgress: entry.ownInProgress, suspected }
+      const { report, ownInProgress } = entry
+      const ageMs = nowMs - entry.reportedAtMs
+      if (report === undefined || ageMs > REPORT_MAX_AGE_MS) {
+        return { online: ownInProgress, batchRunning: 0, ownInProgress, suspected: nowMs < entry.suspectedUntilMs, ageMs: Infinity }
       }
-      const reported = entry.report.running - entry.report.batchRunning + entry.report.waiting
-      const since = entry.sentAtMs.length - entry.endedAtMs.length
       return {
-        online: Math.max(0, reported + since),
-        waiting: entry.report.waiting,
-        batchRunning: entry.report.batchRunning,
-        ownInProgress: entry.ownInProgress,
-        suspected
+        online: Math.max(0, report.online + entry.sentAtMs.length - entry.endedAtMs.length),
+        batchRunning: report.batchRunning,
+        ownInProgress,
+        suspected: nowMs < entry.suspectedUntilMs || !report.reachable,
+        ageMs
       }
     },
     forget: startId => { entries.delete(startId) }
--- /dev/null
+++ b/packages/anvilarch-serving/src/endpoints/peerSocket.ts
@@ -0,0 +1,59 @@
+/** The socket by which a daemon exchanges datagrams with others. */
+import { createSocket } from 'node:dgram'
+import type { Clock } from 'anvilarch-utils'
+import type { EventLog } from '../telemetry/events'
+import { createLineBudget } from '../telemetry/lineBudget'
+import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peerMessages'
+
+/** Where a process listens. */
+export interface PeerAddress {
+  ip: string
+  port: number
+}
+
+/** A socket for messages of peers. */
+export interface PeerSocket {
+  send: (message: PeerMessage, to: PeerAddress) => void
+  close: () => void
+}
+
+/** Lines about datagrams that are no message; anybody may send those. */
+const UNREADABLE_LINES_PER_SECOND = 1
+
+/** Options of `openPeerSocket`. */
+export interface PeerSocketOptions {
+  clock: Clock
+  log: EventLog
+  own: PeerAddress
+  onMessage: (message: PeerMessage, from: PeerAddress) => void
+}
+
+/**
+ * @param options - address and listener
+ * @returns the open socket
+ */
+export function openPeerSocket (options: PeerSocketOptions): PeerSocket {
+  const { log, own } = options
+  const unreadableLines = createLineBudget(options.clock, UNREADABLE_LINES_PER_SECOND)
+  const socket = createSocket('udp4')
+  let closed = false
+  socket.on('error', error => log.warn('peer socket failed', { reason: error.message }))
+  socket.on('message', (bytes, sender) => {
+    const message = decodePeerMessage(bytes)
+    if (message !== undefined) options.onMessage(message, { ip: sender.address, port: sender.port })
+    else if (unreadableLines.take()) log.warn('peer message not readable', { from: sender.address, bytes: bytes.length })
+  })
+  socket.bind(own.port, own.ip)
+  return {
+    send: (message, to) => {
+      if (closed) return
+      socket.send(encodePeerMessage(message), to.port, to.ip, () => {
+        // A datagram that cannot be sent is as good as a lost one.
+      })
+    },
+    close: () => {
+      closed = true
+      socket.close()
+    }
+  }
+}
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -1,10 +1,9 @@
 /** Takes one client request through its attempts until it is answered, its time is over or its client has left. */
-import type { Endpoint } from '../model/types'
 import { chooseService } from '../routing/matchRoute'
 import type { OwnAnswer } from './clientAnswer'
 import { type ClientRequest, type ForwardParts, repeatedRequestOf, type RequestState } from './forwardTypes'
-import { checkOverload, type Overload } from './overload'
-import { createRequestEnd } from './requestEnd'
+import { checkOverload, type Overload, type Refusal } from './overload'
+import { createRequestEnd, type RequestEnd } from './requestEnd'
 import { createRequestTrail } from './requestTrail'
 import { createAttempts } from './sendAttempts'
 
@@ -44,23 +43,33 @@
     end.answer(QUARANTINED_ANSWER)
     return
   }
-  const candidates = state.service === undefined ? [] : parts.endpoints.usable(state.service)
-  const overload = overloadOf(parts, client, state, candidates)
-  if (!overload.refused) {
-    attempts.send()
-    return
-  }
-  const loads = candidates.map(candidate => parts.loads.loadOf(candidate.startId))
+  attempts.prepare()
+    .then(() => {
+      if (end.hasEnded()) return
+      const overload = overloadOf(parts, client, state)
+      if (overload.refused) refuse(parts, client, state, end, overload)
+      else attempts.sendPrepared()
+    })
+    .catch(error => {
+      parts.log.error('request handling failed', { reason: (error as Error).message })
+      end.breakOff('internal_error')
+    })
+}
+
+function refuse (parts: ForwardParts, client: ClientRequest, state: RequestState, end: RequestEnd, overload: Refusal): void {
+  const known = state.service === undefined ? [] : parts.placement.known(state.service)
+  const loads = known.map(parts.placement.loadOf)
   parts.log.info('request refused', {
     requestId: client.metadata.requestId,
     reason: overload.reason,
     waitMs: Math.round(overload.waitMs),
     objectiveMs: client.route.latencyObjectiveMs,
-    remainingMs: Math.round(state.deadlineAtMs - clock.nowMs()),
-    candidateCount: candidates.length,
+    remainingMs: Math.round(state.deadlineAtMs - parts.clock.nowMs()),
+    candidateCount: state.service === undefined ? 0 : parts.placement.count(state.service),
+    knownCount: known.length,
     suspectedCount: loads.filter(load => load.suspected).length,
     leastOnline: Math.min(...loads.map(load => load.online)),
-    slots: candidates[0]?.slots ?? 0
+    slots: known[0]?.slots ?? 0
   })
   end.answer({ status: 503, code: 'overloaded', message: 'all endpoints are full', retryAfterMs: overload.retryAfterMs })
 }
@@ -82,11 +91,11 @@
   }
 }
 
-function overloadOf (parts: ForwardParts, { route }: ClientRequest, state: RequestState, candidates: readonly Endpoint[]): Overload {
+function overloadOf (parts: ForwardParts, { route }: ClientRequest, state: RequestState): Overload {
   if (state.service === undefined) return { refused: false }
   return checkOverload({
-    candidates,
-    loadOf: parts.loads.loadOf,
+    candidates: parts.placement.known(state.service),
+    loadOf: parts.placement.loadOf,
     holdMs: parts.holdTimes.holdMs(state.service),
     latencyObjectiveMs: route.latencyObjectiveMs,
     remainingMs: state.deadlineAtMs - parts.clock.nowMs(),
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -4,8 +4,9 @@
 import type { CrashWatch } from '../crashes/crashWatch'
 import type { RepeatedRequest } from '../crashes/fingerprint'
 import type { ConnectionPools } from '../endpoints/connectionPools'
-import type { EndpointTable } from '../endpoints/endpointTable'
 import type { LoadTable } from '../endpoints/loadTable'
+import type { Placement, PlacementTerms } from '../endpoints/placement'
+import type { UseNotices } from '../endpoints/useNotices'
 import type { RequestMetadata, Route } from '../model/types'
 import type { LineBudget } from '../telemetry/lineBudget'
 import type { ServingMetrics } from '../telemetry/metrics'
@@ -21,8 +22,9 @@
   clock: Clock
   log: EventLog
   metrics: ServingMetrics
-  endpoints: EndpointTable
   loads: LoadTable
+  placement: Placement
+  use: UseNotices
   pools: ConnectionPools
   wire: RequestWire
   notice: ClosingNotice
@@ -30,7 +32,6 @@
   crashes: CrashWatch
   /** Bounds the lines about requests that went well. */
   lines: LineBudget
-  ownFailureDomain: string
   draw: () => number
 }
 
@@ -51,6 +52,16 @@
   return { method: request.method ?? '', host: request.headers.host ?? '', path: request.url ?? '', body }
 }
 
+/**
+ * @param client - the request
+ * @param state - how far it has come
+ * @param service - where it goes
+ * @returns what its place depends on
+ */
+export function placementTerms (client: ClientRequest, state: RequestState, service: string): PlacementTerms {
+  return { service, sharedParts: client.metadata.promptParts.slice(0, -1), excluded: state.tried }
+}
+
 /** How far a request has come. */
 export interface RequestState {
   /** Service that the request goes to; undefined when its route has none. */
--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -11,7 +11,7 @@
 /** What the decision depends on. */
 export interface OverloadInput {
   candidates: readonly Endpoint[]
-  loadOf: (startId: string) => EndpointLoad
+  loadOf: (endpoint: Endpoint) => EndpointLoad
   /** How long a request holds a slot; undefined until enough have been seen. */
   holdMs: number | undefined
   latencyObjectiveMs: number
@@ -23,9 +23,15 @@
 }
 
 /** `wait_too_long`: the objective would be missed. `no_time`: even the deadline would. */
-export type Overload =
-  | { refused: false }
-  | { refused: true, reason: 'wait_too_long' | 'no_time', waitMs: number, retryAfterMs: number }
+export type Overload = { refused: false } | Refusal
+
+/** A refusal, with the wait that it is based on. */
+export interface Refusal {
+  refused: true
+  reason: 'wait_too_long' | 'no_time'
+  waitMs: number
+  retryAfterMs: number
+}
 
 /** Part of the objective that may pass in the queue; the rest is for the prompt and the first event. */
 const QUEUE_SHARE = 0.7
@@ -59,7 +65,7 @@
 
 /** Requests that wait at an endpoint get a slot one after another, each after the hold time divided by the slots. */
 function shortestWaitMs (input: OverloadInput, holdMs: number): number {
-  const loads = input.candidates.map(candidate => ({ load: input.loadOf(candidate.startId), slots: Math.max(1, candidate.slots) }))
+  const loads = input.candidates.map(candidate => ({ load: input.loadOf(candidate), slots: Math.max(1, candidate.slots) }))
   const trusted = loads.filter(({ load }) => !load.suspected)
   const waits = (trusted.length > 0 ? trusted : loads).map(({ load, slots }) => Math.max(0, load.online - slots + 1) * holdMs / slots)
   return Math.min(...waits)
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -1,17 +1,18 @@
 /** Sends one request to endpoints, one after another, until one has answered or none may be tried any more. */
 import type { Timer } from 'anvilarch-utils'
-import { chooseEndpoint } from '../endpoints/chooseEndpoint'
 import type { Endpoint } from '../model/types'
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
-import { type ClientRequest, type ForwardParts, repeatedRequestOf, type RequestState } from './forwardTypes'
+import { type ClientRequest, type ForwardParts, placementTerms, repeatedRequestOf, type RequestState } from './forwardTypes'
 import type { RequestEnd } from './requestEnd'
 import { elapsedMs } from './requestTrail'
 import { type Attempt, type AttemptAnswer, isBrokenConnection, isConnectionRefused, isPassingRefusal, startAttempt } from './runAttempt'
 
 /** The attempts of one request. */
 export interface Attempts {
+  /** Finds out which endpoints are free. @returns a promise that resolves when it is time to choose one */
+  prepare: () => Promise<void>
   /** Sends to the best endpoint that has not been tried. */
-  send: () => void
+  sendPrepared: () => void
   /** Ends the attempt in progress; nothing is sent afterwards. */
   stop: () => void
   /** Answers that no whole answer came in time. */
@@ -51,23 +52,25 @@
   let lastEventAtMs: number | undefined
   /** Of the send in progress, until its first event or answer. */
   let sentAtMs: number | undefined
-  /** Of the last choice. */
-  let candidateCount = 0
+  let stopped = false
 
   const remainingMs = (): number => state.deadlineAtMs - clock.nowMs()
 
-  const choose = (): Endpoint | undefined => {
-    if (state.service === undefined) return undefined
-    const candidates = parts.endpoints.usable(state.service)
-    candidateCount = candidates.length
-    return chooseEndpoint({
-      candidates,
-      loadOf: loads.loadOf,
-      excluded: state.tried,
-      sharedParts: metadata.promptParts.slice(0, -1),
-      ownFailureDomain: parts.ownFailureDomain,
-      draw: parts.draw
-    })
+  const choose = (): Endpoint | undefined =>
+    state.service === undefined ? undefined : parts.placement.choose(placementTerms(client, state, state.service))
+
+  const prepare = async (): Promise<void> => {
+    if (state.service !== undefined) await parts.placement.prepare(placementTerms(client, state, state.service))
+  }
+
+  /** After a failure: loads are asked for anew, since an endpoint that fails leaves its requests to the others. */
+  const sendAgain = (): void => {
+    prepare()
+      .then(() => { if (!stopped) sendPrepared() })
+      .catch(error => {
+        log.error('request handling failed', { reason: (error as Error).message })
+        end.breakOff('internal_error')
+      })
   }
 
   const mayOfferOnceMore = (): boolean => state.offers < MAX_OFFERS && choose() !== undefined
@@ -84,7 +87,10 @@
     const left = running
     running = undefined
     silence?.cancel()
-    if (left !== undefined) loads.onEnded(left.endpoint.startId)
+    if (left !== undefined) {
+      loads.onEnded(left.endpoint.startId)
+      parts.use.onEnded(left.endpoint)
+    }
     return left
   }
 
@@ -101,7 +107,7 @@
   }
 
   const steps: Record<NextStep, (reason: string) => void> = {
-    send_again: () => send(),
+    send_again: sendAgain,
     refuse: reason => end.answer({ status: 503, code: 'not_run', message: `no endpoint took the request (${reason})`, retryAfterMs: REFUSED_RETRY_AFTER_MS }),
     fail: reason => end.answer({ status: 502, code: 'endpoint_failed', message: `the endpoint gave no whole answer (${reason})` }),
     time_out: reason => end.answer({ status: 504, code: 'timeout', message: `no whole answer within ${state.limitMs} ms (${reason})` }),
@@ -138,7 +144,7 @@
     logFailure(endpoint, 'may_have_run', `status ${whole.status}`)
     metrics.attemptFailures.inc({ kind: route.kind, reason: 'endpoint_status' })
     state.failedAnswer = whole
-    send()
+    sendAgain()
     return true
   }
 
@@ -216,13 +222,14 @@
       batchRunning: load.batchRunning,
       slots: endpoint.slots,
       suspected: load.suspected,
-      candidateCount,
+      candidateCount: state.service === undefined ? 0 : parts.placement.count(state.service),
+      loadAgeMs: Number.isFinite(load.ageMs) ? Math.round(load.ageMs) : undefined,
       remainingMs: Math.round(remainingMs()),
       afterMs: elapsedMs(clock, client.arrivedAtMs)
     })
   }
 
-  const send = (): void => {
+  const sendPrepared = (): void => {
     const endpoint = choose()
     if (endpoint === undefined) {
       end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
@@ -234,13 +241,18 @@
     state.offers++
     sentAtMs = clock.nowMs()
     loads.onSent(endpoint.startId)
+    parts.use.onSent(endpoint)
     running = { endpoint, attempt: startAt(endpoint) }
     watchSilence(endpoint)
   }
 
   return {
-    send,
-    stop: () => leaveRunning()?.attempt.abort(),
+    prepare,
+    sendPrepared,
+    stop: () => {
+      stopped = true
+      leaveRunning()?.attempt.abort()
+    },
     timeOut: () => {
       if (state.answerBegun) end.breakOff('timeout')
       else steps.time_out('timeout')
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -1,5 +1,6 @@
 /** The agent: runs batch items at the engine beside it and tells gateways how busy that engine is. */
-import { createLoadPublisher } from '../endpoints/loadFeed'
+import { openPeerSocket, type PeerAddress } from '../endpoints/peerSocket'
+import type { PeerMessage } from '../endpoints/peerMessages'
 import { startExchange } from '../endpoints/exchange'
 import { createPool, type Pool } from '../endpoints/httpPool'
 import { startHeartbeat } from '../peers/heartbeat'
@@ -40,7 +41,6 @@
   view.follow({ table: CLAIM_TABLE, partitions: JOB_PARTITIONS, listener: view.work.listeners.claims, intervalMs: CLAIM_FEED_INTERVAL_MS })
   const pace = createPace()
   const heartbeat = startHeartbeat(context, { role: 'agent', onWritten: view.work.learn, details: () => ({ eventMs: pace.eventMs() }) })
-  const publisher = createLoadPublisher(clock, { ip: settings.ip, port: settings.peerPort }, log)
   const pool = createPool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
   const runner = startBatchRunner({
     store: context.store,
@@ -60,15 +60,19 @@
     retentionMs: settings.retentionMs,
     membersListedAtMs: () => view.answeredAtMs(MEMBER_TABLE),
     readReport: () => readReport(pool, context.wire.engine, clock),
-    publish: publisher.publish,
     pace
   })
   othersHoldItems = runner.watchesOthers
+  const onMessage = (message: PeerMessage, from: PeerAddress): void => {
+    if (message.message === 'load_question') peers.send({ message: 'load_answer', number: message.number, report: runner.load() }, from)
+    else if (message.message === 'use') runner.onUse(`${from.ip}:${from.port}`, message.startId, message.inProgress)
+  }
+  const peers = openPeerSocket({ clock, log, own: { ip: settings.ip, port: settings.peerPort }, onMessage })
   const close = once(async () => {
     runner.halt()
     heartbeat.stop()
     view.close()
-    publisher.close()
+    peers.close()
     await pool.destroy()
   })
   return {
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -5,10 +5,16 @@
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
 import { createSuspectTable } from '../crashes/suspectTable'
 import { createConnectionPools } from '../endpoints/connectionPools'
-import { subscribeToLoads } from '../endpoints/loadFeed'
+import type { EndpointTable } from '../endpoints/endpointTable'
+import { createLoadAsker } from '../endpoints/loadAsker'
 import { createLoadTable } from '../endpoints/loadTable'
+import type { LoadReport } from '../endpoints/peerMessages'
+import { openPeerSocket } from '../endpoints/peerSocket'
+import { createPlacement } from '../endpoints/placement'
+import { createUseNotices } from '../endpoints/useNotices'
 import { createJobCalls, type JobCalls } from '../jobs/jobCalls'
 import { createResultReader } from '../jobs/resultReader'
+import type { WorkTable } from '../jobs/workTable'
 import type { ConfigurationHolder } from '../configuration/configurationHolder'
 import type { Configuration } from '../model/types'
 import { type ClosingNotice, sendOwnAnswer } from '../requests/clientAnswer'
@@ -76,9 +82,33 @@
   const shared = shareSuspects(context, suspects)
   const crashes = createCrashWatch(suspects, shared.publish)
   view.follow({ table: SUSPECT_TABLE, partitions: SHARED_PARTITIONS, listener: shared.listener })
+  const onReport = (report: LoadReport): void => {
+    // A report about a start that is not listed yet comes again; kept, it would stay for ever if that start never is.
+    if (!view.endpoints.hasStart(report.startId)) return
+    loads.onReport(report)
+    if (!report.reachable) crashes.onEndpointLost(report.startId)
+  }
+  const peers = openPeerSocket({
+    clock,
+    log,
+    own: { ip: settings.ip, port: settings.peerPort },
+    onMessage: message => { if (message.message === 'load_answer') asker.onAnswer(message.number, message.report) }
+  })
+  const asker = createLoadAsker({ clock, send: peers.send, peerPort: settings.peerPort, onReport })
+  const use = createUseNotices({ clock, send: peers.send, peerPort: settings.peerPort, hasAgent: asker.answers })
+  const placement = createPlacement({
+    endpoints: view.endpoints,
+    loads,
+    asker,
+    ownFailureDomain: settings.failureDomain,
+    gatewayCount: () => gatewayCount(view.work, context.store.storeNowMs()),
+    draw: () => context.random.next()
+  })
   view.endpoints.onGone(endpoint => {
     pools.release(endpoint)
     loads.forget(endpoint.startId)
+    asker.forget(endpoint)
+    use.forget(endpoint)
     // One that drains ends by plan.
     if (endpoint.state === 'ready') crashes.onEndpointLost(endpoint.startId)
   })
@@ -86,15 +116,15 @@
     clock,
     log: log.child('requests'),
     metrics: context.metrics,
-    endpoints: view.endpoints,
     loads,
+    placement,
+    use,
     pools,
     wire: wire.request,
     notice,
     holdTimes: createHoldTimes(),
     crashes,
     lines: createLineBudget(clock, GOOD_LINES_PER_SECOND),
-    ownFailureDomain: settings.failureDomain,
     draw: () => context.random.next()
   }
   const jobs = createJobCalls({
@@ -107,26 +137,13 @@
     wire: wire.job,
     notice
   })
-  const subscriber = subscribeToLoads({
-    clock,
-    log,
-    own: { ip: settings.ip, port: settings.peerPort },
-    agents: () => view.endpoints.all().map(endpoint => ({ ip: endpoint.address.split(':')[0], port: settings.peerPort })),
-    // A report about a start that is not listed yet comes again; kept, it would stay for ever if that start never is.
-    onReport: report => {
-      if (!view.endpoints.hasStart(report.startId)) return
-      loads.onReport(report)
-      if (!report.reachable) crashes.onEndpointLost(report.startId)
-    },
-    signal: context.stopping
-  })
   const heartbeat = startHeartbeat(context, { role: 'gateway', onWritten: view.work.learn })
 
   const clients = createClientServer({
     log,
     clock,
     onRequest: (request, response) => {
-      handleClient({ request, response, forward, jobs, configuration: view.configuration, notice })
+      handleClient({ request, response, forward, jobs, configuration: view.configuration, endpoints: view.endpoints, notice })
         .catch(error => {
           log.error('request handling failed', { reason: (error as Error).message })
           response.destroy()
@@ -145,7 +162,8 @@
   const close = once(async () => {
     heartbeat.stop()
     view.close()
-    subscriber.close()
+    use.close()
+    peers.close()
     for (const server of [clients.server, readiness]) {
       server.close()
       server.closeAllConnections()
@@ -183,12 +201,23 @@
   })
 }
 
+/** Used until the daemons have been listed. */
+const USUAL_GATEWAY_COUNT = 4
+
+/** @returns how many gateways send to the same endpoints */
+function gatewayCount (work: WorkTable, storeNowMs: number | undefined): number {
+  let count = 0
+  for (const { record } of work.members()) if (record.role === 'gateway' && record.aliveUntilMs > (storeNowMs ?? 0)) count++
+  return count === 0 ? USUAL_GATEWAY_COUNT : count
+}
+
 interface ClientCall {
   request: IncomingMessage
   response: ServerResponse
   forward: ForwardParts
   jobs: JobCalls
   configuration: ConfigurationHolder
+  endpoints: EndpointTable
   notice: ClosingNotice
 }
 
@@ -240,11 +269,11 @@
  * A process that has just started knows configuration and endpoints some 30 ms after it listens. Clients who come
  * meanwhile wait for that; many have no further try after a refusal.
  */
-async function waitForConfiguration ({ configuration, forward }: ClientCall): Promise<Configuration | undefined> {
+async function waitForConfiguration ({ configuration, endpoints, forward }: ClientCall): Promise<Configuration | undefined> {
   const untilMs = forward.clock.nowMs() + START_PATIENCE_MS
   for (;;) {
     const current = configuration.current()
-    if (current !== undefined && forward.endpoints.hasListing()) return current
+    if (current !== undefined && endpoints.hasListing()) return current
     if (forward.clock.nowMs() > untilMs) return current
     await sleep(forward.clock, START_POLL_MS)
   }
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -1,7 +1,7 @@
 /** What an adapter hands to a role. */
 import type { Clock, Random } from 'anvilarch-utils'
-import type { LoadReport } from '../endpoints/loadTable'
-import type { PeerAddress } from '../endpoints/loadFeed'
+import type { LoadReport } from '../endpoints/peerMessages'
+import type { PeerAddress } from '../endpoints/peerSocket'
 import type { JobItem } from '../jobs/types'
 import type { JobResult, ResultPage } from '../jobs/resultReader'
 import type { Configuration, EndpointRow } from '../model/types'
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -27,6 +27,8 @@
   runs: EngineRun[]
   /** Requests of online clients, which the engine runs or lets wait. */
   online: { running: number, waiting: number }
+  /** A gateway tells how many of its requests are in progress. */
+  tell: (inProgress: number) => void
   runningItems: () => EngineRun[]
 }
 
@@ -111,10 +113,10 @@
     retentionMs: 900_000,
     membersListedAtMs: () => clock.nowMs(),
     readReport: async () => ({ running: runningItems().length + online.running, waiting: online.waiting, bornAtMs: undefined }),
-    publish: () => {},
     pace: createPace()
   })
-  return { clock, runner, runs, online, runningItems }
+  const tell = (inProgress: number): void => runner.onUse('gateway', 'e1', inProgress)
+  return { clock, runner, runs, online, tell, runningItems }
 }
 
 function endpointWith (slots: number): Endpoint {
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -3,17 +3,20 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { JobRecord } from '../jobs/types'
 import { matchRoute } from '../routing/matchRoute'
+import type { LoadReport } from '../endpoints/peerMessages'
 import { createEngineView } from './engineView'
 import { fleetEventMs } from './fleetPace'
 import { createHeldItemCare } from './heldItemCare'
 import { createHeldItems } from './heldItems'
 import type { ItemChoiceInput } from './itemChoice'
 import { createItemSteps } from './itemSteps'
+import { createLookSchedule } from './lookSchedule'
+import { createOnlineUse } from './onlineUse'
 import { createRefusals } from './refusals'
 import { createSlotBalance } from './slotBalance'
 import type { RunnerParts, RunnerState } from './types'
 import { createUpkeep } from './upkeep'
-import { othersHoldItems } from './itemChoice'
+import { hasOpenJobs, othersHoldItems } from './itemChoice'
 
 /** A batch runner at work. */
 export interface BatchRunner {
@@ -21,15 +24,22 @@
   stop: () => Promise<void>
   /** Drops everything at once; the claims lapse. */
   halt: () => void
+  /** A gateway has told how many of its requests are in progress at a start of the engine. */
+  onUse: (gateway: string, startId: string, inProgress: number) => void
+  /** @returns how busy the engine is; undefined while it is not known which start it is */
+  load: () => LoadReport | undefined
   /** @returns whether other runners hold items, so that it matters whether they are alive */
   watchesOthers: () => boolean
 }
 
-/** Pause between two looks at the engine while items are held. Online requests come about every 100 ms in a burst. */
-const BUSY_TICK_MS = 20
+/** Longest pause between two looks at the engine while there is batch work: an item waits half of it for a slot that nobody has told of. */
+const BUSY_LOOK_MS = 120
 
-/** The same without batch work; the report also tells gateways of the load. */
-const IDLE_TICK_MS = 40
+/** The same without batch work. Looks then only correct what gateways tell, and find an engine that does not answer. */
+const IDLE_LOOK_MS = 250
+
+/** Shortest pause between two looks: a look costs some 0.4 ms of processor time, and requests end at an engine every 50 ms in a burst. */
+const MIN_LOOK_MS = 40
 
 /** After an outage of the store, heartbeats of others have this long to come back before their claims are taken. */
 const HEARTBEAT_GRACE_MS = 2500
@@ -68,7 +78,14 @@
       held.all().forEach(entry => entry.refusals.reset())
     }
   })
-  const steps = createItemSteps({ ...parts, engine, held, engineRefusals, submissions: createResultReader(parts.store), stopping: controller.signal })
+  const looks = createLookSchedule({ clock, minPauseMs: MIN_LOOK_MS, maxPauseMs: () => hasWork() ? BUSY_LOOK_MS : IDLE_LOOK_MS })
+  const use = createOnlineUse(clock)
+  const steps = createItemSteps({
+    ...parts, engine, held, engineRefusals, submissions: createResultReader(parts.store), stopping: controller.signal, onSlotFreed: looks.request
+  })
+  let reachable = false
+  /** Whether an item may want a slot that becomes free. */
+  const hasWork = (): boolean => held.all().length > 0 || hasOpenJobs(parts.work)
 
   const mayRun = (job: JobRecord): boolean => {
     const configuration = parts.configuration()
@@ -104,36 +121,44 @@
     const report = await parts.readReport()
     const endpoint = engine.look(report)
     care.review()
-    if (endpoint !== undefined) {
-      parts.publish({
-        startId: endpoint.startId,
-        running: report?.running ?? 0,
-        waiting: report?.waiting ?? 0,
-        batchRunning: held.inState('running').length,
-        reachable: report !== undefined
-      })
+    reachable = report !== undefined
+    if (report !== undefined && endpoint !== undefined) {
+      use.onLook(endpoint.startId, Math.max(0, report.running + report.waiting - held.inState('running').length))
+      balance.onLook(report, endpoint, reportAskedAtMs)
     }
-    if (report !== undefined && endpoint !== undefined) balance(report, endpoint, reportAskedAtMs)
     care.learnPace()
     care.saveRunning()
     care.releaseUnwanted(endpoint)
   }
 
-  const repeat = async (intervalMs: () => number, action: () => Promise<void>): Promise<void> => {
+  const repeat = async (pause: () => Promise<void>, action: () => Promise<void>): Promise<void> => {
     while (!controller.signal.aborted) {
       try {
         await action()
       } catch (error) {
         log.error('runner step failed', { reason: (error as Error).message })
       }
-      await sleep(clock, intervalMs(), controller.signal)
+      await pause()
     }
   }
-  runInBackground(log, 'runner', () => repeat(() => held.all().length > 0 ? BUSY_TICK_MS : IDLE_TICK_MS, tick))
-  runInBackground(log, 'retention', () => repeat(() => RETENTION_INTERVAL_MS, upkeep.retire))
-  runInBackground(log, 'expiry', () => repeat(() => EXPIRY_INTERVAL_MS, upkeep.expire))
+  runInBackground(log, 'runner', () => repeat(() => looks.next(controller.signal), tick))
+  runInBackground(log, 'retention', () => repeat(() => sleep(clock, RETENTION_INTERVAL_MS, controller.signal), upkeep.retire))
+  runInBackground(log, 'expiry', () => repeat(() => sleep(clock, EXPIRY_INTERVAL_MS, controller.signal), upkeep.expire))
 
   return {
+    onUse: (gateway, startId, inProgress) => {
+      const before = use.online()
+      use.onNotice(gateway, startId, inProgress)
+      const now = use.online()
+      const endpoint = engine.current()
+      if (now > before && endpoint !== undefined) balance.onOnline(now, endpoint)
+      if (now < before && hasWork()) looks.request()
+    },
+    load: () => {
+      const endpoint = engine.current()
+      if (endpoint === undefined) return undefined
+      return { startId: endpoint.startId, online: use.online(), batchRunning: held.inState('running').length, reachable }
+    },
     watchesOthers: () => othersHoldItems(parts.work, parts.runner),
     halt: () => {
       controller.abort()
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -1,6 +1,6 @@
 /** Chooses the next items of a runner. */
 import { v3 as murmurhash } from 'murmurhash'
-import { openItems } from '../jobs/jobRecord'
+import { isClosed, openItems } from '../jobs/jobRecord'
 import type { ClaimRecord, JobRecord, MemberRecord } from '../jobs/types'
 import type { WorkTable } from '../jobs/workTable'
 
@@ -125,3 +125,9 @@
   }
   return false
 }
+
+/** @returns whether a job is open, so that there may be an item to run */
+export function hasOpenJobs (work: Pick<WorkTable, 'jobs'>): boolean {
+  for (const { record: job } of work.jobs()) if (!isClosed(job)) return true
+  return false
+}
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -27,6 +27,8 @@
   engineRefusals: Refusals
   /** Aborted when nothing may start any more. */
   stopping: AbortSignal
+  /** Called when an item no longer takes a slot of the engine. */
+  onSlotFreed: () => void
 }
 
 /** Why an item is let go of before it has ended. */
@@ -122,6 +124,7 @@
 
   const onRunEnd = (entry: HeldItem, end: RunEnd, fromEventId: number): void => {
     entry.run = undefined
+    parts.onSlotFreed()
     parts.metrics.itemRuns.inc({ outcome: end.end })
     log.info('item run ended', {
       jobId: entry.jobId,
@@ -190,6 +193,7 @@
     if (!claimed) {
       held.leaveToOthers(entry)
       held.drop(entry)
+      parts.onSlotFreed()
       return
     }
     if (items.err || items.val?.[place] === undefined) {
--- a/packages/anvilarch-serving/src/runner/slack.ts
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Free slots that batch leaves. Online requests come to an engine about every 100 ms in a burst, and the agent sees them
- * within 25 ms; one free slot takes the request that comes meanwhile.
+ * Free slots that batch leaves. Online requests come to an engine about every 100 ms in a burst; the free slot takes one of
+ * them while the item that gives way for it is still being dropped by the engine.
  */
 export const RESERVED_SLOTS = 1
 
@@ -40,6 +40,19 @@
   return { start: Math.max(0, reportedFree - input.ownUnseen - RESERVED_SLOTS), stop: 0 }
 }
 
+/**
+ * Decides between two looks at the engine, when a gateway has just sent a request there.
+ *
+ * @param slots - of the engine
+ * @param online - requests that do not give way
+ * @param ownItems - batch items that run
+ * @returns how many items give way
+ */
+export function itemsToStop (slots: number, online: number, ownItems: number): number {
+  const free = slots - online - ownItems
+  return Math.max(0, Math.min(ownItems, RESERVED_SLOTS - free))
+}
+
 /** A request reaches the engine beside the agent, and its report, within this time. */
 const UNSEEN_MS = 15
 
--- a/packages/anvilarch-serving/src/runner/slotBalance.ts
+++ b/packages/anvilarch-serving/src/runner/slotBalance.ts
@@ -5,11 +5,16 @@
 import type { HeldItem } from './heldItems'
 import { chooseItems, urgency } from './itemChoice'
 import { isWorkFresh } from './itemSteps'
-import { planSlack, unseenItems } from './slack'
+import { itemsToStop, planSlack, unseenItems } from './slack'
 import type { RunnerParts, RunnerState } from './types'
 
-/** Starts and stops items after each look at the engine. */
-export type SlotBalance = (report: EngineReport, endpoint: Endpoint, reportAskedAtMs: number) => void
+/** Starts and stops items. */
+export interface SlotBalance {
+  /** After a look at the engine. */
+  onLook: (report: EngineReport, endpoint: Endpoint, askedAtMs: number) => void
+  /** After a gateway has told of its requests, between two looks: items only stop. */
+  onOnline: (online: number, endpoint: Endpoint) => void
+}
 
 /**
  * @param parts - engine, store and work
@@ -48,16 +53,22 @@
     for (const entry of leastUrgentFirst.slice(0, count)) steps.pause(entry, 'online_requests')
   }
 
-  return (report, endpoint, reportAskedAtMs) => {
-    const running = held.inState('running')
-    const plan = planSlack({
-      slots: endpoint.slots,
-      running: report.running,
-      waiting: report.waiting,
-      ownItems: running.length,
-      ownUnseen: held.inState('claiming').length + unseenItems(running.map(entry => entry.startedAtMs), reportAskedAtMs)
-    })
-    if (plan.stop > 0) stopItems(plan.stop)
-    if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start)
+  return {
+    onLook: (report, endpoint, askedAtMs) => {
+      const running = held.inState('running')
+      const plan = planSlack({
+        slots: endpoint.slots,
+        running: report.running,
+        waiting: report.waiting,
+        ownItems: running.length,
+        ownUnseen: held.inState('claiming').length + unseenItems(running.map(entry => entry.startedAtMs), askedAtMs)
+      })
+      if (plan.stop > 0) stopItems(plan.stop)
+      if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start)
+    },
+    onOnline: (online, endpoint) => {
+      const count = itemsToStop(endpoint.slots, online, held.inState('running').length)
+      if (count > 0) stopItems(count)
+    }
   }
 }
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -1,7 +1,6 @@
 /** What the parts of a batch runner work with. */
 import type { Pool } from '../endpoints/httpPool'
 import type { EndpointTable } from '../endpoints/endpointTable'
-import type { LoadReport } from '../endpoints/loadTable'
 import type { Configuration } from '../model/types'
 import type { EngineReport, PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
@@ -27,7 +26,6 @@
   /** Local time at which the daemons were last listed; undefined before. */
   membersListedAtMs: () => number | undefined
   readReport: () => Promise<EngineReport | undefined>
-  publish: (report: LoadReport) => void
   pace: Pace
 }
 
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -57,8 +57,8 @@
   'item settled': { jobId: string, itemId: string, end: string, outcome: string }
 
   // Traffic between daemons.
-  'load feed socket failed': { reason: string }
-  'load report is not JSON': { reason: string }
+  'peer socket failed': { reason: string }
+  'peer message not readable': { from: string, bytes: number }
   'relayed call not read': { reason: string }
   'relayed call failed': { reason: string }
 
@@ -99,6 +99,8 @@
   remainingMs: number
   /** Endpoints that could have been chosen, those under suspicion among them, and requests at the least loaded one. */
   candidateCount: number
+  /** Endpoints whose load was known at that moment; all below is of these. */
+  knownCount: number
   suspectedCount: number
   leastOnline: number
   slots: number
@@ -116,6 +118,8 @@
   suspected: boolean
   /** Endpoints that could have been chosen. */
   candidateCount: number
+  /** Since the agent told of its load; undefined when it has not. */
+  loadAgeMs: number | undefined
   remainingMs: number
   afterMs: number
 }
