Add logs report: load, slots, losses and events by second as one page

A gateway writes a line a second of what became of its requests, an agent one of how the slots of its engine are used; answers that are late have their line like failures.

--- a/packages/anvilarch-bench/src/experiments/logCost.ts
+++ b/packages/anvilarch-bench/src/experiments/logCost.ts
@@ -98,5 +98,5 @@
 }
 
 function endOf (requestId: string, outcome: string): EventFields['request ended'] {
-  return { requestId, route: 'r-pes2etv', kind: 'stream', outcome, configurationVersion: 7, attempts: 1, offers: 1, lastEventId: 35, elapsedMs: 794, endpoint: 'i-25e40e7ffa', status: 200 }
+  return { requestId, route: 'r-pes2etv', kind: 'stream', outcome, configurationVersion: 7, attempts: 1, offers: 1, lastEventId: 35, firstEventMs: 31, elapsedMs: 794, endpoint: 'i-25e40e7ffa', status: 200 }
 }
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -25,6 +25,7 @@
  */
 export function forwardRequest (parts: ForwardParts, client: ClientRequest): void {
   const { clock } = parts
+  parts.traffic.onArrival()
   const state = createRequestState(parts, client)
   const end = createRequestEnd(parts, client, state, () => expiry.cancel())
   const attempts = createAttempts(parts, client, state, end)
@@ -87,6 +88,7 @@
     lastEventId: metadata.lastEventId,
     answerBegun: false,
     firstEventAtMs: undefined,
+    gapTooLong: false,
     failedAnswer: undefined
   }
 }
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -9,6 +9,7 @@
 import type { UseNotices } from '../endpoints/useNotices'
 import type { RequestMetadata, Route } from '../model/types'
 import type { LineBudget } from '../telemetry/lineBudget'
+import type { TrafficTally } from '../telemetry/trafficTally'
 import type { ServingMetrics } from '../telemetry/metrics'
 import type { ClosingNotice } from './clientAnswer'
 import type { HoldTimes } from './holdTimes'
@@ -30,6 +31,7 @@
   notice: ClosingNotice
   holdTimes: HoldTimes
   crashes: CrashWatch
+  traffic: TrafficTally
   /** Bounds the lines about requests that went well. */
   lines: LineBudget
   draw: () => number
@@ -79,6 +81,8 @@
   /** Whether the head of the answer has gone to the client. */
   answerBegun: boolean
   firstEventAtMs: number | undefined
+  /** Whether an event has come later after the one before than the route's objective allows. */
+  gapTooLong: boolean
   /** An endpoint's own failure; the client gets it if no other endpoint does better. */
   failedAnswer: AttemptAnswer | undefined
 }
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -2,11 +2,12 @@
 import type { ServerResponse } from 'node:http'
 import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import type { TrafficEnd } from '../telemetry/trafficTally'
 import { elapsedMs } from './requestTrail'
 import type { AttemptAnswer } from './runAttempt'
 
 /** Fields of the line about the end of a request. */
-type EndFields = Record<string, string | number | undefined>
+type EndFields = Record<string, string | number | boolean | undefined>
 
 /** The end of one request. Whatever comes after the first end is ignored. */
 export interface RequestEnd {
@@ -23,6 +24,11 @@
 /** From this status on an answer tells the client that its request has failed. */
 const FIRST_ERROR_STATUS = 400
 
+/** Ends that are no failure of the request; `refused` means that it has not run. */
+const TRAFFIC_ENDS: ReadonlyMap<string, TrafficEnd> = new Map([
+  ['overloaded', 'refused'], ['not_run', 'refused'], ['no_endpoint', 'refused'], ['quarantined', 'refused'], ['client_left', 'left']
+])
+
 /** Tells the client that its request has not run and never will. */
 const REFUSED_STATUS = 503
 
@@ -48,11 +54,22 @@
       attempts: state.attemptsThatMayHaveRun,
       offers: state.offers,
       lastEventId: state.lastEventId,
+      firstEventMs: state.firstEventAtMs === undefined ? undefined : Math.round(state.firstEventAtMs - client.arrivedAtMs),
       elapsedMs: elapsedMs(clock, client.arrivedAtMs),
       ...fields
     })
   }
 
+  const isLate = (): boolean => {
+    const onTimeMs = client.arrivedAtMs + route.latencyObjectiveMs
+    return state.gapTooLong || (state.firstEventAtMs ?? clock.nowMs()) > onTimeMs
+  }
+
+  const trafficEnd = (outcome: string): TrafficEnd => {
+    if (outcome === 'answered') return isLate() ? 'late' : 'answered'
+    return TRAFFIC_ENDS.get(outcome) ?? 'failed'
+  }
+
   /** @returns whether this is the first end */
   const end = (outcome: string, fields: EndFields = {}): boolean => {
     if (ended) return false
@@ -60,9 +77,12 @@
     onEnd()
     metrics.requests.inc({ kind: route.kind, service: state.service ?? 'none', outcome })
     metrics.requestSeconds.observe({ kind: route.kind }, (clock.nowMs() - client.arrivedAtMs) / 1000)
-    if (outcome !== 'answered') state.trail.reveal()
-    if (outcome === 'answered' && !parts.lines.take()) metrics.logLinesLeftOut.inc()
-    else logEnd(outcome, fields)
+    const result = trafficEnd(outcome)
+    parts.traffic.onEnd(result)
+    const wentWell = result === 'answered'
+    if (!wentWell) state.trail.reveal()
+    if (wentWell && !parts.lines.take()) metrics.logLinesLeftOut.inc()
+    else logEnd(outcome, result === 'late' ? { ...fields, late: true } : fields)
     return true
   }
 
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -3,6 +3,7 @@
 import type { PeerMessage } from '../endpoints/peerMessages'
 import { startExchange } from '../endpoints/exchange'
 import { createPool, type Pool } from '../endpoints/httpPool'
+import { logEachSecond } from '../telemetry/secondLines'
 import { startHeartbeat } from '../peers/heartbeat'
 import { CLAIM_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
 import { JOB_PARTITIONS } from '../jobs/partitions'
@@ -39,6 +40,7 @@
   let othersHoldItems = (): boolean => false
   const view = followPlatform(context, { membersIntervalMs: () => othersHoldItems() ? BUSY_MEMBERS_INTERVAL_MS : IDLE_MEMBERS_INTERVAL_MS })
   view.follow({ table: CLAIM_TABLE, partitions: JOB_PARTITIONS, listener: view.work.listeners.claims, intervalMs: CLAIM_FEED_INTERVAL_MS })
+  const closing = new AbortController()
   const pace = createPace()
   const heartbeat = startHeartbeat(context, { role: 'agent', onWritten: view.work.learn, details: () => ({ eventMs: pace.eventMs() }) })
   const pool = createPool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
@@ -68,7 +70,9 @@
     else if (message.message === 'use') runner.onUse(`${from.ip}:${from.port}`, message.startId, message.inProgress)
   }
   const peers = openPeerSocket({ clock, log, own: { ip: settings.ip, port: settings.peerPort }, onMessage })
+  logEachSecond({ clock, log, event: 'engine use', read: runner.use, signal: closing.signal })
   const close = once(async () => {
+    closing.abort()
     runner.halt()
     heartbeat.stop()
     view.close()
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -25,6 +25,8 @@
 import { matchRoute } from '../routing/matchRoute'
 import type { EventLog } from '../telemetry/events'
 import { createLineBudget } from '../telemetry/lineBudget'
+import { logEachSecond } from '../telemetry/secondLines'
+import { createTrafficTally } from '../telemetry/trafficTally'
 import { startHeartbeat } from '../peers/heartbeat'
 import { type ClientServer, createClientServer, headBytes } from './clientServer'
 import { followPlatform, SHARED_PARTITIONS } from './followPlatform'
@@ -112,6 +114,12 @@
     // One that drains ends by plan.
     if (endpoint.state === 'ready') crashes.onEndpointLost(endpoint.startId)
   })
+  const closing = new AbortController()
+  const traffic = createTrafficTally()
+  const ageMs = (table: string): number | undefined => {
+    const answeredAtMs = view.answeredAtMs(table)
+    return answeredAtMs === undefined ? undefined : Math.round(clock.nowMs() - answeredAtMs)
+  }
   const forward: ForwardParts = {
     clock,
     log: log.child('requests'),
@@ -124,6 +132,7 @@
     notice,
     holdTimes: createHoldTimes(),
     crashes,
+    traffic,
     lines: createLineBudget(clock, GOOD_LINES_PER_SECOND),
     draw: () => context.random.next()
   }
@@ -137,6 +146,16 @@
     wire: wire.job,
     notice
   })
+  logEachSecond({
+    clock,
+    log,
+    event: 'traffic',
+    read: () => {
+      const counts = traffic.take()
+      return counts === undefined ? undefined : { ...counts, configurationAgeMs: ageMs(wire.operator.configurationTable), endpointsAgeMs: ageMs(wire.operator.endpointTable) }
+    },
+    signal: closing.signal
+  })
   const heartbeat = startHeartbeat(context, { role: 'gateway', onWritten: view.work.learn })
 
   const clients = createClientServer({
@@ -160,6 +179,7 @@
   await listen(readiness, gateway.readiness.ip, gateway.readiness.port)
 
   const close = once(async () => {
+    closing.abort()
     heartbeat.stop()
     view.close()
     use.close()
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -3,6 +3,7 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { JobRecord } from '../jobs/types'
 import { matchRoute } from '../routing/matchRoute'
+import type { EventFields } from '../telemetry/events'
 import type { LoadReport } from '../endpoints/peerMessages'
 import { createEngineView } from './engineView'
 import { fleetEventMs } from './fleetPace'
@@ -28,6 +29,8 @@
   onUse: (gateway: string, startId: string, inProgress: number) => void
   /** @returns how busy the engine is; undefined while it is not known which start it is */
   load: () => LoadReport | undefined
+  /** @returns how the slots of the engine are used; undefined while there is no engine to tell of */
+  use: () => EventFields['engine use'] | undefined
   /** @returns whether other runners hold items, so that it matters whether they are alive */
   watchesOthers: () => boolean
 }
@@ -154,6 +157,18 @@
       if (now > before && endpoint !== undefined) balance.onOnline(now, endpoint)
       if (now < before && hasWork()) looks.request()
     },
+    use: () => {
+      const endpoint = engine.current()
+      if (endpoint === undefined) return undefined
+      return {
+        endpoint: endpoint.startId,
+        slots: endpoint.slots,
+        online: use.online(),
+        batchRunning: held.inState('running').length,
+        batchPaused: held.inState('paused').length,
+        reachable
+      }
+    },
     load: () => {
       const endpoint = engine.current()
       if (endpoint === undefined) return undefined
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -42,12 +42,15 @@
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
 
+  traffic: TrafficFields
+
   // Jobs and items.
   'job submitted': { jobId: string, route: string, itemCount: number, outcome: string, elapsedMs: number }
   'job over the limit of waiting tokens': { jobId: string, tokens: number, waitingTokens: number, limitTokens: number }
   'job ended by its client': { jobId: string, outcome: string }
   'job removed after its retention': { jobId: string }
   'items of a job cannot be read': { jobId: string, reason: string }
+  'engine use': EngineUseFields
   'item claimed': { jobId: string, itemId: string, fromEventId: number, dueInMs: number, expectedMs: number }
   'item run started': { jobId: string, itemId: string, endpoint: string, fromEventId: number }
   'item paused': { jobId: string, itemId: string, reason: string, lastEventId: number }
@@ -83,7 +86,11 @@
   /** Sends in all. */
   offers: number
   lastEventId: number | undefined
+  /** From the arrival to the first event of a stream. */
+  firstEventMs: number | undefined
   elapsedMs: number
+  /** Answered, but later than the objectives of the route allow. */
+  late?: boolean
   endpoint?: string
   status?: number
   reason?: string
@@ -124,6 +131,34 @@
   afterMs: number
 }
 
+/** What became of the requests of a gateway in the last second, and how old its knowledge is. */
+type TrafficFields = {
+  arrived: number
+  /** Answered within their objectives. */
+  answered: number
+  late: number
+  refused: number
+  failed: number
+  /** Left by their clients. */
+  left: number
+  inProgress: number
+  /** Since the store last answered about the configuration and the list of endpoints; undefined before the first time. */
+  configurationAgeMs: number | undefined
+  endpointsAgeMs: number | undefined
+}
+
+/** Slots of an engine, as its agent knows them. */
+type EngineUseFields = {
+  endpoint: string
+  slots: number
+  /** Requests that run or wait and do not give way. */
+  online: number
+  batchRunning: number
+  /** Items held without a run. */
+  batchPaused: number
+  reachable: boolean
+}
+
 /** Message of an event. */
 export type EventName = keyof EventFields
 
--- a/packages/anvilarch/src/createProgram.ts
+++ b/packages/anvilarch/src/createProgram.ts
@@ -9,6 +9,7 @@
 import { endpointList } from './commands/endpointList'
 import { explain } from './commands/explain'
 import { logsFailures } from './commands/logsFailures'
+import { logsReport } from './commands/logsReport'
 import { logsVolume } from './commands/logsVolume'
 import { jobCancel } from './commands/jobCancel'
 import { jobList } from './commands/jobList'
@@ -35,7 +36,7 @@
   },
   service: { description: 'services', commands: { list: serviceList } },
   endpoint: { description: 'endpoints', commands: { list: endpointList, drain: endpointDrain } },
-  logs: { description: 'logs of daemons', commands: { failures: logsFailures, volume: logsVolume } },
+  logs: { description: 'logs of daemons', commands: { failures: logsFailures, report: logsReport, volume: logsVolume } },
   store: { description: 'the platform\'s store', commands: { show: storeShow } }
 }
 
--- a/packages/anvilarch/src/explain/failures.ts
+++ b/packages/anvilarch/src/explain/failures.ts
@@ -5,6 +5,8 @@
 export interface LoggedFailure {
   at: string
   process: string
+  /** Kind of the request, or what else it is: an item, a job, bytes of a client. */
+  kind: string
   id: string
   /** How it ended, and why as far as the line says. */
   outcome: string
@@ -25,20 +27,23 @@
 
 function failureOf (line: LogLine, dueAtMs: ReadonlyMap<string, number>): LoggedFailure | undefined {
   const base = { at: line.at, process: line.process }
+  if (line.message === 'request ended' && line.late === true) {
+    return { ...base, kind: String(line.kind), id: String(line.requestId), outcome: 'late', reason: `${String(line.firstEventMs ?? line.elapsedMs)} ms` }
+  }
   if (line.message === 'request ended' && line.outcome !== 'answered') {
-    return { ...base, id: String(line.requestId), outcome: String(line.outcome), reason: String(line.reason ?? line.status ?? '') }
+    return { ...base, kind: String(line.kind), id: String(line.requestId), outcome: String(line.outcome), reason: String(line.reason ?? line.status ?? '') }
   }
   if (line.message === 'client bytes rejected') {
-    return { ...base, id: String(line.requestId ?? ''), outcome: `status ${String(line.status)}`, reason: String(line.reason) }
+    return { ...base, kind: 'client bytes', id: String(line.requestId ?? ''), outcome: `status ${String(line.status)}`, reason: String(line.reason) }
   }
   if (line.message === 'job submitted' && line.outcome !== 'accepted') {
-    return { ...base, id: String(line.jobId), outcome: 'job not accepted', reason: String(line.outcome) }
+    return { ...base, kind: 'job', id: String(line.jobId), outcome: 'job not accepted', reason: String(line.outcome) }
   }
   return line.message === 'item settled' ? itemFailure(line, dueAtMs) : undefined
 }
 
 function itemFailure (line: LogLine, dueAtMs: ReadonlyMap<string, number>): LoggedFailure | undefined {
-  const base = { at: line.at, process: line.process, id: String(line.itemId) }
+  const base = { at: line.at, process: line.process, kind: 'item', id: String(line.itemId) }
   if (line.end !== 'completed') return { ...base, outcome: 'item given up or failed', reason: String(line.end) }
   const lateMs = Date.parse(line.at) - (dueAtMs.get(String(line.itemId)) ?? Infinity)
   return lateMs > 0 ? { ...base, outcome: 'item late', reason: `${Math.round(lateMs)} ms` } : undefined
--- /dev/null
+++ b/packages/anvilarch/src/report/charts.ts
@@ -0,0 +1,104 @@
+/** Draws the charts of a report as SVG. */
+import type { EChartsOption } from 'echarts/types/dist/shared'
+import type { ReportSecond } from './types'
+
+/** What is used of the chart library, whose own declarations need another kind of module. */
+interface ChartLibrary {
+  init: (element: null, theme: null, options: { renderer: 'svg', ssr: boolean, width: number, height: number }) => {
+    setOption: (option: EChartsOption) => void
+    renderToSVGString: () => string
+    dispose: () => void
+  }
+}
+
+const { init } = require('echarts') as ChartLibrary
+
+/** One line or area of a chart. */
+interface SeriesSpec {
+  field: keyof ReportSecond
+  title: string
+  color: string
+  /** Stacked areas add up; lines stand for themselves. */
+  stack?: string
+}
+
+/** A chart over the seconds of a report. */
+interface ChartSpec {
+  title: string
+  unit: string
+  series: SeriesSpec[]
+}
+
+const WIDTH_PX = 1100
+const HEIGHT_PX = 260
+
+const CHARTS: readonly ChartSpec[] = [
+  {
+    title: 'Requests by what became of them',
+    unit: 'requests a second',
+    series: [
+      { field: 'answered', title: 'on time', color: '#3b8f5a', stack: 'ends' },
+      { field: 'late', title: 'late', color: '#d9a441', stack: 'ends' },
+      { field: 'refused', title: 'refused', color: '#7a6fb0', stack: 'ends' },
+      { field: 'failed', title: 'failed', color: '#c0392b', stack: 'ends' },
+      { field: 'left', title: 'left by clients', color: '#999999', stack: 'ends' },
+      { field: 'arrived', title: 'arrived', color: '#222222' }
+    ]
+  },
+  {
+    title: 'Slots of engines',
+    unit: 'slots',
+    series: [
+      { field: 'online', title: 'online, waiting ones included', color: '#2f6fa8', stack: 'use' },
+      { field: 'batchRunning', title: 'batch items', color: '#8fbf6a', stack: 'use' },
+      { field: 'slots', title: 'slots', color: '#222222' },
+      { field: 'batchPaused', title: 'items held without a run', color: '#d9a441' }
+    ]
+  },
+  {
+    title: 'Runs of batch items that were broken off',
+    unit: 'runs a second',
+    series: [{ field: 'pauses', title: 'broken off', color: '#c0392b' }]
+  },
+  {
+    title: 'Age of knowledge, the oldest of any gateway',
+    unit: 'ms',
+    series: [
+      { field: 'configurationAgeMs', title: 'configuration', color: '#2f6fa8' },
+      { field: 'endpointsAgeMs', title: 'list of endpoints', color: '#c0392b' }
+    ]
+  }
+]
+
+/**
+ * @param seconds - of a report
+ * @returns an SVG document for each chart
+ */
+export function drawCharts (seconds: readonly ReportSecond[]): string[] {
+  return CHARTS.map(spec => drawChart(spec, seconds))
+}
+
+function drawChart (spec: ChartSpec, seconds: readonly ReportSecond[]): string {
+  const chart = init(null, null, { renderer: 'svg', ssr: true, width: WIDTH_PX, height: HEIGHT_PX })
+  chart.setOption({
+    animation: false,
+    title: { text: spec.title, textStyle: { fontSize: 14 } },
+    legend: { top: 22, itemHeight: 8, textStyle: { fontSize: 11 } },
+    grid: { left: 60, right: 20, top: 55, bottom: 35 },
+    xAxis: { type: 'category', name: 's', data: seconds.map(entry => entry.second) },
+    yAxis: { type: 'value', name: spec.unit },
+    series: spec.series.map(series => ({
+      name: series.title,
+      type: 'line',
+      step: 'end',
+      showSymbol: false,
+      itemStyle: { color: series.color },
+      lineStyle: { width: series.stack === undefined ? 1.5 : 0 },
+      ...series.stack === undefined ? {} : { stack: series.stack, areaStyle: { color: series.color, opacity: 0.85 } },
+      data: seconds.map(entry => entry[series.field])
+    }))
+  })
+  const svg = chart.renderToSVGString()
+  chart.dispose()
+  return svg
+}
