Read jobs when clients ask for them instead of following all at each gateway; choose items in one pass

A choice of items found the pace of the fleet anew for each item, and hashed each item again at each comparison.

Change: a gateway keeps the jobs that its clients have lately asked for and reads others; a read that waits looks every 350 ms. Waiting tokens are counted in full until they seem to exceed the limit, and only then the jobs behind them are read. An agent gathers changes for 800 ms, 200 ms while it has slots to spare. Items are chosen job by job in the order of due times.

A heartbeat waits 30 ms, not 300, for the store's first answer.

--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -2,9 +2,9 @@
 import { sleep } from 'anvilarch-utils'
 import type { Route } from '../model/types'
 import { newJob } from './jobRecord'
-import { jobKey, recordRow, submissionObject } from './jobRows'
+import { JOB_TABLE, jobKey, recordRow, submissionObject } from './jobRows'
 import { type JobParts, readJob } from './jobStore'
-import { planReservation, quotaKey, type Reservation } from './quota'
+import { planReservation, quotaKey, type Reservation, reservedTokens } from './quota'
 import { encodeSubmission } from './submission'
 import type { JobItem } from './types'
 
@@ -88,6 +88,13 @@
       const row = read.val.rows.find(candidate => candidate.key === key.key)
       const current = row === undefined ? [] : JSON.parse(row.value.toString()) as Reservation[]
       const wanted = { jobId: submission.jobId, tokens, reservedAtMs: parts.store.storeNowMs() ?? 0 }
+      // Only a row that seems full is worth finding out what of it still waits.
+      const seemsFull = reservedTokens(current) + tokens > route.waitingTokenLimit
+      if (seemsFull && !await refreshJobs(parts, current)) {
+        if (parts.clock.nowMs() > untilMs) return 'refused'
+        await sleep(parts.clock, RETRY_PAUSE_MS)
+        continue
+      }
       const plan = planReservation(current, wanted, route.waitingTokenLimit, parts.work)
       if (plan.plan === 'already_reserved') return 'accepted'
       if (plan.plan === 'full') {
@@ -107,6 +114,14 @@
   }
 }
 
+/** Reads the jobs of reservations. @returns whether the store has told of all of them */
+async function refreshJobs (parts: JobParts, reservations: readonly Reservation[]): Promise<boolean> {
+  const partitions = new Set(reservations.map(reservation => jobKey(reservation.jobId).partition))
+  const reads = await Promise.all([...partitions].map(partition => parts.store.readRows({ table: JOB_TABLE, partition })))
+  for (const read of reads) if (read.ok) read.val.rows.forEach(parts.work.learn)
+  return reads.every(read => read.ok)
+}
+
 async function createJob (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
   const key = jobKey(submission.jobId)
   let doubtful = false
--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -55,6 +55,9 @@
 /** Longest wait of a read for results. */
 const MAX_READ_WAIT_MS = 1000
 
+/** How often a job is read while its client waits for a result; items end some seconds apart. */
+const RESULT_POLL_MS = 350
+
 const RETRY_PAUSE_MS = 120
 
 /**
@@ -121,7 +124,7 @@
 async function readResults (parts: JobCallParts, request: IncomingMessage, response: ServerResponse, jobId: string, after: string | undefined): Promise<void> {
   const position = Math.max(0, Number.parseInt(after ?? '0', 10) || 0)
   const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
-  const job = await findJob(parts, jobId, position, untilMs)
+  const job = await findJob(parts, jobId, isClosed, untilMs)
   if (job === 'unavailable') {
     unavailable(parts, response, 'read')
     return
@@ -141,10 +144,10 @@
   sendJson(response, 200, parts.wire.encodePage(page.val), parts.notice)
 }
 
-/** The copy may lag behind what another gateway has told the client: a position beyond it is looked for in the store. */
-async function findJob (parts: JobCallParts, jobId: string, position: number, untilMs: number): Promise<JobRecord | undefined | 'unavailable'> {
+/** Finds a job. What is known here may be older than what another gateway has told the client: unless it is enough, the store is read. */
+async function findJob (parts: JobCallParts, jobId: string, isEnough: (job: JobRecord) => boolean, untilMs: number): Promise<JobRecord | undefined | 'unavailable'> {
   const known = parts.work.job(jobId)?.record
-  if (known !== undefined && known.listed.length >= position) return known
+  if (known !== undefined && isEnough(known)) return known
   for (;;) {
     const read = await readJob(parts, jobId)
     if (read.ok) return read.val?.record
@@ -153,25 +156,25 @@
   }
 }
 
+/** Reads the job again and again while the client waits for a result. */
 async function waitForResults (parts: JobCallParts, job: JobRecord, position: number, waitMs: number, response: ServerResponse): Promise<JobRecord> {
-  const hasNews = (): boolean => {
-    const current = parts.work.job(job.jobId)?.record ?? job
-    return current.listed.length > position || isClosed(current)
-  }
-  if (waitMs > 0 && !hasNews()) {
-    const wake = new AbortController()
-    const unsubscribe = parts.work.subscribe(() => { if (hasNews()) wake.abort() })
-    response.on('close', () => wake.abort())
-    await sleep(parts.clock, waitMs, wake.signal)
-    unsubscribe()
+  const untilMs = parts.clock.nowMs() + waitMs
+  const left = new AbortController()
+  response.on('close', () => left.abort())
+  let current = job
+  for (;;) {
+    if (current.listed.length > position || isClosed(current)) return current
+    const pauseMs = Math.min(RESULT_POLL_MS, untilMs - parts.clock.nowMs())
+    if (pauseMs <= 0 || left.signal.aborted) return current
+    await sleep(parts.clock, pauseMs, left.signal)
+    const read = await readJob(parts, job.jobId)
+    if (read.ok && read.val !== undefined) current = read.val.record
   }
-  const current = parts.work.job(job.jobId)?.record
-  return current !== undefined && current.listed.length >= job.listed.length ? current : job
 }
 
 async function readItem (parts: JobCallParts, response: ServerResponse, jobId: string, itemId: string): Promise<void> {
   const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
-  const job = await findJob(parts, jobId, 0, untilMs)
+  const job = await findJob(parts, jobId, known => !known.ended, untilMs)
   if (job === undefined || (job !== 'unavailable' && !job.itemIds.includes(itemId))) {
     notFound(parts, response, 'item')
     return
--- a/packages/anvilarch-serving/src/jobs/jobRows.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRows.ts
@@ -20,6 +20,11 @@
 
 const ITEM_DIGITS = 4
 
+/** @returns key of the row by which an item is held, within its table */
+export function claimRowKey (jobId: string, item: number): string {
+  return itemKey('', jobId, item)
+}
+
 function itemKey (prefix: string, jobId: string, item: number): string {
   return `${prefix}${jobId}.${String(item).padStart(ITEM_DIGITS, '0')}`
 }
@@ -31,7 +36,7 @@
 
 /** @returns key of the row by which an item is held */
 export function claimKey (jobId: string, item: number): RowKey {
-  return { table: CLAIM_TABLE, partition: partitionOf(jobId), key: itemKey('', jobId, item) }
+  return { table: CLAIM_TABLE, partition: partitionOf(jobId), key: claimRowKey(jobId, item) }
 }
 
 /** @returns key of a daemon's row */
--- a/packages/anvilarch-serving/src/jobs/jobStore.ts
+++ b/packages/anvilarch-serving/src/jobs/jobStore.ts
@@ -8,10 +8,13 @@
 import type { WorkTable } from './workTable'
 import type { EventLog } from '../telemetry/events'
 
+/** What this process knows of jobs: a copy of all, or of those that it has lately read. */
+export type JobCopy = Pick<WorkTable, 'job' | 'learn' | 'forget'>
+
 /** Parts that jobs need. */
 export interface JobParts {
   store: MetadataStore
-  work: WorkTable
+  work: JobCopy
   clock: Clock
   log: EventLog
 }
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -22,6 +22,14 @@
   | { plan: 'already_reserved' }
   | { plan: 'full', waitingTokens: number }
 
+/**
+ * @param reservations - of the row
+ * @returns what they hold if none of their items has ended; more than what waits, never less
+ */
+export function reservedTokens (reservations: readonly Reservation[]): number {
+  return reservations.reduce((sum, reservation) => sum + reservation.tokens, 0)
+}
+
 /** A reservation whose job has not appeared after this long is one whose acceptance failed. Writes may land seconds late. */
 export const RESERVATION_GRACE_MS = 15_000
 
--- a/packages/anvilarch-serving/src/jobs/workTable.ts
+++ b/packages/anvilarch-serving/src/jobs/workTable.ts
@@ -2,7 +2,7 @@
 import { createRowCopy, type RowCopy, type Versioned } from '../store/rowCopy'
 import type { RowKey, StoredRow } from '../store/types'
 import type { TableListener } from '../store/tableFollower'
-import { CLAIM_TABLE, claimKey, decodeRecord, JOB_TABLE, jobKey, MEMBER_TABLE, memberKey } from './jobRows'
+import { CLAIM_TABLE, claimRowKey, decodeRecord, JOB_TABLE, MEMBER_TABLE } from './jobRows'
 import type { ClaimRecord, JobRecord, MemberRecord } from './types'
 
 /** What this process knows of all work. */
@@ -20,34 +20,24 @@
   forget: (key: RowKey, version: number) => void
   /** Ends of the copy that hear of each table. */
   listeners: { jobs: TableListener, claims: TableListener, members: TableListener }
-  /** Calls the listener after each change. @returns a function that ends it */
-  subscribe: (listener: () => void) => () => void
 }
 
 /** @returns an empty copy */
 export function createWorkTable (): WorkTable {
-  const subscribers = new Set<() => void>()
-  const notify = (): void => {
-    for (const subscriber of [...subscribers]) subscriber()
-  }
-  const jobs = createRowCopy<JobRecord>({ decode: decodeRecord, onChanged: notify })
-  const claims = createRowCopy<ClaimRecord>({ decode: decodeRecord, onChanged: notify })
-  const members = createRowCopy<MemberRecord>({ decode: decodeRecord, onChanged: notify })
+  const jobs = createRowCopy<JobRecord>(decodeRecord)
+  const claims = createRowCopy<ClaimRecord>(decodeRecord)
+  const members = createRowCopy<MemberRecord>(decodeRecord)
   const copies: ReadonlyMap<string, RowCopy<unknown>> = new Map<string, RowCopy<unknown>>([[JOB_TABLE, jobs], [CLAIM_TABLE, claims], [MEMBER_TABLE, members]])
 
   return {
-    job: jobId => jobs.get(jobKey(jobId)),
+    job: jobId => jobs.get(jobId),
     jobs: jobs.values,
-    claim: (jobId, item) => claims.get(claimKey(jobId, item)),
+    claim: (jobId, item) => claims.get(claimRowKey(jobId, item)),
     members: members.values,
-    member: name => members.get(memberKey(name)),
+    member: name => members.get(name),
     membersListedAtVersion: members.listedAtVersion,
     learn: row => copies.get(row.table)?.learn(row),
     forget: (key, version) => copies.get(key.table)?.forget(key, version),
-    listeners: { jobs, claims, members },
-    subscribe: listener => {
-      subscribers.add(listener)
-      return () => { subscribers.delete(listener) }
-    }
+    listeners: { jobs, claims, members }
   }
 }
--- a/packages/anvilarch-serving/src/peers/heartbeat.ts
+++ b/packages/anvilarch-serving/src/peers/heartbeat.ts
@@ -14,6 +14,9 @@
 /** After a failed write. */
 const HEARTBEAT_RETRY_MS = 300
 
+/** A daemon that has just started does not know the store's clock before its first answer, which comes within some 10 ms. */
+const CLOCK_UNKNOWN_RETRY_MS = 30
+
 /** A member is taken to be alive for this many intervals after a write: two may fail in a row. */
 const ALIVE_INTERVALS = 3
 
@@ -75,6 +78,7 @@
       written = outcome.outcome === 'committed'
       if (outcome.outcome === 'committed') onWritten({ ...row, version: outcome.version })
     }
-    await sleep(clock, written ? HEARTBEAT_INTERVAL_MS[role] : HEARTBEAT_RETRY_MS, signal)
+    const retryMs = storeNowMs === undefined ? CLOCK_UNKNOWN_RETRY_MS : HEARTBEAT_RETRY_MS
+    await sleep(clock, written ? HEARTBEAT_INTERVAL_MS[role] : retryMs, signal)
   }
 }
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -5,7 +5,7 @@
 import { createPool, type Pool } from '../endpoints/httpPool'
 import { logEachSecond } from '../telemetry/secondLines'
 import { startHeartbeat } from '../peers/heartbeat'
-import { CLAIM_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
+import { CLAIM_TABLE, JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
 import { JOB_PARTITIONS } from '../jobs/partitions'
 import { startBatchRunner } from '../runner/batchRunner'
 import { createPace } from '../runner/pace'
@@ -23,8 +23,14 @@
 /** The same while nobody holds an item. */
 const IDLE_MEMBERS_INTERVAL_MS = 10_000
 
-/** Two agents that choose the same item within this time cost one of them a call; it takes another item at once. */
-const CLAIM_FEED_INTERVAL_MS = 250
+/**
+ * Changes of jobs and claims are gathered for this long. An agent whose copy is older than a row is told the row by the store
+ * when it claims an item; a job that has ended has to stop within seconds.
+ */
+const FEED_INTERVAL_MS = 800
+
+/** The same while the agent has slots to spare and no item for them: a new job is begun that much sooner. */
+const HUNGRY_FEED_INTERVAL_MS = 200
 
 /** Items and reports each take a connection. */
 const ENGINE_CONNECTIONS = 32
@@ -39,7 +45,10 @@
   if (agent === undefined) throw new Error('the agent role needs the address of an engine')
   let othersHoldItems = (): boolean => false
   const view = followPlatform(context, { membersIntervalMs: () => othersHoldItems() ? BUSY_MEMBERS_INTERVAL_MS : IDLE_MEMBERS_INTERVAL_MS })
-  view.follow({ table: CLAIM_TABLE, partitions: JOB_PARTITIONS, listener: view.work.listeners.claims, intervalMs: CLAIM_FEED_INTERVAL_MS })
+  let wantsItems = (): boolean => false
+  const feedIntervalMs = (): number => wantsItems() ? HUNGRY_FEED_INTERVAL_MS : FEED_INTERVAL_MS
+  view.follow({ table: JOB_TABLE, partitions: JOB_PARTITIONS, listener: view.work.listeners.jobs, intervalMs: feedIntervalMs })
+  view.follow({ table: CLAIM_TABLE, partitions: JOB_PARTITIONS, listener: view.work.listeners.claims, intervalMs: feedIntervalMs })
   const closing = new AbortController()
   const pace = createPace()
   const heartbeat = startHeartbeat(context, { role: 'agent', onWritten: view.work.learn, details: () => ({ eventMs: pace.eventMs() }) })
@@ -65,6 +74,7 @@
     pace
   })
   othersHoldItems = runner.watchesOthers
+  wantsItems = runner.wantsItems
   const onMessage = (message: PeerMessage, from: PeerAddress): void => {
     if (message.message === 'load_question') peers.send({ message: 'load_answer', number: message.number, report: runner.load() }, from)
     else if (message.message === 'use') runner.onUse(`${from.ip}:${from.port}`, message.startId, message.inProgress)
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -2,8 +2,8 @@
 import { runInBackground } from 'anvilarch-utils'
 import { type ConfigurationHolder, createConfigurationHolder } from '../configuration/configurationHolder'
 import { createEndpointTable, type EndpointTable } from '../endpoints/endpointTable'
-import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
-import { JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
+import { MEMBER_PARTITION } from '../jobs/partitions'
+import { MEMBER_TABLE } from '../jobs/jobRows'
 import { createWorkTable, type WorkTable } from '../jobs/workTable'
 import type { StoredRow } from '../store/types'
 import { followListing, type FollowOptions, followTable } from '../store/tableFollower'
@@ -35,12 +35,6 @@
  */
 const ENDPOINT_FEED_INTERVAL_MS = 250
 
-/**
- * Clients read results every half a second, and a job that has ended has to stop within seconds. An agent whose copy of a job
- * is older than the row is told the row by the store when it claims an item.
- */
-const JOB_FEED_INTERVAL_MS = 250
-
 /** Options of `followPlatform`. */
 export interface FollowPlatformOptions {
   /** Asked after each listing of the daemons: time until the next one. */
@@ -88,7 +82,7 @@
   follow({
     table: wire.operator.endpointTable,
     partitions: SHARED_PARTITIONS,
-    intervalMs: ENDPOINT_FEED_INTERVAL_MS,
+    intervalMs: () => ENDPOINT_FEED_INTERVAL_MS,
     listener: {
       onListing: rows => endpoints.onListing(rows.map(wire.operator.decodeEndpoint)),
       onChange: change => {
@@ -97,7 +91,6 @@
       }
     }
   })
-  follow({ table: JOB_TABLE, partitions: JOB_PARTITIONS, listener: work.listeners.jobs, intervalMs: JOB_FEED_INTERVAL_MS })
   runInBackground(log, `list ${MEMBER_TABLE}`, () => followListing({
     store,
     clock,
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -12,6 +12,7 @@
 import { openPeerSocket } from '../endpoints/peerSocket'
 import { createPlacement } from '../endpoints/placement'
 import { createUseNotices } from '../endpoints/useNotices'
+import { createJobCache } from '../jobs/jobCache'
 import { createJobCalls, type JobCalls } from '../jobs/jobCalls'
 import { createResultReader } from '../jobs/resultReader'
 import type { WorkTable } from '../jobs/workTable'
@@ -138,7 +139,7 @@
   }
   const jobs = createJobCalls({
     store: context.store,
-    work: view.work,
+    work: createJobCache(),
     clock,
     log: log.child('jobs'),
     metrics: context.metrics,
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -31,6 +31,8 @@
   load: () => LoadReport | undefined
   /** @returns how the slots of the engine are used; undefined while there is no engine to tell of */
   use: () => EventFields['engine use'] | undefined
+  /** @returns whether the engine has slots to spare for which no item was found */
+  wantsItems: () => boolean
   /** @returns whether other runners hold items, so that it matters whether they are alive */
   watchesOthers: () => boolean
 }
@@ -102,17 +104,21 @@
     return nowMs - (parts.store.lastFailureMs() ?? -Infinity) > HEARTBEAT_GRACE_MS && nowMs - listedAtMs < MEMBERS_MAX_AGE_MS
   }
 
-  const choiceInput = (storeNowMs: number): ItemChoiceInput => ({
-    work: parts.work,
-    runner: parts.runner,
-    incarnation: parts.incarnation,
-    storeNowMs,
-    heartbeatsTrusted: heartbeatsTrusted(),
-    mayRun,
-    remainingMs: pace.remainingMs,
-    remainingElsewhereMs: (tokens, lastEventId) => pace.remainingMs(tokens, lastEventId, fleetEventMs(parts.work, storeNowMs)),
-    isSkipped: held.isHeldOrLeft
-  })
+  const choiceInput = (storeNowMs: number): ItemChoiceInput => {
+    // Found once for all items of a choice.
+    const elsewhereEventMs = fleetEventMs(parts.work, storeNowMs)
+    return {
+      work: parts.work,
+      runner: parts.runner,
+      incarnation: parts.incarnation,
+      storeNowMs,
+      heartbeatsTrusted: heartbeatsTrusted(),
+      mayRun,
+      remainingMs: pace.remainingMs,
+      remainingElsewhereMs: (tokens, lastEventId) => pace.remainingMs(tokens, lastEventId, elsewhereEventMs),
+      isSkipped: held.isHeldOrLeft
+    }
+  }
 
   const state: RunnerState = { held, steps, engineRefusals, choiceInput }
   const balance = createSlotBalance(parts, state)
@@ -174,6 +180,7 @@
       if (endpoint === undefined) return undefined
       return { startId: endpoint.startId, online: use.online(), batchRunning: held.inState('running').length, reachable }
     },
+    wantsItems: balance.wantsItems,
     watchesOthers: () => othersHoldItems(parts.work, parts.runner),
     halt: () => {
       controller.abort()
--- a/packages/anvilarch-serving/src/runner/claims.ts
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -4,6 +4,7 @@
 import { changeJob, type ChangeOutcome, type JobParts, learnConflict } from '../jobs/jobStore'
 import { OBJECT_MARK } from '../jobs/resultReader'
 import type { ClaimRecord, ItemOutcome } from '../jobs/types'
+import type { WorkTable } from '../jobs/workTable'
 import type { RowWrite } from '../store/types'
 
 /** Identity of a runner. */
@@ -14,6 +15,7 @@
 
 /** Parts that claims need. */
 export interface ClaimParts extends JobParts, RunnerIdentity {
+  work: WorkTable
   maxRowBytes: number
 }
 
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -70,21 +70,21 @@
  * @returns unclaimed items, the most urgent in front
  */
 export function chooseItems (input: ItemChoiceInput, limit: number): Candidate[] {
-  const candidates: Candidate[] = []
-  for (const { record: job } of input.work.jobs()) {
-    if (job.ended || job.listed.length >= job.itemIds.length || !input.mayRun(job)) continue
-    for (const item of openItems(job)) {
-      if (input.isSkipped(job.jobId, item) || !isFree(input, job.jobId, item)) continue
-      const savedEventId = input.work.claim(job.jobId, item)?.record.savedEventId ?? 0
-      const tokens = job.itemTokens[item]
-      const remainingMs = input.remainingMs(tokens, savedEventId)
-      const dueInMs = job.dueAtMs - input.storeNowMs
-      if (isBetterElsewhere(dueInMs, remainingMs, input.remainingElsewhereMs(tokens, savedEventId))) continue
-      candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs) })
-    }
+  const open = [...input.work.jobs()]
+    .map(entry => entry.record)
+    .filter(job => !isClosed(job) && input.mayRun(job))
+    .sort((a, b) => a.dueAtMs - b.dueAtMs)
+  const inTime: Candidate[] = []
+  const late: Candidate[] = []
+  for (const job of open) {
+    // What is in time comes in the order of due times: no later job can add a more urgent item.
+    if (inTime.length >= limit && job.dueAtMs > inTime[limit - 1].job.dueAtMs) break
+    for (const candidate of candidatesOf(job, input)) (candidate.urgency < LATE_OFFSET_MS / 2 ? inTime : late).push(candidate)
   }
-  candidates.sort((a, b) => a.urgency - b.urgency || orderOf(input.runner, a) - orderOf(input.runner, b))
-  return candidates.slice(0, limit)
+  const order = new Map<Candidate, number>()
+  for (const candidate of [...inTime, ...late]) order.set(candidate, orderOf(input.runner, candidate))
+  const byUrgency = (a: Candidate, b: Candidate): number => a.urgency - b.urgency || (order.get(a) ?? 0) - (order.get(b) ?? 0)
+  return [...inTime.sort(byUrgency), ...late.sort(byUrgency)].slice(0, limit)
 }
 
 /** Runners start at different places of a job, so that they seldom try to claim the same item. */
@@ -92,6 +92,20 @@
   return murmurhash(`${runner}/${candidate.job.jobId}/${candidate.item}`)
 }
 
+function candidatesOf (job: JobRecord, input: ItemChoiceInput): Candidate[] {
+  const candidates: Candidate[] = []
+  const dueInMs = job.dueAtMs - input.storeNowMs
+  for (const item of openItems(job)) {
+    if (input.isSkipped(job.jobId, item) || !isFree(input, job.jobId, item)) continue
+    const savedEventId = input.work.claim(job.jobId, item)?.record.savedEventId ?? 0
+    const tokens = job.itemTokens[item]
+    const remainingMs = input.remainingMs(tokens, savedEventId)
+    if (isBetterElsewhere(dueInMs, remainingMs, input.remainingElsewhereMs(tokens, savedEventId))) continue
+    candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs) })
+  }
+  return candidates
+}
+
 function isFree (input: ItemChoiceInput, jobId: string, item: number): boolean {
   const claim = input.work.claim(jobId, item)
   if (claim === undefined || !claim.record.held) return true
--- a/packages/anvilarch-serving/src/runner/slotBalance.ts
+++ b/packages/anvilarch-serving/src/runner/slotBalance.ts
@@ -12,6 +12,8 @@
 export interface SlotBalance {
   /** After a look at the engine. */
   onLook: (report: EngineReport, endpoint: Endpoint, askedAtMs: number) => void
+  /** @returns whether slots were to spare at the last look for which no item was found */
+  wantsItems: () => boolean
   /** After a gateway has told of its requests, between two looks: items only stop. */
   onOnline: (online: number, endpoint: Endpoint) => void
 }
@@ -28,6 +30,8 @@
   const urgencyOf = (entry: HeldItem, storeNowMs: number): number =>
     urgency(entry.dueAtMs - storeNowMs, parts.pace.remainingMs(entry.tokens, entry.text.lastEventId))
 
+  let wantsItems = false
+
   const startItems = (count: number): void => {
     const storeNowMs = parts.store.storeNowMs()
     if (storeNowMs === undefined || !engineRefusals.mayStart()) return
@@ -37,6 +41,7 @@
     const mayClaim = parts.work.member(parts.runner)?.record.incarnation === parts.incarnation
     const fresh = mayClaim ? chooseItems(state.choiceInput(storeNowMs), count) : []
     const chosen = [...paused, ...fresh].sort((a, b) => a.urgency - b.urgency).slice(0, count)
+    wantsItems = chosen.length < count
     for (const next of chosen) {
       if ('entry' in next) {
         next.entry.state = 'claiming'
@@ -63,9 +68,11 @@
         ownItems: running.length,
         ownUnseen: held.inState('claiming').length + unseenItems(running.map(entry => entry.startedAtMs), askedAtMs)
       })
+      wantsItems = false
       if (plan.stop > 0) stopItems(plan.stop)
       if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start)
     },
+    wantsItems: () => wantsItems,
     onOnline: (online, endpoint) => {
       const count = itemsToStop(endpoint.slots, online, held.inState('running').length)
       if (count > 0) stopItems(count)
--- a/packages/anvilarch-serving/src/store/rowCopy.ts
+++ b/packages/anvilarch-serving/src/store/rowCopy.ts
@@ -9,7 +9,7 @@
 
 /** A copy of one table. */
 export interface RowCopy<Record> {
-  get: (key: RowKey) => Versioned<Record> | undefined
+  get: (key: string) => Versioned<Record> | undefined
   values: () => Iterable<Versioned<Record>>
   /** Takes a row that this process has just written or read, if it is newer than the copy. */
   learn: (row: StoredRow) => void
@@ -22,71 +22,51 @@
   listedAtVersion: () => number | undefined
 }
 
-/** Options of `createRowCopy`. */
-export interface RowCopyOptions<Record> {
-  /** @returns the record; undefined when the bytes are not of this program */
-  decode: (row: StoredRow) => Record | undefined
-  /** Called after each change of the copy. */
-  onChanged: () => void
-}
-
 interface Entry<Record> {
   version: number
   versioned: Versioned<Record> | undefined
 }
 
 /**
- * @param options - decoder and listener
+ * A copy of a table whose keys are unique over all its partitions.
+ *
+ * @param decode - a row; gives undefined when the bytes are not of this program
  * @returns an empty copy
  */
-export function createRowCopy<Record> (options: RowCopyOptions<Record>): RowCopy<Record> {
+export function createRowCopy<Record> (decode: (row: StoredRow) => Record | undefined): RowCopy<Record> {
   const entries = new Map<string, Entry<Record>>()
   let listedAtVersion: number | undefined
 
   const put = (row: StoredRow): void => {
-    const id = rowId(row)
-    const known = entries.get(id)
+    const known = entries.get(row.key)
     if (known !== undefined && known.version >= row.version) return
-    const record = options.decode(row)
-    entries.set(id, { version: row.version, versioned: record === undefined ? undefined : { record, version: row.version } })
+    const record = decode(row)
+    entries.set(row.key, { version: row.version, versioned: record === undefined ? undefined : { record, version: row.version } })
   }
 
   // The feed may tell of a removal after this process has written the row anew; the newer row stays.
   const remove = (key: RowKey, version: number): void => {
-    const id = rowId(key)
-    const known = entries.get(id)
-    if (known !== undefined && known.version <= version) entries.delete(id)
+    const known = entries.get(key.key)
+    if (known !== undefined && known.version <= version) entries.delete(key.key)
   }
 
   return {
-    get: key => entries.get(rowId(key))?.versioned,
+    get: key => entries.get(key)?.versioned,
     values: function * () {
       for (const { versioned } of entries.values()) if (versioned !== undefined) yield versioned
     },
-    learn: row => {
-      put(row)
-      options.onChanged()
-    },
-    forget: (key, version) => {
-      remove(key, version)
-      options.onChanged()
-    },
+    learn: put,
+    forget: remove,
     onListing: (rows, version) => {
-      const listed = new Set(rows.map(rowId))
-      for (const [id, entry] of entries) if (!listed.has(id) && entry.version <= version) entries.delete(id)
+      const listed = new Set(rows.map(row => row.key))
+      for (const [key, entry] of entries) if (!listed.has(key) && entry.version <= version) entries.delete(key)
       rows.forEach(put)
       listedAtVersion = version
-      options.onChanged()
     },
     onChange: change => {
       if (change.change === 'put') put(change.row)
       else remove(change.key, change.version)
-      options.onChanged()
     },
     listedAtVersion: () => listedAtVersion
   }
 }
-
-function rowId (key: RowKey): string {
-  return `${key.partition}/${key.key}`
-}
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -22,8 +22,8 @@
   listener: TableListener
   /** Called after each answer of the store about the table, also without changes. */
   onAnswer?: () => void
-  /** Changes are gathered for this long between two calls; `FEED_INTERVAL_MS` by default. */
-  intervalMs?: number
+  /** Asked after each call that brought changes: how long further ones are gathered; `FEED_INTERVAL_MS` by default. */
+  intervalMs?: () => number
   signal: AbortSignal
 }
 
@@ -63,7 +63,7 @@
     options.onAnswer?.()
     retryMs = FEED_RETRY_MS
     version = next.version
-    if (next.outcome === 'changed') await pause(options, options.intervalMs ?? FEED_INTERVAL_MS)
+    if (next.outcome === 'changed') await pause(options, options.intervalMs?.() ?? FEED_INTERVAL_MS)
   }
 }
 
