--- a/packages/anvilarch-serving/src/jobs/types.ts
+++ b/packages/anvilarch-serving/src/jobs/types.ts
@@ -54,7 +54,7 @@
   incarnation: string
   /** False once the runner has let go of the item. */
   held: boolean
-  /** Last event whose text is saved; 0 when none is. */
+  /** Last event whose text was saved when the item was let go of; a holder saves more without changing this. */
   savedEventId: number
 }
 
--- a/packages/anvilarch-serving/src/runner/claims.ts
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -69,24 +69,48 @@
 }
 
 /**
- * Saves the text of an unfinished item, so that its next run goes on from there.
+ * Saves the text of an item that runs, so that the loss of this process costs a resume. The claim stays as it is: its row goes
+ * to all agents, and was half of all changes that they followed when each save changed it.
+ *
+ * @param parts - store and identity
+ * @param jobId - id of the job
+ * @param item - place of the item
+ * @param progress - text so far
+ * @returns whether the store has taken it
+ */
+export async function saveProgress (parts: ClaimParts, jobId: string, item: number, progress: SavedProgress): Promise<boolean> {
+  const version = ownClaimVersion(parts, jobId, item)
+  const row = progressRow(parts, jobId, item, progress)
+  if (version === undefined || row === undefined) return false
+  const conditions = [{ ...claimKey(jobId, item), version }]
+  const outcome = await parts.store.commit({ conditions, puts: [row], removes: [] })
+  if (outcome.outcome === 'conflict') learnConflict(parts, conditions, outcome.rows)
+  return outcome.outcome === 'committed'
+}
+
+/**
+ * Lets go of an item, with the text that it has.
  *
  * @param parts - store and identity
  * @param jobId - id of the job
  * @param item - place of the item
  * @param progress - text so far; undefined keeps what is saved
- * @param held - false lets go of the item
  * @returns whether the store has taken it
  */
-export async function saveClaim (parts: ClaimParts, jobId: string, item: number, progress: SavedProgress | undefined, held: boolean): Promise<boolean> {
+export async function releaseClaim (parts: ClaimParts, jobId: string, item: number, progress: SavedProgress | undefined): Promise<boolean> {
   const version = ownClaimVersion(parts, jobId, item)
   const current = parts.work.claim(jobId, item)
   if (version === undefined || current === undefined) return false
-  const bytes = progress === undefined ? undefined : encodeProgress(progress)
-  const fits = bytes !== undefined && bytes.length <= parts.maxRowBytes * ROW_SHARE
-  const record: ClaimRecord = { ...current.record, held, savedEventId: fits ? progress?.lastEventId ?? 0 : current.record.savedEventId }
-  const puts = fits && bytes !== undefined ? [{ ...progressKey(jobId, item), value: bytes }] : []
-  return await writeClaim(parts, record, [{ ...claimKey(jobId, item), version }], puts) === 'claimed'
+  const row = progress === undefined ? undefined : progressRow(parts, jobId, item, progress)
+  const savedEventId = row === undefined ? current.record.savedEventId : progress?.lastEventId ?? 0
+  const record: ClaimRecord = { ...current.record, held: false, savedEventId }
+  return await writeClaim(parts, record, [{ ...claimKey(jobId, item), version }], row === undefined ? [] : [row]) === 'claimed'
+}
+
+/** @returns the row; undefined when the text is too large for one */
+function progressRow (parts: ClaimParts, jobId: string, item: number, progress: SavedProgress): RowWrite | undefined {
+  const value = encodeProgress(progress)
+  return value.length <= parts.maxRowBytes * ROW_SHARE ? { ...progressKey(jobId, item), value } : undefined
 }
 
 /** @returns the saved text, or undefined when there is none or it cannot be read now */
--- a/packages/anvilarch-serving/src/runner/heldItemCare.ts
+++ b/packages/anvilarch-serving/src/runner/heldItemCare.ts
@@ -1,7 +1,7 @@
 /** Looks after the items that a runner holds: saves them, learns from them, and lets go of those better run elsewhere. */
 import { runInBackground } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
-import { ownClaimVersion, saveClaim } from './claims'
+import { ownClaimVersion, saveProgress } from './claims'
 import { fleetEventMs } from './fleetPace'
 import { type HeldItem, progressOf } from './heldItems'
 import { isBetterElsewhere } from './itemChoice'
@@ -78,7 +78,7 @@
         entry.savedAtMs = nowMs
         const progress = progressOf(entry)
         runInBackground(log, 'save progress', async () => {
-          const saved = await saveClaim(parts, entry.jobId, entry.item, progress, true)
+          const saved = await saveProgress(parts, entry.jobId, entry.item, progress)
           if (saved) entry.savedEventId = progress.lastEventId
         })
       }
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -6,7 +6,7 @@
 import type { Endpoint } from '../model/types'
 import type { PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
-import { type ClaimParts, claimItem, failItem, finishItem, ownClaimVersion, readProgress, saveClaim } from './claims'
+import { type ClaimParts, claimItem, failItem, finishItem, ownClaimVersion, readProgress, releaseClaim } from './claims'
 import type { EngineView } from './engineView'
 import { type HeldItem, type HeldItems, progressOf } from './heldItems'
 import { type RunEnd, runItem } from './itemRun'
@@ -85,7 +85,7 @@
     entry.run = undefined
     entry.state = 'saving'
     const progress = entry.text.lastEventId > entry.savedEventId ? progressOf(entry) : undefined
-    const saved = await saveClaim(parts, entry.jobId, entry.item, progress, false)
+    const saved = await releaseClaim(parts, entry.jobId, entry.item, progress)
     if (!saved && ownClaimVersion(parts, entry.jobId, entry.item) !== undefined) {
       entry.state = 'paused'
       entry.pausedAtMs = clock.nowMs()
@@ -189,6 +189,8 @@
 
   const begin = async (job: JobRecord, place: number): Promise<void> => {
     const entry = held.add(job, place)
+    // Whoever held the item before may have saved text of it, also without saying so in the claim.
+    const heldBefore = parts.work.claim(job.jobId, place) !== undefined
     const [claimed, items] = await Promise.all([claimItem(parts, job.jobId, place), parts.submissions.items(job.jobId)])
     if (!claimed) {
       held.leaveToOthers(entry)
@@ -201,8 +203,7 @@
       entry.state = 'paused'
       return
     }
-    const savedEventId = parts.work.claim(job.jobId, place)?.record.savedEventId ?? 0
-    const progress = savedEventId > 0 ? await readProgress(parts, job.jobId, place) : undefined
+    const progress = heldBefore ? await readProgress(parts, job.jobId, place) : undefined
     if (progress !== undefined) {
       entry.text = { lastEventId: progress.lastEventId, pieces: progress.text.split('\n') }
       entry.savedEventId = progress.lastEventId
