Count a question to an agent as unanswered only when its patience is over; take answers only from whom was asked

Cause: a question counted as unanswered from the moment it was sent, so that two requests that asked the same agent within the 3 ms of an answer marked it as lost: it was asked no more, its engine counted by own requests times gateways, and it was told of no request, so that batch items beside it did not give way. Numbers of questions count up from one; an answer was taken from any sender.

Ruled out: a higher limit of unanswered questions, which only moves the burst at which it happens and makes each lost agent cost more.

Change: questions are open until their patience is over and count then; an answer counts only from the address and port that was asked.

Tests: three asks at once failed before (an agent that is there counted as lost). The tests of the sender and of a question that stays unanswered beside others could not run before, since the answer now brings its sender along.

--- a/packages/anvilarch-serving/src/endpoints/__tests__/loadAsker.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/loadAsker.test.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from '../../model/types'
 import { ANSWER_PATIENCE_MS, createLoadAsker, ENOUGH_AFTER_MS, type LoadAsker, MAX_UNANSWERED, RETRY_AFTER_MS } from '../loadAsker'
 import type { LoadReport, PeerMessage } from '../peerMessages'
+import type { PeerAddress } from '../peerSocket'
 
 const ENDPOINTS: Endpoint[] = ['e1', 'e2', 'e3'].map((id, index) => ({
   id, startId: id, bornAtMs: undefined, service: 's', address: `10.0.0.${index}:80`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1
@@ -9,21 +10,33 @@
 
 let clock: FakeClock
 let asker: LoadAsker
-let sent: Array<{ number: number, ip: string }>
+let sent: Array<{ number: number, ip: string, port: number }>
 let reports: LoadReport[]
 
 beforeEach(() => {
   clock = createFakeClock(1000)
   sent = []
   reports = []
-  const send = (message: PeerMessage, to: { ip: string }): void => {
-    if (message.message === 'load_question') sent.push({ number: message.number, ip: to.ip })
+  const send = (message: PeerMessage, to: PeerAddress): void => {
+    if (message.message === 'load_question') sent.push({ number: message.number, ip: to.ip, port: to.port })
   }
   asker = createLoadAsker({ clock, send, peerPort: 7, onReport: report => reports.push(report) })
 })
 
-function answer (index: number): void {
-  asker.onAnswer(sent[index].number, { startId: ENDPOINTS[index].startId, online: 0, batchRunning: 0, reachable: true })
+function answer (index: number, from: PeerAddress = sent[index]): void {
+  asker.onAnswer({ message: 'load_answer', number: sent[index].number, report: reportOf(index) }, from)
+}
+
+/** Answers the questions to some endpoints in a round in which all were asked. */
+function answerRound (round: number, indexes: readonly number[]): void {
+  for (const index of indexes) {
+    const question = sent[round * ENDPOINTS.length + index]
+    asker.onAnswer({ message: 'load_answer', number: question.number, report: reportOf(index) }, question)
+  }
+}
+
+function reportOf (index: number): LoadReport {
+  return { startId: ENDPOINTS[index].startId, online: 0, batchRunning: 0, reachable: true }
 }
 
 /** @returns whether asking is over, after all that is due now */
@@ -75,7 +88,7 @@
     clock.advance(RETRY_AFTER_MS + 1)
     expect(await isOver(asker.ask(ENDPOINTS))).toBe(true)
     expect(sent.length).toBe(before + 3)
-    asker.onAnswer(sent[before].number, undefined)
+    asker.onAnswer({ message: 'load_answer', number: sent[before].number, report: undefined }, sent[before])
     expect(asker.answers(ENDPOINTS[0])).toBe(true)
   })
 
@@ -90,7 +103,46 @@
     await askInVain()
     answer(0)
     answer(0)
-    asker.onAnswer(999, { startId: 'e9', online: 0, batchRunning: 0, reachable: true })
+    asker.onAnswer({ message: 'load_answer', number: 999, report: reportOf(1) }, sent[1])
     expect(reports).toHaveLength(1)
   })
+
+  // Symptom: in a burst, engines of healthy agents seem busy or are passed over, and batch items beside them do not give way.
+  // Sequence: two requests or more arrive within the 3 ms that an agent takes to answer; each asks the same agent.
+  // Cause: a question counted as unanswered from the moment it was sent.
+  it('still counts on an agent while several questions to it are open', async () => {
+    const askings = [asker.ask(ENDPOINTS), asker.ask(ENDPOINTS), asker.ask(ENDPOINTS)]
+    clock.advance(ANSWER_PATIENCE_MS / 2)
+    expect(ENDPOINTS.every(endpoint => asker.answers(endpoint))).toBe(true)
+    expect(sent).toHaveLength(3 * ENDPOINTS.length)
+    clock.advance(ANSWER_PATIENCE_MS / 2)
+    await Promise.all(askings)
+    expect(ENDPOINTS.some(endpoint => asker.answers(endpoint))).toBe(false)
+  })
+
+  it('counts a question that nobody answered although others were answered in time', async () => {
+    for (let round = 0; round < MAX_UNANSWERED; round++) {
+      const asking = asker.ask(ENDPOINTS)
+      answerRound(round, [0, 1])
+      clock.advance(ENOUGH_AFTER_MS)
+      await asking
+      clock.advance(ANSWER_PATIENCE_MS)
+    }
+    expect(ENDPOINTS.map(endpoint => asker.answers(endpoint))).toEqual([true, true, false])
+  })
+
+  // Symptom: a gateway takes an engine for idle, or for lost, that is neither.
+  // Sequence: a datagram with the number of an open question comes from somebody else than the agent that was asked.
+  // Cause: numbers count up from one, so that anybody can guess them, and the sender was not looked at.
+  it('takes an answer only from the address that it has asked', async () => {
+    const asking = asker.ask(ENDPOINTS)
+    answer(0, { ...sent[0], ip: '10.0.0.9' })
+    answer(0, { ...sent[0], port: 8 })
+    expect(reports).toHaveLength(0)
+    answer(0)
+    answer(1)
+    answer(2)
+    await asking
+    expect(reports).toHaveLength(3)
+  })
 })
--- a/packages/anvilarch-serving/src/endpoints/loadAsker.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadAsker.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
-import type { LoadReport, PeerMessage } from './peerMessages'
+import type { LoadAnswer, LoadReport, PeerMessage } from './peerMessages'
 import type { PeerAddress } from './peerSocket'
 
 /** Asks agents. */
@@ -17,7 +17,8 @@
    * @returns a promise that resolves when enough have answered, or when waiting longer would cost more than the answers are worth
    */
   ask: (endpoints: readonly Endpoint[]) => Promise<void>
-  onAnswer: (number: number, report: LoadReport | undefined) => void
+  /** Takes an answer, if it comes from the address that was asked: whoever can send a datagram can guess a number. */
+  onAnswer: (answer: LoadAnswer, from: PeerAddress) => void
   /** @returns whether the agent of the endpoint answers, as far as is known */
   answers: (endpoint: Endpoint) => boolean
   forget: (endpoint: Endpoint) => void
@@ -46,6 +47,7 @@
 export const RETRY_AFTER_MS = 500
 
 interface AgentState {
+  /** Questions in a row whose patience is over. One that is still open says nothing: in a burst, several are at any time. */
   unanswered: number
   lastAskedMs: number
 }
@@ -59,6 +61,7 @@
 
 interface Question {
   startId: string
+  to: PeerAddress
   round: Round
 }
 
@@ -69,7 +72,10 @@
 export function createLoadAsker (options: LoadAskerOptions): LoadAsker {
   const { clock } = options
   const agents = new Map<string, AgentState>()
-  const questions = new Map<number, Question>()
+  /** Questions that may still be answered in time, oldest first. */
+  const open = new Map<number, Question>()
+  /** Questions whose patience is over, oldest first; a late answer still tells that the agent is there. */
+  const overdue = new Map<number, Question>()
   let lastNumber = 0
 
   const stateOf = (startId: string): AgentState => {
@@ -78,6 +84,20 @@
     return known
   }
 
+  const countOverdue = (nowMs: number): void => {
+    for (const [number, question] of open) {
+      if (nowMs - question.round.askedAtMs < ANSWER_PATIENCE_MS) return
+      open.delete(number)
+      overdue.set(number, question)
+      stateOf(question.startId).unanswered++
+    }
+  }
+
+  const answersNow = (startId: string): boolean => {
+    countOverdue(clock.nowMs())
+    return stateOf(startId).unanswered < MAX_UNANSWERED
+  }
+
   const mayAsk = (startId: string, nowMs: number): boolean => {
     const state = stateOf(startId)
     return state.unanswered < MAX_UNANSWERED || nowMs - state.lastAskedMs > RETRY_AFTER_MS
@@ -86,25 +106,34 @@
   const put = (endpoint: Endpoint, round: Round): void => {
     const state = stateOf(endpoint.startId)
     // One that is asked only to see whether it is back holds nobody up.
-    const waitedFor = state.unanswered < MAX_UNANSWERED
-    state.unanswered++
+    if (state.unanswered < MAX_UNANSWERED) round.waitingFor++
     state.lastAskedMs = round.askedAtMs
     lastNumber++
-    if (waitedFor) round.waitingFor++
-    questions.set(lastNumber, { startId: endpoint.startId, round })
-    options.send({ message: 'load_question', number: lastNumber }, { ip: endpoint.address.split(':')[0], port: options.peerPort })
+    const to = { ip: endpoint.address.split(':')[0], port: options.peerPort }
+    open.set(lastNumber, { startId: endpoint.startId, to, round })
+    options.send({ message: 'load_question', number: lastNumber }, to)
   }
 
   const forgetOld = (nowMs: number): void => {
-    for (const [number, { round }] of questions) {
+    for (const [number, { round }] of overdue) {
       if (nowMs - round.askedAtMs < RETRY_AFTER_MS) return
-      questions.delete(number)
+      overdue.delete(number)
     }
   }
 
+  /** @returns the question that is answered, which is then no longer waited for */
+  const takeQuestion = (number: number, from: PeerAddress): Question | undefined => {
+    const question = open.get(number) ?? overdue.get(number)
+    if (question === undefined || question.to.ip !== from.ip || question.to.port !== from.port) return undefined
+    open.delete(number)
+    overdue.delete(number)
+    return question
+  }
+
   return {
     ask: async endpoints => {
       const nowMs = clock.nowMs()
+      countOverdue(nowMs)
       forgetOld(nowMs)
       const asked = endpoints.filter(endpoint => mayAsk(endpoint.startId, nowMs))
       if (asked.length === 0) return
@@ -124,10 +153,9 @@
         }
       })
     },
-    onAnswer: (number, report) => {
-      const question = questions.get(number)
+    onAnswer: ({ number, report }, from) => {
+      const question = takeQuestion(number, from)
       if (question === undefined) return
-      questions.delete(number)
       stateOf(question.startId).unanswered = 0
       if (report !== undefined) options.onReport(report)
       const { round } = question
@@ -135,7 +163,7 @@
       const late = clock.nowMs() - round.askedAtMs >= ENOUGH_AFTER_MS
       if (round.answered >= round.waitingFor || (late && round.answered >= ENOUGH_ANSWERS)) round.settle()
     },
-    answers: endpoint => stateOf(endpoint.startId).unanswered < MAX_UNANSWERED,
+    answers: endpoint => answersNow(endpoint.startId),
     forget: endpoint => { agents.delete(endpoint.startId) }
   }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -95,7 +95,7 @@
     clock,
     log,
     own: { ip: settings.ip, port: settings.peerPort },
-    onMessage: message => { if (message.message === 'load_answer') asker.onAnswer(message.number, message.report) }
+    onMessage: (message, from) => { if (message.message === 'load_answer') asker.onAnswer(message, from) }
   })
   const asker = createLoadAsker({ clock, send: peers.send, peerPort: settings.peerPort, onReport })
   const use = createUseNotices({ clock, send: peers.send, peerPort: settings.peerPort, hasAgent: asker.answers })
