Leave the last slot to items that cannot wait while requests take slots from items; add a model of bursts

An item in the last slot to spare gives way to the next request, starts again when one ends, and so on for the length of the burst.

Change: for 0.8 s after a cut, while requests are at the engine, the last slot is for items that are due in less than twice the time that they still run. The model (bench package, experiment `placement`) plays bursts on a fake clock through the daemon's own placement, load table, asker and slack, against engines of slots and a queue. Weights of the placement are options with defaults, so that the experiment can set them; the defaults are as before.

--- /dev/null
+++ b/packages/anvilarch-bench/src/experiments/placement.ts
@@ -0,0 +1,48 @@
+/** What the weights of the placement are worth: the daemon's own decisions against modelled engines and bursts. */
+import { DEFAULT_PLACEMENT_WEIGHTS, type PlacementWeights } from 'anvilarch-serving'
+import type { Experiment, RunContext, Variant, VariantRun } from '../harness/types'
+import { playFleetModel } from '../model/fleetModel'
+import type { FleetModelOptions } from '../model/types'
+import { barsByFigure } from '../plots/resultPlots'
+
+/** A fleet whose slots are nearly all taken in bursts, with batch work for a third of the slots. */
+export const BURSTS: Omit<FleetModelOptions, 'seed' | 'weights' | 'durationMs'> = {
+  gateways: 9,
+  engines: 13,
+  slotsPerEngine: 8,
+  troughPerSecond: 22,
+  peakPerSecond: 108,
+  troughMs: 3000,
+  peakMs: 2200,
+  itemsPerSecond: 7,
+  itemDueMs: 18_000,
+  latencyObjectiveMs: 300
+}
+
+export const placement: Experiment = {
+  name: 'placement',
+  question: 'What are the weights of the placement worth, for requests, items and connections?',
+  defaults: { runs: 7, seconds: 31 },
+  warmUpMs: 0,
+  variants: () => [
+    variant('as built', {}),
+    variant('items cost as much as requests', { batchItem: 1 }),
+    variant('idle connections', { idleConnection: 1 }),
+    variant('no shared parts', { sharedPart: 0 }),
+    variant('no own domain', { sameDomain: 0 })
+  ],
+  aims: [],
+  summary: ['onTimeShare', 'firstEventP99Ms', 'cutsPerItem', 'newConnectionsPerRequest', 'itemsInTimeShare'],
+  plots: result => [
+    barsByFigure(result, { cutsPerItem: 'cuts for each item', newConnectionsPerRequest: 'connections for each request' }, { name: 'placement', title: 'Placement by weights', yLabel: 'count' })
+  ]
+}
+
+function variant (name: string, change: Partial<PlacementWeights>): Variant {
+  return { name, settings: { ...change }, run: context => play(context, { ...DEFAULT_PLACEMENT_WEIGHTS, ...change }) }
+}
+
+async function play ({ round, durationMs }: RunContext, weights: PlacementWeights): Promise<VariantRun> {
+  const figures = await playFleetModel({ ...BURSTS, seed: round + 1, durationMs, weights })
+  return { figures: { ...figures } }
+}
--- a/packages/anvilarch-bench/src/experiments/registry.ts
+++ b/packages/anvilarch-bench/src/experiments/registry.ts
@@ -10,8 +10,9 @@
 import { mix } from './mix'
 import { overhead } from './overhead'
 import { overload } from './overload'
+import { placement } from './placement'
 
-const ALL: readonly Experiment[] = [mix, lookup, overhead, affinity, overload, loss, jobs, configuration, control, logCost]
+const ALL: readonly Experiment[] = [mix, lookup, overhead, affinity, overload, loss, jobs, configuration, control, logCost, placement]
 
 /** Experiments in the order of the report. */
 export const EXPERIMENTS: ReadonlyMap<string, Experiment> = new Map(ALL.map(experiment => [experiment.name, experiment]))
--- /dev/null
+++ b/packages/anvilarch-bench/src/model/fleetModel.ts
@@ -0,0 +1,111 @@
+/** Plays a load on a fleet of modelled engines, with the daemon's own decisions, on a clock that needs no waiting. */
+import { type Clock, createFakeClock, createRandom, type FakeClock, type Random } from 'anvilarch-utils'
+import { type Endpoint, urgency } from 'anvilarch-serving'
+import { createModelEngine, type ModelEngine } from './modelEngine'
+import { createModelGateway } from './modelGateway'
+import type { FleetModelFigures, FleetModelOptions, ModelBacklog, ModelItem } from './types'
+
+/** An item of 172 events of 8 tokens at 3.5 ms a token. */
+const ITEM_MS = 4700
+const ITEM_SPREAD = 0.5
+
+const ARRIVAL_SEED_OFFSET = 1000
+const ITEM_SEED_OFFSET = 2000
+
+/** The clock moves in steps of this. */
+const STEP_MS = 1
+
+const MS_PER_SECOND = 1000
+
+/**
+ * @param options - size, load and weights
+ * @returns what callers and engines saw
+ */
+export async function playFleetModel (options: FleetModelOptions): Promise<FleetModelFigures> {
+  const clock = createFakeClock(0)
+  const random = createRandom(options.seed)
+  // Arrivals have numbers of their own, so that all weights see the same ones.
+  const arrivals = createRandom(options.seed + ARRIVAL_SEED_OFFSET)
+  const itemArrivals = createRandom(options.seed + ITEM_SEED_OFFSET)
+  const backlog = createBacklog(clock)
+  const endpoints = Array.from({ length: options.engines }, (_, index) => endpointOf(index, options.slotsPerEngine))
+  const engineAt = new Map<string, ModelEngine>(endpoints.map(endpoint => [endpoint.id, createModelEngine({ clock, slots: options.slotsPerEngine, backlog })]))
+  const firstEventMs: number[] = []
+  const gateways = Array.from({ length: options.gateways }, (_, index) => createModelGateway({
+    clock,
+    random,
+    ip: `10.1.0.${index}`,
+    endpoints,
+    engineAt,
+    gatewayCount: options.gateways,
+    weights: options.weights,
+    onFirstEvent: afterMs => { firstEventMs.push(afterMs) }
+  }))
+  let requests = 0
+  let items = 0
+  arrive(clock, arrivals, nowMs => perSecondAt(options, nowMs), options.durationMs, () => {
+    requests++
+    arrivals.pick(gateways).onArrival()
+  })
+  arrive(clock, itemArrivals, () => options.itemsPerSecond, options.durationMs, () => {
+    items++
+    backlog.add({ remainingMs: itemArrivals.jitter(ITEM_MS, ITEM_SPREAD), dueAtMs: clock.nowMs() + options.itemDueMs })
+  })
+  for (let passedMs = 0; passedMs < options.durationMs + options.itemDueMs; passedMs += STEP_MS) await clock.advanceAsync(STEP_MS)
+
+  const engines = [...engineAt.values()]
+  const itemsDone = sum(engines.map(engine => engine.counts.itemsDone))
+  return {
+    requests,
+    onTimeShare: firstEventMs.filter(afterMs => afterMs <= options.latencyObjectiveMs).length / requests,
+    firstEventP99Ms: percentile(firstEventMs, 0.99),
+    newConnectionsPerRequest: sum(gateways.map(gateway => gateway.counts.newConnections)) / requests,
+    itemsDone,
+    itemsInTimeShare: sum(engines.map(engine => engine.counts.itemsInTime)) / items,
+    cutsPerItem: sum(engines.map(engine => engine.counts.cuts)) / itemsDone
+  }
+}
+
+function createBacklog (clock: Clock): ModelBacklog {
+  let waiting: ModelItem[] = []
+  return {
+    first: count => {
+      const keyed = waiting.map(item => ({ item, key: urgency(item.dueAtMs - clock.nowMs(), item.remainingMs) }))
+      return keyed.sort((a, b) => a.key - b.key).slice(0, count).map(({ item }) => item)
+    },
+    take: item => { waiting = waiting.filter(other => other !== item) },
+    add: item => { waiting.push(item) }
+  }
+}
+
+function endpointOf (index: number, slots: number): Endpoint {
+  const id = `e${index}`
+  return { id, startId: id, bornAtMs: undefined, service: 's', address: `10.0.${index >> 8}.${index & 255}:80`, failureDomain: `d${index % 4}`, slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+}
+
+function perSecondAt (options: FleetModelOptions, nowMs: number): number {
+  const phaseMs = nowMs % (options.troughMs + options.peakMs)
+  return phaseMs < options.troughMs ? options.troughPerSecond : options.peakPerSecond
+}
+
+/** Calls back at random times, as many a second as the rate says. */
+function arrive (clock: FakeClock, random: Random, perSecondAtMs: (nowMs: number) => number, untilMs: number, onArrival: () => void): void {
+  const next = (): void => {
+    const gapMs = -Math.log(1 - random.next()) * MS_PER_SECOND / perSecondAtMs(clock.nowMs())
+    clock.after(gapMs, () => {
+      if (clock.nowMs() >= untilMs) return
+      onArrival()
+      next()
+    })
+  }
+  next()
+}
+
+function sum (numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0)
+}
+
+function percentile (numbers: readonly number[], share: number): number {
+  const sorted = [...numbers].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0
+}
--- /dev/null
+++ b/packages/anvilarch-bench/src/model/modelEngine.ts
@@ -0,0 +1,118 @@
+/** An engine of the model with its agent: slots, a queue in order of arrival, and batch items in the slots to spare. */
+import type { Clock, Timer } from 'anvilarch-utils'
+import { countToStart, isPressing, itemsToStop, planSlack } from 'anvilarch-serving'
+import type { ModelBacklog, ModelItem, ModelRequest } from './types'
+
+/** One engine. */
+export interface ModelEngine {
+  /** The agent has been told that a request is on its way. */
+  onNotice: () => void
+  onRequest: (request: ModelRequest) => void
+  online: () => number
+  batchRunning: () => number
+  counts: { itemsDone: number, itemsInTime: number, cuts: number }
+}
+
+/** Options of `createModelEngine`. */
+export interface ModelEngineOptions {
+  clock: Clock
+  slots: number
+  backlog: ModelBacklog
+}
+
+/** How often an agent looks at an engine with batch work, between the shortest and the longest pause of the daemon. */
+const LOOK_MS = 80
+
+/** Prompt and text of an item are read again when it goes on, some 600 tokens at 44 a millisecond. */
+const READ_AGAIN_MS = 14
+
+interface RunningItem {
+  item: ModelItem
+  startedAtMs: number
+  end: Timer
+}
+
+/**
+ * @param options - clock, slots and batch work
+ * @returns an engine at work
+ */
+export function createModelEngine (options: ModelEngineOptions): ModelEngine {
+  const { clock, slots, backlog } = options
+  const counts = { itemsDone: 0, itemsInTime: 0, cuts: 0 }
+  const queue: ModelRequest[] = []
+  const items: RunningItem[] = []
+  let runningOnline = 0
+  /** Requests that the agent has been told of and that are still on their way. */
+  let announced = 0
+  let cutAtMs = -Infinity
+
+  const startRequests = (): void => {
+    while (queue.length > 0 && runningOnline + items.length < slots) {
+      const request = queue.shift() as ModelRequest
+      runningOnline++
+      clock.after(request.promptMs, request.onFirstEvent)
+      clock.after(request.promptMs + request.eventsMs, () => {
+        runningOnline--
+        request.onEnd()
+        startRequests()
+      })
+    }
+  }
+
+  const startItem = (item: ModelItem): void => {
+    const running: RunningItem = {
+      item,
+      startedAtMs: clock.nowMs(),
+      end: clock.after(READ_AGAIN_MS + item.remainingMs, () => {
+        items.splice(items.indexOf(running), 1)
+        counts.itemsDone++
+        if (clock.nowMs() <= item.dueAtMs) counts.itemsInTime++
+        startRequests()
+      })
+    }
+    items.push(running)
+  }
+
+  const cutItems = (count: number): void => {
+    if (count > 0) cutAtMs = clock.nowMs()
+    for (const running of items.splice(items.length - count, count)) {
+      running.end.cancel()
+      const ranMs = Math.max(0, clock.nowMs() - running.startedAtMs - READ_AGAIN_MS)
+      running.item.remainingMs = Math.max(0, running.item.remainingMs - ranMs)
+      backlog.add(running.item)
+      counts.cuts++
+    }
+  }
+
+  const online = (): number => runningOnline + queue.length + announced
+
+  const look = (): void => {
+    const plan = planSlack({ slots, running: runningOnline + items.length, waiting: queue.length, ownItems: items.length, ownUnseen: 0 })
+    cutItems(plan.stop)
+    const first = backlog.first(plan.start)
+    const wanting = first.map(item => ({ pressing: isPressing(item.dueAtMs - clock.nowMs(), item.remainingMs) }))
+    const count = countToStart({ count: plan.start, items: wanting, online: online(), sinceCutMs: clock.nowMs() - cutAtMs })
+    for (const item of first.slice(0, count)) {
+      backlog.take(item)
+      startItem(item)
+    }
+    startRequests()
+    clock.after(LOOK_MS, look)
+  }
+  look()
+
+  return {
+    onNotice: () => {
+      announced++
+      cutItems(itemsToStop(slots, online(), items.length))
+    },
+    onRequest: request => {
+      announced--
+      queue.push(request)
+      startRequests()
+    },
+    online,
+    batchRunning: () => items.length,
+    counts
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-bench/src/model/modelGateway.ts
@@ -0,0 +1,131 @@
+/** A gateway of the model: the daemon's own knowledge of loads and its placement, over a modelled network. */
+import type { Clock, Random } from 'anvilarch-utils'
+import { createLoadAsker, createLoadTable, createPlacement, type Endpoint, type PeerMessage, type PlacementWeights } from 'anvilarch-serving'
+import type { ModelEngine } from './modelEngine'
+
+/** A gateway that places requests. */
+export interface ModelGateway {
+  /** Places a request and sends it. */
+  onArrival: () => void
+  counts: { newConnections: number }
+}
+
+/** Options of `createModelGateway`. */
+export interface ModelGatewayOptions {
+  clock: Clock
+  random: Random
+  /** Tells this gateway from the others. */
+  ip: string
+  endpoints: readonly Endpoint[]
+  engineAt: ReadonlyMap<string, ModelEngine>
+  gatewayCount: number
+  weights: PlacementWeights
+  onFirstEvent: (afterMs: number) => void
+}
+
+/** One way between two hosts, the work of both included. */
+const LINK_MS = 1
+
+/** An endpoint and both hosts spend this on a new connection. */
+const CONNECT_MS = 2
+
+/** The pools of the daemon give an idle connection up after this. */
+const IDLE_MS = 3000
+
+/** Reading a prompt of 250 tokens of its own and 200 shared ones, at 44 a millisecond. */
+const PROMPT_MS = 10
+
+/** 25 events of 8 tokens at 3.5 ms a token, and their spread. */
+const EVENTS_MS = 700
+const EVENTS_SPREAD = 0.5
+
+/** Requests share one of this many prompt prefixes. */
+const PREFIXES = 40
+
+const PEER_PORT = 7
+
+/**
+ * @param options - engines, weights and listener
+ * @returns a gateway that knows no loads
+ */
+export function createModelGateway (options: ModelGatewayOptions): ModelGateway {
+  const { clock, random, endpoints, engineAt } = options
+  const counts = { newConnections: 0 }
+  const loads = createLoadTable(clock)
+  const connections = new Map<string, { inUse: number, idleSinceMs: number[] }>()
+  const endpointByIp = new Map(endpoints.map(endpoint => [endpoint.address.split(':')[0], endpoint]))
+
+  const send = (message: PeerMessage, to: { ip: string, port: number }): void => {
+    const endpoint = endpointByIp.get(to.ip)
+    const engine = endpoint === undefined ? undefined : engineAt.get(endpoint.id)
+    if (endpoint === undefined || engine === undefined || message.message !== 'load_question') return
+    clock.after(LINK_MS, () => {
+      const report = { startId: endpoint.startId, online: engine.online(), batchRunning: engine.batchRunning(), reachable: true }
+      clock.after(LINK_MS, () => asker.onAnswer({ message: 'load_answer', number: message.number, report }, to))
+    })
+  }
+  const asker = createLoadAsker({ clock, send, peerPort: PEER_PORT, onReport: loads.onReport })
+
+  const connectionsTo = (endpoint: Endpoint): { inUse: number, idleSinceMs: number[] } => {
+    const known = connections.get(endpoint.id) ?? { inUse: 0, idleSinceMs: [] }
+    known.idleSinceMs = known.idleSinceMs.filter(sinceMs => clock.nowMs() - sinceMs < IDLE_MS)
+    connections.set(endpoint.id, known)
+    return known
+  }
+
+  const placement = createPlacement({
+    endpoints: { usable: () => endpoints },
+    loads,
+    asker,
+    ownFailureDomain: endpoints[0].failureDomain,
+    gatewayCount: () => options.gatewayCount,
+    openConnections: endpoint => {
+      const { inUse, idleSinceMs } = connectionsTo(endpoint)
+      return inUse + idleSinceMs.length
+    },
+    weights: options.weights,
+    draw: () => random.next()
+  })
+
+  /** @returns the time that it takes to have a connection */
+  const connect = (endpoint: Endpoint): number => {
+    const held = connectionsTo(endpoint)
+    held.inUse++
+    if (held.idleSinceMs.pop() !== undefined) return 0
+    counts.newConnections++
+    return CONNECT_MS
+  }
+
+  const sendRequest = (endpoint: Endpoint, arrivedAtMs: number): void => {
+    const engine = engineAt.get(endpoint.id)
+    if (engine === undefined) return
+    loads.onSent(endpoint.startId)
+    clock.after(LINK_MS, engine.onNotice)
+    clock.after(LINK_MS + connect(endpoint), () => engine.onRequest({
+      arrivedAtMs,
+      promptMs: PROMPT_MS,
+      eventsMs: random.jitter(EVENTS_MS, EVENTS_SPREAD),
+      onFirstEvent: () => options.onFirstEvent(clock.nowMs() + LINK_MS - arrivedAtMs),
+      onEnd: () => clock.after(LINK_MS, () => {
+        const held = connectionsTo(endpoint)
+        held.inUse--
+        held.idleSinceMs.push(clock.nowMs())
+        loads.onEnded(endpoint.startId)
+      })
+    }))
+  }
+
+  return {
+    counts,
+    onArrival: () => {
+      const arrivedAtMs = clock.nowMs()
+      const terms = { service: 's', sharedParts: [`p${random.between(1, PREFIXES)}`], excluded: new Set<string>() }
+      placement.prepare(terms).then(() => {
+        const endpoint = placement.choose(terms)
+        if (endpoint !== undefined) sendRequest(endpoint, arrivedAtMs)
+      }, () => {
+        // The asker and the clock of the model never fail.
+      })
+    }
+  }
+}
--- a/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -1,5 +1,5 @@
 import type { Endpoint } from '../../model/types'
-import { chooseEndpoint, type ChoiceInput } from '../chooseEndpoint'
+import { chooseEndpoint, type ChoiceInput, DEFAULT_PLACEMENT_WEIGHTS } from '../chooseEndpoint'
 import type { EndpointLoad } from '../loadTable'
 
 function endpoint (id: string, change: Partial<Endpoint> = {}): Endpoint {
@@ -14,6 +14,8 @@
     gatewayCount: 4,
     sharedParts: [],
     ownFailureDomain: 'a',
+    hasIdleConnection: () => false,
+    weights: DEFAULT_PLACEMENT_WEIGHTS,
     draw: () => 0,
     ...change
   })?.id
--- a/packages/anvilarch-serving/src/endpoints/__tests__/whomToAsk.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/whomToAsk.test.ts
@@ -1,7 +1,7 @@
 import { createRandom } from 'anvilarch-utils'
 import type { Endpoint } from '../../model/types'
 import type { EndpointLoad } from '../loadTable'
-import { FIRST_QUESTIONS, FRESH_MS, MORE_QUESTIONS, type QuestionInput, whomToAsk } from '../whomToAsk'
+import { CONNECTED_QUESTIONS, FIRST_QUESTIONS, FRESH_MS, MORE_QUESTIONS, type QuestionInput, whomToAsk } from '../whomToAsk'
 
 const ENDPOINTS: Endpoint[] = Array.from({ length: 40 }, (_, index) => ({
   id: `e${index}`, startId: `e${index}`, bornAtMs: undefined, service: 's', address: 'a', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1
@@ -13,6 +13,7 @@
     candidates: ENDPOINTS,
     preferred: undefined,
     loadOf: ({ id }) => ({ online: 4, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 500, ...loads[id] }),
+    hasIdleConnection: () => false,
     answers: () => true,
     draw: () => random.next(),
     ...change
@@ -27,6 +28,13 @@
     expect(new Set(asked).size).toBe(FIRST_QUESTIONS)
   })
 
+  it('asks some to which a connection is open, and still some by chance', () => {
+    const connected = new Set(['e1', 'e2', 'e3', 'e4', 'e5'])
+    const asked = whomToAsk.first(input({ e9: { online: 1 } }, { hasIdleConnection: ({ id }) => connected.has(id) })).map(endpoint => endpoint.id)
+    expect(asked.filter(id => connected.has(id))).toHaveLength(CONNECTED_QUESTIONS)
+    expect(asked).toHaveLength(FIRST_QUESTIONS)
+  })
+
   it('does not ask again what it has just been told', () => {
     expect(whomToAsk.first(input({ e9: { online: 1, ageMs: FRESH_MS } }, { candidates: ENDPOINTS.slice(8, 12) })).map(endpoint => endpoint.id)).not.toContain('e9')
   })
--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -20,23 +20,42 @@
   ownFailureDomain: string
   /** Gateways that send to the same endpoints. */
   gatewayCount: number
+  /** @returns whether this process has a connection to the endpoint on which no request is in progress */
+  hasIdleConnection: (endpoint: Endpoint) => boolean
+  weights: PlacementWeights
   draw: () => number
 }
 
-/** A batch item beside the request counts as this part of an online one: it gives way, but its prompt has to be read again. */
-const BATCH_WEIGHT = 0.25
-
-/** A warm prefix saves the prefill of some hundred tokens, about 2 ms; more than half a request of load is not worth that. */
-const AFFINITY_BONUS = 0.4
-
-/** Another failure domain costs a millisecond and bytes between domains; it decides only between equals. */
-const SAME_DOMAIN_BONUS = 0.15
-
-/** A cold endpoint is slower by about half. */
-const COLD_PENALTY = 2
+/** What counts for and against an endpoint, each in requests of load. */
+export interface PlacementWeights {
+  /** A batch item beside the request. */
+  batchItem: number
+  /** Taken off where a shared part of the prompt is probably cached. */
+  sharedPart: number
+  /** Taken off where a connection is open and idle. */
+  idleConnection: number
+  /** Taken off in the own failure domain. */
+  sameDomain: number
+  /** Added for an endpoint that is cold. */
+  cold: number
+  /** Added where no agent tells the load. */
+  unknownLoad: number
+}
 
-/** Where no agent tells the load, other gateways have probably sent as much as this one; the rest stands for what is not known. */
-const UNKNOWN_LOAD_PENALTY = 1
+/** Weights of the daemon. */
+export const DEFAULT_PLACEMENT_WEIGHTS: PlacementWeights = {
+  // It gives way, but its prompt has to be read again.
+  batchItem: 0.25,
+  // A warm prefix saves the prefill of some hundred tokens, about 2 ms; more than half a request of load is not worth that.
+  sharedPart: 0.4,
+  idleConnection: 0,
+  // Another failure domain costs a millisecond and bytes between domains; it decides only between equals.
+  sameDomain: 0.15,
+  // A cold endpoint is slower by about half.
+  cold: 2,
+  // Other gateways have probably sent as much as this one; the rest stands for what is not known.
+  unknownLoad: 1
+}
 
 /**
  * @param input - candidates, loads and what is known of the request
@@ -74,19 +93,21 @@
 }
 
 function scoreOf (candidate: Endpoint, input: ChoiceInput, preferred: Endpoint | undefined): number {
+  const { weights } = input
   const load = input.loadOf(candidate)
   const slots = Math.max(1, candidate.slots)
-  const online = onlineAt(load, input.gatewayCount)
-  let score = online + BATCH_WEIGHT * load.batchRunning
+  const online = onlineAt(load, input)
+  let score = online + weights.batchItem * load.batchRunning
   if (online >= slots) score += online - slots + 1
-  if (candidate === preferred) score -= AFFINITY_BONUS
-  if (candidate.failureDomain === input.ownFailureDomain) score -= SAME_DOMAIN_BONUS
-  if (candidate.coldLeftMs > 0) score += COLD_PENALTY
+  if (candidate === preferred) score -= weights.sharedPart
+  if (input.hasIdleConnection(candidate)) score -= weights.idleConnection
+  if (candidate.failureDomain === input.ownFailureDomain) score -= weights.sameDomain
+  if (candidate.coldLeftMs > 0) score += weights.cold
   return score
 }
 
-function onlineAt (load: EndpointLoad, gatewayCount: number): number {
-  return load.ageMs === Infinity ? load.ownInProgress * gatewayCount + UNKNOWN_LOAD_PENALTY : load.online
+function onlineAt (load: EndpointLoad, input: ChoiceInput): number {
+  return load.ageMs === Infinity ? load.ownInProgress * input.gatewayCount + input.weights.unknownLoad : load.online
 }
 
 /**
--- a/packages/anvilarch-serving/src/endpoints/placement.ts
+++ b/packages/anvilarch-serving/src/endpoints/placement.ts
@@ -1,6 +1,6 @@
 /** Places requests: asks a few agents how busy their engines are, and chooses among what is known then. */
 import type { Endpoint } from '../model/types'
-import { chooseEndpoint, preferredEndpoint } from './chooseEndpoint'
+import { chooseEndpoint, DEFAULT_PLACEMENT_WEIGHTS, type PlacementWeights, preferredEndpoint } from './chooseEndpoint'
 import type { EndpointTable } from './endpointTable'
 import type { LoadAsker } from './loadAsker'
 import type { EndpointLoad, LoadTable } from './loadTable'
@@ -35,6 +35,9 @@
   ownFailureDomain: string
   /** @returns how many gateways send to the same endpoints */
   gatewayCount: () => number
+  /** @returns connections of this process to the endpoint, idle ones and others */
+  openConnections: (endpoint: Endpoint) => number
+  weights?: PlacementWeights
   draw: () => number
 }
 
@@ -45,6 +48,8 @@
 export function createPlacement (options: PlacementOptions): Placement {
   const { endpoints, loads, asker, draw } = options
   const loadOf = (endpoint: Endpoint): EndpointLoad => loads.loadOf(endpoint.startId)
+  const hasIdleConnection = (endpoint: Endpoint): boolean => options.openConnections(endpoint) > loadOf(endpoint).ownInProgress
+  const weights = options.weights ?? DEFAULT_PLACEMENT_WEIGHTS
   const isKnown = (endpoint: Endpoint): boolean => isFresh(loadOf(endpoint))
 
   const allowed = (terms: PlacementTerms): readonly Endpoint[] => {
@@ -56,7 +61,8 @@
     prepare: async terms => {
       const candidates = allowed(terms)
       if (candidates.length < 2) return
-      const input = { candidates, preferred: preferredEndpoint(candidates, terms.sharedParts), loadOf, answers: asker.answers, draw }
+      const preferred = weights.sharedPart > 0 ? preferredEndpoint(candidates, terms.sharedParts) : undefined
+      const input = { candidates, preferred, loadOf, hasIdleConnection, answers: asker.answers, draw }
       const first = whomToAsk.first(input)
       await asker.ask(first)
       const more = whomToAsk.more(input, first)
@@ -69,6 +75,8 @@
       sharedParts: terms.sharedParts,
       ownFailureDomain: options.ownFailureDomain,
       gatewayCount: options.gatewayCount(),
+      hasIdleConnection,
+      weights,
       draw
     }),
     known: service => {
--- a/packages/anvilarch-serving/src/endpoints/whomToAsk.ts
+++ b/packages/anvilarch-serving/src/endpoints/whomToAsk.ts
@@ -13,6 +13,8 @@
   /** Where a shared part of the prompt is probably cached. */
   preferred: Endpoint | undefined
   loadOf: (endpoint: Endpoint) => EndpointLoad
+  /** @returns whether this process has a connection to the endpoint on which no request is in progress */
+  hasIdleConnection: (endpoint: Endpoint) => boolean
   /** @returns whether the agent of the endpoint answers, as far as is known */
   answers: (endpoint: Endpoint) => boolean
   draw: () => number
@@ -21,6 +23,9 @@
 /** Agents asked at first. */
 export const FIRST_QUESTIONS = 4
 
+/** Of the first, this many at most are drawn from those to which a connection is open and idle. */
+export const CONNECTED_QUESTIONS = 2
+
 /** Agents asked when the first are all full. */
 export const MORE_QUESTIONS = 8
 
@@ -36,7 +41,7 @@
 export const whomToAsk = {
   /**
    * @param input - candidates and what is known of them
-   * @returns the preferred endpoint, the one that seemed the least loaded, and some by chance
+   * @returns the preferred endpoint, the one that seemed the least loaded, some with an idle connection, and some by chance
    */
   first: (input: QuestionInput): Endpoint[] => {
     const { candidates, preferred } = input
@@ -44,6 +49,7 @@
     if (preferred !== undefined) asked.add(preferred)
     const least = leastLoaded(input)
     if (least !== undefined) asked.add(least)
+    addByChance(asked, candidates.filter(input.hasIdleConnection), Math.min(FIRST_QUESTIONS, asked.size + CONNECTED_QUESTIONS), input.draw)
     addByChance(asked, candidates, FIRST_QUESTIONS, input.draw)
     return [...asked].filter(endpoint => !isFresh(input.loadOf(endpoint)))
   },
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -105,6 +105,7 @@
     asker,
     ownFailureDomain: settings.failureDomain,
     gatewayCount: () => gatewayCount(view.work, context.store.storeNowMs()),
+    openConnections: pools.openTo,
     draw: () => context.random.next()
   })
   view.endpoints.onGone(endpoint => {
--- a/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
@@ -1,4 +1,4 @@
-import { RESERVED_SLOTS, planSlack, unseenItems } from '../slack'
+import { countToStart, planSlack, RESERVED_SLOTS, unseenItems } from '../slack'
 
 describe('planSlack', () => {
   it('fills all slots but the reserved ones', () => {
@@ -39,3 +39,31 @@
     expect(unseenItems([950], 1000)).toBe(0)
   })
 })
+
+describe('countToStart', () => {
+  const patient = { pressing: false }
+  const pressing = { pressing: true }
+
+  // Symptom: four runs of items are cut for each one that is done, while the engines have slots to spare on average.
+  // Sequence: an item starts in the last slot; the next request takes it; the request ends and the item starts again.
+  // Cause: each slot to spare was filled, whether or not the item could wait.
+  it('leaves the last slot to items that cannot wait while requests take slots from items', () => {
+    expect(countToStart({ count: 3, items: [patient, patient, patient, patient], online: 2, sinceCutMs: 100 })).toBe(2)
+    expect(countToStart({ count: 1, items: [patient], online: 2, sinceCutMs: 100 })).toBe(0)
+    expect(countToStart({ count: 1, items: [pressing, patient], online: 2, sinceCutMs: 100 })).toBe(1)
+    expect(countToStart({ count: 3, items: [pressing, pressing, pressing, patient], online: 2, sinceCutMs: 100 })).toBe(3)
+  })
+
+  it('fills all slots to spare when no request has taken one for a while', () => {
+    expect(countToStart({ count: 3, items: [patient, patient, patient, patient], online: 2, sinceCutMs: 5000 })).toBe(3)
+  })
+
+  it('fills all slots to spare when the requests are gone', () => {
+    expect(countToStart({ count: 3, items: [patient, patient, patient], online: 0, sinceCutMs: 100 })).toBe(3)
+  })
+
+  it('starts no more than there is', () => {
+    expect(countToStart({ count: 5, items: [patient, patient], online: 2, sinceCutMs: Infinity })).toBe(2)
+    expect(countToStart({ count: 0, items: [pressing], online: 2, sinceCutMs: 0 })).toBe(0)
+  })
+})
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -9,6 +9,8 @@
   job: JobRecord
   item: number
   urgency: number
+  /** Whether it would be late if it waited much longer; see `isPressing`. */
+  pressing: boolean
 }
 
 /** What the choice depends on. */
@@ -63,6 +65,18 @@
   return dueInMs >= remainingMs ? dueInMs : LATE_OFFSET_MS + dueInMs
 }
 
+/** An item whose time is less than this many times what it still runs cannot wait for two bursts more. */
+const PRESSING_FACTOR = 2
+
+/**
+ * @param dueInMs - time until the item is due
+ * @param remainingMs - time that it still runs
+ * @returns whether it should take any slot that it can get
+ */
+export function isPressing (dueInMs: number, remainingMs: number): boolean {
+  return dueInMs < PRESSING_FACTOR * remainingMs
+}
+
 /** Larger than any time until a job is due, so that late items come after all others. */
 const LATE_OFFSET_MS = 1e9
 
@@ -126,7 +140,7 @@
     const tokens = job.itemTokens[item]
     const remainingMs = input.remainingMs(tokens, savedEventId)
     if (isBetterElsewhere(dueInMs, remainingMs, input.remainingElsewhereMs(tokens, savedEventId))) continue
-    candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs) })
+    candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs), pressing: isPressing(dueInMs, remainingMs) })
   }
   return candidates
 }
--- a/packages/anvilarch-serving/src/runner/slack.ts
+++ b/packages/anvilarch-serving/src/runner/slack.ts
@@ -40,6 +40,41 @@
   return { start: Math.max(0, reportedFree - input.ownUnseen - RESERVED_SLOTS), stop: 0 }
 }
 
+/** Of the slots to spare, this many are left to items that cannot wait while requests have lately taken slots from items. */
+const SPARE_SLOTS = 1
+
+/** In a burst, requests come to an engine every 100 ms and hold a slot for 700; without a cut for this long there is none. */
+const RECENT_CUT_MS = 800
+
+/** What decides how many items start. */
+export interface StartInput {
+  /** Slots into which an item may start. */
+  count: number
+  /** Items that want a slot, the most urgent first. */
+  items: ReadonlyArray<{ pressing: boolean }>
+  /** Online requests at the engine. */
+  online: number
+  /** Time since an item here gave way to a request. */
+  sinceCutMs: number
+}
+
+/**
+ * Answers load that goes up and down within a burst: an item in the last slot gives way to the next request, starts again
+ * when that one has ended, and so on; each time its claim is saved and its prompt read again. Experiment `placement` says
+ * how many cuts this saves.
+ *
+ * @param input - slots and items
+ * @returns how many of the items start
+ */
+export function countToStart ({ count, items, online, sinceCutMs }: StartInput): number {
+  const most = Math.min(count, items.length)
+  const inBurst = online > 0 && sinceCutMs < RECENT_CUT_MS
+  const forAny = inBurst ? Math.max(0, count - SPARE_SLOTS) : most
+  let starting = 0
+  while (starting < most && (starting < forAny || items[starting].pressing)) starting++
+  return starting
+}
+
 /**
  * Decides between two looks at the engine, when a gateway has just sent a request there.
  *
--- a/packages/anvilarch-serving/src/runner/slotBalance.ts
+++ b/packages/anvilarch-serving/src/runner/slotBalance.ts
@@ -3,9 +3,9 @@
 import type { Endpoint } from '../model/types'
 import type { EngineReport } from '../roles/types'
 import type { HeldItem } from './heldItems'
-import { chooseItems, urgency } from './itemChoice'
+import { chooseItems, isPressing, urgency } from './itemChoice'
 import { isWorkFresh } from './itemSteps'
-import { itemsToStop, planSlack, unseenItems } from './slack'
+import { countToStart, itemsToStop, planSlack, unseenItems } from './slack'
 import type { RunnerParts, RunnerState } from './types'
 
 /** Starts and stops items. */
@@ -27,22 +27,30 @@
   const { log } = parts
   const { held, steps, engineRefusals } = state
 
-  const urgencyOf = (entry: HeldItem, storeNowMs: number): number =>
-    urgency(entry.dueAtMs - storeNowMs, parts.pace.remainingMs(entry.tokens, entry.text.lastEventId))
+  const remainingMsOf = (entry: HeldItem): number => parts.pace.remainingMs(entry.tokens, entry.text.lastEventId)
+
+  const urgencyOf = (entry: HeldItem, storeNowMs: number): number => urgency(entry.dueAtMs - storeNowMs, remainingMsOf(entry))
 
   let wantsItems = false
+  /** When an item last gave way to a request. */
+  let cutAtMs = -Infinity
 
-  const startItems = (count: number): void => {
+  const startItems = (count: number, online: number): void => {
     const storeNowMs = parts.store.storeNowMs()
     if (storeNowMs === undefined || !engineRefusals.mayStart()) return
     const resumable = held.inState('paused').filter(entry => entry.refusals.mayStart())
-    const paused = resumable.map(entry => ({ entry, urgency: urgencyOf(entry, storeNowMs) }))
+    const paused = resumable.map(entry => ({
+      entry,
+      urgency: urgencyOf(entry, storeNowMs),
+      pressing: isPressing(entry.dueAtMs - storeNowMs, remainingMsOf(entry))
+    }))
     // A claim names the incarnation of its holder, which others know by its heartbeat.
     const mayClaim = parts.work.member(parts.runner)?.record.incarnation === parts.incarnation
     const fresh = mayClaim ? chooseItems(state.choiceInput(storeNowMs), count) : []
     const chosen = [...paused, ...fresh].sort((a, b) => a.urgency - b.urgency).slice(0, count)
     wantsItems = chosen.length < count
-    for (const next of chosen) {
+    const startCount = countToStart({ count, items: chosen, online, sinceCutMs: parts.clock.nowMs() - cutAtMs })
+    for (const next of chosen.slice(0, startCount)) {
       if ('entry' in next) {
         next.entry.state = 'claiming'
         runInBackground(log, 'resume item', () => steps.resume(next.entry))
@@ -53,6 +61,7 @@
   }
 
   const stopItems = (count: number): void => {
+    cutAtMs = parts.clock.nowMs()
     const storeNowMs = parts.store.storeNowMs() ?? 0
     const leastUrgentFirst = held.inState('running').sort((a, b) => urgencyOf(b, storeNowMs) - urgencyOf(a, storeNowMs))
     for (const entry of leastUrgentFirst.slice(0, count)) steps.pause(entry, 'online_requests')
@@ -70,7 +79,7 @@
       })
       wantsItems = false
       if (plan.stop > 0) stopItems(plan.stop)
-      if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start)
+      if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start, Math.max(0, report.running + report.waiting - running.length))
     },
     wantsItems: () => wantsItems,
     onOnline: (online, endpoint) => {
