Weigh a batch item like a request when placing; prefer endpoints to which a connection is open

Cause: an item counted as a quarter of a request, so that requests went to engines full of items past engines with slots that nobody used; and gateways opened a connection for more than every second request of the large deployment (11,086 for 19,949, agents' included), as they chose among 65 endpoints by load alone.

Ruled out, in the model: a price for the cut itself (1 to 3 requests; with items weighed like requests it changes nothing); a weight of 2 for idle connections (fewer connections still, but a longer tail of first events).

Change: weight of an item 0.25 to 1; one request of load off for an endpoint with an idle connection, two of the first four questions go to such ones.

Two changes in one commit, told apart in the model.

--- a/packages/anvilarch-bench/src/experiments/placement.ts
+++ b/packages/anvilarch-bench/src/experiments/placement.ts
@@ -26,12 +26,15 @@
   warmUpMs: 0,
   variants: () => [
     variant('as built', {}),
-    variant('items cost as much as requests', { batchItem: 1 }),
-    variant('idle connections', { idleConnection: 1 }),
+    variant('items cost a quarter', { batchItem: 0.25 }),
+    variant('no idle connections', { idleConnection: 0 }),
     variant('no shared parts', { sharedPart: 0 }),
     variant('no own domain', { sameDomain: 0 })
   ],
-  aims: [],
+  aims: [
+    { text: 'no more than 1.6 runs of items are cut for each one done', variant: 'as built', figure: 'cutsPerItem', compare: 'value', bound: 'at_most', limit: 1.6 },
+    { text: 'no more than 0.3 connections are opened for each request', variant: 'as built', figure: 'newConnectionsPerRequest', compare: 'value', bound: 'at_most', limit: 0.3 }
+  ],
   summary: ['onTimeShare', 'firstEventP99Ms', 'cutsPerItem', 'newConnectionsPerRequest', 'itemsInTimeShare'],
   plots: result => [
     barsByFigure(result, { cutsPerItem: 'cuts for each item', newConnectionsPerRequest: 'connections for each request' }, { name: 'placement', title: 'Placement by weights', yLabel: 'count' })
--- a/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -32,6 +32,16 @@
     expect(choose(TWO, { e1: { online: 8 }, e2: { online: 2, batchRunning: 5 } })).toBe('e2')
   })
 
+  it('takes a free slot rather than one from a batch item', () => {
+    expect(choose(TWO, { e1: { online: 2, batchRunning: 5 }, e2: { online: 4 } })).toBe('e2')
+  })
+
+  it('prefers an endpoint to which a connection is open, while loads are alike', () => {
+    const connected = { hasIdleConnection: (candidate: Endpoint) => candidate.id === 'e2' }
+    expect(choose(TWO, {}, connected)).toBe('e2')
+    expect(choose(TWO, { e2: { online: 2 } }, connected)).toBe('e1')
+  })
+
   it('keeps requests with a shared part together while loads are alike', () => {
     const chosen = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6'].map(part => choose(TWO, {}, { sharedParts: [part] }))
     expect(chosen).toEqual(['p1', 'p2', 'p3', 'p4', 'p5', 'p6'].map(part => choose([TWO[1], TWO[0]], {}, { sharedParts: [part], draw: () => 0.9 })))
