Hold to an open connection only where the load of the endpoint is told

Where no agent tells the load, spreading is all that keeps gateways from the same endpoint.

Change: an idle connection counts only where the load is told.

--- a/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -42,6 +42,14 @@
     expect(choose(TWO, { e2: { online: 2 } }, connected)).toBe('e1')
   })
 
+  // Symptom: requests of a plain service, one after another, all go to the same endpoint of several.
+  // Sequence: the first one opens a connection; whoever has no agent tells no load, so that the connection decides from then on.
+  // Cause: an open connection counted also where nothing tells that the endpoint is busy with requests of others.
+  it('does not hold to an endpoint whose load nobody tells', () => {
+    const connected = { hasIdleConnection: (candidate: Endpoint) => candidate.id === 'e2' }
+    expect(choose(TWO, { e1: { ageMs: Infinity }, e2: { ageMs: Infinity } }, connected)).toBe('e1')
+  })
+
   it('keeps requests with a shared part together while loads are alike', () => {
     const chosen = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6'].map(part => choose(TWO, {}, { sharedParts: [part] }))
     expect(chosen).toEqual(['p1', 'p2', 'p3', 'p4', 'p5', 'p6'].map(part => choose([TWO[1], TWO[0]], {}, { sharedParts: [part], draw: () => 0.9 })))
--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -32,7 +32,7 @@
   batchItem: number
   /** Taken off where a shared part of the prompt is probably cached. */
   sharedPart: number
-  /** Taken off where a connection is open and idle. */
+  /** Taken off where a connection is open and idle and the load is known. */
   idleConnection: number
   /** Taken off in the own failure domain. */
   sameDomain: number
@@ -103,14 +103,19 @@
   let score = online + weights.batchItem * load.batchRunning
   if (online >= slots) score += online - slots + 1
   if (candidate === preferred) score -= weights.sharedPart
-  if (input.hasIdleConnection(candidate)) score -= weights.idleConnection
+  if (isTold(load) && input.hasIdleConnection(candidate)) score -= weights.idleConnection
   if (candidate.failureDomain === input.ownFailureDomain) score -= weights.sameDomain
   if (candidate.coldLeftMs > 0) score += weights.cold
   return score
 }
 
+/** Whether an agent has lately told the load. Where none does, gateways share it by spreading alone, and hold to no endpoint. */
+function isTold (load: EndpointLoad): boolean {
+  return load.ageMs !== Infinity
+}
+
 function onlineAt (load: EndpointLoad, input: ChoiceInput): number {
-  return load.ageMs === Infinity ? load.ownInProgress * input.gatewayCount + input.weights.unknownLoad : load.online
+  return isTold(load) ? load.online : load.ownInProgress * input.gatewayCount + input.weights.unknownLoad
 }
 
 /**
