--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -3,8 +3,9 @@
 import { Ok } from 'ts-results'
 import type { Pool } from 'undici'
 import { newJob } from '../../jobs/jobRecord'
-import { jobKey, memberKey, recordRow } from '../../jobs/jobRows'
+import { CLAIM_TABLE, jobKey, memberKey, recordRow } from '../../jobs/jobRows'
 import { encodeSubmission } from '../../jobs/submission'
+import type { ClaimRecord } from '../../jobs/types'
 import { createWorkTable } from '../../jobs/workTable'
 import type { Configuration, Endpoint, Route } from '../../model/types'
 import type { PlatformWire } from '../../roles/types'
@@ -25,6 +26,8 @@
   clock: FakeClock
   runner: BatchRunner
   runs: EngineRun[]
+  /** Items whose claims were given back, in order. */
+  letGo: number[]
   /** Requests of online clients, which the engine runs or lets wait. */
   online: { running: number, waiting: number }
   /** A gateway tells how many of its requests are in progress. */
@@ -49,15 +52,17 @@
 /**
  * @param slots - of the engine
  * @param itemCount - items of the only job, each of which runs for longer than a test
+ * @param dueMs - time until the job is due
  * @returns a runner at work
  */
-export function createRunnerHarness (slots: number, itemCount: number): RunnerHarness {
+export function createRunnerHarness (slots: number, itemCount: number, dueMs = 600_000): RunnerHarness {
   const clock = createFakeClock()
   const runs: EngineRun[] = []
+  const letGo: number[] = []
   const online = { running: 0, waiting: 0 }
   const runningItems = (): EngineRun[] => runs.filter(run => run.abortedAtMs === undefined)
   const items = Array.from({ length: itemCount }, (_, index) => ({ id: `item${index}`, path: '/', headers: {}, body: Buffer.alloc(0), tokens: 1000 }))
-  const job = newJob(items, { jobId: 'job', host: 'h', path: '/jobs', nowMs: 0, dueMs: 600_000, expiryMs: 900_000, maxAttempts: 3 })
+  const job = newJob(items, { jobId: 'job', host: 'h', path: '/jobs', nowMs: 0, dueMs, expiryMs: 900_000, maxAttempts: 3 })
   const work = createWorkTable()
   work.learn({ ...recordRow(jobKey('job'), job), version: 1 })
   work.learn({
@@ -67,7 +72,14 @@
 
   let version = 1
   const store: MetadataStore = {
-    commit: async () => ({ outcome: 'committed', version: ++version }),
+    commit: async ({ puts }) => {
+      for (const { table, value } of puts) {
+        if (table !== CLAIM_TABLE) continue
+        const claim = JSON.parse(value.toString()) as ClaimRecord
+        if (!claim.held) letGo.push(claim.item)
+      }
+      return { outcome: 'committed', version: ++version }
+    },
     readRows: async () => Ok({ rows: [], version }),
     readFeed: async () => Ok({ outcome: 'changes' as const, changes: [], version }),
     writeObject: async () => 'stored',
@@ -116,7 +128,7 @@
     pace: createPace()
   })
   const tell = (inProgress: number): void => runner.onUse('gateway', 'e1', inProgress)
-  return { clock, runner, runs, online, tell, runningItems }
+  return { clock, runner, runs, letGo, online, tell, runningItems }
 }
 
 function endpointWith (slots: number): Endpoint {
--- a/packages/anvilarch-serving/src/runner/__tests__/batchRunner.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/batchRunner.test.ts
@@ -68,4 +68,36 @@
     await harness.clock.advanceAsync(200)
     expect(harness.runs.every(run => run.abortedAtMs === undefined)).toBe(true)
   })
+
+  // Symptom: after each burst a hundred items are claimed anew; with the store away meanwhile, none goes on.
+  // Sequence: a burst fills all engines for two seconds; their runners let go of what they had paused, each for the others.
+  // Cause: a paused item was let go after 0.8 s, however long it could wait.
+  it('keeps paused items that can wait for as long as a burst usually lasts', async () => {
+    await startRunner(3)
+    harness.online.running = SLOTS
+    harness.tell(SLOTS)
+    await harness.clock.advanceAsync(2500)
+    expect(harness.letGo).toEqual([])
+    harness.online.running = 0
+    harness.tell(0)
+    await harness.clock.advanceAsync(100)
+    expect(harness.runningItems()).toHaveLength(3)
+  })
+
+  it('lets go of items that wait longer', async () => {
+    await startRunner(3)
+    harness.online.running = SLOTS
+    harness.tell(SLOTS)
+    await harness.clock.advanceAsync(4000)
+    expect([...harness.letGo].sort()).toEqual([0, 1, 2])
+  })
+
+  it('lets go of items that cannot wait within a second', async () => {
+    harness = createRunnerHarness(SLOTS, 3, 500)
+    await harness.clock.advanceAsync(1000)
+    harness.online.running = SLOTS
+    harness.tell(SLOTS)
+    await harness.clock.advanceAsync(1000)
+    expect([...harness.letGo].sort()).toEqual([0, 1, 2])
+  })
 })
--- a/packages/anvilarch-serving/src/runner/heldItemCare.ts
+++ b/packages/anvilarch-serving/src/runner/heldItemCare.ts
@@ -4,7 +4,7 @@
 import { ownClaimVersion, saveProgress } from './claims'
 import { fleetEventMs } from './fleetPace'
 import { type HeldItem, progressOf } from './heldItems'
-import { isBetterElsewhere } from './itemChoice'
+import { isBetterElsewhere, isPressing } from './itemChoice'
 import type { ReleaseReason } from './itemSteps'
 import type { RunnerParts, RunnerState } from './types'
 
@@ -18,8 +18,14 @@
   releaseUnwanted: (endpoint: Endpoint | undefined) => void
 }
 
-/** A paused item waits for this long on its own engine before others may take it: two thirds of a burst are shorter. */
-const PAUSE_HOLD_MS = 800
+/** A paused item that cannot wait stays with its engine for this long before others may take it. */
+const PRESSING_HOLD_MS = 800
+
+/**
+ * One that can wait stays for this long. A burst fills all engines alike: let go, the item would be saved and claimed anew, by a
+ * runner that has no more room, and with the store away it could not go on at all when the burst is over.
+ */
+const PATIENT_HOLD_MS = 3000
 
 /** Pace is learned from runs in progress this often, so that an engine that turns slow is noticed within a second. */
 const PACE_INTERVAL_MS = 500
@@ -48,6 +54,11 @@
     ))
   }
 
+  const holdMs = (entry: HeldItem): number => {
+    const dueInMs = entry.dueAtMs - (parts.store.storeNowMs() ?? 0)
+    return isPressing(dueInMs, pace.remainingMs(entry.tokens, entry.text.lastEventId)) ? PRESSING_HOLD_MS : PATIENT_HOLD_MS
+  }
+
   const releaseAll = (entries: HeldItem[], reason: ReleaseReason): void => {
     for (const entry of entries) runInBackground(log, 'release item', () => steps.release(entry, reason))
   }
@@ -85,7 +96,7 @@
     },
     releaseUnwanted: endpoint => {
       const nowMs = clock.nowMs()
-      releaseAll(held.inState('paused').filter(entry => nowMs - entry.pausedAtMs > PAUSE_HOLD_MS), 'long_paused')
+      releaseAll(held.inState('paused').filter(entry => nowMs - entry.pausedAtMs > holdMs(entry)), 'long_paused')
       if (endpoint?.state === 'ready') releaseAll(betterElsewhere(), 'better_elsewhere')
       else releaseAll(held.inState('running'), 'endpoint_not_ready')
     }
