Forget questions to agents that are gone; name the online requests of a look; leave the list of peers as it was

Read once more: a question that became overdue after its agent had been forgotten made a new entry for it, which stayed.

--- a/packages/anvilarch-serving/src/endpoints/loadAsker.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadAsker.ts
@@ -89,7 +89,8 @@
       if (nowMs - question.round.askedAtMs < ANSWER_PATIENCE_MS) return
       open.delete(number)
       overdue.set(number, question)
-      stateOf(question.startId).unanswered++
+      const state = agents.get(question.startId)
+      if (state !== undefined) state.unanswered++
     }
   }
 
--- a/packages/anvilarch-serving/src/runner/slotBalance.ts
+++ b/packages/anvilarch-serving/src/runner/slotBalance.ts
@@ -78,8 +78,9 @@
         ownUnseen: held.inState('claiming').length + unseenItems(running.map(entry => entry.startedAtMs), askedAtMs)
       })
       wantsItems = false
+      const online = Math.max(0, report.running + report.waiting - running.length)
       if (plan.stop > 0) stopItems(plan.stop)
-      if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start, Math.max(0, report.running + report.waiting - running.length))
+      if (plan.start > 0 && endpoint.state === 'ready' && isWorkFresh(parts)) startItems(plan.start, online)
     },
     wantsItems: () => wantsItems,
     onOnline: (online, endpoint) => {
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -136,7 +136,7 @@
   /** Asks one peer after another, as long as the answers show that nothing was done. */
   const relay = async (call: StoreCall): Promise<StoreAnswer | undefined> => {
     if (clock.nowMs() < relayAgainMs) return undefined
-    const peers = options.peers()
+    const peers = [...options.peers()]
     let answer: StoreAnswer | undefined
     for (let tries = 0; tries < RELAY_TRIES && peers.length > 0; tries++) {
       const peer = options.random.pick(peers)
