--- a/packages/anvilarch-bench/src/model/fleetModel.ts
+++ b/packages/anvilarch-bench/src/model/fleetModel.ts
@@ -2,7 +2,7 @@
 import { type Clock, createFakeClock, createRandom, type FakeClock, type Random } from 'anvilarch-utils'
 import { type Endpoint, urgency } from 'anvilarch-serving'
 import { createModelEngine, type ModelEngine } from './modelEngine'
-import { createModelGateway } from './modelGateway'
+import { createModelGateway, type ModelGateway } from './modelGateway'
 import type { FleetModelFigures, FleetModelOptions, ModelBacklog, ModelItem } from './types'
 
 /** An item of 172 events of 8 tokens at 3.5 ms a token. */
@@ -31,10 +31,9 @@
   const endpoints = Array.from({ length: options.engines }, (_, index) => endpointOf(index, options.slotsPerEngine))
   const engineAt = new Map<string, ModelEngine>(endpoints.map(endpoint => [endpoint.id, createModelEngine({ clock, slots: options.slotsPerEngine, backlog })]))
   const firstEventMs: number[] = []
-  const gateways = Array.from({ length: options.gateways }, (_, index) => createModelGateway({
+  const gateways = Array.from({ length: options.gateways }, () => createModelGateway({
     clock,
     random,
-    ip: `10.1.0.${index}`,
     endpoints,
     engineAt,
     gatewayCount: options.gateways,
@@ -53,11 +52,23 @@
   })
   for (let passedMs = 0; passedMs < options.durationMs + options.itemDueMs; passedMs += STEP_MS) await clock.advanceAsync(STEP_MS)
 
-  const engines = [...engineAt.values()]
+  return figuresOf({ firstEventMs, requests, items, engines: [...engineAt.values()], gateways }, options.latencyObjectiveMs)
+}
+
+/** What was counted while the load was played. */
+interface Counted {
+  firstEventMs: number[]
+  requests: number
+  items: number
+  engines: ModelEngine[]
+  gateways: ModelGateway[]
+}
+
+function figuresOf ({ firstEventMs, requests, items, engines, gateways }: Counted, latencyObjectiveMs: number): FleetModelFigures {
   const itemsDone = sum(engines.map(engine => engine.counts.itemsDone))
   return {
     requests,
-    onTimeShare: firstEventMs.filter(afterMs => afterMs <= options.latencyObjectiveMs).length / requests,
+    onTimeShare: firstEventMs.filter(afterMs => afterMs <= latencyObjectiveMs).length / requests,
     firstEventP99Ms: percentile(firstEventMs, 0.99),
     newConnectionsPerRequest: sum(gateways.map(gateway => gateway.counts.newConnections)) / requests,
     itemsDone,
--- a/packages/anvilarch-bench/src/model/modelGateway.ts
+++ b/packages/anvilarch-bench/src/model/modelGateway.ts
@@ -14,8 +14,6 @@
 export interface ModelGatewayOptions {
   clock: Clock
   random: Random
-  /** Tells this gateway from the others. */
-  ip: string
   endpoints: readonly Endpoint[]
   engineAt: ReadonlyMap<string, ModelEngine>
   gatewayCount: number
@@ -102,7 +100,6 @@
     loads.onSent(endpoint.startId)
     clock.after(LINK_MS, engine.onNotice)
     clock.after(LINK_MS + connect(endpoint), () => engine.onRequest({
-      arrivedAtMs,
       promptMs: PROMPT_MS,
       eventsMs: random.jitter(EVENTS_MS, EVENTS_SPREAD),
       onFirstEvent: () => options.onFirstEvent(clock.nowMs() + LINK_MS - arrivedAtMs),
--- a/packages/anvilarch-bench/src/model/types.ts
+++ b/packages/anvilarch-bench/src/model/types.ts
@@ -38,7 +38,7 @@
 
 /** An online request in the model. */
 export interface ModelRequest {
-  arrivedAtMs: number
+  /** Time until the first event once it has a slot. */
   promptMs: number
   /** Time that it holds its slot after its first event. */
   eventsMs: number
