Do not take a pause of the gateway's own process for silence of an agent

Callers saw streamed answers that ended early with status 200, or 503 after five seconds, though the agent had kept the whole answer and said so.

Cause: the reader of a stream compared the time of the last frame with its own clock. After a pause of the gateway (frozen host, busy event loop) its timer runs before the frames and heartbeats that wait in the socket are read, so that the pause counted as silence of the agent. A second such verdict gave the agent up, with the answer in it.

Ruled out: a late heartbeat of the agent, which had no pause.

The time line and a metric say when a pause was seen.

--- /dev/null
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/ownPause.test.ts
@@ -0,0 +1,104 @@
+import type { AttemptFrame, StartAttemptRequest } from 'anvilarch-protocol'
+import { createFakeClock } from 'anvilarch-utils'
+import { chatEvents } from '../__fixtures__/fakeAgent'
+import { startTestGateway, type TestGateway } from '../__fixtures__/testGateway'
+import { type AttemptReader, createAttemptReader } from '../attemptReader'
+import type { RequestEvent } from '../machine/types'
+
+// Symptom: a streamed answer ends early or is refused with 503 beside load, though its agent had the whole answer and said so.
+// Sequence: the gateway's process stands still (its host is frozen or overloaded) for longer than `silenceMs`; frames and
+// heartbeats arrive in its socket meanwhile; when it wakes, its timers run first and find the stream silent; a second time
+// it gives the agent up, with the answer in it. Cause: the gateway took its own pause for silence of the agent. Evidence: with
+// the agent in a process of its own that never paused, and only the gateway's event loop kept busy for 150 ms at a bound of
+// 100 ms, each answer was cut and the agent noted as unreachable; with pauses of 60 ms none was.
+
+const WORDS = ['one ', 'two ', 'three ', 'four ', 'five']
+
+const wholeChat = (_request: StartAttemptRequest): string[] => chatEvents(WORDS)
+
+function keepBusy (durationMs: number): void {
+  const untilMs = performance.now() + durationMs
+  while (performance.now() < untilMs);
+}
+
+const delay = async (delayMs: number): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, delayMs) }) }
+
+describe('a gateway whose own process stands still', () => {
+  let gateway: TestGateway
+
+  afterEach(async () => { await gateway.stop() })
+
+  it.each([60, 150, 400])('passes a whole answer on after pauses of %d ms, and asks for nothing twice', async pauseMs => {
+    gateway = await startTestGateway({ agents: [{ name: 'a1', kind: 'model', answer: wholeChat, hold: true }] })
+    const [agent] = gateway.agents
+    const answer = fetch(`${gateway.url}/v1/chat/completions`, { method: 'POST', body: JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] }) })
+    await delay(50)
+    for (let pause = 0; pause < 4; pause++) {
+      keepBusy(pauseMs)
+      await delay(50)
+    }
+    agent.release()
+    const response = await answer
+    const text = await response.text()
+    expect(response.status).toBe(200)
+    expect(text).toContain('five')
+    expect(text).toContain('[DONE]')
+    expect(agent).toMatchObject({ resumes: 0, starts: [expect.anything()] })
+    expect(gateway.directory.notes).toEqual([])
+  })
+})
+
+describe('the reader of a stream', () => {
+  const HEARTBEAT = { kind: { case: 'heartbeat', value: {} } } as AttemptFrame
+  const TIMING = { delayMs: 0, firstFrameMs: 1_000 }
+
+  /** Frames that the test lets through one by one, as a socket does that is read. */
+  function createSocket (): { arrive: (frame: AttemptFrame) => void, frames: () => AsyncIterable<AttemptFrame> } {
+    const waiting: AttemptFrame[] = []
+    let wake: () => void = () => {}
+    async function * frames (): AsyncGenerator<AttemptFrame> {
+      while (true) {
+        const frame = waiting.shift()
+        if (frame !== undefined) yield frame
+        else await new Promise<void>(resolve => { wake = resolve })
+      }
+    }
+    return {
+      arrive: frame => {
+        waiting.push(frame)
+        wake()
+      },
+      frames
+    }
+  }
+
+  function read (): { clock: ReturnType<typeof createFakeClock>, events: RequestEvent[], reader: AttemptReader, socket: ReturnType<typeof createSocket> } {
+    const clock = createFakeClock()
+    const events: RequestEvent[] = []
+    const socket = createSocket()
+    const reader = createAttemptReader({ clock, silenceMs: 1_500, onFrame: () => undefined, onEvent: event => { events.push(event) } })
+    reader.open(1, socket.frames, TIMING)
+    return { clock, events, reader, socket }
+  }
+
+  it('reads what came while it stood still before it calls the stream silent', async () => {
+    const { clock, events, socket } = read()
+    socket.arrive(HEARTBEAT)
+    await clock.advanceAsync(10)
+    clock.stall(3_000)
+    clock.advance(0)
+    socket.arrive(HEARTBEAT)
+    await clock.advanceAsync(1_400)
+    expect(events).toEqual([])
+  })
+
+  it('calls a stream silent at its bound, and after a pause soon', async () => {
+    const { clock, events, socket } = read()
+    socket.arrive(HEARTBEAT)
+    await clock.advanceAsync(1_499)
+    expect(events).toEqual([])
+    clock.stall(3_000)
+    await clock.advanceAsync(250)
+    expect(events).toEqual([{ kind: 'silence', stream: 1 }])
+  })
+})
--- a/packages/anvilarch-daemon/src/attempts/attemptReader.ts
+++ b/packages/anvilarch-daemon/src/attempts/attemptReader.ts
@@ -1,6 +1,6 @@
 /** Reads the stream of one attempt after the other, and notices silence. */
 import type { AttemptFrame } from 'anvilarch-protocol'
-import type { Clock, Timer } from 'anvilarch-utils'
+import { type Clock, createSilenceWatch, type SilenceWatch, type Timer } from 'anvilarch-utils'
 import { wasNeverSent } from '../peers/connectErrors'
 import type { RequestEvent } from './machine/types'
 
@@ -13,6 +13,8 @@
   onFrame: (frame: AttemptFrame, stream: number) => Promise<void> | undefined
   /** Takes silence and the end of a stream. */
   onEvent: (event: RequestEvent) => void
+  /** Told when this process stood still when it should have listened to a stream. */
+  onOwnPause?: (lateMs: number) => void
 }
 
 /** When a stream is opened, and how soon it must speak. */
@@ -33,13 +35,13 @@
 interface OpenStream {
   stream: number
   abort: AbortController
-  /** Silence after which the stream is given up; longer once its first frame has come. */
-  boundMs: number
-  lastHeardMs: number
+  /** Watches for silence from the moment of the call on. */
+  silence: SilenceWatch | undefined
   /** The caller does not take more. A stream that this side leaves unread is not silent. */
   stalled: boolean
   /** Its last frame has come; it ends by itself. */
   finished: boolean
+  /** Opens the call later, or ends a finished stream that does not end by itself. */
   timer: Timer | undefined
 }
 
@@ -59,30 +61,30 @@
     const open = current
     current = undefined
     if (open === undefined) return
+    open.silence?.cancel()
     open.timer?.cancel()
     if (open.finished) open.timer = clock.after(silenceMs, () => { open.abort.abort() })
     else open.abort.abort()
   }
 
-  /** One timer serves all frames of a stream: it looks when the last one came, instead of being set anew by each. */
-  const watch = (open: OpenStream, delayMs: number): void => {
-    open.timer = clock.after(delayMs, () => {
-      const quietMs = open.stalled ? 0 : clock.nowMs() - open.lastHeardMs
-      if (quietMs >= open.boundMs) options.onEvent({ kind: 'silence', stream: open.stream })
-      else watch(open, open.boundMs - quietMs)
-    })
-  }
+  const watch = (open: OpenStream, firstFrameMs: number): SilenceWatch => createSilenceWatch({
+    clock,
+    boundMs: Math.min(firstFrameMs, silenceMs),
+    isHeldBack: () => open.stalled,
+    onSilence: () => { options.onEvent({ kind: 'silence', stream: open.stream }) },
+    onOwnPause: options.onOwnPause
+  })
 
   const take = async (open: OpenStream, frame: AttemptFrame): Promise<void> => {
-    open.lastHeardMs = clock.nowMs()
-    open.boundMs = silenceMs
+    open.silence?.heard()
+    open.silence?.setBoundMs(silenceMs)
     open.finished = LAST_FRAMES.has(frame.kind.case)
     const pending = options.onFrame(frame, open.stream)
     if (pending === undefined) return
     open.stalled = true
     await pending
     open.stalled = false
-    open.lastHeardMs = clock.nowMs()
+    open.silence?.heard()
   }
 
   const read = async (open: OpenStream, frames: AsyncIterable<AttemptFrame>): Promise<void> => {
@@ -97,6 +99,7 @@
       const message = error instanceof Error ? error.message : String(error)
       options.onEvent({ kind: 'stream_ended', stream, neverSent: wasNeverSent(error), message })
     } finally {
+      open.silence?.cancel()
       open.timer?.cancel()
     }
   }
@@ -107,8 +110,7 @@
       const open: OpenStream = {
         stream,
         abort: new AbortController(),
-        boundMs: Math.min(firstFrameMs, silenceMs),
-        lastHeardMs: clock.nowMs() + delayMs,
+        silence: undefined,
         stalled: false,
         finished: false,
         timer: undefined
@@ -116,7 +118,7 @@
       current = open
       const start = (): void => {
         if (current !== open) return
-        watch(open, open.boundMs)
+        open.silence = watch(open, firstFrameMs)
         read(open, call(open.abort.signal)).catch(() => {})
       }
       if (delayMs > 0) open.timer = clock.after(delayMs, start)
--- a/packages/anvilarch-daemon/src/attempts/recorder.ts
+++ b/packages/anvilarch-daemon/src/attempts/recorder.ts
@@ -8,6 +8,8 @@
   received: () => void
   event: (event: RequestEvent, state: RequestState) => void
   command: (command: RequestCommand) => void
+  /** This process stood still when it should have listened to the agent. */
+  ownPause: (lateMs: number) => void
   ended: (result: WorkResult) => void
 }
 
@@ -63,6 +65,10 @@
       const handler = onCommand[command.kind] as ((command: RequestCommand) => void) | undefined
       handler?.(command)
     },
+    ownPause: lateMs => {
+      metrics.ownPauses.inc()
+      record('attempts.own_pause', { lateMs: Math.round(lateMs) })
+    },
     ended: result => {
       const outcome = result.outcome === 'completed' ? 'completed' : result.error.code
       metrics.requestSeconds.observe({ class: workClass, service, outcome }, (clock.nowMs() - receivedMs) / MS_PER_SECOND)
--- a/packages/anvilarch-daemon/src/attempts/requestTask.ts
+++ b/packages/anvilarch-daemon/src/attempts/requestTask.ts
@@ -106,7 +106,8 @@
     clock,
     silenceMs: context.settings.gateway.silenceMs,
     onFrame: takeFrame,
-    onEvent: dispatch
+    onEvent: dispatch,
+    onOwnPause: recorder.ownPause
   })
 
   const calls = createAttemptCalls(parts, request, reader)
--- a/packages/anvilarch-daemon/src/metrics/types.ts
+++ b/packages/anvilarch-daemon/src/metrics/types.ts
@@ -9,6 +9,7 @@
   refusals: Counter<'class' | 'reason'>
   retries: Counter<'class' | 'reason'>
   resumptions: Counter<'class'>
+  ownPauses: Counter
   preemptions: Counter<'endpoint'>
   queueDepth: Gauge<'class' | 'endpoint'>
   running: Gauge<'class' | 'endpoint'>
--- a/packages/anvilarch-utils/src/fakeClock.ts
+++ b/packages/anvilarch-utils/src/fakeClock.ts
@@ -13,6 +13,8 @@
   advance: (deltaMs: number) => void
   /** The same, and lets pending promises settle between timers. */
   advanceAsync: (deltaMs: number) => Promise<void>
+  /** Lets time pass without firing timers, as when the process stands still; those that come due fire late, at the next `advance`. */
+  stall: (deltaMs: number) => void
   /** @returns how many timers are pending */
   pendingCount: () => number
 }
@@ -66,6 +68,7 @@
       currentMs = untilMs
       await settlePromises()
     },
+    stall: deltaMs => { currentMs += deltaMs },
     pendingCount: () => pending.size
   }
 }
