--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -177,9 +177,6 @@
     response.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
     response.end()
   })
-  await listen(clients.server, gateway.clients.ip, gateway.clients.port)
-  await listen(readiness, gateway.readiness.ip, gateway.readiness.port)
-
   const close = once(async () => {
     closing.abort()
     heartbeat.stop()
@@ -193,6 +190,15 @@
     await pools.closeAll()
   })
 
+  // Whoever starts a gateway whose port is taken gets an error and no handle; the rest would go on without clients.
+  try {
+    await listen(clients.server, gateway.clients.ip, gateway.clients.port)
+    await listen(readiness, gateway.readiness.ip, gateway.readiness.port)
+  } catch (error) {
+    await close()
+    throw error
+  }
+
   return {
     close,
     stop: async () => {
