Judge endpoints, engines and the store only after having listened; send nothing whose deadline has passed

Cause: timers run before sockets are read. The timer of an endpoint's silence took the own pause for it; the one that ends the wait for loads ran before the one of the deadline, and the first send did not look at the time left.

Mend: silence of endpoints (requests and items), of the engine's report and of calls to the store is judged by the silence watch; a send looks at its deadline first. Looked at and left: the answers about load (patience 8 ms): an agent that counts as not answering is asked again at once after a pause, and its answer counts.

--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -0,0 +1,171 @@
+/** One client request on a fake clock, with endpoints and a client in memory. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import type { Pool } from '../../endpoints/httpPool'
+import type { Endpoint, Route } from '../../model/types'
+import { createServingMetrics } from '../../telemetry/metrics'
+import { createLineBudget } from '../../telemetry/lineBudget'
+import type { EventLog } from '../../telemetry/events'
+import { createTrafficTally } from '../../telemetry/trafficTally'
+import { forwardRequest } from '../forwardRequest'
+import { createHoldTimes } from '../holdTimes'
+
+/** Handler of an exchange, as undici calls it. */
+interface ExchangeHandler {
+  onConnect: (abort: () => void) => void
+  onHeaders: (status: number, rawHeaders: Buffer[]) => void
+  onData: (chunk: Buffer) => void
+  onComplete: () => void
+}
+
+/** A request as an endpoint got it. */
+export interface SentRequest {
+  endpoint: string
+  sentAtMs: number
+  /** Time that the endpoint was given. */
+  deadlineMs: number
+  aborted: boolean
+  /** Answers with the head and an event. */
+  event: (id: number) => void
+  /** Answers with the whole. */
+  answer: (status?: number) => void
+}
+
+/** What the client got. */
+export interface ClientView {
+  status: number | undefined
+  body: string
+  ended: boolean
+  destroyed: boolean
+}
+
+/** The request and what is around it. */
+export interface ForwardHarness {
+  clock: FakeClock
+  sent: SentRequest[]
+  client: ClientView
+  /** Lets the placement end that waits for loads. */
+  placed: () => void
+  /** @returns how often the gateway has noticed a pause of its own */
+  ownPauses: () => Promise<number>
+}
+
+/** Options of `forwardOnFakeClock`. */
+export interface ForwardHarnessOptions {
+  kind?: Route['kind']
+  timeoutMs?: number
+  endpoints?: number
+  /** Whether the placement waits until it is let go on. */
+  holdsPlacement?: boolean
+}
+
+const REQUEST_ID = 'r1'
+
+function endpointNamed (id: string): Endpoint {
+  return { id, bornAtMs: undefined, startId: id, service: 's', address: `${id}:1`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+}
+
+/**
+ * @param options - route, endpoints and placement
+ * @returns the request, which has just arrived
+ */
+export function forwardOnFakeClock (options: ForwardHarnessOptions = {}): ForwardHarness {
+  const clock = createFakeClock()
+  const sent: SentRequest[] = []
+  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false }
+  const endpoints = Array.from({ length: options.endpoints ?? 2 }, (_, index) => endpointNamed(`e${index + 1}`))
+  let placed: () => void = () => {}
+
+  const poolOf = (endpoint: Endpoint): Pool => ({
+    dispatch: ({ headers }: { headers: string[] }, handler: ExchangeHandler) => {
+      const request: SentRequest = {
+        endpoint: endpoint.id,
+        sentAtMs: clock.nowMs(),
+        deadlineMs: Number(headers[1]),
+        aborted: false,
+        event: id => {
+          if (id === 1) handler.onHeaders(200, ['transfer-encoding', 'chunked'].map(text => Buffer.from(text)))
+          handler.onData(Buffer.from(`id: ${id}\ndata: x\n\n`))
+        },
+        answer: (status = 200) => {
+          handler.onHeaders(status, ['content-length', '2'].map(text => Buffer.from(text)))
+          handler.onData(Buffer.from('ok'))
+          handler.onComplete()
+        }
+      }
+      sent.push(request)
+      handler.onConnect(() => { request.aborted = true })
+      return true
+    }
+  }) as unknown as Pool
+
+  const response = {
+    headersSent: false,
+    destroyed: false,
+    on: () => {},
+    setHeader: () => {},
+    flushHeaders: () => {},
+    writeHead: (status: number) => { client.status = status },
+    write: (bytes: Buffer) => { client.body += bytes.toString() },
+    end: (bytes?: Buffer) => {
+      client.body += bytes?.toString() ?? ''
+      client.ended = true
+    },
+    destroy: () => { client.destroyed = true }
+  } as unknown as ServerResponse
+
+  const metrics = createServingMetrics()
+  const load = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
+  const timeoutMs = options.timeoutMs ?? 2_000
+  const route: Route = {
+    name: 'r',
+    host: 'h',
+    pathPrefix: '/',
+    kind: options.kind ?? 'idempotent',
+    targets: [{ service: 's', weight: 1 }],
+    timeoutMs,
+    latencyObjectiveMs: 100,
+    gapObjectiveMs: 400,
+    priority: 0,
+    maxAttempts: 3,
+    resumable: true,
+    jobDueMs: 0,
+    jobExpiryMs: 0,
+    waitingTokenLimit: 0
+  }
+  forwardRequest({
+    clock,
+    log: SILENT_LOGGER as EventLog,
+    metrics,
+    loads: { onReport: () => {}, onSent: () => {}, onEnded: () => {}, onFailure: () => {}, onSuccess: () => {}, loadOf: () => load, forget: () => {} },
+    placement: {
+      prepare: async () => { if (options.holdsPlacement === true) await new Promise<void>(resolve => { placed = resolve }) },
+      choose: ({ excluded }) => endpoints.find(endpoint => !excluded.has(endpoint.startId)),
+      known: () => endpoints,
+      count: () => endpoints.length,
+      loadOf: () => load
+    },
+    use: { onSent: () => {}, onEnded: () => {}, forget: () => {}, close: () => {} },
+    pools: { poolOf, openTo: () => 0, release: () => {}, closeAll: async () => {} },
+    wire: {
+      decodeRequest: () => { throw new Error('the head is decoded already') },
+      encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs)],
+      decodeAnswer: () => ({ requestId: REQUEST_ID, signed: true, notRun: false })
+    },
+    notice: { isLeaving: () => false },
+    holdTimes: createHoldTimes(),
+    crashes: { mayRun: () => true, onBroken: () => {}, onEndpointLost: () => {} },
+    traffic: createTrafficTally(),
+    lines: createLineBudget(clock, 20),
+    draw: () => 0.5
+  }, {
+    request: { method: 'GET', url: '/', headers: {}, rawHeaders: [] } as unknown as IncomingMessage,
+    response,
+    body: Buffer.alloc(0),
+    metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: undefined, promptParts: [], promptTokens: 1, maxOutputTokens: 1 },
+    route,
+    configurationVersion: 1,
+    arrivedAtMs: clock.nowMs()
+  })
+  return { clock, sent, client, placed: () => placed(), ownPauses: async () => (await metrics.ownPauses.get()).values[0].value }
+}
--- a/packages/anvilarch-serving/src/requests/requestTrail.ts
+++ b/packages/anvilarch-serving/src/requests/requestTrail.ts
@@ -3,7 +3,7 @@
 import type { EventFields, EventLog } from '../telemetry/events'
 
 /** Events that are written only of requests that go wrong. */
-export type TrailEvent = 'endpoint chosen' | 'answer begun'
+export type TrailEvent = 'endpoint chosen' | 'answer begun' | 'own pause noticed'
 
 /** The decisions about one request. */
 export interface RequestTrail {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -1,5 +1,5 @@
 /** Sends one request to endpoints, one after another, until one has answered or none may be tried any more. */
-import type { Timer } from 'anvilarch-utils'
+import { createSilenceWatch, type SilenceWatch } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
 import { type ClientRequest, type ForwardParts, placementTerms, repeatedRequestOf, type RequestState } from './forwardTypes'
@@ -48,7 +48,7 @@
   const { clock, loads, log, metrics } = parts
   const { route, response, metadata } = client
   let running: Running | undefined
-  let silence: Timer | undefined
+  let silence: SilenceWatch | undefined
   let lastEventAtMs: number | undefined
   /** Of the send in progress, until its first event or answer. */
   let sentAtMs: number | undefined
@@ -87,6 +87,7 @@
     const left = running
     running = undefined
     silence?.cancel()
+    silence = undefined
     if (left !== undefined) {
       loads.onEnded(left.endpoint.startId)
       parts.use.onEnded(left.endpoint)
@@ -125,14 +126,25 @@
     steps[stepAfter(failure)](reason)
   }
 
+  const onSilence = (endpoint: Endpoint): void => {
+    silence = undefined
+    if (running === undefined || choose() === undefined) return
+    running.attempt.abort()
+    onFailure(endpoint, 'may_have_run', 'silent')
+  }
+
+  const noteOwnPause = (endpoint: Endpoint, lateMs: number): void => {
+    metrics.ownPauses.inc()
+    state.trail.note('own pause noticed', { requestId: metadata.requestId, endpoint: endpoint.startId, lateMs: Math.round(lateMs) })
+  }
+
+  /** Called at a send and at each event; only the first call sets a timer. */
   const watchSilence = (endpoint: Endpoint): void => {
-    silence?.cancel()
     if (!isRepeatable(route) || state.attemptsThatMayHaveRun + 1 >= route.maxAttempts) return
-    silence = clock.after(silenceLimitMs(route, state.answerBegun), () => {
-      if (running === undefined || choose() === undefined) return
-      running.attempt.abort()
-      onFailure(endpoint, 'may_have_run', 'silent')
-    })
+    const boundMs = silenceLimitMs(route, state.answerBegun)
+    silence ??= createSilenceWatch({ clock, boundMs, onSilence: () => onSilence(endpoint), onOwnPause: lateMs => noteOwnPause(endpoint, lateMs) })
+    silence.heard()
+    silence.setBoundMs(boundMs)
   }
 
   /** Goes elsewhere after a failure that the endpoint has answered itself, if that is allowed. @returns whether it does */
@@ -229,7 +241,18 @@
     })
   }
 
+  const timeOut = (): void => {
+    if (state.answerBegun) end.breakOff('timeout')
+    else steps.time_out('timeout')
+  }
+
   const sendPrepared = (): void => {
+    // After a pause of this process the timer of the deadline may run after the one that leads here. An endpoint would run
+    // what nobody waits for any more.
+    if (remainingMs() <= 0) {
+      timeOut()
+      return
+    }
     const endpoint = choose()
     if (endpoint === undefined) {
       end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
@@ -253,9 +276,6 @@
       stopped = true
       leaveRunning()?.attempt.abort()
     },
-    timeOut: () => {
-      if (state.answerBegun) end.breakOff('timeout')
-      else steps.time_out('timeout')
-    }
+    timeOut
   }
 }
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -11,7 +11,7 @@
 import { createPace } from '../runner/pace'
 import { followPlatform } from './followPlatform'
 import type { EngineReport, EngineWire, RoleContext, RunningRole } from './types'
-import type { Clock } from 'anvilarch-utils'
+import { type Clock, createSilenceWatch } from 'anvilarch-utils'
 import { once } from './once'
 
 /** The engine is on the same host; one that takes longer for a report is down or silent. */
@@ -108,9 +108,13 @@
       onComplete: () => settle(status === 200 ? wire.decodeReport(Buffer.concat(chunks)) : undefined),
       onFailure: () => settle(undefined)
     })
-    const timeout = clock.after(REPORT_TIMEOUT_MS, () => {
-      exchange.abort()
-      settle(undefined)
+    const timeout = createSilenceWatch({
+      clock,
+      boundMs: REPORT_TIMEOUT_MS,
+      onSilence: () => {
+        exchange.abort()
+        settle(undefined)
+      }
     })
     const settle = (report: EngineReport | undefined): void => {
       timeout.cancel()
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -1,5 +1,5 @@
 /** Runs one item at the engine beside the agent, with pauses, until it has ended. */
-import type { Clock, Timer } from 'anvilarch-utils'
+import { type Clock, createSilenceWatch } from 'anvilarch-utils'
 import type { Pool } from '../endpoints/httpPool'
 import type { JobItem } from '../jobs/types'
 import { type Attempt, startAttempt } from '../requests/runAttempt'
@@ -48,21 +48,21 @@
  */
 export function runItem (options: ItemRunOptions): Attempt {
   const { clock, text, item } = options
-  let silence: Timer | undefined
   let ended = false
   const finish = (end: RunEnd): void => {
     if (ended) return
     ended = true
-    silence?.cancel()
+    silence.cancel()
     options.onEnd(end)
   }
-  const watch = (): void => {
-    silence?.cancel()
-    silence = clock.after(SILENCE_MS, () => {
+  const silence = createSilenceWatch({
+    clock,
+    boundMs: SILENCE_MS,
+    onSilence: () => {
       attempt.abort()
       finish({ end: 'interrupted', reason: 'silent' })
-    })
-  }
+    }
+  })
   const resumesAfter = text.lastEventId > 0 ? text.lastEventId : undefined
   const attempt = startAttempt({
     pool: options.pool,
@@ -78,23 +78,22 @@
     },
     streams: true,
     afterEventId: text.lastEventId,
-    onHead: watch,
+    onHead: silence.heard,
     onEvent: (_bytes, id, data) => {
       if (id !== undefined) {
         text.lastEventId = id
         text.pieces.push(data)
       }
       options.onEvent()
-      watch()
+      silence.heard()
     },
     onAnswer: answer => finish(endOfAnswer(answer.status, text)),
     onFailure: (_failure, reason) => finish({ end: 'interrupted', reason })
   })
-  watch()
   return {
     abort: () => {
       ended = true
-      silence?.cancel()
+      silence.cancel()
       attempt.abort()
     }
   }
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -1,5 +1,7 @@
-import { createFakeClock, createRandom, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
-import { createRelayedTransport, type RelayedTransport, type StoreAnswer, type StoreCall, type StoreTransport } from '../transport'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createFakeClock, createRandom, createSystemClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { createDirectTransport, createRelayedTransport, type RelayedTransport, type StoreAnswer, type StoreCall, type StoreTransport } from '../transport'
 
 const CALL: StoreCall = { name: 'read', method: 'GET', path: '/', headers: [], body: undefined, timeoutMs: 1000 }
 const DONE: StoreAnswer = { outcome: 'answered', status: 200, body: Buffer.alloc(0) }
@@ -123,3 +125,22 @@
     expect(asked).toBe(1)
   })
 })
+
+describe('createDirectTransport', () => {
+  // Symptom: after a gateway wakes up it takes the store for silent, and does not know whether its transactions are done.
+  // Sequence: a call is in progress; the process stands still past the call's timeout; the answer waits in the socket.
+  // Cause: the timer ran before the socket was read.
+  it('reads an answer that came while its own process stood still, and marks it', async () => {
+    const server = createServer((_request, response) => { setTimeout(() => response.end('done'), 20) })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const send = createDirectTransport(`127.0.0.1:${(server.address() as AddressInfo).port}`, createSystemClock())
+    expect(await send(CALL)).toMatchObject({ outcome: 'answered' })
+    const answer = send({ ...CALL, timeoutMs: 100 })
+    await new Promise(resolve => setTimeout(resolve, 5))
+    const untilMs = performance.now() + 300
+    while (performance.now() < untilMs);
+    expect(await answer).toEqual({ outcome: 'answered', status: 200, body: Buffer.from('done'), readLate: true })
+    server.closeAllConnections()
+    server.close()
+  })
+})
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,5 +1,5 @@
 /** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
-import type { Clock, Random } from 'anvilarch-utils'
+import { type Clock, createSilenceWatch, type Random } from 'anvilarch-utils'
 import { startExchange } from '../endpoints/exchange'
 import { createPool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
@@ -16,9 +16,12 @@
   timeoutMs: number
 }
 
-/** What came of a call. `not_done`: nothing reached the store. `no_answer`: it may have been done, or may be done later. */
+/**
+ * What came of a call. `not_done`: nothing reached the store. `no_answer`: it may have been done, or may be done later.
+ * `readLate`: this process stood still while the answer waited to be read, so that times in the answer are of the past.
+ */
 export type StoreAnswer =
-  | { outcome: 'answered', status: number, body: Buffer }
+  | { outcome: 'answered', status: number, body: Buffer, readLate?: boolean }
   | { outcome: 'not_done', reason: string }
   | { outcome: 'no_answer', reason: string }
 
@@ -41,6 +44,7 @@
   return call => new Promise(resolve => {
     const chunks: Buffer[] = []
     let status = 0
+    let readLate = false
     const settle = (answer: StoreAnswer): void => {
       timeout.cancel()
       resolve(answer)
@@ -48,12 +52,17 @@
     const exchange = startExchange(pool, call, {
       onHead: answered => { status = answered },
       onData: chunk => { chunks.push(chunk) },
-      onComplete: () => settle({ outcome: 'answered', status, body: Buffer.concat(chunks) }),
+      onComplete: () => settle({ outcome: 'answered', status, body: Buffer.concat(chunks), readLate }),
       onFailure: failure => settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
     })
-    const timeout = clock.after(call.timeoutMs, () => {
-      exchange.abort()
-      settle({ outcome: 'no_answer', reason: 'timeout' })
+    const timeout = createSilenceWatch({
+      clock,
+      boundMs: call.timeoutMs,
+      onSilence: () => {
+        exchange.abort()
+        settle({ outcome: 'no_answer', reason: 'timeout' })
+      },
+      onOwnPause: () => { readLate = true }
     })
   })
 }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -38,6 +38,8 @@
   'request refused': RefusalFields
   'endpoint chosen': EndpointChoiceFields
   'answer begun': { requestId: string, endpoint: string, status: number, afterMs: number }
+  /** This process stood still when it should have listened to an endpoint, which is therefore not judged yet. */
+  'own pause noticed': { requestId: string, endpoint: string, lateMs: number }
   'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, lastEventId: number | undefined, remainingMs: number }
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
--- a/packages/anvilarch-utils/src/__tests__/silenceWatch.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/silenceWatch.test.ts
@@ -105,6 +105,15 @@
   expect(silentAtMs).toEqual([100 + BOUND_MS])
 })
 
+it('keeps to a bound that was made shorter', () => {
+  const { clock, watch, silentAtMs } = watchOn()
+  clock.advance(100)
+  watch.heard()
+  watch.setBoundMs(200)
+  clock.advance(5_000)
+  expect(silentAtMs).toEqual([300])
+})
+
 it('is quiet once it is cancelled', () => {
   const { clock, watch, silentAtMs } = watchOn()
   watch.cancel()
--- a/packages/anvilarch-utils/src/silenceWatch.ts
+++ b/packages/anvilarch-utils/src/silenceWatch.ts
@@ -74,7 +74,13 @@
   arm(boundMs - lastLookMs(), false)
   return {
     heard: () => { lastHeardMs = clock.nowMs() },
-    setBoundMs: newBoundMs => { boundMs = newBoundMs },
+    setBoundMs: newBoundMs => {
+      const isShorter = newBoundMs < boundMs
+      boundMs = newBoundMs
+      if (!isShorter) return
+      timer.cancel()
+      arm(Math.max(0, lastHeardMs + boundMs - lastLookMs() - clock.nowMs()), false)
+    },
     cancel: () => { timer.cancel() }
   }
 }
