Do not take a pause of the agent's own process for silence of the engine or the gateways

After a host woke up, its agent opened each of its streams to the engine anew and could drop the connections of gateways: the tick ran before the tokens and answers to pings that waited in its sockets were read, and counted the pause as silence.

Test: four pauses of 300 ms at a bound of 150 ms. A tick that is late by half its period judges nobody; the next one, which finds the sockets read, does. Probes, orders and calls to the platform are bounded by the silence watch. Looked at and left: exchanges between gateways and agents (several must be missed in a row before an agent counts as unreachable; a pause costs one), leases (a holder that slept must lose its lease).

--- /dev/null
+++ b/packages/anvilarch-daemon/src/agent/__tests__/ownPause.test.ts
@@ -0,0 +1,45 @@
+import { type EngineStandin, startEngineStandin } from 'anvilarch-standins'
+import { type AgentHarness, readFrames, startAgentHarness, startMessage, until } from '../__fixtures__/agentHarness'
+
+const ENGINE = { baseStepMs: 20, perSequenceMs: 0, prefillPerTokenMs: 0, perThousandContextTokensMs: 0 }
+const SILENCE_MS = 150
+const PAUSES = 4
+
+function keepBusy (durationMs: number): void {
+  const untilMs = performance.now() + durationMs
+  while (performance.now() < untilMs);
+}
+
+describe('an agent whose own process stands still', () => {
+  let engine: EngineStandin
+  let harness: AgentHarness
+
+  beforeEach(async () => {
+    engine = await startEngineStandin({ engine: ENGINE, preload: ['small:1'] })
+    harness = await startAgentHarness({
+      endpoints: [{ name: 'engine', kind: 'model', url: engine.url }],
+      agent: { endpointSilenceMs: SILENCE_MS },
+      options: { tickMs: 20, probeIntervalMs: 100, pingIntervalMs: 50, connectionTimeoutMs: 200 }
+    })
+  })
+
+  afterEach(async () => {
+    await harness.stop()
+    await engine.close()
+    expect(harness.violations).toEqual([])
+  })
+
+  // Symptom: after a host wakes up, its agent opens each of its streams to the engine anew and drops the connections of all gateways.
+  // Sequence: the agent's process stands still for longer than an engine may be silent; tokens and answers to pings wait in its
+  // sockets; the tick runs before they are read. Cause: the own pause counted as silence of the engine and of the gateways.
+  it('keeps its streams to the engine and the connections of its gateways', async () => {
+    const reading = readFrames(harness.client.startAttempt(startMessage({ attemptId: 'a', body: { model: 'small', messages: [{ role: 'user', content: 'x' }], max_tokens: 60 }, outputMode: 'stream' })))
+    await until(() => harness.events('a').includes('attempts.first_token'))
+    for (let pause = 0; pause < PAUSES; pause++) {
+      await new Promise(resolve => { setTimeout(resolve, 70) })
+      keepBusy(2 * SILENCE_MS)
+    }
+    expect((await reading).final).toMatchObject({ outcome: 'completed', outputTokens: 60 })
+    expect(harness.events('a')).not.toContain('attempts.resumed')
+  })
+})
--- a/packages/anvilarch-daemon/src/agent/endpointTask.ts
+++ b/packages/anvilarch-daemon/src/agent/endpointTask.ts
@@ -39,8 +39,8 @@
   submit: (attempt: LiveAttempt) => Submission
   /** Ends a waiting or running attempt. */
   stop: (attempt: LiveAttempt, reason: StopReason, detail: string) => void
-  /** Deadlines, silence and the batch limit. */
-  tick: (nowMs: number) => void
+  /** Deadlines, silence and the batch limit. Nothing counts as silent just after a pause of this process. */
+  tick: (nowMs: number, afterPause: boolean) => void
   /** Asks the endpoint for its state, and takes over the batch policy of its service. */
   refresh: () => Promise<void>
   drain: () => void
@@ -217,11 +217,11 @@
       return { refusal: undefined, begin: () => { act(commands) } }
     },
     stop,
-    tick: nowMs => {
+    tick: (nowMs, afterPause) => {
       for (const { attempt, run } of [...entries.values()]) {
         if (run === undefined) continue
         if (attempt.deadlineMs <= nowMs) stop(attempt, 'deadline', 'the deadline passed')
-        else run.checkSilence(nowMs)
+        else if (!afterPause) run.checkSilence(nowMs)
       }
       step({ kind: 'tick', nowMs })
     },
--- a/packages/anvilarch-daemon/src/agent/startAgent.ts
+++ b/packages/anvilarch-daemon/src/agent/startAgent.ts
@@ -50,9 +50,10 @@
   }
   const orders = createOrders(context, tasks, options.orderAnswerMs)
 
-  const runWorkTick = (): boolean => {
+  const runWorkTick = (afterPause: boolean): boolean => {
     const nowMs = clock.nowMs()
-    for (const task of tasks.values()) task.tick(nowMs)
+    if (afterPause) context.metrics.ownPauses.inc()
+    for (const task of tasks.values()) task.tick(nowMs, afterPause)
     registry.tick(nowMs)
     pump.heartbeat(heartbeatMs * HEARTBEAT_SHARE)
     recordGauges(context, tasks)
@@ -65,10 +66,10 @@
   const workTick = createTick(clock, options.tickMs, runWorkTick)
 
   const probeAll = async (): Promise<void> => { await Promise.all([...tasks.values()].map(async task => { await task.refresh() })) }
-  const slowTick = createTick(clock, options.probeIntervalMs, () => {
+  const slowTick = createTick(clock, options.probeIntervalMs, afterPause => {
     // Retentions end, and the batch limit grows, also while no work is in progress.
-    runWorkTick()
-    server.ping(clock.nowMs())
+    runWorkTick(afterPause)
+    if (!afterPause) server.ping(clock.nowMs())
     probeAll().catch(error => { context.logger.error('probe failed', { error: String(error) }) })
     return true
   })
--- a/packages/anvilarch-daemon/src/platform/http/httpCaller.ts
+++ b/packages/anvilarch-daemon/src/platform/http/httpCaller.ts
@@ -1,6 +1,6 @@
 /** Calls to one service of the platform, each bounded in time, counted, and with typed errors. */
 import { Pool } from 'undici'
-import { AnvilarchError, type Clock, type Ran } from 'anvilarch-utils'
+import { AnvilarchError, type Clock, type Ran, createSilenceWatch } from 'anvilarch-utils'
 import type { Metrics } from '../../metrics/types'
 
 /** Options of `createHttpCaller`. */
@@ -96,9 +96,13 @@
     call.signal?.addEventListener('abort', forward, { once: true })
     if (call.signal?.aborted === true) forward()
     let timedOut = false
-    const timer = options.clock.after(options.timeoutMs, () => {
-      timedOut = true
-      controller.abort()
+    const timer = createSilenceWatch({
+      clock: options.clock,
+      boundMs: options.timeoutMs,
+      onSilence: () => {
+        timedOut = true
+        controller.abort()
+      }
     })
     const used = pool
     let outcome = 'ok'
