Do not blame a planned stop for a keyed call that was told that its key is in progress

Its client sends some orders through two gateways at once, and the second is told so, by design.

The check now passes over such an answer only if another call of the key was in progress at that time and got its whole answer; if that one was cut as well, or none was there, both are counted as before.

--- a/packages/anvilarch-bench/src/peers/lightGateways.ts
+++ b/packages/anvilarch-bench/src/peers/lightGateways.ts
@@ -128,7 +128,8 @@
     agentIncarnation: known.agentIncarnation,
     call: create(HttpCallSchema, { method: 'GET', path: `/names/${requestId}`, headers: [{ name: 'x-request-id', value: requestId }], body: new Uint8Array(0) }),
     outputMode: 'raw',
-    isolated: false
+    isolated: false,
+    soloFirstToken: false
   })
   if (outcome !== 'completed') throw new Error(`the lookup ended as "${outcome}"`)
 }
--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -94,6 +94,24 @@
     expect(found({ ...PLANTED['requests cut by a planned stop'], faults: [STOP_FAULT, kill] })).toEqual([])
   })
 
+  // Symptom: a soak blames a planned stop for a keyed order (seed 42: `conflict`, "the call under Idempotency-Key is in progress").
+  // Sequence: a careful client sends an order through two gateways at once; the second is told that the first is in progress; a stop falls
+  // into that moment. Cause: the check took this answer for a call that was cut. Evidence: in four soaks without such a stop 378 to 395
+  // of 1,370 to 1,415 keyed orders got it, within 112 ms, and each of their keys got its whole answer.
+  test('does not blame a planned stop for a call whose key is in progress elsewhere, unless that call was cut too', () => {
+    const order = { kind: 'keyed_order', key: 'order-1', idempotent: false } as const
+    const told = call({ ...order, requestId: 'order-1.0', sentAtMs: 4000, endedAtMs: 6000, told: 'failed', status: 409, code: 'conflict', ran: 'unknown' })
+    const other = call({ ...order, requestId: 'order-1.1', gateway: 'gateway-2', sentAtMs: 4000, endedAtMs: 6100 })
+    const blamed = ['requests cut by a planned stop']
+    const soundOrder = [execution({ requestId: 'order-1.1', startedAtMs: 4100, endedAtMs: 6000, endpoint: 'plain-1' })]
+    const stopped = { stops: [STOP], faults: [STOP_FAULT], executions: soundOrder }
+    expect(found({ ...stopped, calls: [told, other] })).toEqual([])
+    expect(found({ ...stopped, calls: [told] })).toEqual(blamed)
+    expect(found({ ...stopped, calls: [told, { ...other, told: 'broken', code: 'UND_ERR_SOCKET' }] })).toEqual(blamed)
+    expect(found({ ...stopped, calls: [told, { ...other, sentAtMs: 1000, endedAtMs: 2000 }] })).toEqual(blamed)
+    expect(found({ ...stopped, calls: [{ ...told, status: 502, code: 'outcome_unknown' }, other] })).toEqual(blamed)
+  })
+
   test('does not expect the system to know what a lagging list of hosts does not show yet', () => {
     const leave = { ...ENGINE_LEAVE, by: 'host_list' as const }
     const lag = { fault: 'host_list_lag', target: 'hosts', injectedAtMs: 500, healedAtMs: 4000 }
--- a/packages/anvilarch-bench/src/soak/checker/daemonChecks.ts
+++ b/packages/anvilarch-bench/src/soak/checker/daemonChecks.ts
@@ -91,7 +91,18 @@
 function cutByStop (evidence: Evidence): Finding {
   const inProgress = evidence.calls.filter(call => call.told !== 'gone' && call.kind !== 'crashing' && evidence.stops.some(stop => crosses(call, stop)))
   const judged = inProgress.filter(call => !isDisturbed(call, evidence.faults))
-  return { trials: judged.length, wrong: judged.filter(wasCut).map(describeCall) }
+  const wrong = judged.filter(call => wasCut(call) && !isAnsweredUnderItsKey(call, evidence.calls))
+  return { trials: judged.length, wrong: wrong.map(describeCall) }
+}
+
+/**
+ * A call whose key is in progress through another gateway is answered at once, and truly, that its outcome is not known yet. No
+ * stop has cut it, if the other call of its key, which was in progress then, got its whole answer.
+ */
+function isAnsweredUnderItsKey (call: CallRecord, calls: readonly CallRecord[]): boolean {
+  if (call.kind !== 'keyed_order' || call.status !== 409 || call.code !== 'conflict') return false
+  return calls.some(other => other !== call && other.key === call.key && other.told === 'whole' &&
+    other.sentAtMs <= call.endedAtMs && other.endedAtMs >= call.sentAtMs)
 }
 
 function crosses (call: CallRecord, stop: StopRecord): boolean {
