Send on what waited at an endpoint that went down, also when the budget of retries is used up

Cause: a request that waited in the queue of an endpoint that went down has three free tries; then the budget of retries decided, which the crashes had used up. Such a try has cost no endpoint anything; the six starts of a request bound it still.

--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/crashes.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/crashes.test.ts
@@ -9,8 +9,10 @@
   state: RequestState = createRequestState({ requestId: 'r', fingerprint: 'f', idempotent: true })
   private starts = 0
 
+  constructor (private readonly retryAllowed = true) {}
+
   private apply (event: Parameters<typeof stepRequest>[1]): RequestCommand[] {
-    const step = stepRequest(this.state, event, { nowMs: 0, deadlineMs: 60_000, retryAllowed: true, continuable: true, quarantined: false })
+    const step = stepRequest(this.state, event, { nowMs: 0, deadlineMs: 60_000, retryAllowed: this.retryAllowed, continuable: true, quarantined: false })
     this.state = step.state
     return step.commands
   }
@@ -31,6 +33,23 @@
   }
 }
 
+describe('a request that waited at endpoints that went down', () => {
+  // Symptom: streams beside a crashing request end as `unavailable`, "the endpoint went down", though other endpoints stand. Sequence:
+  // a crash takes one endpoint after another; a request that was in progress at the first waits in the queues of the next ones. Cause:
+  // after three free tries the budget of retries decided, which the crashes had used up. Evidence: soak seed 42, 11 of 63 unfinished calls.
+  it('is sent to the next one, also when the budget of retries is used up', () => {
+    const history = new CrashHistory(false)
+    history.begin()
+    history.crash({ outputTokens: 3 })
+    for (let down = 0; down < 4; down++) {
+      history.begin()
+      expect(history.crash({ outcome: 'endpoint_failed', ran: 'not_run' })).toContainEqual(expect.objectContaining({ kind: 'choose' }))
+    }
+    history.begin()
+    expect(history.crash({ outcome: 'endpoint_failed', ran: 'not_run' })).toMatchObject([{ kind: 'leave' }, { kind: 'note' }, { kind: 'end' }])
+  })
+})
+
 describe('a request in progress at a crash', () => {
   it('is computed alone once it had no token, and is quarantined when the endpoint crashes then', () => {
     const history = new CrashHistory()
--- a/packages/anvilarch-daemon/src/attempts/machine/finals.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/finals.ts
@@ -2,8 +2,8 @@
 import type { AttemptOutcome } from 'anvilarch-protocol'
 import type { ErrorCode, Ran } from 'anvilarch-utils'
 import { combineRan, endFailed, ranOfAttempt } from './ending'
-import { CRASHES_BESIDE_OTHERS, MAX_CRASHES } from './limits'
-import { afterAttempt, againAfterCrash, type AttemptFailure, quarantinedFailure } from './nextAttempt'
+import { CRASHES_BESIDE_OTHERS, MAX_CRASHES, MAX_FREE_RETRIES } from './limits'
+import { afterAttempt, againUnrefused, type AttemptFailure, quarantinedFailure } from './nextAttempt'
 import type { AttemptState, Failure, FinalReport, RequestCommand, RequestState, Step, StepInput } from './types'
 
 interface FinalRule {
@@ -37,7 +37,11 @@
   return afterAttempt(state, failed, input, [{ kind: 'leave', target: attempt.target }])
 }
 
-/** The endpoint was down before the attempt got there. It does nothing for this attempt, or for others, until it is back. */
+/**
+ * The endpoint was down before the attempt got there. It does nothing for this attempt, or for others, until it is back. The
+ * attempt has cost no endpoint anything, so that the budget of retries never refuses the next one: crashes use that budget
+ * up, and what waited at a crashed endpoint would be lost though others are ready.
+ */
 function onNeverReached (state: RequestState, attempt: AttemptState, final: FinalReport, input: StepInput): Step {
   const { target } = attempt
   const failed: AttemptFailure = {
@@ -47,7 +51,8 @@
     free: true,
     mayReturn: 'when_none_left'
   }
-  return afterAttempt(state, failed, input, [{ kind: 'leave', target }, { kind: 'note', target, note: 'endpoint_down' }])
+  const commands: RequestCommand[] = [{ kind: 'leave', target }, { kind: 'note', target, note: 'endpoint_down' }]
+  return state.freeRetries < MAX_FREE_RETRIES ? afterAttempt(state, failed, input, commands) : againUnrefused(state, failed, input, commands)
 }
 
 function describeFinal (attempt: AttemptState, final: FinalReport): Omit<Failure, 'code'> {
@@ -89,7 +94,7 @@
   const hadNoToken = final.outputTokens === 0
   const isolateNext = attempt.isolated || (!hadNoToken && crashes >= CRASHES_BESIDE_OTHERS)
   if (hadNoToken || isolateNext) commands.push({ kind: 'suspect' })
-  return againAfterCrash({ ...state, crashes, isolateNext, soloNext: hadNoToken }, failed, input, commands)
+  return againUnrefused({ ...state, crashes, isolateNext, soloNext: hadNoToken }, failed, input, commands)
 }
 
 /** An answer that was seen outweighs a report that nothing ran. */
--- a/packages/anvilarch-daemon/src/attempts/machine/nextAttempt.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/nextAttempt.ts
@@ -37,16 +37,16 @@
 }
 
 /**
- * Runs a request again whose endpoint crashed. This takes from the retry budget but is never refused by it, so that those
- * who only shared an endpoint with a crashing request still get their answers.
+ * Runs a request again whose endpoint crashed, or was down. This takes from the retry budget but is never refused by it, so
+ * that those who only shared an endpoint with a crashing request still get their answers.
  *
- * @param state - the request, with the crashed attempt still in it
+ * @param state - the request, with the failed attempt still in it
  * @param failed - how the attempt failed
  * @param input - facts of the moment
  * @param commands - commands that go first
  * @returns the step
  */
-export function againAfterCrash (state: RequestState, failed: AttemptFailure, input: StepInput, commands: RequestCommand[]): Step {
+export function againUnrefused (state: RequestState, failed: AttemptFailure, input: StepInput, commands: RequestCommand[]): Step {
   const closed = closeAttempt(state, failed)
   const obstacle = obstacleOf(closed, failed, input)
   if (obstacle !== undefined) return endFailed(closed, closed.ran, obstacle, commands)
