Let a heartbeat after a resumption end the count of resumptions

An answer ended as 'the agent went silent' after two silences, though its agent had answered the resumption, kept the output, and the deadline was far away.

Cause: only output ended the count of resumptions. During a long prompt there is none, so that the second silence of a request gave its agent up, with the work done. A heartbeat on the resumed stream now shows that the attempt still runs; a resumption that brings no sign of life is the last, as before.

--- a/packages/anvilarch-daemon/src/attempts/frameEvents.ts
+++ b/packages/anvilarch-daemon/src/attempts/frameEvents.ts
@@ -8,7 +8,7 @@
 /**
  * @param frame - a frame as it was received
  * @param stream - number of the stream that carried it
- * @returns the event, or undefined for a heartbeat
+ * @returns the event, or undefined for a frame that this gateway does not know
  */
 export function toRequestEvent (frame: AttemptFrame, stream: number): RequestEvent | undefined {
   const { kind } = frame
@@ -27,6 +27,8 @@
       return { kind: 'head', stream, status: kind.value.status, headers: toHeaders(kind.value.headers) }
     case 'output':
       return { kind: 'output', stream, offsetBytes: Number(kind.value.offsetBytes), data: kind.value.data }
+    case 'heartbeat':
+      return { kind: 'heartbeat', stream }
     case 'final':
       return { kind: 'final', stream, final: toFinal(kind.value) }
     default:
--- /dev/null
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/resumptions.test.ts
@@ -0,0 +1,48 @@
+import type { Target } from '../../../routing/types'
+import { createRequestState, stepRequest } from '../requestMachine'
+import type { RequestCommand, RequestEvent, RequestState } from '../types'
+
+const TARGET: Target = { key: 'a1/e1', agent: 'a1', address: '', endpoint: 'e1', incarnation: '1', failureDomain: 'hall-a', region: 'west' }
+
+/** A request whose only agent has accepted it. */
+function createRunning (): { apply: (event: RequestEvent) => RequestCommand[], stream: () => number } {
+  let state: RequestState = createRequestState({ requestId: 'r', fingerprint: 'f', idempotent: true })
+  const apply = (event: RequestEvent): RequestCommand[] => {
+    const step = stepRequest(state, event, { nowMs: 0, deadlineMs: 20_000, retryAllowed: true, continuable: true, quarantined: false })
+    state = step.state
+    return step.commands
+  }
+  apply({ kind: 'begin', suspect: false })
+  apply({ kind: 'chosen', target: TARGET, attemptId: '1' })
+  apply({ kind: 'accepted', stream: 1, incarnation: '1' })
+  return { apply, stream: () => state.streams }
+}
+
+describe('a stream that goes silent again after it was resumed', () => {
+  // Symptom: an answer ends as `the agent went silent` after two silences, though its agent answered the resumption, keeps the output and
+  // the deadline is far away. Sequence: a connection goes silent while a long prompt is computed; the resumption is answered and brings
+  // heartbeats, but no output yet; that connection goes silent too. Cause: only output ended the count of resumptions.
+  it('is resumed again when its agent has shown meanwhile that the attempt still runs', () => {
+    const { apply, stream } = createRunning()
+    for (let silences = 0; silences < 4; silences++) {
+      expect(apply({ kind: 'silence', stream: stream() })).toMatchObject([{ kind: 'leave' }, { kind: 'resume', newConnection: true }])
+      apply({ kind: 'accepted', stream: stream(), incarnation: '1' })
+      apply({ kind: 'heartbeat', stream: stream() })
+    }
+  })
+
+  it('is given up when the resumption brought no sign of life', () => {
+    const { apply, stream } = createRunning()
+    apply({ kind: 'silence', stream: stream() })
+    apply({ kind: 'accepted', stream: stream(), incarnation: '1' })
+    expect(apply({ kind: 'silence', stream: stream() })).toContainEqual(expect.objectContaining({ kind: 'cancel' }))
+  })
+
+  it('takes no heartbeat of a stream that was left for a sign of life', () => {
+    const { apply, stream } = createRunning()
+    const left = stream()
+    apply({ kind: 'silence', stream: left })
+    apply({ kind: 'heartbeat', stream: left })
+    expect(apply({ kind: 'silence', stream: stream() })).toContainEqual(expect.objectContaining({ kind: 'cancel' }))
+  })
+})
--- a/packages/anvilarch-daemon/src/attempts/machine/frames.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/frames.ts
@@ -15,6 +15,15 @@
   return { state: { ...state, attempt: { ...attempt, accepted: true } }, commands: [] }
 }
 
+/**
+ * The connection works and the attempt still runs. A later silence is then another one: counted together with those before, it would
+ * end an attempt in the middle of a long prompt, whose output its agent keeps and tells on each new connection.
+ */
+export function onHeartbeat (state: RequestState, attempt: AttemptState): Step {
+  if (attempt.resumes === 0) return { state, commands: [] }
+  return { state: { ...state, attempt: { ...attempt, resumes: 0 } }, commands: [] }
+}
+
 /** The agent will not run the attempt, or does not know it. */
 export function onRefused (state: RequestState, attempt: AttemptState, event: EventOf<'refused'>, input: StepInput): Step {
   const rule = REFUSALS[event.reason]
--- a/packages/anvilarch-daemon/src/attempts/machine/limits.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/limits.ts
@@ -6,7 +6,7 @@
 /** Starts of one request; the budget bounds all requests together, and one of them must not use it up alone. */
 export const MAX_ATTEMPTS = 6
 
-/** Resumptions without anything new before an idempotent request goes elsewhere. */
+/** Resumptions without anything new or a sign of life before an idempotent request goes elsewhere. */
 export const MAX_RESUMES_IDEMPOTENT = 1
 
 /** The same for a call that may not be repeated: nothing but its agent can tell what became of it. */
--- a/packages/anvilarch-daemon/src/attempts/machine/requestMachine.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/requestMachine.ts
@@ -2,7 +2,7 @@
 import { endFailed, ranSoFar } from './ending'
 import { chooseAgain, quarantinedFailure } from './nextAttempt'
 import { DEFAULT_RETRY_AFTER_MS, MAX_TARGET_WAIT_MS, TARGET_WAIT_SHARE } from './limits'
-import { onAccepted, onFinal, onHead, onOutput, onRefused } from './frames'
+import { onAccepted, onFinal, onHead, onHeartbeat, onOutput, onRefused } from './frames'
 import { onOutputInvalid, onSilence, onStreamEnded } from './streams'
 import type { AttemptState, Failure, RequestEvent, RequestFacts, RequestState, Step, StepInput } from './types'
 
@@ -42,6 +42,7 @@
   refused: withAttempt(onRefused),
   head: withAttempt(onHead),
   output: withAttempt(onOutput),
+  heartbeat: withAttempt(onHeartbeat),
   final: withAttempt(onFinal),
   silence: withAttempt(onSilence),
   stream_ended: withAttempt(onStreamEnded),
@@ -91,8 +92,8 @@
     attemptId: event.attemptId,
     target: event.target,
     isolated: state.isolateNext,
-    sentMs: input.nowMs,
     soloFirstToken: state.soloNext && !state.isolateNext,
+    sentMs: input.nowMs,
     stream: state.streams + 1,
     resuming: false,
     accepted: false,
--- a/packages/anvilarch-daemon/src/attempts/machine/types.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/types.ts
@@ -27,7 +27,7 @@
   accepted: boolean
   headSeen: boolean
   receivedBytes: number
-  /** Resumptions since the last frame that brought something new. */
+  /** Resumptions since the last frame that brought something new, or that showed that the attempt still runs. */
   resumes: number
 }
 
@@ -93,6 +93,7 @@
   | { kind: 'refused', stream: number, reason: RefusalReason, incarnation: string, retryAfterMs: number }
   | { kind: 'head', stream: number, status: number, headers: Headers }
   | { kind: 'output', stream: number, offsetBytes: number, data: Uint8Array }
+  | { kind: 'heartbeat', stream: number }
   | { kind: 'final', stream: number, final: FinalReport }
   | { kind: 'silence', stream: number }
   | { kind: 'stream_ended', stream: number, neverSent: boolean, message: string }
@@ -109,9 +110,9 @@
   retryAfterMs: number
   outputTokens: number
   wasAlone: boolean
-}
   /** Another attempt is the likelier cause of the crash. */
   causeKnown?: boolean
+}
 
 /** How a request ended, as far as the machine knows. The driver adds status, headers and body. */
 export type RequestEnd =
