Take the ports of a fleet from those that the system gives to nobody

The fleet's ports were found by taking any free ones and setting them free; the system gave one of them to another process before the agent listened. They now come from 2,000 to 10,999, from a random one on.

--- /dev/null
+++ b/packages/anvilarch-standins/src/fleet/__tests__/ports.test.ts
@@ -0,0 +1,30 @@
+import { createServer } from 'node:net'
+import { allocatePorts } from '../ports'
+
+// Symptom: a fleet does not start, `EADDRINUSE`, when another one starts beside it (soak, seed 301). Sequence: the fleet looks for free ports
+// and sets them free; before its process listens, another process is given the port for an outgoing connection or as any free port.
+// Cause: the ports came from the range that the system gives away.
+const FIRST_GIVEN_AWAY = 32_768
+
+describe('the ports of a fleet', () => {
+  it('are different, and none that the system gives away by itself', async () => {
+    const ports = await allocatePorts(60, 0)
+    expect(new Set(ports).size).toBe(60)
+    expect(Math.max(...ports)).toBeLessThan(FIRST_GIVEN_AWAY)
+  })
+
+  it('pass over one that is taken', async () => {
+    const [port] = await allocatePorts(1, 0)
+    const taken = createServer()
+    await new Promise<void>(resolve => { taken.listen(port, '127.0.0.1', resolve) })
+    const draw = jest.spyOn(Math, 'random').mockReturnValue((port - 2_000) / 9_000)
+    expect(await allocatePorts(2, 0)).toEqual([port + 1, port + 2])
+    draw.mockRestore()
+    await new Promise(resolve => taken.close(resolve))
+  })
+
+  it('follow the base that was asked for', async () => {
+    const [port] = await allocatePorts(1, 0)
+    expect(await allocatePorts(2, port)).toEqual([port, port + 1])
+  })
+})
