--- a/packages/anvilarch-daemon/src/admission/arrivals.ts
+++ b/packages/anvilarch-daemon/src/admission/arrivals.ts
@@ -11,6 +11,9 @@
  */
 const PLANNED_SHARE = 0.8
 
+/** An attempt whose prompt is computed alone is followed by one turn of other work. */
+const TURNS_PER_SOLO = 2
+
 type Arrival = Extract<AdmissionEvent, { kind: 'arrive' }>
 
 interface Refusal {
@@ -75,9 +78,8 @@
   return canBegin ? undefined : { reason: 'isolated_busy', retryAfterMs: retryAfter(state, waitMs) }
 }
 
-/** Each attempt whose prompt is computed alone is followed by one turn of other work. */
 function soloWaitMs (state: AdmissionState): number {
-  return state.solo.length * 2 * state.measures.recentFirstTokenMs
+  return state.solo.length * TURNS_PER_SOLO * state.measures.recentFirstTokenMs
 }
 
 function batchRefusal (state: AdmissionState): Refusal | undefined {
--- a/packages/anvilarch-daemon/src/admission/counts.ts
+++ b/packages/anvilarch-daemon/src/admission/counts.ts
@@ -1,6 +1,6 @@
 /** Counts over the state of admission, and the load that gateways are told. */
 import type { BatchLimitInput } from './batchLimit'
-import type { AdmissionLoad, AdmissionState } from './types'
+import type { AdmissionLoad, AdmissionState, RunningAttempt } from './types'
 
 /** Attempts that hold a slot. */
 export interface RunningCounts {
@@ -32,6 +32,14 @@
   return counts
 }
 
+/**
+ * @param state - state of the endpoint
+ * @returns attempts whose prompts the endpoint computes
+ */
+export function prefilling (state: AdmissionState): RunningAttempt[] {
+  return [...state.running.values()].filter(attempt => attempt.isPrefilling && attempt.phase === 'running')
+}
+
 /**
  * @param state - state of the endpoint
  * @param nowMs - the time
--- a/packages/anvilarch-daemon/src/admission/scheduling.ts
+++ b/packages/anvilarch-daemon/src/admission/scheduling.ts
@@ -1,6 +1,6 @@
 /** Starts what fits and cuts off batch items that must give way. */
 import { invariant } from 'anvilarch-utils'
-import { countRunning, type RunningCounts } from './counts'
+import { countRunning, prefilling, type RunningCounts } from './counts'
 import type { AdmissionCommand, AdmissionState, RunningAttempt, WaitingAttempt } from './types'
 
 /**
@@ -16,7 +16,7 @@
  * @param commands - takes the starts and preemptions
  */
 export function startWhatFits (state: AdmissionState, nowMs: number, commands: AdmissionCommand[]): void {
-  if (countRunning(state).isolated || computing(state).some(attempt => attempt.soloFirstToken)) return
+  if (countRunning(state).isolated || prefilling(state).some(attempt => attempt.soloFirstToken)) return
   if (state.isolated.length > 0) {
     startIsolated(state, nowMs, commands)
     return
@@ -32,13 +32,8 @@
   if (state.solo.length > 0 && state.running.size === startedBefore) startSolo(state, nowMs, commands)
 }
 
-/** @returns attempts whose prompts the endpoint computes */
-function computing (state: AdmissionState): RunningAttempt[] {
-  return [...state.running.values()].filter(attempt => attempt.isPrefilling && attempt.phase === 'running')
-}
-
 function startSolo (state: AdmissionState, nowMs: number, commands: AdmissionCommand[]): void {
-  if (computing(state).length > 0) return
+  if (prefilling(state).length > 0) return
   if (state.running.size >= state.options.slots) {
     preemptBatch(state, 1 - countRunning(state).preempting, commands)
     return
--- a/packages/anvilarch-daemon/src/attempts/__fixtures__/fakeAgent.ts
+++ b/packages/anvilarch-daemon/src/attempts/__fixtures__/fakeAgent.ts
@@ -113,8 +113,10 @@
     yield { kind: { case: 'accepted', value: { agentIncarnation: incarnation } } }
     if (faults.crashOn === undefined) yield { kind: { case: 'head', value: kept.head } }
     let sentBytes = offsetBytes
+    // One listener for the whole stream: one for each wait would add up to a leak.
+    const gone = aborted(signal)
     while (!signal.aborted) {
-      if (faults.silenceOpenStreams) await aborted(signal)
+      if (faults.silenceOpenStreams) await gone
       const all = Buffer.concat(kept.chunks)
       if (all.length > sentBytes) {
         yield { kind: { case: 'output', value: { offsetBytes: BigInt(sentBytes), data: all.subarray(sentBytes) } } }
@@ -123,7 +125,7 @@
         yield { kind: { case: 'final', value: { ...kept.final, totalBytes: BigInt(all.length), outputTokens: kept.chunks.filter(each => each.length > 0).length } } }
         return
       } else {
-        await Promise.race([change(kept), heartbeat(), aborted(signal)])
+        await Promise.race([change(kept), heartbeat(), gone])
         if (kept.final === undefined && Buffer.concat(kept.chunks).length === sentBytes && !faults.silenceOpenStreams) yield { kind: { case: 'heartbeat', value: {} } }
       }
     }
