Do not count work that waited in a frozen engine as new work on a leaving endpoint

Trace: the engine was frozen from 17.6 to 27.2 s; the calls were sent from 17.62 to 18.23 s; agent-2 was told to stop at 18.28 s; the engine began them at 29.8 s, once each, and each caller got its whole answer. The work was given before the endpoint began to leave.

Passed over now: an execution of a call that was sent before, that ran nowhere else, at an engine that was frozen when the leaving began and until the execution began.

The agent no longer warns of a leak for each session beyond ten that listens to its stop.

--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -94,6 +94,23 @@
     expect(found({ ...PLANTED['requests cut by a planned stop'], faults: [STOP_FAULT, kill] })).toEqual([])
   })
 
+  // Symptom: a soak counts new work on a leaving endpoint (seed 317). Sequence: an engine is frozen; calls are given to it; its agent is told to stop
+  // 0.05 to 0.7 s later; the engine runs again after 9.5 s and begins the calls. Cause: the check took the begin at the engine for
+  // the moment at which the work was given. Evidence: the five calls were sent before the stop, ran once and got their whole answers.
+  test('does not count work that waited in a frozen engine since before it began to leave', () => {
+    const leave = ENGINE_LEAVE
+    const endpoint = leave.endpoints[0]
+    const frozen = { fault: 'engine_frozen', target: endpoint, injectedAtMs: leave.sinceMs - 700, healedAtMs: leave.sinceMs + 7000 }
+    const before = call({ sentAtMs: leave.sinceMs - 100, endedAtMs: leave.sinceMs + 8000 })
+    const run = execution({ endpoint, startedAtMs: leave.sinceMs + 7100, endedAtMs: leave.sinceMs + 7900 })
+    const counted = ['new work on a leaving endpoint after the bound']
+    expect(found({ leaves: [leave], calls: [before], executions: [run], faults: [frozen] })).toEqual([])
+    expect(found({ leaves: [leave], calls: [before], executions: [run] })).toEqual(counted)
+    expect(found({ leaves: [leave], calls: [{ ...before, sentAtMs: leave.sinceMs + 10 }], executions: [run], faults: [frozen] })).toEqual(counted)
+    expect(found({ leaves: [leave], calls: [before], executions: [run], faults: [{ ...frozen, target: 'engine-9' }] })).toEqual(counted)
+    expect(found({ leaves: [leave], calls: [before], executions: [run], faults: [{ ...frozen, healedAtMs: leave.sinceMs + 1000 }] })).toEqual(counted)
+  })
+
   // Symptom: a soak blames a planned stop for a keyed order (seed 42: `conflict`, "the call under Idempotency-Key is in progress").
   // Sequence: a careful client sends an order through two gateways at once; the second is told that the first is in progress; a stop falls
   // into that moment. Cause: the check took this answer for a call that was cut. Evidence: in four soaks without such a stop 378 to 395
--- a/packages/anvilarch-daemon/src/agent/startAgent.ts
+++ b/packages/anvilarch-daemon/src/agent/startAgent.ts
@@ -1,4 +1,5 @@
 /** Composes an agent: endpoints, attempts, orders, the ticks and the server towards gateways. */
+import { setMaxListeners } from 'node:events'
 import { AgentService } from 'anvilarch-protocol'
 import { type LifecycleManager, sleep } from 'anvilarch-utils'
 import { LRUCache } from 'lru-cache'
@@ -100,6 +101,8 @@
     }
   })
   const stopped = new AbortController()
+  // Each open session listens to it until the session ends; beyond ten, Node.js would warn of a leak.
+  setMaxListeners(0, stopped.signal)
   const service = createAgentService({
     context,
     registry,
