Read the host list before new work is sent after a pause of the gateway's own process

The calls began 6,472 to 6,680 ms after the flag.

After a pause of 2 s or more the list is read at once, and choices of endpoints wait for it, 500 ms at most, since it may be away. Tests on a clock that stands still and with a directory that catches up; they failed before for want of the wait.

--- a/packages/anvilarch-daemon/src/attempts/requestTask.ts
+++ b/packages/anvilarch-daemon/src/attempts/requestTask.ts
@@ -113,6 +113,12 @@
   const calls = createAttemptCalls(parts, request, reader)
 
   const choose = (exclude: readonly string[]): void => {
+    const catchingUp = parts.directory.catchUp?.()
+    if (catchingUp === undefined) chooseNow(exclude)
+    else catchingUp.then(() => { dispatch({ kind: 'targets_changed' }) }).catch(abandon)
+  }
+
+  const chooseNow = (exclude: readonly string[]): void => {
     const { service, workClass, affinityKey } = request
     const target = router.choose({ service, workClass, affinityKey, exclude: new Set(exclude) })
     dispatch(target === undefined ? { kind: 'no_target' } : { kind: 'chosen', target, attemptId: parts.nextAttemptId() })
--- a/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
+++ b/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
@@ -217,4 +217,35 @@
     await fleet.clock.advanceAsync(5000)
     expect(agent.exchanges.flatMap(exchange => exchange.quarantined)).toEqual(['f1', 'f2'])
   })
+
+  /*
+   * Symptom: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324). Sequence: the flag is set; the
+   * gateway's process stands still before it reads the list; its callers' requests are read when it wakes up. Cause: it chose by
+   * what it knew before its pause. Evidence: the three calls began 6,472 to 6,680 ms after the flag, right after the pause of 6,481 ms.
+   */
+  it('reads the host list before it gives out work after a pause of its own process', async () => {
+    const fleet = await startFleet(2)
+    await fleet.clock.advanceAsync(5000)
+    expect(fleet.directory.catchUp?.()).toBeUndefined()
+    fleet.hosts.splice(0, 1, hostEntry(fleet.agents[0].address, 'leaving'))
+    fleet.clock.stall(6500)
+    expect(stateOf(fleet, 0)).toBe('serving')
+    const catchingUp = fleet.directory.catchUp?.()
+    expect(catchingUp).toBeDefined()
+    await fleet.clock.advanceAsync(0)
+    await catchingUp
+    expect(stateOf(fleet, 0)).toBe('draining')
+    expect(fleet.directory.catchUp?.()).toBeUndefined()
+  })
+
+  it('waits for a host list that does not answer only for a moment', async () => {
+    const fleet = await startFleet(1)
+    await fleet.clock.advanceAsync(5000)
+    fleet.platform.hosts.list = async () => await new Promise(() => {})
+    fleet.clock.stall(6500)
+    const catchingUp = fleet.directory.catchUp?.()
+    await fleet.clock.advanceAsync(500)
+    await catchingUp
+    expect(fleet.directory.catchUp?.()).toBeUndefined()
+  })
 })
--- a/packages/anvilarch-daemon/src/membership/startMembership.ts
+++ b/packages/anvilarch-daemon/src/membership/startMembership.ts
@@ -32,6 +32,13 @@
 const POLL_JITTER = 0.2
 /** The list of 340 hosts takes some 50 KB, so that a gateway that reads it every two seconds spends its whole share of bytes on it. */
 const HOST_POLL_MS_PER_ENTRY = 12
+/**
+ * After a longer pause of this process the host list is read before new work is sent: an agent that has begun to leave meanwhile would be
+ * given work long after the list has said so.
+ */
+const LONG_PAUSE_MS = 2000
+/** Work waits no longer than this for the host list, which may be away. */
+const MAX_CATCH_UP_MS = 500
 /** An exchange that takes longer counts as missed. */
 const EXCHANGE_TIMEOUT_MS = 1000
 
@@ -54,6 +61,8 @@
   const loops: Array<Promise<void>> = []
   let listRead = false
   let settled = false
+  let lastTurnMs = clock.nowMs()
+  let catchingUp: Promise<void> | undefined
 
   const every = async (intervalMs: () => number, act: () => Promise<void> | void): Promise<void> => {
     while (!stopping.signal.aborted) {
@@ -86,6 +95,16 @@
     }
   }
 
+  /** Called by each tick, and before a choice: after a pause either may come first. */
+  const noticePause = (): void => {
+    const nowMs = clock.nowMs()
+    const pausedMs = nowMs - lastTurnMs
+    lastTurnMs = nowMs
+    if (pausedMs < LONG_PAUSE_MS || catchingUp !== undefined) return
+    context.logger.info('this process stood still; the host list is read before new work is sent', { pausedMs: Math.round(pausedMs) })
+    catchingUp = Promise.race([pollHosts(), sleep(clock, MAX_CATCH_UP_MS, stopping.signal)]).finally(() => { catchingUp = undefined })
+  }
+
   const forgetOld = (): void => {
     for (const record of directory.records()) {
       if (!isForgotten(record, clock.nowMs(), options)) continue
@@ -136,6 +155,7 @@
   }
 
   const tick = (): void => {
+    noticePause()
     forgetOld()
     const input = { records: directory.records(), isShort: lookForShortage(), nowMs: clock.nowMs() }
     for (const record of selectDue(input, options)) exchange(record).catch(reportFault)
@@ -155,6 +175,10 @@
   })
   return {
     ...directory,
+    catchUp: () => {
+      noticePause()
+      return catchingUp
+    },
     isSettled: () => {
       settled ||= listRead && directory.records().every(wasAsked)
       return settled
--- a/packages/anvilarch-daemon/src/membership/types.ts
+++ b/packages/anvilarch-daemon/src/membership/types.ts
@@ -34,6 +34,11 @@
   noteIncarnation: (agent: string, incarnation: string) => void
   /** An endpoint crashed or is not answering; it gets no work until the agent says it is ready. */
   noteEndpointDown: (agent: string, endpoint: string) => void
+  /**
+   * @returns a promise while this process catches up after a pause: until it resolves, what the directory shows is as old as the pause,
+   * and may name agents that have begun to leave; undefined otherwise
+   */
+  catchUp?: () => Promise<void> | undefined
   /** @returns a function that ends the subscription */
   onChange: (listener: () => void) => () => void
 }
