--- a/packages/anvilarch-daemon/src/callers/limits/callerLimiter.ts
+++ b/packages/anvilarch-daemon/src/callers/limits/callerLimiter.ts
@@ -1,8 +1,7 @@
 /** Keeps one caller from starving the others, and all of them from overrunning the gateway. */
-import { AnvilarchError, type Clock } from 'anvilarch-utils'
+import { AnvilarchError, type Bucket, type Clock, takeToken } from 'anvilarch-utils'
 import { LRUCache } from 'lru-cache'
 import type { Account } from './accounts'
-import { type Bucket, takeToken } from './tokenBucket'
 
 /** Admits requests. */
 export interface CallerLimiter {
--- /dev/null
+++ b/packages/anvilarch-serving/src/accounts/limits/rateLimits.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps the requests of each account within its limit over all gateways.
+ *
+ * The meter of an account has its home at one gateway, which the others ask before a request starts. What a request costs does
+ * not grow with the number of gateways, and callers that reach a few of them only may use the whole limit there.
+ */
+import { type Clock, runInBackground } from 'anvilarch-utils'
+import type { PermitQuestion, PermitReturn } from '../../endpoints/peerMessages'
+import type { PeerAddress } from '../../endpoints/peerSocket'
+import type { EventLog } from '../../telemetry/events'
+import type { Caller, ClientAccount } from '../types'
+import type { Grant } from './accountMeter'
+import type { AccountMeters } from './accountMeters'
+import type { Granter } from './limitBounds'
+import type { MeterPlace } from './meterHomes'
+import type { PermitAsker } from './permitAsker'
+
+/** Whether a request may start. `giveBack` is called when it has not run after all. */
+export type Permit = { granted: true, giveBack: () => void } | { granted: false, retryAfterMs: number, granter: Granter }
+
+/** Limits of rate over all gateways. */
+export interface RateLimits {
+  ask: (caller: Caller) => Promise<Permit>
+  /** @returns the answer to another gateway; undefined when the account is not known here */
+  onQuestion: (question: PermitQuestion) => Grant | undefined
+  onReturn: (message: PermitReturn) => void
+}
+
+/** Options of `createRateLimits`. */
+export interface RateLimitsOptions {
+  clock: Clock
+  log: EventLog
+  ownName: string
+  meters: AccountMeters
+  asker: Pick<PermitAsker, 'ask' | 'giveBack'>
+  /** @returns the home of an account's meter and its deputy */
+  homesOf: (accountName: string) => readonly MeterPlace[]
+}
+
+/** Most requests that one question asks for. */
+const MAX_WANTED = 50
+
+/** Once turned away, an account's requests are turned away here without a question for up to this long. */
+const MAX_REMEMBERED_DENIAL_MS = 50
+
+const UNLIMITED: Permit = { granted: true, giveBack: () => {} }
+
+interface Waiting {
+  resolve: (permit: Permit) => void
+}
+
+/** Requests of one account that wait for permits here; one question at a time asks for all of them. */
+interface AccountQueue {
+  waiting: Waiting[]
+  asking: boolean
+  deniedUntilMs: number
+}
+
+/** A grant and who gave it. */
+interface GivenGrant extends Grant {
+  granter: Granter
+  giveBack: () => void
+}
+
+const GRANTERS: ReadonlyArray<Exclude<Granter, 'self'>> = ['home', 'deputy']
+
+/**
+ * @param options - meters and peers
+ * @returns limits under which nothing has been granted
+ */
+export function createRateLimits (options: RateLimitsOptions): RateLimits {
+  const { clock, meters, asker } = options
+  const queues = new Map<string, AccountQueue>()
+
+  const fromPlace = async (place: MeterPlace, granter: Exclude<Granter, 'self'>, accountName: string, wanted: number): Promise<GivenGrant | undefined> => {
+    if (place.name === options.ownName) return fromOwn(granter, accountName, wanted)
+    const to = toAddress(place.peerAddress)
+    const grant = await asker.ask(to, { accountName, granter, wanted })
+    return grant && { ...grant, granter, giveBack: () => asker.giveBack(to, accountName, granter, 1) }
+  }
+
+  const fromOwn = (granter: Granter, accountName: string, wanted: number): GivenGrant | undefined => {
+    const grant = meters.grant(accountName, granter, wanted)
+    return grant && { ...grant, granter, giveBack: () => meters.giveBack(accountName, granter, 1) }
+  }
+
+  const obtain = async (accountName: string, wanted: number): Promise<GivenGrant> => {
+    const places = options.homesOf(accountName)
+    for (const [index, granter] of GRANTERS.entries()) {
+      const place = places[index]
+      const grant = place && await fromPlace(place, granter, accountName, wanted)
+      if (grant !== undefined) return grant
+    }
+    // An account that has just left the configuration is turned away where its key is looked at.
+    return fromOwn('self', accountName, wanted) ?? { granted: wanted, retryAfterMs: 0, granter: 'self', giveBack: () => {} }
+  }
+
+  const serve = async (accountName: string, queue: AccountQueue): Promise<void> => {
+    queue.asking = true
+    while (queue.waiting.length > 0) {
+      const batch = queue.waiting.splice(0, MAX_WANTED)
+      const { granted, retryAfterMs, granter, giveBack } = await obtain(accountName, batch.length)
+      batch.forEach(({ resolve }, index) => resolve(index < granted ? { granted: true, giveBack } : { granted: false, retryAfterMs, granter }))
+      if (granted < batch.length) queue.deniedUntilMs = clock.nowMs() + Math.min(retryAfterMs, MAX_REMEMBERED_DENIAL_MS)
+    }
+    queue.asking = false
+    if (queue.deniedUntilMs <= clock.nowMs()) queues.delete(accountName)
+  }
+
+  const askFor = (account: ClientAccount): Promise<Permit> => {
+    const queue = queues.get(account.name) ?? { waiting: [], asking: false, deniedUntilMs: -Infinity }
+    queues.set(account.name, queue)
+    const deniedForMs = queue.deniedUntilMs - clock.nowMs()
+    if (deniedForMs > 0) return Promise.resolve({ granted: false, retryAfterMs: Math.ceil(deniedForMs), granter: 'home' })
+    return new Promise(resolve => {
+      queue.waiting.push({ resolve })
+      if (!queue.asking) runInBackground(options.log, 'ask for permits', () => serve(account.name, queue))
+    })
+  }
+
+  return {
+    ask: async caller => caller.caller === 'account' && caller.account.requestsPerSecond > 0 ? await askFor(caller.account) : UNLIMITED,
+    onQuestion: ({ accountName, granter, wanted }) => meters.grant(accountName, granter, Math.min(wanted, MAX_WANTED)),
+    onReturn: ({ accountName, granter, count }) => meters.giveBack(accountName, granter, Math.min(count, MAX_WANTED))
+  }
+}
+
+function toAddress (text: string): PeerAddress {
+  const [ip, port] = text.split(':')
+  return { ip, port: Number(port) }
+}
--- /dev/null
+++ b/packages/anvilarch-serving/src/accounts/refuseCaller.ts
@@ -0,0 +1,38 @@
+/** Answers callers that are not let in. */
+import type { OwnAnswer } from '../requests/clientAnswer'
+import { unauthorizedAnswer } from '../requests/clientAnswer'
+import type { CallerVerdict } from './callerCheck'
+import type { Caller } from './types'
+
+/** Why a caller is not let in. `stale`: this process may not know that its key was taken away. */
+export type CallerRefusal = Exclude<CallerVerdict, Caller>['caller'] | 'stale'
+
+/** A gateway that cannot reach the store may reach it again soon, and another one may reach it now. */
+const UNCONFIRMED_RETRY_AFTER_MS = 300
+
+const NOT_RUN_STATUS = 503
+
+/**
+ * @param refusal - why the caller is not let in
+ * @param credentialScheme - by which keys are shown
+ * @returns the answer. Only a key that no version knows is refused for good: a caller does not come back after that.
+ */
+export function refusalAnswer (refusal: CallerRefusal, credentialScheme: string): OwnAnswer {
+  return REFUSALS[refusal](credentialScheme)
+}
+
+const REFUSALS: Record<CallerRefusal, (credentialScheme: string) => OwnAnswer> = {
+  unknown: unauthorizedAnswer,
+  unconfirmed: () => ({
+    status: NOT_RUN_STATUS,
+    code: 'key_not_confirmed',
+    message: 'the key is not known here, and the store does not say whether it is new',
+    retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS
+  }),
+  stale: () => ({
+    status: NOT_RUN_STATUS,
+    code: 'configuration_stale',
+    message: 'this gateway has not heard of the store for too long to know which keys are good',
+    retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS
+  })
+}
--- a/packages/anvilarch-serving/src/endpoints/peerMessages.ts
+++ b/packages/anvilarch-serving/src/endpoints/peerMessages.ts
@@ -1,4 +1,9 @@
-/** Datagrams between gateways and agents: how busy the engine beside an agent is. A lost one is made up for by a later one. */
+/**
+ * Datagrams between daemons: how busy the engine beside an agent is, and what gateways grant each other of the limits of
+ * accounts. A lost one is made up for by a later one.
+ */
+import type { Granter } from '../accounts/limits/limitBounds'
+
 /** A gateway asks an agent how busy its engine is. */
 export interface LoadQuestion {
   message: 'load_question'
@@ -33,8 +38,41 @@
   inProgress: number
 }
 
+/** A gateway asks another one that keeps an account's meter. */
+export interface PermitQuestion {
+  message: 'permit_question'
+  /** Returned with the answer. */
+  number: number
+  accountName: string
+  /** In which place the other gateway is asked. */
+  granter: Exclude<Granter, 'self'>
+  /** Requests that would start. */
+  wanted: number
+  /** Version in force at the asking gateway. */
+  configurationVersion: number
+}
+
+/** The gateway that keeps the meter answers. */
+export interface PermitAnswer {
+  message: 'permit_answer'
+  number: number
+  granted: number
+  /** When there is room for one that was not granted; 0 when all were. */
+  retryAfterMs: number
+  /** Version in force at the answering gateway. */
+  configurationVersion: number
+}
+
+/** Requests that were granted and have not run. */
+export interface PermitReturn {
+  message: 'permit_return'
+  accountName: string
+  granter: Exclude<Granter, 'self'>
+  count: number
+}
+
 /** Any of them. */
-export type PeerMessage = LoadQuestion | LoadAnswer | UseNotice
+export type PeerMessage = LoadQuestion | LoadAnswer | UseNotice | PermitQuestion | PermitAnswer | PermitReturn
 
 /** On the wire a message is a list, its kind first: names would be two thirds of its bytes. */
 type WireMessage =
@@ -42,6 +80,15 @@
   | ['a', number]
   | ['a', number, string, number, number, boolean]
   | ['u', string, number]
+  | ['p', number, string, GranterCode, number, number]
+  | ['g', number, number, number, number]
+  | ['r', string, GranterCode, number]
+
+type GranterCode = 0 | 1
+
+const GRANTERS = ['home', 'deputy'] as const
+
+const GRANTER_CODES: Record<typeof GRANTERS[number], GranterCode> = { home: 0, deputy: 1 }
 
 /** @returns the bytes of a message */
 export function encodePeerMessage (message: PeerMessage): string {
@@ -58,6 +105,12 @@
     }
     case 'use':
       return ['u', message.startId, message.inProgress]
+    case 'permit_question':
+      return ['p', message.number, message.accountName, GRANTER_CODES[message.granter], message.wanted, message.configurationVersion]
+    case 'permit_answer':
+      return ['g', message.number, message.granted, message.retryAfterMs, message.configurationVersion]
+    case 'permit_return':
+      return ['r', message.accountName, GRANTER_CODES[message.granter], message.count]
   }
 }
 
@@ -82,9 +135,25 @@
     if (typeof startId !== 'string' || !isCount(online) || !isCount(batchRunning) || typeof reachable !== 'boolean') return undefined
     return { message: 'load_answer', number, report: { startId, online, batchRunning, reachable } }
   }],
-  ['u', ([startId, inProgress]) => typeof startId === 'string' && isCount(inProgress) ? { message: 'use', startId, inProgress } : undefined]
+  ['u', ([startId, inProgress]) => typeof startId === 'string' && isCount(inProgress) ? { message: 'use', startId, inProgress } : undefined],
+  ['p', ([number, accountName, code, wanted, configurationVersion]) => {
+    if (!isCount(number) || typeof accountName !== 'string' || !isGranterCode(code) || !isCount(wanted) || !isCount(configurationVersion)) return undefined
+    return { message: 'permit_question', number, accountName, granter: GRANTERS[code], wanted, configurationVersion }
+  }],
+  ['g', ([number, granted, retryAfterMs, configurationVersion]) => {
+    if (!isCount(number) || !isCount(granted) || !isCount(retryAfterMs) || !isCount(configurationVersion)) return undefined
+    return { message: 'permit_answer', number, granted, retryAfterMs, configurationVersion }
+  }],
+  ['r', ([accountName, code, count]) => {
+    if (typeof accountName !== 'string' || !isGranterCode(code) || !isCount(count)) return undefined
+    return { message: 'permit_return', accountName, granter: GRANTERS[code], count }
+  }]
 ])
 
+function isGranterCode (value: unknown): value is GranterCode {
+  return value === 0 || value === 1
+}
+
 function isCount (value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) >= 0
 }
--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -10,7 +10,9 @@
 
 /** A job as a client hands it in. */
 export interface Submission {
+  /** Id in the store; see `storedJobId`. */
   jobId: string
+  account: string | undefined
   host: string
   path: string
   items: JobItem[]
@@ -80,7 +82,7 @@
 
 async function reserveTokens (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
   if (route.waitingTokenLimit === 0) return 'accepted'
-  const key = quotaKey(route.name)
+  const key = quotaKey(route.name, submission.account)
   const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0)
   for (;;) {
     const read = await parts.store.readRows({ ...key, from: key.key, to: key.key + '\u0001' })
@@ -130,6 +132,7 @@
     if (nowMs !== undefined) {
       const row = recordRow(key, newJob(submission.items, {
         jobId: submission.jobId,
+        account: submission.account,
         host: submission.host,
         path: submission.path,
         nowMs,
--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -2,13 +2,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { sleep } from 'anvilarch-utils'
 import findMyWay from 'find-my-way'
+import { accountNameOf, type Caller } from '../accounts/types'
 import type { RequestMetadata, Route } from '../model/types'
 import { type ClosingNotice, sendJson, sendOwnAnswer } from '../requests/clientAnswer'
 import type { JobWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { acceptJob } from './acceptJob'
 import { endJob, isClosed } from './jobRecord'
-import { changeJob, type JobParts, readJob } from './jobStore'
+import { storedJobId } from './jobRows'
+import { type ChangeOutcome, changeJob, type JobParts, readJob } from './jobStore'
 import type { ResultReader } from './resultReader'
 import type { JobRecord } from './types'
 
@@ -25,6 +27,7 @@
   request: IncomingMessage
   response: ServerResponse
   route: Route
+  caller: Caller
   body: Buffer
   metadata: RequestMetadata
   arrivedAtMs: number
@@ -32,8 +35,9 @@
 
 /** Handles the calls about jobs. */
 export interface JobCalls {
-  /** @returns whether the request was a call about a job */
-  handle: (request: IncomingMessage, response: ServerResponse) => Promise<boolean>
+  /** @returns whether the request is a call about a job that has been handed in */
+  isJobCall: (request: IncomingMessage) => boolean
+  handle: (request: IncomingMessage, response: ServerResponse, caller: Caller) => Promise<void>
   submit: (call: SubmitCall) => Promise<void>
 }
 
@@ -67,24 +71,25 @@
 export function createJobCalls (parts: JobCallParts): JobCalls {
   const router = findMyWay()
   let handled: Promise<void> | undefined
+  let caller: Caller = { caller: 'unchecked' }
   router.on('GET', parts.wire.resultsPath, (request, response, params, _store, query) => {
-    handled = readResults(parts, request as IncomingMessage, response as ServerResponse, params.id ?? '', query[parts.wire.afterParameter])
+    const position = Math.max(0, Number.parseInt(query[parts.wire.afterParameter] ?? '0', 10) || 0)
+    handled = readResults(parts, request as IncomingMessage, response as ServerResponse, { caller, clientJobId: params.id ?? '' }, position)
   })
   router.on('GET', parts.wire.itemPath, (_request, response, params, _store, query) => {
-    handled = readItem(parts, response as ServerResponse, params.id ?? '', query[parts.wire.itemParameter] ?? '')
+    handled = readItem(parts, response as ServerResponse, { caller, clientJobId: params.id ?? '' }, query[parts.wire.itemParameter] ?? '')
   })
   router.on('DELETE', parts.wire.resultsPath, (_request, response, params) => {
-    handled = end(parts, response as ServerResponse, params.id ?? '')
+    handled = end(parts, response as ServerResponse, { caller, clientJobId: params.id ?? '' })
   })
   return {
-    handle: async (request, response) => {
-      const found = router.find(request.method as 'GET', request.url?.split('?')[0] ?? '/')
-      if (found === null) return false
+    isJobCall: request => router.find(request.method as 'GET', request.url?.split('?')[0] ?? '/') !== null,
+    handle: async (request, response, calling) => {
       request.resume()
+      caller = calling
       handled = undefined
       router.lookup(request, response)
       await handled
-      return true
     },
     submit: call => submit(parts, call)
   }
@@ -99,13 +104,14 @@
   }
   const patienceMs = Math.min(MAX_SUBMIT_MS, (metadata.deadlineMs ?? Infinity) - SUBMIT_MARGIN_MS)
   const outcome = await acceptJob(parts, route, {
-    jobId: metadata.requestId,
+    jobId: storedJobId(call.caller, metadata.requestId),
+    account: accountNameOf(call.caller),
     host: call.request.headers.host ?? '',
     path: call.request.url ?? '/',
     items
   }, call.arrivedAtMs + patienceMs)
   parts.metrics.jobCalls.inc({ call: 'submit', outcome })
-  parts.log.info('job submitted', { jobId: metadata.requestId, route: route.name, itemCount: items.length, outcome, elapsedMs: Math.round(parts.clock.nowMs() - call.arrivedAtMs) })
+  parts.log.info('job submitted', { jobId: metadata.requestId, account: accountNameOf(call.caller), route: route.name, itemCount: items.length, outcome, elapsedMs: Math.round(parts.clock.nowMs() - call.arrivedAtMs) })
   switch (outcome) {
     case 'accepted':
       sendJson(response, 202, {}, parts.notice)
@@ -121,10 +127,9 @@
   }
 }
 
-async function readResults (parts: JobCallParts, request: IncomingMessage, response: ServerResponse, jobId: string, after: string | undefined): Promise<void> {
-  const position = Math.max(0, Number.parseInt(after ?? '0', 10) || 0)
+async function readResults (parts: JobCallParts, request: IncomingMessage, response: ServerResponse, named: NamedJob, position: number): Promise<void> {
   const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
-  const job = await findJob(parts, jobId, isClosed, untilMs)
+  const job = await findJob(parts, named, isClosed, untilMs)
   if (job === 'unavailable') {
     unavailable(parts, response, 'read')
     return
@@ -144,8 +149,25 @@
   sendJson(response, 200, parts.wire.encodePage(page.val), parts.notice)
 }
 
-/** Finds a job. What is known here may be older than what another gateway has told the client: unless it is enough, the store is read. */
-async function findJob (parts: JobCallParts, jobId: string, isEnough: (job: JobRecord) => boolean, untilMs: number): Promise<JobRecord | undefined | 'unavailable'> {
+/** A job as a caller names it. */
+interface NamedJob {
+  caller: Caller
+  clientJobId: string
+}
+
+/**
+ * Finds a job. One that was handed in before callers needed keys has the client's id alone, and belongs to nobody: any caller
+ * with a key that knows the id may read and end it.
+ */
+async function findJob (parts: JobCallParts, { caller, clientJobId }: NamedJob, isEnough: (job: JobRecord) => boolean, untilMs: number): Promise<JobRecord | undefined | 'unavailable'> {
+  const own = await findStored(parts, storedJobId(caller, clientJobId), isEnough, untilMs)
+  if (own !== undefined || caller.caller === 'unchecked') return own
+  const unowned = await findStored(parts, clientJobId, isEnough, untilMs)
+  return unowned === 'unavailable' || unowned?.account === undefined ? unowned : undefined
+}
+
+/** What is known here may be older than what another gateway has told the client: unless it is enough, the store is read. */
+async function findStored (parts: JobCallParts, jobId: string, isEnough: (job: JobRecord) => boolean, untilMs: number): Promise<JobRecord | undefined | 'unavailable'> {
   const known = parts.work.job(jobId)?.record
   if (known !== undefined && isEnough(known)) return known
   for (;;) {
@@ -172,14 +194,14 @@
   }
 }
 
-async function readItem (parts: JobCallParts, response: ServerResponse, jobId: string, itemId: string): Promise<void> {
+async function readItem (parts: JobCallParts, response: ServerResponse, named: NamedJob, itemId: string): Promise<void> {
   const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
-  const job = await findJob(parts, jobId, known => !known.ended, untilMs)
+  const job = await findJob(parts, named, known => !known.ended, untilMs)
   if (job === undefined || (job !== 'unavailable' && !job.itemIds.includes(itemId))) {
     notFound(parts, response, 'item')
     return
   }
-  const items = job === 'unavailable' ? undefined : await parts.results.items(jobId)
+  const items = job === 'unavailable' ? undefined : await parts.results.items(job.jobId)
   const body = items?.ok === true ? items.val?.find(item => item.id === itemId)?.body : undefined
   if (body === undefined) {
     unavailable(parts, response, 'item')
@@ -191,16 +213,25 @@
   response.end(body)
 }
 
-async function end (parts: JobCallParts, response: ServerResponse, jobId: string): Promise<void> {
-  const untilMs = parts.clock.nowMs() + CALL_TIMEOUT_MS
-  const outcome = await changeJob(parts, jobId, job => job.ended ? undefined : { next: endJob(job) }, untilMs)
+async function end (parts: JobCallParts, response: ServerResponse, named: NamedJob): Promise<void> {
+  const outcome = await endStored(parts, named, parts.clock.nowMs() + CALL_TIMEOUT_MS)
   parts.metrics.jobCalls.inc({ call: 'end', outcome })
-  parts.log.info('job ended by its client', { jobId, outcome })
+  parts.log.info('job ended by its client', { jobId: named.clientJobId, account: accountNameOf(named.caller), outcome })
   if (outcome === 'applied' || outcome === 'not_applicable') sendJson(response, 200, {}, parts.notice)
   else if (outcome === 'no_such_job') notFound(parts, response, 'end')
   else unavailable(parts, response, 'end')
 }
 
+/** Ends the caller's job, or one that belongs to nobody. */
+async function endStored (parts: JobCallParts, { caller, clientJobId }: NamedJob, untilMs: number): Promise<ChangeOutcome> {
+  const outcome = await changeJob(parts, storedJobId(caller, clientJobId), job => job.ended ? undefined : { next: endJob(job) }, untilMs)
+  if (outcome !== 'no_such_job' || caller.caller === 'unchecked') return outcome
+  const unowned = await findStored(parts, clientJobId, () => false, untilMs)
+  if (unowned === 'unavailable') return 'refused'
+  if (unowned === undefined || unowned.account !== undefined) return 'no_such_job'
+  return await changeJob(parts, clientJobId, job => job.ended ? undefined : { next: endJob(job) }, untilMs)
+}
+
 function notFound (parts: JobCallParts, response: ServerResponse, call: string): void {
   parts.metrics.jobCalls.inc({ call, outcome: 'not_found' })
   sendOwnAnswer(response, { status: 404, code: 'no_such_job', message: 'no such job or item' }, parts.notice)
--- a/packages/anvilarch-serving/src/jobs/jobRecord.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRecord.ts
@@ -4,6 +4,8 @@
 /** What a submission needs beyond its items. */
 export interface JobTerms {
   jobId: string
+  /** Client account of the job, if callers need keys. */
+  account: string | undefined
   host: string
   path: string
   nowMs: number
@@ -20,6 +22,7 @@
 export function newJob (items: readonly JobItem[], terms: JobTerms): JobRecord {
   return {
     jobId: terms.jobId,
+    account: terms.account,
     host: terms.host,
     path: terms.path,
     submittedAtMs: terms.nowMs,
--- a/packages/anvilarch-serving/src/jobs/jobRows.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRows.ts
@@ -1,4 +1,5 @@
 /** Rows of jobs, claims, members, results and saved progress, and their encoding. */
+import { accountNameOf, type Caller } from '../accounts/types'
 import type { RowKey, RowWrite, StoredRow } from '../store/types'
 import { MEMBER_PARTITION, partitionOf } from './partitions'
 import type { ClaimRecord, JobRecord, MemberRecord } from './types'
@@ -15,7 +16,7 @@
 /** Results and saved progress: read by key only, so that their bytes do not go to every daemon. */
 export const OUTPUT_TABLE = 'output'
 
-/** Accepted and waiting tokens by route. */
+/** Accepted and waiting tokens by route and account. */
 export const QUOTA_TABLE = 'quota'
 
 const ITEM_DIGITS = 4
@@ -29,6 +30,22 @@
   return `${prefix}${jobId}.${String(item).padStart(ITEM_DIGITS, '0')}`
 }
 
+/** Stands between the account and the client's id of a job; a name of an account is encoded so that it holds none. */
+const ACCOUNT_SEPARATOR = '~'
+
+/**
+ * Two accounts may give their jobs the same id, and neither is to learn of the other's: ids in the store begin with the account.
+ *
+ * @param caller - who hands the job in or asks for it
+ * @param clientJobId - as the client names the job
+ * @returns id of the job in the store
+ */
+export function storedJobId (caller: Caller, clientJobId: string): string {
+  if (caller.caller === 'unchecked') return clientJobId
+  const account = encodeURIComponent(accountNameOf(caller) ?? '').replaceAll(ACCOUNT_SEPARATOR, '%7E')
+  return account + ACCOUNT_SEPARATOR + clientJobId
+}
+
 /** @returns key of the job's row */
 export function jobKey (jobId: string): RowKey {
   return { table: JOB_TABLE, partition: partitionOf(jobId), key: jobId }
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -1,8 +1,10 @@
 /**
- * Keeps the tokens that wait on a route under its limit over all gateways.
+ * Keeps the tokens of an account that wait on a route under its limit over all gateways.
  *
- * Each acceptance adds its job to one row under the version of that row, so two gateways cannot both take the last of the room.
+ * Each acceptance adds its job to the account's row under the version of that row, so two gateways cannot both take the last
+ * of the room.
  */
+import { v3 as murmurhash } from 'murmurhash'
 import type { RowKey } from '../store/types'
 import { waitingTokens } from './jobRecord'
 import { QUOTA_TABLE } from './jobRows'
@@ -33,9 +35,17 @@
 /** A reservation whose job has not appeared after this long is one whose acceptance failed. Writes may land seconds late. */
 export const RESERVATION_GRACE_MS = 15_000
 
-/** @returns key of the row for a route */
-export function quotaKey (routeName: string): RowKey {
-  return { table: QUOTA_TABLE, partition: `quota-${routeName}`, key: 'waiting' }
+/** A partition carries some hundred transactions a second: an account that floods a route delays one in so many others. */
+const ACCOUNT_PARTITIONS = 16
+
+/**
+ * @param routeName - of the job's route
+ * @param account - of the job; undefined where the limit is one for all callers
+ * @returns key of the row that counts
+ */
+export function quotaKey (routeName: string, account: string | undefined): RowKey {
+  if (account === undefined) return { table: QUOTA_TABLE, partition: `quota-${routeName}`, key: 'waiting' }
+  return { table: QUOTA_TABLE, partition: `quota-${routeName}-${murmurhash(account) % ACCOUNT_PARTITIONS}`, key: `waiting.${account}` }
 }
 
 /**
--- a/packages/anvilarch-serving/src/jobs/types.ts
+++ b/packages/anvilarch-serving/src/jobs/types.ts
@@ -24,6 +24,8 @@
 /** The row of a job. Positions of results are the order of `listed`, which only grows. */
 export interface JobRecord {
   jobId: string
+  /** Client account that has handed the job in; undefined where callers need no key. */
+  account?: string
   /** Host and path of the submission; they select the route for as long as the job is open. */
   host: string
   path: string
@@ -70,4 +72,6 @@
   aliveUntilMs: number
   /** Time between two events of batch items at the daemon's engine; left out until it is known. */
   eventMs?: number
+  /** Store time since which the daemons know of one of this name, its restarts included; left out by those who need not tell. */
+  knownSinceMs?: number
 }
--- a/packages/anvilarch-serving/src/model/types.ts
+++ b/packages/anvilarch-serving/src/model/types.ts
@@ -1,4 +1,6 @@
 /** What the serving core knows of routes, services, endpoints and limits. Adapters build these from their wire. */
+import type { AccountDirectory } from '../accounts/accountDirectory'
+import type { ListedAccount } from '../accounts/types'
 
 /**
  * What may be repeated.
@@ -37,8 +39,10 @@
   jobDueMs: number
   /** Batch: time from the first submission after which an item may be given up. */
   jobExpiryMs: number
-  /** Batch: most tokens that may wait on the route over all gateways; 0 means no limit. */
+  /** Batch: most tokens of one client account that may wait on the route over all gateways; 0 means no limit. */
   waitingTokenLimit: number
+  /** Whether callers need no key. */
+  isPublic: boolean
 }
 
 /** One service of the configuration. */
@@ -64,6 +68,13 @@
   routes: Route[]
   services: Map<string, Service>
   limits: ClientLimits
+  /** Undefined where callers need no key. */
+  accounts: AccountDirectory | undefined
+}
+
+/** A version as the operator writes it, with the keys of accounts in clear. It goes no further than to whoever builds the directory. */
+export interface ListedConfiguration extends Omit<Configuration, 'accounts'> {
+  accounts: ListedAccount[] | undefined
 }
 
 /** Whether an endpoint takes new requests. */
--- a/packages/anvilarch-serving/src/operations/readStore.ts
+++ b/packages/anvilarch-serving/src/operations/readStore.ts
@@ -3,13 +3,20 @@
 import { decodeRecord, JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
 import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
 import type { JobRecord, MemberRecord } from '../jobs/types'
-import type { Configuration, Endpoint } from '../model/types'
+import type { ListedAccount } from '../accounts/types'
+import type { Endpoint, ListedConfiguration } from '../model/types'
 import type { OperatorWire } from '../roles/types'
 import type { MetadataStore, StoreFailure } from '../store/types'
 
+/** An account as an operator sees it: its keys are counted, never shown. */
+export interface AccountSummary extends Omit<ListedAccount, 'keys'> {
+  keyCount: number
+}
+
 /** All that the store knows of a deployment. */
 export interface StoreSnapshot {
-  configuration: Configuration | undefined
+  configuration: Omit<ListedConfiguration, 'accounts'> | undefined
+  accounts: AccountSummary[]
   endpoints: Endpoint[]
   members: MemberRecord[]
   jobs: JobRecord[]
@@ -23,10 +30,16 @@
  * @returns the state, or why it cannot be read
  */
 export async function readStore (store: MetadataStore, wire: OperatorWire): Promise<Result<StoreSnapshot, StoreFailure>> {
-  const snapshot: StoreSnapshot = { configuration: undefined, endpoints: [], members: [], jobs: [], storeNowMs: undefined }
+  const snapshot: StoreSnapshot = { configuration: undefined, accounts: [], endpoints: [], members: [], jobs: [], storeNowMs: undefined }
   const configurationRows = await store.readRows({ table: wire.configurationTable, partition: '' })
   if (configurationRows.err) return configurationRows
-  for (const row of configurationRows.val.rows) snapshot.configuration = wire.decodeConfiguration(row) ?? snapshot.configuration
+  for (const row of configurationRows.val.rows) {
+    const listed = wire.decodeConfiguration(row)
+    if (listed === undefined) continue
+    const { accounts, ...configuration } = listed
+    snapshot.configuration = configuration
+    snapshot.accounts = accounts?.map(summarizeAccount) ?? []
+  }
   const endpointRows = await store.readRows({ table: wire.endpointTable, partition: '' })
   if (endpointRows.err) return endpointRows
   snapshot.endpoints = endpointRows.val.rows.map(wire.decodeEndpoint).flatMap(row => row.row === 'endpoint' ? [row.endpoint] : [])
@@ -40,6 +53,10 @@
   return Ok(snapshot)
 }
 
+function summarizeAccount ({ keys, ...account }: ListedAccount): AccountSummary {
+  return { ...account, keyCount: keys.length }
+}
+
 async function readRecords<Record extends JobRecord | MemberRecord> (
   store: MetadataStore, table: string, partitions: readonly string[]
 ): Promise<Result<Record[], StoreFailure>> {
--- a/packages/anvilarch-serving/src/peers/heartbeat.ts
+++ b/packages/anvilarch-serving/src/peers/heartbeat.ts
@@ -28,7 +28,7 @@
 }
 
 /** What a heartbeat tells beside the fact that its process runs. */
-export type HeartbeatDetails = Pick<MemberRecord, 'eventMs'>
+export type HeartbeatDetails = Pick<MemberRecord, 'eventMs' | 'knownSinceMs'>
 
 /** Options of `startHeartbeat`. */
 export interface HeartbeatOptions {
@@ -36,8 +36,8 @@
   role: MemberRecord['role']
   /** Told each row that has been written. */
   onWritten: (row: StoredRow) => void
-  /** Asked at each beat. */
-  details?: () => HeartbeatDetails
+  /** Asked at each beat with the store's clock; undefined puts the beat off. */
+  details?: (storeNowMs: number) => HeartbeatDetails | undefined
 }
 
 /**
@@ -48,11 +48,12 @@
 export function startHeartbeat (context: RoleContext, options: HeartbeatOptions): Heartbeat {
   const controller = new AbortController()
   const incarnation = context.random.between(0, 0x7ffffffe).toString(36)
-  runInBackground(context.log, 'heartbeat', () => beat({ ...options, context, incarnation, signal: controller.signal }))
+  const details = options.details ?? (() => ({}))
+  runInBackground(context.log, 'heartbeat', () => beat({ ...options, details, context, incarnation, signal: controller.signal }))
   return { incarnation, stop: () => controller.abort() }
 }
 
-interface BeatOptions extends HeartbeatOptions {
+interface BeatOptions extends Required<HeartbeatOptions> {
   context: RoleContext
   incarnation: string
   signal: AbortSignal
@@ -62,8 +63,9 @@
   const { store, clock, settings } = context
   while (!signal.aborted) {
     const storeNowMs = store.storeNowMs()
+    const told = storeNowMs === undefined ? undefined : details(storeNowMs)
     let written = false
-    if (storeNowMs !== undefined) {
+    if (storeNowMs !== undefined && told !== undefined) {
       const record: MemberRecord = {
         name: settings.name,
         role,
@@ -71,14 +73,14 @@
         peerAddress: `${settings.ip}:${settings.peerPort}`,
         failureDomain: settings.failureDomain,
         aliveUntilMs: storeNowMs + ALIVE_INTERVALS * HEARTBEAT_INTERVAL_MS[role],
-        ...details?.()
+        ...told
       }
       const row = recordRow(memberKey(settings.name), record)
       const outcome = await store.commit({ conditions: [], puts: [row], removes: [] })
       written = outcome.outcome === 'committed'
       if (outcome.outcome === 'committed') onWritten({ ...row, version: outcome.version })
     }
-    const retryMs = storeNowMs === undefined ? CLOCK_UNKNOWN_RETRY_MS : HEARTBEAT_RETRY_MS
+    const retryMs = told === undefined ? CLOCK_UNKNOWN_RETRY_MS : HEARTBEAT_RETRY_MS
     await sleep(clock, written ? HEARTBEAT_INTERVAL_MS[role] : retryMs, signal)
   }
 }
--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -131,7 +131,8 @@
     resumable: true,
     jobDueMs: 0,
     jobExpiryMs: 0,
-    waitingTokenLimit: 0
+    waitingTokenLimit: 0,
+    isPublic: false
   }
   forwardRequest({
     clock,
@@ -148,6 +149,8 @@
     use: { onSent: () => {}, onEnded: () => {}, forget: () => {}, close: () => {} },
     pools: { poolOf, openTo: () => 0, release: () => {}, closeAll: async () => {} },
     wire: {
+      decodeCredential: () => ({ credential: 'none' }),
+      credentialScheme: 'Key',
       decodeRequest: () => { throw new Error('the head is decoded already') },
       encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs)],
       decodeAnswer: () => ({ requestId: REQUEST_ID, signed: true, notRun: false })
@@ -155,6 +158,8 @@
     notice: { isLeaving: () => false },
     holdTimes: createHoldTimes(),
     crashes: { mayRun: () => true, onBroken: () => {}, onEndpointLost: () => {} },
+    limits: { ask: async () => ({ granted: true, giveBack: () => {} }) },
+    isStillAllowed: () => true,
     traffic: createTrafficTally(),
     lines: createLineBudget(clock, 20),
     draw: () => 0.5
@@ -164,6 +169,7 @@
     body: Buffer.alloc(0),
     metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: undefined, promptParts: [], promptTokens: 1, maxOutputTokens: 1 },
     route,
+    caller: { caller: 'unchecked' },
     configurationVersion: 1,
     arrivedAtMs: clock.nowMs()
   })
--- a/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
@@ -6,7 +6,7 @@
 
 function input (online: number, change: Partial<OverloadInput> = {}): OverloadInput {
   const load: EndpointLoad = { online, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
-  return { candidates: ENDPOINTS, loadOf: () => load, holdMs: 700, latencyObjectiveMs: 300, remainingMs: 5000, fullTimeMs: 5000, draw: () => 0, ...change }
+  return { candidates: ENDPOINTS, loadOf: () => load, holdMs: 700, latencyObjectiveMs: 300, remainingMs: 5000, fullTimeMs: 5000, ranksBehind: 0, draw: () => 0, ...change }
 }
 
 describe('checkOverload', () => {
--- a/packages/anvilarch-serving/src/requests/clientAnswer.ts
+++ b/packages/anvilarch-serving/src/requests/clientAnswer.ts
@@ -12,6 +12,16 @@
   code: string
   message: string
   retryAfterMs?: number
+  /** Scheme by which a caller is to show its key. */
+  credentialScheme?: string
+}
+
+/**
+ * @param credentialScheme - by which keys are shown
+ * @returns the answer to a caller without a good key; it does not say whether there is such a route
+ */
+export function unauthorizedAnswer (credentialScheme: string): OwnAnswer {
+  return { status: 401, code: 'unauthorized', message: 'the request needs a key that an account holds', credentialScheme }
 }
 
 /**
@@ -21,6 +31,7 @@
  */
 export function sendOwnAnswer (response: ServerResponse, answer: OwnAnswer, notice: ClosingNotice): void {
   if (answer.retryAfterMs !== undefined) response.setHeader('Retry-After', String(answer.retryAfterMs / 1000))
+  if (answer.credentialScheme !== undefined) response.setHeader('WWW-Authenticate', answer.credentialScheme)
   sendJson(response, answer.status, { error: { code: answer.code, message: answer.message } }, notice)
 }
 
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -1,4 +1,6 @@
 /** Takes one client request through its attempts until it is answered, its time is over or its client has left. */
+import type { Permit } from '../accounts/limits/rateLimits'
+import { accountNameOf } from '../accounts/types'
 import { chooseService } from '../routing/matchRoute'
 import type { OwnAnswer } from './clientAnswer'
 import { type ClientRequest, type ForwardParts, repeatedRequestOf, type RequestState } from './forwardTypes'
@@ -27,7 +29,11 @@
   const { clock } = parts
   parts.traffic.onArrival()
   const state = createRequestState(parts, client)
-  const end = createRequestEnd(parts, client, state, () => expiry.cancel())
+  let permit: Permit | undefined
+  const end = createRequestEnd(parts, client, state, () => {
+    expiry.cancel()
+    if (permit?.granted === true && !mayHaveRun(state)) permit.giveBack()
+  })
   const attempts = createAttempts(parts, client, state, end)
 
   const expiry = clock.after(state.deadlineAtMs - clock.nowMs(), () => {
@@ -44,9 +50,17 @@
     end.answer(QUARANTINED_ANSWER)
     return
   }
-  attempts.prepare()
-    .then(() => {
-      if (end.hasEnded()) return
+  Promise.all([parts.limits.ask(client.caller), attempts.prepare()])
+    .then(([asked]) => {
+      if (end.hasEnded()) {
+        if (asked.granted) asked.giveBack()
+        return
+      }
+      permit = asked
+      if (!asked.granted) {
+        turnAway(parts, client, end, asked)
+        return
+      }
       const overload = overloadOf(parts, client, state)
       if (overload.refused) refuse(parts, client, state, end, overload)
       else attempts.sendPrepared()
@@ -57,6 +71,20 @@
     })
 }
 
+function mayHaveRun (state: RequestState): boolean {
+  return state.offers > state.refusedOffers
+}
+
+function turnAway (parts: ForwardParts, client: ClientRequest, end: RequestEnd, denial: Exclude<Permit, { granted: true }>): void {
+  parts.log.info('request over the limit of its account', {
+    requestId: client.metadata.requestId,
+    account: accountNameOf(client.caller),
+    granter: denial.granter,
+    retryAfterMs: denial.retryAfterMs
+  })
+  end.answer({ status: 429, code: 'over_rate', message: 'the account sends more requests than its limit allows', retryAfterMs: denial.retryAfterMs })
+}
+
 function refuse (parts: ForwardParts, client: ClientRequest, state: RequestState, end: RequestEnd, overload: Refusal): void {
   const known = state.service === undefined ? [] : parts.placement.known(state.service)
   const loads = known.map(parts.placement.loadOf)
@@ -85,6 +113,7 @@
     tried: new Set(),
     attemptsThatMayHaveRun: 0,
     offers: 0,
+    refusedOffers: 0,
     lastEventId: metadata.lastEventId,
     answerBegun: false,
     firstEventAtMs: undefined,
@@ -93,7 +122,7 @@
   }
 }
 
-function overloadOf (parts: ForwardParts, { route }: ClientRequest, state: RequestState): Overload {
+function overloadOf (parts: ForwardParts, { route, caller }: ClientRequest, state: RequestState): Overload {
   if (state.service === undefined) return { refused: false }
   return checkOverload({
     candidates: parts.placement.known(state.service),
@@ -102,6 +131,7 @@
     latencyObjectiveMs: route.latencyObjectiveMs,
     remainingMs: state.deadlineAtMs - parts.clock.nowMs(),
     fullTimeMs: route.timeoutMs,
+    ranksBehind: caller.caller === 'account' ? caller.account.ranksBehind : 0,
     draw: parts.draw
   })
 }
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -1,6 +1,8 @@
 /** What forwarding one client request works with. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from 'anvilarch-utils'
+import type { RateLimits } from '../accounts/limits/rateLimits'
+import type { Caller } from '../accounts/types'
 import type { CrashWatch } from '../crashes/crashWatch'
 import type { RepeatedRequest } from '../crashes/fingerprint'
 import type { ConnectionPools } from '../endpoints/connectionPools'
@@ -31,6 +33,9 @@
   notice: ClosingNotice
   holdTimes: HoldTimes
   crashes: CrashWatch
+  limits: Pick<RateLimits, 'ask'>
+  /** @returns whether something new may still be started for a caller */
+  isStillAllowed: (caller: Caller) => boolean
   traffic: TrafficTally
   /** Bounds the lines about requests that went well. */
   lines: LineBudget
@@ -44,6 +49,7 @@
   body: Buffer
   metadata: RequestMetadata
   route: Route
+  caller: Caller
   configurationVersion: number
   /** Local time at which the head had arrived. */
   arrivedAtMs: number
@@ -76,6 +82,8 @@
   attemptsThatMayHaveRun: number
   /** Sends in all, refused ones included. */
   offers: number
+  /** Those of them that have certainly not run. */
+  refusedOffers: number
   /** Last event that the client has. */
   lastEventId: number | undefined
   /** Whether the head of the answer has gone to the client. */
--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -19,6 +19,8 @@
   remainingMs: number
   /** Longest time that clients of the route wait from their first attempt on. */
   fullTimeMs: number
+  /** How many steps of priority lie between the caller and the most urgent callers. */
+  ranksBehind: number
   draw: () => number
 }
 
@@ -36,6 +38,9 @@
 /** Part of the objective that may pass in the queue; the rest is for the prompt and the first event. */
 const QUEUE_SHARE = 0.7
 
+/** Each step of priority leaves this part of the time in the queue, so that the less urgent are refused before the more urgent have to wait. */
+const RANK_SHARE = 0.8
+
 /** A client with less than this part of the full time has been refused before: it is not sent away twice. */
 const FRESH_SHARE = 0.95
 
@@ -54,7 +59,7 @@
   const waitMs = shortestWaitMs(input, input.holdMs)
   if (waitMs > input.remainingMs) return refusal('no_time', waitMs, input)
   const fresh = input.remainingMs > FRESH_SHARE * input.fullTimeMs
-  if (fresh && waitMs > QUEUE_SHARE * input.latencyObjectiveMs) return refusal('wait_too_long', waitMs, input)
+  if (fresh && waitMs > QUEUE_SHARE * RANK_SHARE ** input.ranksBehind * input.latencyObjectiveMs) return refusal('wait_too_long', waitMs, input)
   return { refused: false }
 }
 
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -1,5 +1,6 @@
 /** Ends one client request, once: its answer, its metrics and its line in the log. */
 import type { ServerResponse } from 'node:http'
+import { accountNameOf } from '../accounts/types'
 import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { TrafficEnd } from '../telemetry/trafficTally'
@@ -26,11 +27,11 @@
 
 /** Ends that are no failure of the request; `refused` means that it has not run. */
 const TRAFFIC_ENDS: ReadonlyMap<string, TrafficEnd> = new Map([
-  ['overloaded', 'refused'], ['not_run', 'refused'], ['no_endpoint', 'refused'], ['quarantined', 'refused'], ['client_left', 'left']
+  ['overloaded', 'refused'], ['not_run', 'refused'], ['no_endpoint', 'refused'], ['quarantined', 'refused'], ['over_rate', 'refused'], ['unauthorized', 'refused'], ['client_left', 'left']
 ])
 
-/** Tells the client that its request has not run and never will. */
-const REFUSED_STATUS = 503
+/** Tell the client that its request has not run and never will. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([429, 503])
 
 /**
  * @param parts - clock, log and metrics
@@ -48,6 +49,7 @@
     log.info('request ended', {
       requestId: metadata.requestId,
       route: route.name,
+      account: accountNameOf(client.caller),
       kind: route.kind,
       outcome,
       configurationVersion: client.configurationVersion,
@@ -98,7 +100,7 @@
         return
       }
       if (!end(own.code, { status: own.status })) return
-      if (own.status === REFUSED_STATUS) metrics.refusals.inc({ kind: route.kind, reason: own.code })
+      if (REFUSED_STATUSES.has(own.status)) metrics.refusals.inc({ kind: route.kind, reason: own.code })
       sendOwnAnswer(response, own, notice)
     },
     answerWhole: (endpointId, whole) => {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -1,9 +1,11 @@
 /** Sends one request to endpoints, one after another, until one has answered or none may be tried any more. */
 import { createSilenceWatch, type SilenceWatch } from 'anvilarch-utils'
+import { callerTerms } from '../accounts/types'
 import type { Endpoint } from '../model/types'
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
 import { type ClientRequest, type ForwardParts, placementTerms, repeatedRequestOf, type RequestState } from './forwardTypes'
 import type { RequestEnd } from './requestEnd'
+import { unauthorizedAnswer } from './clientAnswer'
 import { elapsedMs } from './requestTrail'
 import { type Attempt, type AttemptAnswer, isBrokenConnection, isConnectionRefused, isPassingRefusal, startAttempt } from './runAttempt'
 
@@ -118,6 +120,7 @@
   const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
     leaveRunning()
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
+    else state.refusedOffers++
     if (!isPassingRefusal(reason)) loads.onFailure(endpoint.startId)
     if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
     if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onBroken(repeatedRequestOf(client), endpoint.startId)
@@ -203,7 +206,8 @@
       headers: parts.wire.encodeSend(client.request.rawHeaders, {
         deadlineMs: Math.max(1, Math.floor(remainingMs())),
         expectedEndpointId: endpoint.id,
-        lastEventId: state.lastEventId
+        lastEventId: state.lastEventId,
+        caller: callerTerms(client.caller)
       }),
       body: client.body.length > 0 ? client.body : undefined
     },
@@ -246,6 +250,13 @@
     else steps.time_out('timeout')
   }
 
+  /** The key was taken away while the request waited: what runs goes on, nothing new is sent. */
+  const endForLostKey = (): void => {
+    if (state.answerBegun) end.breakOff('key_taken_away')
+    else if (state.attemptsThatMayHaveRun > 0) steps.fail('key_taken_away')
+    else end.answer(unauthorizedAnswer(parts.wire.credentialScheme))
+  }
+
   const sendPrepared = (): void => {
     // After a pause of this process the timer of the deadline may run after the one that leads here. An endpoint would run
     // what nobody waits for any more.
@@ -253,6 +264,10 @@
       timeOut()
       return
     }
+    if (!parts.isStillAllowed(client.caller)) {
+      endForLostKey()
+      return
+    }
     const endpoint = choose()
     if (endpoint === undefined) {
       end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
--- a/packages/anvilarch-serving/src/requests/types.ts
+++ b/packages/anvilarch-serving/src/requests/types.ts
@@ -1,5 +1,6 @@
 /** What an adapter does for requests: it reads and writes the headers of its wire. */
 import type { IncomingHttpHeaders } from 'node:http'
+import type { CallerTerms, Credential } from '../accounts/types'
 import type { RequestMetadata } from '../model/types'
 
 /** What one send to an endpoint carries beside the client's own headers. */
@@ -10,6 +11,7 @@
   expectedEndpointId: string
   /** The endpoint goes on after this event. */
   lastEventId: number | undefined
+  caller: CallerTerms
 }
 
 /** What an endpoint's answer says beside its status and body. */
@@ -25,6 +27,10 @@
 /** Headers of requests and answers on the adapter's wire. */
 export interface RequestWire {
   decodeRequest: (headers: IncomingHttpHeaders) => RequestMetadata
+  /** @returns what the client shows of itself */
+  decodeCredential: (rawHeaders: readonly string[]) => Credential
+  /** Name of the scheme of keys, for the answer to a request without a good one. */
+  credentialScheme: string
   encodeSend: (rawHeaders: readonly string[], terms: SendTerms) => string[]
   decodeAnswer: (headers: ReadonlyMap<string, string>) => AnswerMetadata
 }
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -1,15 +1,18 @@
 /** Takes what clients send to a gateway to where it is answered. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { sleep } from 'anvilarch-utils'
+import type { CallerCheck } from '../accounts/callerCheck'
+import { type CallerRefusal, refusalAnswer } from '../accounts/refuseCaller'
+import type { Caller } from '../accounts/types'
 import type { ConfigurationHolder } from '../configuration/configurationHolder'
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { JobCalls } from '../jobs/jobCalls'
-import type { Configuration } from '../model/types'
+import type { Configuration, Route } from '../model/types'
 import { type ClosingNotice, sendOwnAnswer } from '../requests/clientAnswer'
 import { forwardRequest } from '../requests/forwardRequest'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { readBody } from '../requests/readBody'
-import { matchRoute } from '../routing/matchRoute'
+import { isRouteHost, matchRoute } from '../routing/matchRoute'
 import { headBytes } from './clientServer'
 
 /** A client may send again at once to a gateway that has its configuration. */
@@ -29,6 +32,9 @@
   jobs: JobCalls
   configuration: ConfigurationHolder
   endpoints: EndpointTable
+  callers: CallerCheck
+  /** @returns whether too little is known of keys that were taken away */
+  isConfigurationStale: () => boolean
   notice: ClosingNotice
 }
 
@@ -40,12 +46,18 @@
 export async function handleClient (call: ClientCall): Promise<void> {
   const { request, response, forward, notice } = call
   const arrivedAtMs = forward.clock.nowMs()
-  const configuration = await waitForConfiguration(call)
-  if (configuration === undefined) {
+  if (await waitForConfiguration(call) === undefined) {
     sendOwnAnswer(response, { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }, notice)
     return
   }
-  if (await call.jobs.handle(request, response)) return
+  const caller = await letIn(call)
+  // Letting a caller in may bring a newer version.
+  const configuration = call.configuration.current()
+  if (caller === undefined || configuration === undefined) return
+  if (call.jobs.isJobCall(request)) {
+    await call.jobs.handle(request, response, caller)
+    return
+  }
   if (headBytes(request) > configuration.limits.maxHeaderBytes) {
     rejectClient(call, 431, 'head_too_large', `the head of the request exceeds ${configuration.limits.maxHeaderBytes} bytes`)
     return
@@ -68,10 +80,48 @@
     return
   }
   if (route.kind === 'batch' && request.method === 'POST') {
-    await call.jobs.submit({ request, response, route, body: read.body, metadata, arrivedAtMs })
+    await call.jobs.submit({ request, response, route, caller, body: read.body, metadata, arrivedAtMs })
     return
   }
-  forwardRequest(forward, { request, response, body: read.body, metadata, route, configurationVersion: configuration.version, arrivedAtMs })
+  forwardRequest(forward, { request, response, body: read.body, metadata, route, caller, configurationVersion: configuration.version, arrivedAtMs })
+}
+
+/** @returns whose the call is; undefined when it has been refused */
+async function letIn (call: ClientCall): Promise<Caller | undefined> {
+  const { request, forward } = call
+  const verdict = await call.callers.identify({
+    credential: forward.wire.decodeCredential(request.rawHeaders),
+    routeIn: configuration => routeOf(call, configuration)
+  })
+  switch (verdict.caller) {
+    case 'unknown':
+    case 'unconfirmed':
+      refuseCaller(call, verdict.caller)
+      return undefined
+    case 'account':
+      if (!call.isConfigurationStale()) return verdict
+      refuseCaller(call, 'stale')
+      return undefined
+    default:
+      return verdict
+  }
+}
+
+/** A call about a job names no route: it is open to anybody where a job can be handed in by anybody. */
+function routeOf ({ request, jobs }: ClientCall, configuration: Configuration): Pick<Route, 'isPublic'> | undefined {
+  const host = request.headers.host ?? ''
+  if (!jobs.isJobCall(request)) return matchRoute(configuration, host, request.url ?? '/')
+  return configuration.routes.find(route => route.isPublic && route.kind === 'batch' && isRouteHost(route, host))
+}
+
+function refuseCaller ({ request, response, forward, configuration, notice }: ClientCall, refusal: CallerRefusal): void {
+  forward.metrics.callerRefusals.inc({ reason: refusal })
+  forward.log.info('caller refused', {
+    requestId: forward.wire.decodeRequest(request.headers).requestId,
+    reason: refusal,
+    configurationVersion: configuration.current()?.version
+  })
+  sendOwnAnswer(response, refusalAnswer(refusal, forward.wire.credentialScheme), notice)
 }
 
 /** Answers a request that has not been read whole; what the client still sends cannot be told from its next request. */
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -1,5 +1,7 @@
 /** Keeps configuration, endpoints and work of the store at hand for either role. */
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { runInBackground } from 'anvilarch-utils'
+import { buildAccountDirectory } from '../accounts/accountDirectory'
 import { type ConfigurationHolder, createConfigurationHolder } from '../configuration/configurationHolder'
 import { createEndpointTable, type EndpointTable } from '../endpoints/endpointTable'
 import { MEMBER_PARTITION } from '../jobs/partitions'
@@ -17,6 +19,8 @@
   work: WorkTable
   /** Follows one more table until the view is closed. */
   follow: (table: FollowedTable) => void
+  /** Reads the configuration from the store and puts it in force. @returns whether the store has answered */
+  refreshConfiguration: () => Promise<boolean>
   /** @returns local time of the last answer about a followed table; undefined before the first */
   answeredAtMs: (table: string) => number | undefined
   /** Ends the following. */
@@ -64,11 +68,26 @@
     runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, signal: controller.signal, onAnswer, ...table }))
   }
 
+  const takeConfiguration = async (row: StoredRow): Promise<void> => {
+    const listed = wire.operator.decodeConfiguration(row)
+    if (listed === undefined || listed.version <= (configuration.current()?.version ?? -Infinity)) return
+    const accounts = listed.accounts && await buildAccountDirectory(listed.accounts, nextTurn)
+    const { version } = listed
+    if (!configuration.offer({ ...listed, accounts })) return
+    context.metrics.configurationVersion.set(version)
+    log.info('configuration in force', { version, routeCount: listed.routes.length, accountCount: accounts?.accountCount ?? 0, keyCount: accounts?.keyCount ?? 0 })
+    if (accounts !== undefined && accounts.ambiguous.size > 0) log.error('key in two accounts', { version, accounts: [...accounts.ambiguous].join(', ') })
+  }
+
   const offerConfiguration = (row: StoredRow): void => {
-    const decoded = wire.operator.decodeConfiguration(row)
-    if (decoded === undefined || !configuration.offer(decoded)) return
-    context.metrics.configurationVersion.set(decoded.version)
-    log.info('configuration in force', { version: decoded.version, routeCount: decoded.routes.length })
+    runInBackground(log, 'take a configuration', () => takeConfiguration(row))
+  }
+
+  const refreshConfiguration = async (): Promise<boolean> => {
+    const read = await store.readRows({ table: wire.operator.configurationTable, partition: SHARED_PARTITIONS[0] })
+    if (read.err) return false
+    await Promise.all(read.val.rows.map(takeConfiguration))
+    return true
   }
 
   follow({
@@ -110,6 +129,7 @@
     endpoints,
     work,
     follow,
+    refreshConfiguration,
     answeredAtMs: table => tableAnsweredAtMs.get(table),
     close: () => controller.abort()
   }
--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
@@ -0,0 +1,101 @@
+/** What a gateway knows of callers: whose a key is, and how much of its limit an account has used over the fleet. */
+import { runInBackground } from 'anvilarch-utils'
+import { type CallerCheck, createCallerCheck } from '../accounts/callerCheck'
+import { createAccountMeters } from '../accounts/limits/accountMeters'
+import { meterHomes, type MeterPlace, meterPlaces } from '../accounts/limits/meterHomes'
+import { createPermitAsker } from '../accounts/limits/permitAsker'
+import { createRateLimits, type RateLimits } from '../accounts/limits/rateLimits'
+import type { ClientAccount } from '../accounts/types'
+import type { PeerMessage } from '../endpoints/peerMessages'
+import type { PeerAddress } from '../endpoints/peerSocket'
+import type { HeartbeatDetails } from '../peers/heartbeat'
+import type { PlatformView } from './followPlatform'
+import type { RoleContext } from './types'
+
+/** Callers and limits at a gateway. */
+export interface GatewayAccounts {
+  callers: CallerCheck
+  limits: RateLimits
+  /** @returns whether keys may have been taken away of which this gateway has not heard, and it is not to serve then */
+  isConfigurationStale: () => boolean
+  /** Takes a datagram about permits. */
+  onMessage: (message: PeerMessage, from: PeerAddress) => void
+  /** @returns what the heartbeat tells beside the fact that this gateway runs; undefined until the others are known */
+  heartbeatDetails: (storeNowMs: number) => HeartbeatDetails | undefined
+}
+
+/** Options of `createGatewayAccounts`. */
+export interface GatewayAccountsOptions {
+  context: RoleContext
+  view: PlatformView
+  send: (message: PeerMessage, to: PeerAddress) => void
+}
+
+/** The list of gateways changes every few seconds at most. */
+const PLACES_INTERVAL_MS = 1000
+
+/**
+ * @param options - settings, copies of the store and sender
+ * @returns callers and limits
+ */
+export function createGatewayAccounts ({ context, view, send }: GatewayAccountsOptions): GatewayAccounts {
+  const { settings, clock, log } = context
+  const currentVersion = (): number => view.configuration.current()?.version ?? 0
+  const accountNamed = (name: string): ClientAccount | undefined => view.configuration.current()?.accounts?.byName(name)
+  const callers = createCallerCheck({ clock, configuration: view.configuration, refresh: view.refreshConfiguration })
+  const places = createPlaces(context, view)
+  const meters = createAccountMeters({ clock, bounds: settings.limitBounds, account: accountNamed, gatewayCount: () => places().length })
+  const asker = createPermitAsker({ clock, send, configurationVersion: currentVersion })
+  const limits = createRateLimits({ clock, log, ownName: settings.name, meters, asker, homesOf: name => meterHomes(places(), name) })
+  view.configuration.onChange(({ accounts }) => meters.retain(name => accounts?.byName(name) !== undefined))
+
+  /** The feed of the store may be cut off here while it reaches others. */
+  const onVersion = (version: number): void => {
+    if (version > currentVersion()) runInBackground(log, 'read a newer configuration', callers.confirm)
+  }
+
+  const handlers: Partial<{ [Kind in PeerMessage['message']]: (message: Extract<PeerMessage, { message: Kind }>, from: PeerAddress) => void }> = {
+    permit_question: (question, from) => {
+      onVersion(question.configurationVersion)
+      const grant = limits.onQuestion(question)
+      if (grant !== undefined) send({ message: 'permit_answer', number: question.number, ...grant, configurationVersion: currentVersion() }, from)
+    },
+    permit_answer: (answer, from) => {
+      onVersion(answer.configurationVersion)
+      asker.onAnswer(answer, from)
+    },
+    permit_return: limits.onReturn
+  }
+
+  return {
+    callers,
+    limits,
+    isConfigurationStale: () => {
+      if (!settings.failsClosed) return false
+      const heardAtMs = view.answeredAtMs(context.wire.operator.configurationTable)
+      return heardAtMs === undefined || clock.nowMs() - heardAtMs > settings.revokedKeyMs
+    },
+    onMessage: (message, from) => handlers[message.message]?.(message as never, from),
+    heartbeatDetails: storeNowMs => {
+      if (view.work.membersListedAtVersion() === undefined) return undefined
+      const before = view.work.member(settings.name)?.record
+      const restarted = before !== undefined && before.aliveUntilMs > storeNowMs
+      return { knownSinceMs: (restarted ? before.knownSinceMs : undefined) ?? storeNowMs }
+    }
+  }
+}
+
+/** @returns a function that gives the gateways that keep meters, as of the last second */
+function createPlaces ({ clock, store }: RoleContext, { work }: PlatformView): () => readonly MeterPlace[] {
+  let known: MeterPlace[] = []
+  let readAtMs = -Infinity
+  return () => {
+    const nowMs = clock.nowMs()
+    if (nowMs - readAtMs < PLACES_INTERVAL_MS) return known
+    readAtMs = nowMs
+    // While the store's clock is not known, those who were alive last stay the ones that are asked.
+    const storeNowMs = store.storeNowMs()
+    if (storeNowMs !== undefined) known = meterPlaces([...work.members()].map(member => member.record), storeNowMs)
+    return known
+  }
+}
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -1,6 +1,7 @@
 /** The gateway: takes requests and job calls from clients. */
 import { createServer, type Server } from 'node:http'
 import { type Clock, sleep } from 'anvilarch-utils'
+import { isStillAllowed } from '../accounts/identifyCaller'
 import { createCrashWatch } from '../crashes/crashWatch'
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
 import { createSuspectTable } from '../crashes/suspectTable'
@@ -25,6 +26,7 @@
 import { startHeartbeat } from '../peers/heartbeat'
 import { handleClient } from './clientCalls'
 import { type ClientServer, createClientServer } from './clientServer'
+import { createGatewayAccounts } from './gatewayAccounts'
 import { followPlatform, SHARED_PARTITIONS } from './followPlatform'
 import { once } from './once'
 import type { RoleContext, RunningRole } from './types'
@@ -81,8 +83,12 @@
     clock,
     log,
     own: { ip: settings.ip, port: settings.peerPort },
-    onMessage: (message, from) => { if (message.message === 'load_answer') asker.onAnswer(message, from) }
+    onMessage: (message, from) => {
+      if (message.message === 'load_answer') asker.onAnswer(message, from)
+      else accounts.onMessage(message, from)
+    }
   })
+  const accounts = createGatewayAccounts({ context, view, send: peers.send })
   const asker = createLoadAsker({ clock, send: peers.send, peerPort: settings.peerPort, onReport })
   const use = createUseNotices({ clock, send: peers.send, peerPort: settings.peerPort, hasAgent: asker.answers })
   const placement = createPlacement({
@@ -120,6 +126,8 @@
     notice,
     holdTimes: createHoldTimes(),
     crashes,
+    limits: accounts.limits,
+    isStillAllowed: caller => isStillAllowed(view.configuration.current(), caller),
     traffic,
     lines: createLineBudget(clock, GOOD_LINES_PER_SECOND),
     draw: () => context.random.next()
@@ -144,13 +152,23 @@
     },
     signal: closing.signal
   })
-  const heartbeat = startHeartbeat(context, { role: 'gateway', onWritten: view.work.learn })
+  const heartbeat = startHeartbeat(context, { role: 'gateway', onWritten: view.work.learn, details: accounts.heartbeatDetails })
 
   const clients = createClientServer({
     log,
     clock,
     onRequest: (request, response) => {
-      handleClient({ request, response, forward, jobs, configuration: view.configuration, endpoints: view.endpoints, notice })
+      handleClient({
+        request,
+        response,
+        forward,
+        jobs,
+        configuration: view.configuration,
+        endpoints: view.endpoints,
+        callers: accounts.callers,
+        isConfigurationStale: accounts.isConfigurationStale,
+        notice
+      })
         .catch(error => {
           log.error('request handling failed', { reason: (error as Error).message })
           response.destroy()
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -1,12 +1,13 @@
 /** What an adapter hands to a role. */
 import type { Clock, Random } from 'anvilarch-utils'
+import type { LimitBounds } from '../accounts/limits/limitBounds'
 import type { LoadReport } from '../endpoints/peerMessages'
 import type { PeerAddress } from '../endpoints/peerSocket'
 import type { JobItem } from '../jobs/types'
 import type { JobResult, ResultPage } from '../jobs/resultReader'
-import type { Configuration, EndpointRow } from '../model/types'
+import type { EndpointRow, ListedConfiguration } from '../model/types'
 import type { PeerDirectory } from '../peers/peerDirectory'
-import type { RequestWire } from '../requests/types'
+import type { RequestWire, SendTerms } from '../requests/types'
 import type { MetadataStore, RowChange, StoredRow } from '../store/types'
 import type { ServingMetrics } from '../telemetry/metrics'
 import type { EventLog } from '../telemetry/events'
@@ -23,6 +24,12 @@
   maxRowBytes: number
   /** How long results of a job are promised, from its submission on. */
   retentionMs: number
+  /** How closely limits of rate are to be kept. */
+  limitBounds: LimitBounds
+  /** Whether a gateway that has not heard of the store for `revokedKeyMs` refuses callers with keys. */
+  failsClosed: boolean
+  /** How long a key may still be good after it was taken away. */
+  revokedKeyMs: number
   /** Configured for the gateway only. */
   gateway: GatewaySettings | undefined
   /** Configured for the agent only. */
@@ -71,13 +78,13 @@
   reportPath: string
   decodeReport: (body: Buffer) => EngineReport | undefined
   /** @returns the wire headers of an item's run */
-  encodeItem: (item: JobItem, host: string, terms: { deadlineMs: number, expectedEndpointId: string, lastEventId: number | undefined }) => string[]
+  encodeItem: (item: JobItem, host: string, terms: SendTerms) => string[]
 }
 
 /** How the store tells of endpoints and the configuration. */
 export interface OperatorWire {
   configurationTable: string
-  decodeConfiguration: (row: StoredRow) => Configuration | undefined
+  decodeConfiguration: (row: StoredRow) => ListedConfiguration | undefined
   endpointTable: string
   decodeEndpoint: (row: StoredRow) => EndpointRow
 }
--- a/packages/anvilarch-serving/src/routing/matchRoute.ts
+++ b/packages/anvilarch-serving/src/routing/matchRoute.ts
@@ -18,6 +18,15 @@
   return longest
 }
 
+/**
+ * @param route - of the configuration
+ * @param host - the `Host` of a request; a port is ignored
+ * @returns whether the route is of that host
+ */
+export function isRouteHost (route: Pick<Route, 'host'>, host: string): boolean {
+  return route.host === withoutPort(host)
+}
+
 /**
  * @param targets - services of a route with their weights
  * @param draw - a number in [0, 1)
--- a/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
@@ -30,6 +30,7 @@
     storeNowMs: NOW_MS,
     heartbeatsTrusted: true,
     mayRun: () => true,
+    ranksBehind: () => 0,
     isSkipped: () => false,
     remainingMs: () => 5000,
     remainingElsewhereMs: () => 5000,
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -98,6 +98,11 @@
     return route?.targets.some(target => target.service === parts.service && target.weight > 0) ?? false
   }
 
+  const ranksBehind = (job: JobRecord): number => {
+    const account = job.account === undefined ? undefined : parts.configuration()?.accounts?.byName(job.account)
+    return account?.ranksBehind ?? 0
+  }
+
   const heartbeatsTrusted = (): boolean => {
     const nowMs = clock.nowMs()
     const listedAtMs = parts.membersListedAtMs() ?? -Infinity
@@ -115,6 +120,7 @@
       storeNowMs,
       heartbeatsTrusted: heartbeatsTrusted(),
       mayRun,
+      ranksBehind,
       remainingMs: pace.remainingMs,
       remainingElsewhereMs: (tokens, lastEventId) => pace.remainingMs(tokens, lastEventId, elsewhereEventMs),
       isSkipped: held.isHeldOrLeft
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -25,6 +25,8 @@
   runners: readonly string[]
   /** Whether this runner's endpoint may run items of the job. */
   mayRun: (job: JobRecord) => boolean
+  /** How many steps of priority lie between the account of the job and the most urgent ones. */
+  ranksBehind: (job: JobRecord) => number
   /** Items that this process has in hand or has just failed to run. */
   isSkipped: (jobId: string, item: number) => boolean
   /** Estimate of the time that an item still runs here. */
@@ -77,6 +79,9 @@
   return dueInMs < PRESSING_FACTOR * remainingMs
 }
 
+/** An item is taken as if it were due this much later for each step of priority that its account is behind others. */
+const RANK_HANDICAP_MS = 1000
+
 /** Larger than any time until a job is due, so that late items come after all others. */
 const LATE_OFFSET_MS = 1e9
 
@@ -89,13 +94,13 @@
   const open = [...input.work.jobs()]
     .map(entry => entry.record)
     .filter(job => !isClosed(job) && input.mayRun(job))
-    .sort((a, b) => a.dueAtMs - b.dueAtMs)
+    .sort((a, b) => rankedDueMs(a, input) - rankedDueMs(b, input))
   const window = Math.max(1, input.runners.length) * limit
   const inTime: Candidate[] = []
   const late: Candidate[] = []
   for (const job of open) {
-    // What is in time comes in the order of due times: no later job can add an item to the window.
-    if (inTime.length >= window && job.dueAtMs > inTime[window - 1].job.dueAtMs) break
+    // What is in time comes in this order: no later job can add an item to the window.
+    if (inTime.length >= window && rankedDueMs(job, input) > rankedDueMs(inTime[window - 1].job, input)) break
     for (const candidate of candidatesOf(job, input)) (candidate.urgency < LATE_OFFSET_MS / 2 ? inTime : late).push(candidate)
   }
   const byUrgency = (a: Candidate, b: Candidate): number => a.urgency - b.urgency
@@ -103,6 +108,10 @@
   return spread(mostUrgent, input).slice(0, limit)
 }
 
+function rankedDueMs (job: JobRecord, input: ItemChoiceInput): number {
+  return job.dueAtMs + RANK_HANDICAP_MS * input.ranksBehind(job)
+}
+
 /**
  * Orders the most urgent items so that runners with slots to spare seldom choose the same one.
  *
@@ -140,7 +149,7 @@
     const tokens = job.itemTokens[item]
     const remainingMs = input.remainingMs(tokens, savedEventId)
     if (isBetterElsewhere(dueInMs, remainingMs, input.remainingElsewhereMs(tokens, savedEventId))) continue
-    candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs), pressing: isPressing(dueInMs, remainingMs) })
+    candidates.push({ job, item, urgency: urgency(dueInMs, remainingMs) + rankedDueMs(job, input) - job.dueAtMs, pressing: isPressing(dueInMs, remainingMs) })
   }
   return candidates
 }
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -28,6 +28,8 @@
   engineWire: EngineWire
   item: JobItem
   host: string
+  /** Client account of the item's job. */
+  account: string | undefined
   endpointId: string
   deadlineMs: number
   /** Grows as events come; a later run goes on from it. */
@@ -72,7 +74,10 @@
       method: 'POST',
       path: item.path,
       headers: options.engineWire.encodeItem(item, options.host, {
-        deadlineMs: options.deadlineMs, expectedEndpointId: options.endpointId, lastEventId: resumesAfter
+        deadlineMs: options.deadlineMs,
+        expectedEndpointId: options.endpointId,
+        lastEventId: resumesAfter,
+        caller: { accountName: options.account, hidesCredential: true }
       }),
       body: item.body
     },
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -163,6 +163,7 @@
       engineWire: parts.wire.engine,
       item,
       host: job.host,
+      account: job.account,
       endpointId: endpoint.id,
       deadlineMs: Math.max(MIN_DEADLINE_MS, Math.round(job.expiresAtMs - (parts.store.storeNowMs() ?? job.submittedAtMs))),
       text: entry.text,
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -14,7 +14,9 @@
   'settings not taken': { reason: string }
 
   // What the process believes of configuration and endpoints.
-  'configuration in force': { version: number, routeCount: number }
+  'configuration in force': { version: number, routeCount: number, accountCount: number, keyCount: number }
+  'key in two accounts': { version: number, accounts: string }
+  'caller refused': { requestId: string, reason: string, configurationVersion: number | undefined }
   'endpoint listed': { endpoint: string, service: string, address: string, state: string, restarted: boolean }
   'endpoint entry not usable': { endpoint: string, field: string, reason: string, replacedGood: boolean }
   'engine started anew': { endpoint: string, bornAtMs: number }
@@ -36,6 +38,7 @@
   // Requests.
   'request ended': RequestEndFields
   'request refused': RefusalFields
+  'request over the limit of its account': { requestId: string, account: string | undefined, granter: string, retryAfterMs: number }
   'endpoint chosen': EndpointChoiceFields
   'answer begun': { requestId: string, endpoint: string, status: number, afterMs: number }
   /** This process stood still when it should have listened to an endpoint, which is therefore not judged yet. */
@@ -47,9 +50,9 @@
   traffic: TrafficFields
 
   // Jobs and items.
-  'job submitted': { jobId: string, route: string, itemCount: number, outcome: string, elapsedMs: number }
+  'job submitted': { jobId: string, account: string | undefined, route: string, itemCount: number, outcome: string, elapsedMs: number }
   'job over the limit of waiting tokens': { jobId: string, tokens: number, waitingTokens: number, limitTokens: number }
-  'job ended by its client': { jobId: string, outcome: string }
+  'job ended by its client': { jobId: string, account: string | undefined, outcome: string }
   'job removed after its retention': { jobId: string }
   'items of a job cannot be read': { jobId: string, reason: string }
   'engine use': EngineUseFields
@@ -80,6 +83,7 @@
 type RequestEndFields = {
   requestId: string
   route: string
+  account?: string
   kind: string
   outcome: string
   configurationVersion: number
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -14,6 +14,7 @@
   endpointWaitSeconds: Histogram<'kind'>
   sends: Counter<'kind' | 'send'>
   refusals: Counter<'kind' | 'reason'>
+  callerRefusals: Counter<'reason'>
   attemptFailures: Counter<'kind' | 'reason'>
   ownPauses: Counter
   storeCalls: Counter<'call' | 'result'>
@@ -38,6 +39,7 @@
     endpointWaitSeconds: new Histogram({ name: 'anvilarch_endpoint_wait_seconds', help: 'From a send to the first event or the whole answer: queue and work', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
     sends: new Counter({ name: 'anvilarch_sends_total', help: 'Sends to endpoints: first, again, or resumed after an event', labelNames: ['kind', 'send'], registers }),
     refusals: new Counter({ name: 'anvilarch_refusals_total', help: 'Requests refused by this process by reason', labelNames: ['kind', 'reason'], registers }),
+    callerRefusals: new Counter({ name: 'anvilarch_caller_refusals_total', help: 'Calls whose key is not known, or not known for certain, by reason', labelNames: ['reason'], registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
     ownPauses: new Counter({ name: 'anvilarch_own_pauses_total', help: 'Times that this process stood still when it should have listened to an endpoint, and so did not judge it', registers }),
     storeCalls: new Counter({ name: 'anvilarch_store_calls_total', help: 'Calls to the metadata store by result', labelNames: ['call', 'result'], registers }),
--- a/packages/anvilarch-daemon/src/callers/limits/tokenBucket.ts
+++ b/packages/anvilarch-utils/src/tokenBucket.ts
@@ -22,6 +22,17 @@
 
 const MS_PER_SECOND = 1_000
 
+/**
+ * @param bucket - state
+ * @param limits - rate and size
+ * @param nowMs - present time
+ * @returns the bucket with what has come in since its last change
+ */
+export function refill (bucket: Bucket, limits: BucketLimits, nowMs: number): Bucket {
+  const gained = Math.max(0, nowMs - bucket.updatedMs) / MS_PER_SECOND * limits.perSecond
+  return { tokens: Math.min(limits.burst, bucket.tokens + gained), updatedMs: Math.max(nowMs, bucket.updatedMs) }
+}
+
 /**
  * @param bucket - state, or undefined for a full bucket
  * @param limits - rate and size
@@ -29,10 +40,8 @@
  * @returns the next state, and whether a token was taken
  */
 export function takeToken (bucket: Bucket | undefined, limits: BucketLimits, nowMs: number): Take {
-  const before = bucket ?? { tokens: limits.burst, updatedMs: nowMs }
-  const gained = (nowMs - before.updatedMs) / MS_PER_SECOND * limits.perSecond
-  const tokens = Math.min(limits.burst, before.tokens + gained)
-  if (tokens >= 1) return { bucket: { tokens: tokens - 1, updatedMs: nowMs }, taken: true, retryAfterMs: 0 }
+  const { tokens, updatedMs } = refill(bucket ?? { tokens: limits.burst, updatedMs: nowMs }, limits, nowMs)
+  if (tokens >= 1) return { bucket: { tokens: tokens - 1, updatedMs }, taken: true, retryAfterMs: 0 }
   const retryAfterMs = limits.perSecond > 0 ? Math.ceil((1 - tokens) / limits.perSecond * MS_PER_SECOND) : MS_PER_SECOND
-  return { bucket: { tokens, updatedMs: nowMs }, taken: false, retryAfterMs }
+  return { bucket: { tokens, updatedMs }, taken: false, retryAfterMs }
 }
