--- /dev/null
+++ b/packages/anvilarch-bench/src/model/limits/__tests__/limitModel.test.ts
@@ -0,0 +1,47 @@
+import fc from 'fast-check'
+import { playLimitModel } from '../limitModel'
+import type { LimitModelOptions, LimitTrouble } from '../types'
+
+const TROUBLES: LimitTrouble[] = ['none', 'all_killed', 'third_cut_off', 'limit_lowered']
+
+const USUAL: LimitModelOptions = {
+  seed: 1,
+  way: 'home',
+  gateways: 29,
+  ratesPerSecond: [48, 28, 20, 8, 5, 5, 5, 5],
+  usualShare: 0.4,
+  hotFactor: 10,
+  clientsPerAccount: 4,
+  lostShare: 0.005,
+  trouble: 'none',
+  durationMs: 12_000,
+  bounds: { windowMs: 5000, overrunShare: 0.1, slackRequests: 20 }
+}
+
+describe('a limit that one gateway counts', () => {
+  // Guards against windows in which an account has more than its limit, whatever is lost, restarted or cut off meanwhile.
+  it('is kept within what is tolerated against an exact counter', async () => {
+    const options = fc.record({
+      seed: fc.integer({ min: 1, max: 1_000_000 }),
+      gateways: fc.integer({ min: 1, max: 40 }),
+      hotFactor: fc.integer({ min: 1, max: 20 }),
+      clientsPerAccount: fc.integer({ min: 1, max: 60 }),
+      lostShare: fc.constantFrom(0, 0.01, 0.1),
+      trouble: fc.constantFrom(...TROUBLES)
+    })
+    await fc.assert(fc.asyncProperty(options, async change => {
+      expect((await playLimitModel({ ...USUAL, ...change })).overrunOfTolerance).toBeLessThanOrEqual(1)
+    }), { numRuns: 12, seed: 7 })
+  }, 60_000)
+
+  it('refuses nothing of accounts that stay within their limits, and tells so within milliseconds', async () => {
+    const figures = await playLimitModel(USUAL)
+    expect(figures.wronglyRefusedShare).toBeLessThan(0.005)
+    expect(figures.waitP99Ms).toBeLessThan(30)
+  })
+
+  it('costs no more messages for each request at ten times the gateways', async () => {
+    const [few, many] = await Promise.all([20, 200].map(async gateways => await playLimitModel({ ...USUAL, gateways, durationMs: 5000 })))
+    expect(many.messagesPerSecond).toBeLessThan(2 * few.messagesPerSecond)
+  })
+})
--- /dev/null
+++ b/packages/anvilarch-bench/src/model/limits/limitModel.ts
@@ -0,0 +1,189 @@
+/** Plays arrivals at many gateways that keep limits of rate, on a clock that needs no waiting. */
+import type { ClientAccount } from 'anvilarch-serving'
+import { createFakeClock, createRandom, type FakeClock, type Random } from 'anvilarch-utils'
+import { createLimitCounts, type LimitCounts, overrunOfTolerance } from './limitCounts'
+import { LIMIT_WAYS } from './limitWays'
+import type { LimitFigures, LimitModelOptions, LimitWay } from './types'
+
+/** One way of a datagram. */
+const DELAY_MS = 1
+const DELAY_SPREAD_MS = 2
+
+/** Headers of IP and UDP. */
+const DATAGRAM_OVERHEAD_BYTES = 28
+
+const STEP_MS = 1
+const MS_PER_SECOND = 1000
+
+/** When the trouble begins, as part of the play, and how long it lasts. */
+const TROUBLE_AT_SHARE = 0.4
+const DOWN_MS = 1000
+const CUT_MS = 5000
+
+/** Part of its limit that is left to an account. */
+const LOWERED_SHARE = 0.25
+
+interface Gateway {
+  way: LimitWay
+  /** Counts the lives of the gateway. */
+  life: number
+  isDown: boolean
+  isCutOff: boolean
+}
+
+interface Traffic {
+  messages: number
+  bytes: number
+}
+
+/**
+ * @param options - size, load and trouble
+ * @returns what callers and the network saw
+ */
+export async function playLimitModel (options: LimitModelOptions): Promise<LimitFigures> {
+  const clock = createFakeClock(0)
+  const random = createRandom(options.seed)
+  const accounts = new Map(options.ratesPerSecond.map((rate, index) => [`a${index}`, accountOf(index, rate)]))
+  const account = (name: string): ClientAccount => {
+    const known = accounts.get(name)
+    if (known === undefined) throw new Error(`the model has no account "${name}"`)
+    return known
+  }
+  const traffic: Traffic = { messages: 0, bytes: 0 }
+  const fleet = createFleet({ options, clock, random, account, traffic })
+  const counts = createLimitCounts(account)
+  const waitsMs: number[] = []
+
+  startArrivals({ options, clock, accounts: [...accounts.values()], gateways: fleet.gateways, counts, waitsMs })
+  clock.after(options.durationMs * TROUBLE_AT_SHARE, () => startTrouble(options, clock, fleet, accounts))
+  for (let passedMs = 0; passedMs < options.durationMs; passedMs += STEP_MS) await clock.advanceAsync(STEP_MS)
+
+  return figuresOf(options, [...accounts.values()], counts, traffic, waitsMs)
+}
+
+function accountOf (index: number, requestsPerSecond: number): ClientAccount {
+  return { name: `a${index}`, ranksBehind: 0, requestsPerSecond, burstRequests: requestsPerSecond }
+}
+
+/** All gateways, and a way to start them anew after a loss of all. */
+interface Fleet {
+  gateways: Gateway[]
+  startAll: () => void
+}
+
+interface FleetParts {
+  options: LimitModelOptions
+  clock: FakeClock
+  random: Random
+  account: (name: string) => ClientAccount
+  traffic: Traffic
+}
+
+function createFleet ({ options, clock, random, account, traffic }: FleetParts): Fleet {
+  const gateways: Gateway[] = []
+  const deliver = (from: number, to: number, message: unknown): void => {
+    const reachable = gateways[from].isCutOff === gateways[to].isCutOff
+    if (reachable && !gateways[to].isDown && random.next() >= options.lostShare) gateways[to].way.onMessage(message, from)
+  }
+  const send = (from: number, to: readonly number[], message: unknown, bytes: number): void => {
+    traffic.messages += to.length
+    traffic.bytes += to.length * (bytes + DATAGRAM_OVERHEAD_BYTES)
+    clock.after(DELAY_MS + DELAY_SPREAD_MS * random.next(), () => to.forEach(receiver => deliver(from, receiver, message)))
+  }
+  const startGateway = (index: number): void => {
+    const life = (gateways[index]?.life ?? 0) + 1
+    const others = Array.from({ length: options.gateways }, (_, other) => other).filter(other => other !== index)
+    const way = LIMIT_WAYS[options.way]({
+      clock,
+      index,
+      gatewayCount: options.gateways,
+      bounds: options.bounds,
+      account,
+      send: (to, message, bytes) => send(index, [to], message, bytes),
+      broadcast: (message, bytes) => send(index, others, message, bytes),
+      isAlive: () => gateways[index].life === life && !gateways[index].isDown
+    })
+    gateways[index] = { way, life, isDown: false, isCutOff: false }
+  }
+  const startAll = (): void => { for (let index = 0; index < options.gateways; index++) startGateway(index) }
+  startAll()
+  return { gateways, startAll }
+}
+
+function startTrouble (options: LimitModelOptions, clock: FakeClock, { gateways, startAll }: Fleet, accounts: Map<string, ClientAccount>): void {
+  switch (options.trouble) {
+    case 'none':
+      return
+    case 'all_killed':
+      for (const gateway of gateways) gateway.isDown = true
+      clock.after(DOWN_MS, startAll)
+      return
+    case 'third_cut_off':
+      gateways.forEach((gateway, index) => { gateway.isCutOff = index % 3 === 0 })
+      clock.after(CUT_MS, () => gateways.forEach(gateway => { gateway.isCutOff = false }))
+      return
+    case 'limit_lowered':
+      for (const [name, account] of accounts) accounts.set(name, { ...account, requestsPerSecond: account.requestsPerSecond * LOWERED_SHARE })
+  }
+}
+
+interface ArrivalParts {
+  options: LimitModelOptions
+  clock: FakeClock
+  accounts: readonly ClientAccount[]
+  gateways: Gateway[]
+  counts: LimitCounts
+  waitsMs: number[]
+}
+
+function startArrivals ({ options, clock, accounts, gateways, counts, waitsMs }: ArrivalParts): void {
+  // Arrivals have numbers of their own, so that all ways see the same ones.
+  const random = createRandom(options.seed + 1000)
+  accounts.forEach((account, index) => {
+    const clients = Array.from({ length: options.clientsPerAccount }, () => random.between(0, gateways.length - 1))
+    const perSecond = account.requestsPerSecond * options.usualShare * (index === 0 ? options.hotFactor : 1)
+    const arrive = (): void => {
+      const gateway = gateways[random.pick(clients)]
+      if (gateway.isDown) return
+      const arrivedAtMs = clock.nowMs()
+      const wouldBeAdmitted = counts.onArrival(account.name, arrivedAtMs)
+      gateway.way.admit(account.name).then(admitted => {
+        waitsMs.push(clock.nowMs() - arrivedAtMs)
+        counts.onVerdict(account.name, admitted, wouldBeAdmitted, clock.nowMs())
+      }, error => { throw error })
+    }
+    const next = (): void => {
+      clock.after(-Math.log(1 - random.next()) * MS_PER_SECOND / perSecond, () => {
+        arrive()
+        next()
+      })
+    }
+    next()
+  })
+}
+
+function figuresOf (options: LimitModelOptions, accounts: readonly ClientAccount[], counts: LimitCounts, traffic: Traffic, waitsMs: number[]): LimitFigures {
+  const [hot, ...others] = accounts
+  const lowered = options.trouble === 'limit_lowered'
+  const overruns = accounts.map(account => {
+    // A lower limit binds one window after it is in force.
+    const fromMs = lowered ? options.durationMs * TROUBLE_AT_SHARE + options.bounds.windowMs : 0
+    return overrunOfTolerance(counts.of(account.name).admittedAtMs.filter(atMs => atMs >= fromMs), account, options.bounds)
+  })
+  const wronglyRefused = sum(others.map(({ name }) => counts.of(name).wronglyRefused))
+  const allowed = sum(others.map(({ name }) => counts.of(name).allowed))
+  const seconds = options.durationMs / MS_PER_SECOND
+  const sorted = waitsMs.sort((a, b) => a - b)
+  return {
+    overrunOfTolerance: Math.max(...overruns),
+    wronglyRefusedShare: wronglyRefused / Math.max(1, allowed),
+    hotAdmittedShare: counts.of(hot.name).admittedAtMs.length / Math.max(1, counts.of(hot.name).allowed),
+    messagesPerSecond: traffic.messages / seconds,
+    bytesPerSecond: traffic.bytes / seconds,
+    waitP99Ms: sorted[Math.floor(sorted.length * 0.99)] ?? 0
+  }
+}
+
+function sum (numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0)
+}
--- /dev/null
+++ b/packages/anvilarch-bench/src/model/limits/limitWays.ts
@@ -0,0 +1,81 @@
+/** Three ways to keep a limit over many gateways. */
+import { bucketLimitsOf, createAccountMeters, createPermitAsker, createRateLimits, encodePeerMessage, meterHomes, type PeerMessage } from 'anvilarch-serving'
+import { type Bucket, SILENT_LOGGER, takeToken } from 'anvilarch-utils'
+import type { LimitWay, LimitWayContext, LimitWayName } from './types'
+
+/** Creates the part of a way that runs at one gateway. */
+export type CreateLimitWay = (context: LimitWayContext) => LimitWay
+
+const GOSSIP_INTERVAL_MS = 200
+
+/** A name, a count and their separators. */
+const GOSSIP_BYTES_PER_ACCOUNT = 14
+
+const PEER_PORT = 1
+
+/** All ways by name. */
+export const LIMIT_WAYS: Record<LimitWayName, CreateLimitWay> = { share: createShareWay, gossip: createGossipWay, home: createHomeWay }
+
+function createShareWay ({ clock, gatewayCount, account }: LimitWayContext): LimitWay {
+  const buckets = new Map<string, Bucket>()
+  return {
+    admit: async name => {
+      const { perSecond, burst } = bucketLimitsOf(account(name))
+      const take = takeToken(buckets.get(name), { perSecond: perSecond / gatewayCount, burst: Math.max(1, burst / gatewayCount) }, clock.nowMs())
+      buckets.set(name, take.bucket)
+      return take.taken
+    },
+    onMessage: () => {}
+  }
+}
+
+/** Each gateway keeps the whole limit and takes from it what the others tell that they have admitted. */
+function createGossipWay ({ clock, account, broadcast, isAlive }: LimitWayContext): LimitWay {
+  const buckets = new Map<string, Bucket>()
+  let admitted = new Map<string, number>()
+  const takeOff = (name: string, count: number): void => {
+    const limits = bucketLimitsOf(account(name))
+    const { bucket } = takeToken(buckets.get(name) ?? { tokens: limits.burst, updatedMs: clock.nowMs() }, limits, clock.nowMs())
+    buckets.set(name, { ...bucket, tokens: bucket.tokens - count })
+  }
+  const tell = (): void => {
+    if (!isAlive()) return
+    if (admitted.size > 0) broadcast(admitted, admitted.size * GOSSIP_BYTES_PER_ACCOUNT)
+    admitted = new Map()
+    clock.after(GOSSIP_INTERVAL_MS, tell)
+  }
+  clock.after(GOSSIP_INTERVAL_MS, tell)
+  return {
+    admit: async name => {
+      const take = takeToken(buckets.get(name), bucketLimitsOf(account(name)), clock.nowMs())
+      buckets.set(name, take.bucket)
+      if (take.taken) admitted.set(name, (admitted.get(name) ?? 0) + 1)
+      return take.taken
+    },
+    onMessage: message => {
+      for (const [name, count] of message as Map<string, number>) takeOff(name, count)
+    }
+  }
+}
+
+/** The product's own parts. */
+function createHomeWay ({ clock, index, gatewayCount, bounds, account, send }: LimitWayContext): LimitWay {
+  const places = Array.from({ length: gatewayCount }, (_, place) => ({ name: `g${place}`, peerAddress: `${place}:${PEER_PORT}` }))
+  const meters = createAccountMeters({ clock, bounds, account, gatewayCount: () => gatewayCount })
+  const sendMessage = (message: PeerMessage, to: { ip: string }): void => send(Number(to.ip), message, encodePeerMessage(message).length)
+  const asker = createPermitAsker({ clock, send: sendMessage, configurationVersion: () => 1 })
+  const limits = createRateLimits({ clock, log: SILENT_LOGGER, ownName: `g${index}`, meters, asker, homesOf: name => meterHomes(places, name) })
+  return {
+    admit: async name => (await limits.ask({ caller: 'account', account: account(name), keyDigest: '' })).granted,
+    onMessage: (received, from) => {
+      const message = received as PeerMessage
+      const sender = { ip: String(from), port: PEER_PORT }
+      if (message.message === 'permit_answer') asker.onAnswer(message, sender)
+      else if (message.message === 'permit_return') limits.onReturn(message)
+      else if (message.message === 'permit_question') {
+        const grant = limits.onQuestion(message)
+        if (grant !== undefined) sendMessage({ message: 'permit_answer', number: message.number, ...grant, configurationVersion: 1 }, sender)
+      }
+    }
+  }
+}
