--- a/packages/anvilarch-serving/src/accounts/callerCheck.ts
+++ b/packages/anvilarch-serving/src/accounts/callerCheck.ts
@@ -51,7 +51,7 @@
 
   const identifyNow = ({ credential, routeIn }: CallerQuestion): Identification => {
     const configuration = options.configuration.current()
-    return configuration === undefined ? { caller: 'unknown' } : identifyCaller(configuration, credential, routeIn(configuration))
+    return configuration === undefined ? { caller: 'unknown' } : identifyCaller(configuration, credential, () => routeIn(configuration))
   }
 
   return {
--- a/packages/anvilarch-serving/src/accounts/identifyCaller.ts
+++ b/packages/anvilarch-serving/src/accounts/identifyCaller.ts
@@ -12,10 +12,10 @@
 /**
  * @param configuration - the version in force
  * @param credential - what the caller shows
- * @param route - of the request; undefined when there is none
+ * @param route - gives the route of the request, if there is one
  * @returns whose the request is
  */
-export function identifyCaller (configuration: Configuration, credential: Credential, route: Pick<Route, 'isPublic'> | undefined): Identification {
+export function identifyCaller (configuration: Configuration, credential: Credential, route: () => Pick<Route, 'isPublic'> | undefined): Identification {
   const { accounts } = configuration
   if (accounts === undefined) return { caller: 'unchecked' }
   if (credential.credential === 'key' && credential.key.length <= MAX_KEY_LENGTH) {
@@ -23,7 +23,7 @@
     const account = accounts.byDigest(keyDigest)
     if (account !== undefined) return { caller: 'account', account, keyDigest }
   }
-  return route?.isPublic === true ? { caller: 'anybody' } : { caller: 'unknown' }
+  return route()?.isPublic === true ? { caller: 'anybody' } : { caller: 'unknown' }
 }
 
 /**
