--- a/packages/anvilarch-serving/src/accounts/limits/accountMeters.ts
+++ b/packages/anvilarch-serving/src/accounts/limits/accountMeters.ts
@@ -3,6 +3,7 @@
 import type { ClientAccount } from '../types'
 import { type AccountMeter, createMeter, giveBackTo, type Grant, grantFrom } from './accountMeter'
 import { firstBucket, grantLimits, type Granter, type LimitBounds } from './limitBounds'
+import { createRecentUses, type RecentUse } from './recentUse'
 
 /** Meters by account. */
 export interface AccountMeters {
@@ -12,6 +13,8 @@
   /** Forgets meters of accounts that are gone. */
   retain: (isKnown: (accountName: string) => boolean) => void
   size: () => number
+  /** @returns what accounts whose meter is here have used lately, the busiest first */
+  busiest: (limit: number) => RecentUse[]
 }
 
 /** Options of `createAccountMeters`. */
@@ -31,6 +34,7 @@
 export function createAccountMeters (options: AccountMetersOptions): AccountMeters {
   const { clock, bounds } = options
   const metersOf: Record<Granter, Map<string, AccountMeter>> = { home: new Map(), deputy: new Map(), self: new Map() }
+  const uses = createRecentUses(bounds.windowMs)
   const limitsOf = (account: ClientAccount, granter: Granter): ReturnType<typeof grantLimits> => grantLimits(account, bounds, granter, options.gatewayCount())
 
   return {
@@ -43,6 +47,7 @@
       const before = metersOf[granter].get(accountName) ?? createMeter(firstBucket(account, bounds, limits, nowMs))
       const { meter, grant } = grantFrom(before, wanted, limits, nowMs)
       metersOf[granter].set(accountName, meter)
+      uses.add(accountName, grant.granted, wanted - grant.granted, nowMs)
       return grant
     },
     giveBack: (accountName, granter, count) => {
@@ -54,6 +59,7 @@
     retain: isKnown => {
       for (const meters of Object.values(metersOf)) for (const name of meters.keys()) if (!isKnown(name)) meters.delete(name)
     },
+    busiest: limit => uses.busiest(limit, clock.nowMs()),
     size: () => Object.values(metersOf).reduce((sum, meters) => sum + meters.size, 0)
   }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
@@ -8,6 +8,7 @@
 import type { ClientAccount } from '../accounts/types'
 import type { PeerMessage } from '../endpoints/peerMessages'
 import type { PeerAddress } from '../endpoints/peerSocket'
+import { MAX_ACCOUNTS_TOLD, registerAccountUse } from '../operations/accountUse'
 import type { HeartbeatDetails } from '../peers/heartbeat'
 import type { PlatformView } from './followPlatform'
 import type { RoleContext } from './types'
@@ -47,6 +48,7 @@
   const meters = createAccountMeters({ clock, bounds: settings.limitBounds, account: accountNamed, gatewayCount: () => places().length })
   const asker = createPermitAsker({ clock, send, configurationVersion: currentVersion })
   const limits = createRateLimits({ clock, log, ownName: settings.name, meters, asker, homesOf: name => meterHomes(places(), name) })
+  registerAccountUse(context.metrics.registry, () => meters.busiest(MAX_ACCOUNTS_TOLD))
   view.configuration.onChange(({ accounts }) => meters.retain(name => accounts?.byName(name) !== undefined))
 
   /** The feed of the store may be cut off here while it reaches others. */
--- a/packages/anvilarch/src/__fixtures__/runCommand.ts
+++ b/packages/anvilarch/src/__fixtures__/runCommand.ts
@@ -18,12 +18,12 @@
 /**
  * @param words - the words of the command line
  * @param variables - variables of the environment
+ * @param clock - a real one where the command talks to others
  * @returns what it printed, and its exit code
  */
-export async function runCommand (words: string[], variables: Record<string, string> = {}): Promise<CommandOutcome> {
+export async function runCommand (words: string[], variables: Record<string, string> = {}, clock: Clock = createSkippingClock()): Promise<CommandOutcome> {
   const stdout = createSink()
   const stderr = createSink()
-  const clock = createSkippingClock()
   const environment: CliEnvironment = { variables, stdout: stdout.stream, stderr: stderr.stream, isTerminal: false, clock, userName: 'ana' }
   const exitCode = await runCli(words, environment)
   return { exitCode, stdout: stdout.text(), stderr: stderr.text(), json: () => JSON.parse(stdout.text()), waitedMs: clock.nowMs() }
--- /dev/null
+++ b/packages/anvilarch/src/commands/accountUsage.ts
@@ -0,0 +1,32 @@
+/** `anvilarch account usage` */
+import { METRICS_PORT } from 'anvilarch-platform'
+import { readAccountUse } from 'anvilarch-serving'
+import { fetchMetrics } from '../accounts'
+import { defineCommand } from '../defineCommand'
+import { formatTable } from '../output/table'
+import { readSnapshot, STORE_ADDRESS } from '../storeSnapshot'
+
+/** Shows what the busiest client accounts have used of their limits lately, over all gateways. */
+export const accountUsage = defineCommand({
+  name: 'usage',
+  description: 'Show what the busiest client accounts were granted and refused in the last window, over all gateways',
+  args: { address: STORE_ADDRESS },
+  examples: [{ description: 'Who is near or over a limit', line: 'anvilarch account usage --address 10.200.1.7:8142' }],
+  run: async ({ address }, session) => {
+    const { members, accounts } = await readSnapshot(address, session)
+    const gateways = members.filter(member => member.role === 'gateway')
+    const texts = await Promise.all(gateways.map(async member => await fetchMetrics(`http://${member.peerAddress.split(':')[0]}:${METRICS_PORT}/metrics`)))
+    const silent = gateways.filter((_, index) => texts[index] === undefined).map(member => member.name)
+    const limits = new Map(accounts.map(account => [account.name, account]))
+    const uses = readAccountUse(texts.filter(text => text !== undefined)).map(use => ({
+      ...use, requestsPerSecond: limits.get(use.accountName)?.requestsPerSecond, burstRequests: limits.get(use.accountName)?.burstRequests
+    }))
+    return {
+      json: { accounts: uses, silentGateways: silent },
+      text: [
+        formatTable(['account', 'granted', 'refused', 'ratePerSecond', 'burst'], uses.map(use => [use.accountName, use.granted, use.refused, use.requestsPerSecond, use.burstRequests])),
+        ...silent.length > 0 ? [`Not counted, since they do not answer: ${silent.join(', ')}`] : []
+      ].join('\n')
+    }
+  }
+})
--- a/packages/anvilarch/src/commands/storeShow.ts
+++ b/packages/anvilarch/src/commands/storeShow.ts
@@ -1,29 +1,20 @@
 /** `anvilarch store show` */
-import { option, string } from 'cmd-ts'
-import { openStore } from 'anvilarch-platform'
-import { readStore, type StoreSnapshot, summarizeJob } from 'anvilarch-serving'
-import { SILENT_LOGGER } from 'anvilarch-utils'
-import { CliError } from '../cliError'
+import { type StoreSnapshot, summarizeJob } from 'anvilarch-serving'
 import { defineCommand } from '../defineCommand'
 import { formatTable } from '../output/table'
+import { readSnapshot, STORE_ADDRESS } from '../storeSnapshot'
 
 /** Shows what the platform's store knows: configuration in force, endpoints, daemons and jobs. */
 export const storeShow = defineCommand({
   name: 'show',
   description: 'Show configuration, endpoints, daemons and jobs as the platform\'s store has them',
   args: {
-    address: option({ long: 'address', type: string, description: 'IP and port of the store' })
+    address: STORE_ADDRESS
   },
   examples: [{ description: 'State of the deployment', line: 'anvilarch store show --address 10.200.1.7:8142' }],
   run: async ({ address }, session) => {
-    const { store, wire } = openStore(address, session.environment.clock, SILENT_LOGGER)
-    const read = await readStore(store, wire)
-    if (read.err) {
-      throw new CliError(`The store at ${address} can't be read: ${read.val.reason}.`, {
-        code: 'platform_unavailable', step: 'store.read', peer: address, exit: 'unreachable', ran: 'not_run', hint: 'Check the address in the settings file of a daemon, and try again.'
-      })
-    }
-    return { json: toJson(read.val), text: formatSnapshot(read.val) }
+    const snapshot = await readSnapshot(address, session)
+    return { json: toJson(snapshot), text: formatSnapshot(snapshot) }
   }
 })
 
--- a/packages/anvilarch/src/createProgram.ts
+++ b/packages/anvilarch/src/createProgram.ts
@@ -1,5 +1,8 @@
 /** All commands in one program. */
 import { subcommands } from 'cmd-ts'
+import { accountList } from './commands/accountList'
+import { accountShow } from './commands/accountShow'
+import { accountUsage } from './commands/accountUsage'
 import { configApply } from './commands/configApply'
 import { configDiff } from './commands/configDiff'
 import { configShow } from './commands/configShow'
@@ -37,6 +40,7 @@
   service: { description: 'services', commands: { list: serviceList } },
   endpoint: { description: 'endpoints', commands: { list: endpointList, drain: endpointDrain } },
   logs: { description: 'logs of daemons', commands: { failures: logsFailures, report: logsReport, volume: logsVolume } },
+  account: { description: 'client accounts on the platform', commands: { list: accountList, show: accountShow, usage: accountUsage } },
   store: { description: 'the platform\'s store', commands: { show: storeShow } }
 }
 
