--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/attemptTrail.ts
@@ -0,0 +1,52 @@
+/** What the log tells of the attempts of one request. */
+import type { Endpoint } from '../model/types'
+import type { AttemptFailure } from './attemptDecision'
+import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import { elapsedMs } from './requestTrail'
+
+/** Lines about attempts. Those about a request that goes well are kept back. */
+export interface AttemptTrail {
+  chosen: (endpoint: Endpoint) => void
+  begun: (endpoint: Endpoint, status: number) => void
+  failed: (endpoint: Endpoint, failure: AttemptFailure, reason: string) => void
+  ownPause: (endpoint: Endpoint, lateMs: number) => void
+}
+
+/**
+ * @param parts - log, loads and placement
+ * @param client - the request
+ * @param state - how far it has come
+ * @returns lines about its attempts
+ */
+export function createAttemptTrail (parts: ForwardParts, client: ClientRequest, state: RequestState): AttemptTrail {
+  const { clock } = parts
+  const { requestId } = client.metadata
+  const remainingMs = (): number => Math.round(state.deadlineAtMs - clock.nowMs())
+  return {
+    chosen: endpoint => {
+      const load = parts.loads.loadOf(endpoint.startId)
+      state.trail.note('endpoint chosen', {
+        requestId,
+        endpoint: endpoint.startId,
+        online: load.online,
+        batchRunning: load.batchRunning,
+        slots: endpoint.slots,
+        suspected: load.suspected,
+        candidateCount: state.service === undefined ? 0 : parts.placement.count(state.service),
+        loadAgeMs: Number.isFinite(load.ageMs) ? Math.round(load.ageMs) : undefined,
+        remainingMs: remainingMs(),
+        afterMs: elapsedMs(clock, client.arrivedAtMs)
+      })
+    },
+    begun: (endpoint, status) => {
+      state.trail.note('answer begun', { requestId, endpoint: endpoint.startId, status, afterMs: elapsedMs(clock, client.arrivedAtMs) })
+    },
+    failed: (endpoint, failure, reason) => {
+      state.trail.reveal()
+      parts.log.info('attempt failed', { requestId, endpoint: endpoint.startId, failure, reason, lastEventId: state.lastEventId, remainingMs: remainingMs() })
+    },
+    ownPause: (endpoint, lateMs) => {
+      state.trail.note('own pause noticed', { requestId, endpoint: endpoint.startId, lateMs: Math.round(lateMs) })
+    }
+  }
+}
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -2,11 +2,11 @@
 import { createSilenceWatch, type SilenceWatch } from 'anvilarch-utils'
 import { callerTerms } from '../accounts/types'
 import type { Endpoint } from '../model/types'
+import { createAttemptTrail } from './attemptTrail'
 import { type AttemptFailure, isRepeatable, type NextStep, nextStep, silenceLimitMs } from './attemptDecision'
 import { type ClientRequest, type ForwardParts, placementTerms, repeatedRequestOf, type RequestState } from './forwardTypes'
 import type { RequestEnd } from './requestEnd'
 import { unauthorizedAnswer } from './clientAnswer'
-import { elapsedMs } from './requestTrail'
 import { type Attempt, type AttemptAnswer, isBrokenConnection, isConnectionRefused, isPassingRefusal, startAttempt } from './runAttempt'
 
 /** The attempts of one request. */
@@ -48,6 +48,7 @@
  */
 export function createAttempts (parts: ForwardParts, client: ClientRequest, state: RequestState, end: RequestEnd): Attempts {
   const { clock, loads, log, metrics } = parts
+  const trail = createAttemptTrail(parts, client, state)
   const { route, response, metadata } = client
   let running: Running | undefined
   let silence: SilenceWatch | undefined
@@ -97,18 +98,6 @@
     return left
   }
 
-  const logFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
-    state.trail.reveal()
-    log.info('attempt failed', {
-      requestId: metadata.requestId,
-      endpoint: endpoint.startId,
-      failure,
-      reason,
-      lastEventId: state.lastEventId,
-      remainingMs: Math.round(remainingMs())
-    })
-  }
-
   const steps: Record<NextStep, (reason: string) => void> = {
     send_again: sendAgain,
     refuse: reason => end.answer({ status: 503, code: 'not_run', message: `no endpoint took the request (${reason})`, retryAfterMs: REFUSED_RETRY_AFTER_MS }),
@@ -125,7 +114,7 @@
     if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
     if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onBroken(repeatedRequestOf(client), endpoint.startId)
     metrics.attemptFailures.inc({ kind: route.kind, reason })
-    logFailure(endpoint, failure, reason)
+    trail.failed(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
   }
 
@@ -136,16 +125,16 @@
     onFailure(endpoint, 'may_have_run', 'silent')
   }
 
-  const noteOwnPause = (endpoint: Endpoint, lateMs: number): void => {
+  const onOwnPause = (endpoint: Endpoint, lateMs: number): void => {
     metrics.ownPauses.inc()
-    state.trail.note('own pause noticed', { requestId: metadata.requestId, endpoint: endpoint.startId, lateMs: Math.round(lateMs) })
+    trail.ownPause(endpoint, lateMs)
   }
 
   /** Called at a send and at each event; only the first call sets a timer. */
   const watchSilence = (endpoint: Endpoint): void => {
     if (!isRepeatable(route) || state.attemptsThatMayHaveRun + 1 >= route.maxAttempts) return
     const boundMs = silenceLimitMs(route, state.answerBegun)
-    silence ??= createSilenceWatch({ clock, boundMs, onSilence: () => onSilence(endpoint), onOwnPause: lateMs => noteOwnPause(endpoint, lateMs) })
+    silence ??= createSilenceWatch({ clock, boundMs, onSilence: () => onSilence(endpoint), onOwnPause: lateMs => onOwnPause(endpoint, lateMs) })
     silence.heard()
     silence.setBoundMs(boundMs)
   }
@@ -156,7 +145,7 @@
     state.attemptsThatMayHaveRun++
     loads.onFailure(endpoint.startId)
     if (stepAfter('may_have_run') !== 'send_again') return false
-    logFailure(endpoint, 'may_have_run', `status ${whole.status}`)
+    trail.failed(endpoint, 'may_have_run', `status ${whole.status}`)
     metrics.attemptFailures.inc({ kind: route.kind, reason: 'endpoint_status' })
     state.failedAnswer = whole
     sendAgain()
@@ -176,7 +165,7 @@
   }
 
   const onHead = (endpoint: Endpoint, head: { status: number, rawHeaders: string[] }): void => {
-    state.trail.note('answer begun', { requestId: metadata.requestId, endpoint: endpoint.startId, status: head.status, afterMs: elapsedMs(clock, client.arrivedAtMs) })
+    trail.begun(endpoint, head.status)
     if (state.answerBegun) return
     state.answerBegun = true
     if (parts.notice.isLeaving()) response.setHeader('Connection', 'close')
@@ -229,22 +218,6 @@
     return state.lastEventId === metadata.lastEventId ? 'again' : 'resumed'
   }
 
-  const noteChoice = (endpoint: Endpoint): void => {
-    const load = loads.loadOf(endpoint.startId)
-    state.trail.note('endpoint chosen', {
-      requestId: metadata.requestId,
-      endpoint: endpoint.startId,
-      online: load.online,
-      batchRunning: load.batchRunning,
-      slots: endpoint.slots,
-      suspected: load.suspected,
-      candidateCount: state.service === undefined ? 0 : parts.placement.count(state.service),
-      loadAgeMs: Number.isFinite(load.ageMs) ? Math.round(load.ageMs) : undefined,
-      remainingMs: Math.round(remainingMs()),
-      afterMs: elapsedMs(clock, client.arrivedAtMs)
-    })
-  }
-
   const timeOut = (): void => {
     if (state.answerBegun) end.breakOff('timeout')
     else steps.time_out('timeout')
@@ -273,7 +246,7 @@
       end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
       return
     }
-    noteChoice(endpoint)
+    trail.chosen(endpoint)
     state.tried.add(endpoint.startId)
     metrics.sends.inc({ kind: route.kind, send: sendName() })
     state.offers++
