Go on with a listing where it failed, and back off for longer while the store is beyond its rate

Each refused call cost all partitions of its listing; a call through peers that failed cost three more calls every 250 ms.

--- /dev/null
+++ b/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
@@ -0,0 +1,81 @@
+import { createFakeClock, createRandom, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { Err, Ok } from 'ts-results'
+import type { EventLog } from '../../telemetry/events'
+import { followTable } from '../tableFollower'
+import { type MetadataStore, OVER_RATE_REASON, type StoredRow } from '../types'
+
+const PARTITIONS = Array.from({ length: 8 }, (_, index) => `p${index}`)
+
+function rowOf (partition: string): StoredRow {
+  return { table: 't', partition, key: `row-${partition}`, value: Buffer.alloc(0), version: 1 }
+}
+
+/** A store that refuses all calls of a second beyond a rate. */
+function createBoundedStore (clock: FakeClock, readsPerSecond: number): { store: MetadataStore, refused: () => number } {
+  let second = -1
+  let calls = 0
+  let refused = 0
+  const isOverRate = (): boolean => {
+    const now = Math.floor(clock.nowMs() / 1000)
+    if (now !== second) {
+      second = now
+      calls = 0
+    }
+    calls++
+    if (calls > readsPerSecond) refused++
+    return calls > readsPerSecond
+  }
+  const store = {
+    readRows: async ({ partition }: { partition: string }) => isOverRate() ? Err({ reason: OVER_RATE_REASON }) : Ok({ rows: [rowOf(partition)], version: 1 }),
+    readFeed: async () => {
+      await new Promise<void>(resolve => clock.after(2000, resolve))
+      return isOverRate() ? Err({ reason: OVER_RATE_REASON }) : Ok({ outcome: 'changes', changes: [], version: 1 })
+    }
+  } as unknown as MetadataStore
+  return { store, refused: () => refused }
+}
+
+describe('followTable', () => {
+  // Guards against a start of all daemons that never ends: each refused call made a daemon list all partitions again.
+  it('gives hundreds of daemons that list at the same time their tables within seconds, though the store refuses most calls', async () => {
+    const clock = createFakeClock()
+    const { store, refused } = createBoundedStore(clock, 1000)
+    const listed: StoredRow[][] = []
+    const controller = new AbortController()
+    for (let daemon = 0; daemon < 600; daemon++) {
+      const listener = { onListing: (rows: StoredRow[]) => { listed.push(rows) }, onChange: () => {} }
+      followTable({ store, clock, random: createRandom(daemon), log: SILENT_LOGGER as EventLog, table: 't', partitions: PARTITIONS, listener, signal: controller.signal })
+        .catch(error => { throw error })
+    }
+    for (let passedMs = 0; passedMs < 6000; passedMs += 100) await clock.advanceAsync(100)
+    controller.abort()
+    expect(listed).toHaveLength(600)
+    for (const rows of listed) expect(rows.map(row => row.partition)).toEqual(PARTITIONS)
+    // All daemons need 4,800 calls, for which the store takes 4.8 s.
+    expect(refused()).toBeLessThan(4800)
+  })
+
+  it('lists a table anew when a listing has not gone on for long', async () => {
+    const clock = createFakeClock()
+    let version = 1
+    let refuse = false
+    const store = {
+      readRows: async ({ partition }: { partition: string }) => {
+        if (partition === 'p1' && refuse) return Err({ reason: 'silent' })
+        return Ok({ rows: [{ ...rowOf(partition), version }], version })
+      },
+      readFeed: () => new Promise(() => {})
+    } as unknown as MetadataStore
+    const listed: StoredRow[][] = []
+    refuse = true
+    const listener = { onListing: (rows: StoredRow[]) => { listed.push(rows) }, onChange: () => {} }
+    followTable({ store, clock, random: createRandom(1), log: SILENT_LOGGER as EventLog, table: 't', partitions: ['p0', 'p1'], listener, signal: new AbortController().signal })
+      .catch(error => { throw error })
+    await clock.advanceAsync(9000)
+    version = 2
+    await clock.advanceAsync(9000)
+    refuse = false
+    await clock.advanceAsync(1000)
+    expect(listed[0].map(row => row.version)).toEqual([2, 2])
+  })
+})
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -1,6 +1,6 @@
 /** Keeps a copy of a table by a listing and the feed of changes after it. */
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
-import type { MetadataStore, RowChange, StoredRow } from './types'
+import { type MetadataStore, OVER_RATE_REASON, type RowChange, type StoredRow } from './types'
 import type { EventLog } from '../telemetry/events'
 
 /** What a follower tells its owner. */
@@ -42,6 +42,12 @@
 /** Longest pause after repeated failures. */
 export const FEED_MAX_RETRY_MS = 400
 
+/** The same after refusals for the rate of calls: hundreds of daemons that all ask again soon keep the store beyond its rate. */
+export const OVER_RATE_MAX_RETRY_MS = 1000
+
+/** A listing that failed midway goes on within this time; the store keeps the changes since then for longer. */
+const LISTING_MAX_AGE_MS = 8000
+
 const PAUSE_JITTER = 0.3
 
 /**
@@ -53,11 +59,13 @@
 export async function followTable (options: FollowOptions): Promise<void> {
   let version: number | undefined
   let retryMs = FEED_RETRY_MS
+  const listing = createListing(options)
   while (!options.signal.aborted) {
-    const next = version === undefined ? await listTable(options) : await readChanges(options, version)
+    const next = version === undefined ? await listing.run() : await readChanges(options, version)
     if (next.outcome === 'failed') {
+      retryMs = Math.min(longestRetryMs(next.reason), retryMs)
       await pause(options, retryMs)
-      retryMs = Math.min(FEED_MAX_RETRY_MS, retryMs * 2)
+      retryMs *= 2
       continue
     }
     options.onAnswer?.()
@@ -67,28 +75,59 @@
   }
 }
 
-type Step = { outcome: 'changed', version: number | undefined } | { outcome: 'failed' }
+type Step = { outcome: 'changed', version: number | undefined } | { outcome: 'failed', reason: string }
+
+function longestRetryMs (reason: string): number {
+  return reason === OVER_RATE_REASON ? OVER_RATE_MAX_RETRY_MS : FEED_MAX_RETRY_MS
+}
+
+/** Lists a table, partition after partition. */
+interface Listing {
+  /** Goes on where the last run has failed, or lists anew. */
+  run: () => Promise<Step>
+}
 
-async function listTable (options: FollowOptions): Promise<Step> {
-  const rows: StoredRow[] = []
+/**
+ * A refused call costs its own partition only. Were all partitions listed again, a store beyond its rate would get eight calls
+ * for each one that it refuses, and no daemon would ever have all of them.
+ */
+function createListing (options: Pick<FollowOptions, 'store' | 'clock' | 'log' | 'table' | 'partitions' | 'listener'>): Listing {
+  let rows: StoredRow[] = []
   let oldestVersion: number | undefined
-  for (const partition of options.partitions) {
-    const read = await options.store.readRows({ table: options.table, partition })
-    if (read.err) {
-      options.log.warn('table listing failed', { table: options.table, reason: read.val.reason })
-      return { outcome: 'failed' }
+  let next = 0
+  let begunAtMs = -Infinity
+
+  const begin = (): void => {
+    rows = []
+    oldestVersion = undefined
+    next = 0
+    begunAtMs = options.clock.nowMs()
+  }
+
+  return {
+    run: async () => {
+      if (next === 0 || options.clock.nowMs() - begunAtMs > LISTING_MAX_AGE_MS) begin()
+      while (next < options.partitions.length) {
+        const read = await options.store.readRows({ table: options.table, partition: options.partitions[next] })
+        if (read.err) {
+          options.log.warn('table listing failed', { table: options.table, reason: read.val.reason })
+          return { outcome: 'failed', reason: read.val.reason }
+        }
+        rows.push(...read.val.rows)
+        oldestVersion = Math.min(oldestVersion ?? read.val.version, read.val.version)
+        next++
+      }
+      next = 0
+      options.listener.onListing(rows, oldestVersion ?? 0)
+      options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion ?? 0 })
+      return { outcome: 'changed', version: oldestVersion }
     }
-    rows.push(...read.val.rows)
-    oldestVersion = Math.min(oldestVersion ?? read.val.version, read.val.version)
   }
-  options.listener.onListing(rows, oldestVersion ?? 0)
-  options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion ?? 0 })
-  return { outcome: 'changed', version: oldestVersion }
 }
 
 async function readChanges (options: FollowOptions, version: number): Promise<Step> {
   const read = await options.store.readFeed(options.table, version, FEED_WAIT_MS)
-  if (read.err) return { outcome: 'failed' }
+  if (read.err) return { outcome: 'failed', reason: read.val.reason }
   if (read.val.outcome === 'history_lost') {
     options.log.info('feed history lost, listing again', { table: options.table, version })
     return { outcome: 'changed', version: undefined }
@@ -117,13 +156,13 @@
  */
 export async function followListing (options: ListingOptions): Promise<void> {
   let earlyIntervalMs = FIRST_LISTING_INTERVAL_MS
+  const listing = createListing(options)
   while (!options.signal.aborted) {
-    const listed = await listTable({ ...options, intervalMs: undefined })
-    if (listed.outcome === 'changed') {
-      options.onAnswer?.()
-      earlyIntervalMs *= 2
-    }
+    const listed = await listing.run()
+    if (listed.outcome === 'changed') options.onAnswer?.()
     const intervalMs = Math.min(earlyIntervalMs, options.intervalMs())
+    // Of a failure for another reason than the rate the next listing comes as soon as that one.
+    if (listed.outcome === 'changed' || listed.reason === OVER_RATE_REASON) earlyIntervalMs *= 2
     await sleep(options.clock, options.random.jitter(intervalMs, PAUSE_JITTER), options.signal)
   }
 }
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -108,6 +108,11 @@
 /** After a call through peers has failed as well, the store is probably away for all; peers are left alone for this long. */
 const RELAY_BACKOFF_MS = 250
 
+/** The same after many such calls in a row. A store beyond its rate gets three more calls for each one that goes through peers. */
+const MAX_RELAY_BACKOFF_MS = 2000
+
+const RELAY_JITTER = 0.3
+
 const BUSY_STATUS = new Set([429, 503])
 
 /**
@@ -124,6 +129,7 @@
   let failingSinceMs = 0
   let lastProbeMs = -Infinity
   let relayAgainMs = -Infinity
+  let relayBackoffMs = RELAY_BACKOFF_MS
 
   const note = (answer: StoreAnswer): boolean => {
     const nowMs = clock.nowMs()
@@ -153,11 +159,14 @@
       answer = await options.through(peer)(call)
       if (answer.outcome === 'answered' && !BUSY_STATUS.has(answer.status)) {
         contact.lastSuccessMs = clock.nowMs()
+        relayBackoffMs = RELAY_BACKOFF_MS
         return answer
       }
       if (answer.outcome === 'no_answer') break
     }
-    if (answer !== undefined) relayAgainMs = clock.nowMs() + RELAY_BACKOFF_MS
+    if (answer === undefined) return undefined
+    relayAgainMs = clock.nowMs() + options.random.jitter(relayBackoffMs, RELAY_JITTER)
+    relayBackoffMs = Math.min(MAX_RELAY_BACKOFF_MS, relayBackoffMs * 2)
     return answer
   }
 
--- a/packages/anvilarch-serving/src/store/types.ts
+++ b/packages/anvilarch-serving/src/store/types.ts
@@ -43,6 +43,9 @@
   | { outcome: 'refused', reason: string }
   | { outcome: 'unknown', reason: string }
 
+/** Reason of a failure when the calls of all daemons are beyond the rate that the store takes. */
+export const OVER_RATE_REASON = 'over_rate'
+
 /** Why a read gave nothing. */
 export interface StoreFailure {
   reason: string
