Send clients away early with their jobs while the store is away, and keep jobs of those who come back

Each attempt was held for 1.5 s and given back late, so that the next one could not be in time. Now a client is sent away within a fifth of its objective, to come back after 0.3 of its time; when it does, its job is tried for as long as it waits.

--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -12,6 +12,7 @@
 import { storedJobId } from './jobRows'
 import { type ChangeOutcome, changeJob, type JobParts, readJob } from './jobStore'
 import type { ResultReader } from './resultReader'
+import { isStoreAway, submitPatience } from './submitPatience'
 import type { JobRecord } from './types'
 
 /** Parts of the job calls. */
@@ -20,6 +21,8 @@
   results: ResultReader
   wire: JobWire
   notice: ClosingNotice
+  /** The longest wait that a client has named, by route; filled by the calls. */
+  longestDeadlineMs: Map<string, number>
 }
 
 /** A submission that has been read. */
@@ -41,12 +44,6 @@
   submit: (call: SubmitCall) => Promise<void>
 }
 
-/** A gateway gives a submission back this long before the client would stop waiting. */
-const SUBMIT_MARGIN_MS = 500
-
-/** Longest time that one gateway tries to accept a job; another gateway may reach the store. */
-const MAX_SUBMIT_MS = 1500
-
 /** How long a read or an end of a job is tried. Clients send it again. */
 const CALL_TIMEOUT_MS = 1200
 
@@ -102,7 +99,11 @@
     sendOwnAnswer(response, { status: 400, code: 'bad_job', message: items.problem }, parts.notice)
     return
   }
-  const patienceMs = Math.min(MAX_SUBMIT_MS, (metadata.deadlineMs ?? Infinity) - SUBMIT_MARGIN_MS)
+  const fullDeadlineMs = Math.max(parts.longestDeadlineMs.get(route.name) ?? 0, metadata.deadlineMs ?? 0)
+  parts.longestDeadlineMs.set(route.name, fullDeadlineMs)
+  const { patienceMs, retryAfterMs } = submitPatience({
+    deadlineMs: metadata.deadlineMs, fullDeadlineMs, latencyObjectiveMs: route.latencyObjectiveMs, isStoreAway: isStoreAway(parts.store)
+  })
   const outcome = await acceptJob(parts, route, {
     jobId: storedJobId(call.caller, metadata.requestId),
     account: accountNameOf(call.caller),
@@ -120,7 +121,7 @@
       sendOwnAnswer(response, { status: 429, code: 'over_limit', message: 'too many tokens wait on this route', retryAfterMs: OVER_LIMIT_RETRY_AFTER_MS }, parts.notice)
       return
     case 'refused':
-      sendOwnAnswer(response, { status: 503, code: 'store_unavailable', message: 'the job could not be stored and will not run', retryAfterMs: RETRY_AFTER_MS }, parts.notice)
+      sendOwnAnswer(response, { status: 503, code: 'store_unavailable', message: 'the job could not be stored and will not run', retryAfterMs }, parts.notice)
       return
     case 'unknown':
       sendOwnAnswer(response, { status: 504, code: 'outcome_unknown', message: 'the store has not said whether the job is stored' }, parts.notice)
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -140,7 +140,8 @@
     metrics: context.metrics,
     results: createResultReader(context.store),
     wire: wire.job,
-    notice
+    notice,
+    longestDeadlineMs: new Map()
   })
   logEachSecond({
     clock,
