--- a/packages/anvilarch-serving/src/jobs/__tests__/submitPatience.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/submitPatience.test.ts
@@ -26,7 +26,7 @@
 
 describe('submitPatience', () => {
   it('tries for a while when the store answers others', () => {
-    expect(submitPatience(TERMS)).toEqual({ patienceMs: 1500, retryAfterMs: 400 })
+    expect(submitPatience(TERMS)).toEqual({ patienceMs: 1500, retryAfterMs: 400, isEarly: false })
     expect(submitPatience({ ...TERMS, deadlineMs: 1000 }).patienceMs).toBe(500)
   })
 
@@ -42,7 +42,7 @@
 
   // Guards against jobs that are lost or late in an outage of seconds, though a client's next attempt could have been in time.
   it('has more jobs accepted on time, and no fewer in all, than a fixed patience', () => {
-    const fixed = (): ReturnType<typeof submitPatience> => ({ patienceMs: 1500, retryAfterMs: 400 })
+    const fixed = (): ReturnType<typeof submitPatience> => ({ patienceMs: 1500, retryAfterMs: 400, isEarly: false })
     for (const outageMs of [2500, 4000, 7000]) {
       const early = playOutage(outageMs, submitPatience)
       const before = playOutage(outageMs, fixed)
--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -7,12 +7,12 @@
 import { type ClosingNotice, sendJson, sendOwnAnswer } from '../requests/clientAnswer'
 import type { JobWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
-import { acceptJob } from './acceptJob'
+import { acceptJob, type Submission } from './acceptJob'
 import { endJob, isClosed } from './jobRecord'
 import { storedJobId } from './jobRows'
 import { type ChangeOutcome, changeJob, type JobParts, readJob } from './jobStore'
 import type { ResultReader } from './resultReader'
-import { isStoreAway, submitPatience } from './submitPatience'
+import { createSubmitDecision } from './submitPatience'
 import type { JobRecord } from './types'
 
 /** Parts of the job calls. */
@@ -21,8 +21,6 @@
   results: ResultReader
   wire: JobWire
   notice: ClosingNotice
-  /** The longest wait that a client has named, by route; filled by the calls. */
-  longestDeadlineMs: Map<string, number>
 }
 
 /** A submission that has been read. */
@@ -69,6 +67,7 @@
   const router = findMyWay()
   let handled: Promise<void> | undefined
   let caller: Caller = { caller: 'unchecked' }
+  const decide = createSubmitDecision(parts.store)
   router.on('GET', parts.wire.resultsPath, (request, response, params, _store, query) => {
     const position = Math.max(0, Number.parseInt(query[parts.wire.afterParameter] ?? '0', 10) || 0)
     handled = readResults(parts, request as IncomingMessage, response as ServerResponse, { caller, clientJobId: params.id ?? '' }, position)
@@ -88,29 +87,32 @@
       router.lookup(request, response)
       await handled
     },
-    submit: call => submit(parts, call)
+    submit: call => submit(parts, call, decide)
   }
 }
 
-async function submit (parts: JobCallParts, call: SubmitCall): Promise<void> {
+async function submit (parts: JobCallParts, call: SubmitCall, decide: ReturnType<typeof createSubmitDecision>): Promise<void> {
   const { response, metadata, route } = call
   const items = parts.wire.decodeSubmission(call.body)
   if (!Array.isArray(items)) {
     sendOwnAnswer(response, { status: 400, code: 'bad_job', message: items.problem }, parts.notice)
     return
   }
-  const fullDeadlineMs = Math.max(parts.longestDeadlineMs.get(route.name) ?? 0, metadata.deadlineMs ?? 0)
-  parts.longestDeadlineMs.set(route.name, fullDeadlineMs)
-  const { patienceMs, retryAfterMs } = submitPatience({
-    deadlineMs: metadata.deadlineMs, fullDeadlineMs, latencyObjectiveMs: route.latencyObjectiveMs, isStoreAway: isStoreAway(parts.store)
-  })
-  const outcome = await acceptJob(parts, route, {
+  const submission: Submission = {
     jobId: storedJobId(call.caller, metadata.requestId),
     account: accountNameOf(call.caller),
     host: call.request.headers.host ?? '',
     path: call.request.url ?? '/',
     items
-  }, call.arrivedAtMs + patienceMs)
+  }
+  let decision = decide(route, metadata.deadlineMs)
+  let outcome = await acceptJob(parts, route, submission, call.arrivedAtMs + decision.patienceMs)
+  if (outcome === 'refused' && decision.isEarly) {
+    // The store may be back: a job that can be accepted now is not sent away.
+    decision = decide(route, metadata.deadlineMs)
+    if (!decision.isEarly) outcome = await acceptJob(parts, route, submission, call.arrivedAtMs + decision.patienceMs)
+  }
+  const { retryAfterMs } = decision
   parts.metrics.jobCalls.inc({ call: 'submit', outcome })
   parts.log.info('job submitted', { jobId: metadata.requestId, account: accountNameOf(call.caller), route: route.name, itemCount: items.length, outcome, elapsedMs: Math.round(parts.clock.nowMs() - call.arrivedAtMs) })
   switch (outcome) {
--- a/packages/anvilarch-serving/src/jobs/submitPatience.ts
+++ b/packages/anvilarch-serving/src/jobs/submitPatience.ts
@@ -4,6 +4,8 @@
  * Answers outages of the store of some seconds. A job cannot be accepted then, and a client that is told so at once comes back
  * with most of its time left: its next attempt may be in time, while a job that is held until the store returns is late.
  */
+import type { Route } from '../model/types'
+import type { MetadataStore } from '../store/types'
 
 /** What the decision depends on. */
 export interface SubmitTerms {
@@ -21,6 +23,8 @@
 export interface SubmitPatience {
   patienceMs: number
   retryAfterMs: number
+  /** Whether the client is sent away before the job has been tried for long. */
+  isEarly: boolean
 }
 
 /** A gateway gives a job back this long before the client would stop waiting. */
@@ -48,19 +52,35 @@
 export function submitPatience (terms: SubmitTerms): SubmitPatience {
   const deadlineMs = terms.deadlineMs ?? Infinity
   const untilDeadlineMs = Math.max(0, deadlineMs - SUBMIT_MARGIN_MS)
-  if (!terms.isStoreAway) return { patienceMs: Math.min(MAX_SUBMIT_MS, untilDeadlineMs), retryAfterMs: RETRY_AFTER_MS }
+  if (!terms.isStoreAway) return { patienceMs: Math.min(MAX_SUBMIT_MS, untilDeadlineMs), retryAfterMs: RETRY_AFTER_MS, isEarly: false }
   const isFresh = deadlineMs >= FRESH_SHARE * terms.fullDeadlineMs
-  if (!isFresh || deadlineMs === Infinity) return { patienceMs: Math.min(untilDeadlineMs, terms.fullDeadlineMs), retryAfterMs: RETRY_AFTER_MS }
-  return { patienceMs: Math.min(untilDeadlineMs, EARLY_SHARE * terms.latencyObjectiveMs), retryAfterMs: Math.round(RETRY_AFTER_SHARE * deadlineMs) }
+  if (!isFresh || deadlineMs === Infinity) return { patienceMs: Math.min(untilDeadlineMs, terms.fullDeadlineMs), retryAfterMs: RETRY_AFTER_MS, isEarly: false }
+  return { patienceMs: Math.min(untilDeadlineMs, EARLY_SHARE * terms.latencyObjectiveMs), retryAfterMs: Math.round(RETRY_AFTER_SHARE * deadlineMs), isEarly: true }
 }
 
+/** How the store has lately answered this process, by any way. */
+export type StoreContact = Pick<MetadataStore, 'lastFailureMs' | 'lastSuccessMs' | 'lastOutageMs'>
+
 /** No way to the store has worked for at least this long: one failed call is ordinary. */
 const AWAY_AFTER_MS = 200
 
 /**
- * @param contact - how the store has lately answered this process, by any way
- * @returns whether it is away for this process
+ * @param contact - of this process
+ * @returns whether the store is away for it
  */
-export function isStoreAway (contact: { lastFailureMs: () => number | undefined, lastSuccessMs: () => number | undefined, lastOutageMs: () => number }): boolean {
+export function isStoreAway (contact: StoreContact): boolean {
   return (contact.lastFailureMs() ?? -Infinity) > (contact.lastSuccessMs() ?? -Infinity) && contact.lastOutageMs() >= AWAY_AFTER_MS
 }
+
+/**
+ * @param contact - of this process
+ * @returns the decision, which learns from its questions how long clients of a route wait
+ */
+export function createSubmitDecision (contact: StoreContact): (route: Route, deadlineMs: number | undefined) => SubmitPatience {
+  const fullDeadlinesMs = new Map<string, number>()
+  return (route, deadlineMs) => {
+    const fullDeadlineMs = Math.max(fullDeadlinesMs.get(route.name) ?? 0, deadlineMs ?? 0)
+    fullDeadlinesMs.set(route.name, fullDeadlineMs)
+    return submitPatience({ deadlineMs, fullDeadlineMs, latencyObjectiveMs: route.latencyObjectiveMs, isStoreAway: isStoreAway(contact) })
+  }
+}
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -1,6 +1,5 @@
 /** The gateway: takes requests and job calls from clients. */
 import { createServer, type Server } from 'node:http'
-import { type Clock, sleep } from 'anvilarch-utils'
 import { isStillAllowed } from '../accounts/identifyCaller'
 import { createCrashWatch } from '../crashes/crashWatch'
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
@@ -19,13 +18,13 @@
 import type { ClosingNotice } from '../requests/clientAnswer'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { createHoldTimes } from '../requests/holdTimes'
-import type { EventLog } from '../telemetry/events'
 import { createLineBudget } from '../telemetry/lineBudget'
 import { logEachSecond } from '../telemetry/secondLines'
 import { createTrafficTally } from '../telemetry/trafficTally'
 import { startHeartbeat } from '../peers/heartbeat'
 import { handleClient } from './clientCalls'
-import { type ClientServer, createClientServer } from './clientServer'
+import { createClientServer } from './clientServer'
+import { drainClients } from './drainClients'
 import { createGatewayAccounts } from './gatewayAccounts'
 import { followPlatform, SHARED_PARTITIONS } from './followPlatform'
 import { once } from './once'
@@ -34,15 +33,6 @@
 /** A gateway needs the other daemons only as ways to the store, when the store turns it away. */
 const MEMBERS_INTERVAL_MS = 10_000
 
-/** Clients come for this long after the process has reported that it leaves: two missed questions, one a second, and a margin. */
-const DRAIN_ACCEPT_MS = 2600
-
-/** The process is gone this long before it would be killed. */
-const STOP_MARGIN_MS = 700
-
-/** How often the end of the requests in progress is looked for. */
-const STOP_POLL_MS = 50
-
 /** A few gateways share the connections that an endpoint takes; each keeps to this part of them. */
 const CONNECTION_SHARE = 0.25
 
@@ -140,8 +130,7 @@
     metrics: context.metrics,
     results: createResultReader(context.store),
     wire: wire.job,
-    notice,
-    longestDeadlineMs: new Map()
+    notice
   })
   logEachSecond({
     clock,
@@ -208,32 +197,13 @@
     close,
     stop: async () => {
       leaving = true
-      const stoppedAtMs = clock.nowMs()
       heartbeat.stop()
-      await sleep(clock, DRAIN_ACCEPT_MS)
-      clients.server.close()
-      clients.server.closeIdleConnections()
-      logUnfinished(clients, log, clock)
-      while (clients.unfinishedRequests().length > 0 && clock.nowMs() - stoppedAtMs < settings.stopGraceMs - STOP_MARGIN_MS) await sleep(clock, STOP_POLL_MS)
-      log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests().length })
+      await drainClients({ clients, log, clock, graceMs: settings.stopGraceMs })
       await close()
     }
   }
 }
 
-/** Says for what a stop waits: a process that is killed at the end of its grace cannot say so any more. */
-function logUnfinished (clients: ClientServer, log: EventLog, clock: Clock): void {
-  const unfinished = clients.unfinishedRequests()
-  if (unfinished.length === 0) return
-  const oldest = unfinished.reduce((first, other) => other.arrivedAtMs < first.arrivedAtMs ? other : first)
-  log.info('stop waits for requests', {
-    requestCount: unfinished.length,
-    oldestMethod: oldest.method,
-    oldestPath: oldest.path,
-    oldestAgeMs: Math.round(clock.nowMs() - oldest.arrivedAtMs)
-  })
-}
-
 /** Used until the daemons have been listed. */
 const USUAL_GATEWAY_COUNT = 4
 
