--- a/packages/anvilarch-serving/src/accounts/__tests__/limits.test.ts
+++ b/packages/anvilarch-serving/src/accounts/__tests__/limits.test.ts
@@ -130,6 +130,17 @@
     asked.push(limits.ask(CALLER))
     await clock.advanceAsync(250)
     expect(await asked[1]).toMatchObject({ granted: false, granter: 'self', retryAfterMs: 500 })
+    // Long after the start, nobody waits for homes that are lost.
+    await clock.advanceAsync(10_000)
+    const first = limits.ask(CALLER)
+    await clock.advanceAsync(2 * PERMIT_PATIENCE_MS)
+    expect((await first).granted).toBe(false)
+    await clock.advanceAsync(60)
+    const askedAtMs = clock.nowMs()
+    const late = limits.ask(CALLER)
+    await clock.advanceAsync(0)
+    expect(await late).toMatchObject({ granted: false, granter: 'self' })
+    expect(clock.nowMs()).toBe(askedAtMs)
   })
 
   // Guards against permits that nobody uses since their answer came after the patience was over.
--- a/packages/anvilarch-serving/src/accounts/limits/rateLimits.ts
+++ b/packages/anvilarch-serving/src/accounts/limits/rateLimits.ts
@@ -43,10 +43,13 @@
 /** Once turned away, an account's requests are turned away here without a question for up to this long. */
 const MAX_REMEMBERED_DENIAL_MS = 50
 
-/** While neither home nor deputy is heard and this gateway's own part is used up, they are asked again so often and so soon. */
+/** While neither home nor deputy is heard and this gateway's own part is used up, they are asked so often and so soon. */
 const UNHEARD_TRIES = 3
 const UNHEARD_PAUSE_MS = 50
 
+/** Later than this after the start, homes that are not heard are lost or cut off, and waiting for them is of no use. */
+const STARTING_MS = 3000
+
 /** A home that was not heard has started anew, or another has taken its place, within about this. */
 const UNHEARD_RETRY_AFTER_MS = 500
 
@@ -78,6 +81,7 @@
 export function createRateLimits (options: RateLimitsOptions): RateLimits {
   const { clock, meters, asker } = options
   const queues = new Map<string, AccountQueue>()
+  const startedAtMs = clock.nowMs()
 
   const fromPlace = async (place: MeterPlace, granter: Exclude<Granter, 'self'>, accountName: string, wanted: number): Promise<GivenGrant | undefined> => {
     if (place.name === options.ownName) return fromOwn(granter, accountName, wanted)
@@ -108,7 +112,8 @@
    */
   const obtainPatiently = async (accountName: string, wanted: number): Promise<GivenGrant> => {
     let given = await obtain(accountName, wanted)
-    for (let tries = 1; tries < UNHEARD_TRIES && given.granter === 'self' && given.granted === 0; tries++) {
+    const allTries = clock.nowMs() - startedAtMs < STARTING_MS ? UNHEARD_TRIES : 1
+    for (let tries = 1; tries < allTries && given.granter === 'self' && given.granted === 0; tries++) {
       await sleep(clock, UNHEARD_PAUSE_MS)
       given = await obtain(accountName, wanted)
     }
