--- a/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
@@ -22,6 +22,17 @@
     expect(overload.refused && overload.retryAfterMs).toBeGreaterThan(800)
   })
 
+  // Guards against urgent accounts that wait behind less urgent ones at endpoints that are full.
+  it('refuses the less urgent accounts first as the queue grows', () => {
+    const refusedFrom = (ranksBehind: number): number => {
+      for (let online = 0; online < 40; online++) if (checkOverload(input(online, { ranksBehind, holdMs: 100 })).refused) return online
+      return Infinity
+    }
+    const [urgent, less, least] = [0, 1, 2].map(refusedFrom)
+    expect(less).toBeLessThan(urgent)
+    expect(least).toBeLessThan(less)
+  })
+
   it('does not send a client away twice', () => {
     expect(checkOverload(input(12, { remainingMs: 3500 })).refused).toBe(false)
   })
--- a/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
@@ -52,6 +52,12 @@
     expect(chosen.map(candidate => candidate.job.jobId)).toEqual(['first', 'first', 'later'])
   })
 
+  it('takes items of the more urgent accounts first, unless others are due more than a second sooner for each step', () => {
+    const jobs = [job('less', 20_000), job('more', 20_900), job('soon', 18_000)]
+    const ranksBehind = ({ jobId }: JobRecord): number => jobId === 'more' ? 0 : 1
+    expect(chooseItems(input({ jobs }, { ranksBehind }), 6).map(candidate => candidate.job.jobId)).toEqual(['soon', 'soon', 'more', 'more', 'less', 'less'])
+  })
+
   // Symptom: nearly all items of a busy hour end just after they were due.
   // Sequence: jobs come faster than the slack can do them; the oldest is always done next, though it is late already.
   // Cause: due time alone does not tell what can still be done in time.
