--- a/packages/anvilarch-bench/src/experiments/__tests__/experiments.test.ts
+++ b/packages/anvilarch-bench/src/experiments/__tests__/experiments.test.ts
@@ -13,7 +13,7 @@
   })
 
   test('has the experiments that the measurements page names', () => {
-    expect([...EXPERIMENTS.keys()].sort()).toEqual(['affinity', 'configuration', 'control', 'jobs', 'logCost', 'lookup', 'loss', 'mix', 'overhead', 'overload', 'placement'])
+    expect([...EXPERIMENTS.keys()].sort()).toEqual(['affinity', 'configuration', 'control', 'jobs', 'limits', 'logCost', 'lookup', 'loss', 'mix', 'overhead', 'overload', 'placement'])
   })
 })
 
