Take back the early end of jobs while the store is away; find the handler of a job call by its route

A store that turns a gateway away fails its first calls and answers through peers soon after; the job was given back meanwhile, to come again 1.5 s later. The model of an outage that the change was built on knew no peers.

--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -12,7 +12,6 @@
 import { storedJobId } from './jobRows'
 import { type ChangeOutcome, changeJob, type JobParts, readJob } from './jobStore'
 import type { ResultReader } from './resultReader'
-import { createSubmitDecision } from './submitPatience'
 import type { JobRecord } from './types'
 
 /** Parts of the job calls. */
@@ -34,6 +33,19 @@
   arrivedAtMs: number
 }
 
+/** A call about a job that has been handed in. */
+interface NamedJobCall {
+  request: IncomingMessage
+  response: ServerResponse
+  named: NamedJob
+  query: Record<string, string>
+}
+
+type JobHandler = (call: NamedJobCall) => Promise<void>
+
+/** The router only finds the handler of a call, since it hands on no more than request and response. */
+const unused = (): void => {}
+
 /** Handles the calls about jobs. */
 export interface JobCalls {
   /** @returns whether the request is a call about a job that has been handed in */
@@ -42,6 +54,12 @@
   submit: (call: SubmitCall) => Promise<void>
 }
 
+/** A gateway gives a submission back this long before the client would stop waiting. */
+const SUBMIT_MARGIN_MS = 500
+
+/** Longest time that one gateway tries to accept a job; another gateway may reach the store. */
+const MAX_SUBMIT_MS = 1500
+
 /** How long a read or an end of a job is tried. Clients send it again. */
 const CALL_TIMEOUT_MS = 1200
 
@@ -65,33 +83,29 @@
  */
 export function createJobCalls (parts: JobCallParts): JobCalls {
   const router = findMyWay()
-  let handled: Promise<void> | undefined
-  let caller: Caller = { caller: 'unchecked' }
-  const decide = createSubmitDecision(parts.store)
-  router.on('GET', parts.wire.resultsPath, (request, response, params, _store, query) => {
+  const on = (method: 'GET' | 'DELETE', path: string, answer: JobHandler): void => router.on(method, path, unused, answer)
+  on('GET', parts.wire.resultsPath, async ({ request, response, named, query }) => {
     const position = Math.max(0, Number.parseInt(query[parts.wire.afterParameter] ?? '0', 10) || 0)
-    handled = readResults(parts, request as IncomingMessage, response as ServerResponse, { caller, clientJobId: params.id ?? '' }, position)
-  })
-  router.on('GET', parts.wire.itemPath, (_request, response, params, _store, query) => {
-    handled = readItem(parts, response as ServerResponse, { caller, clientJobId: params.id ?? '' }, query[parts.wire.itemParameter] ?? '')
-  })
-  router.on('DELETE', parts.wire.resultsPath, (_request, response, params) => {
-    handled = end(parts, response as ServerResponse, { caller, clientJobId: params.id ?? '' })
+    await readResults(parts, request, response, named, position)
   })
+  on('GET', parts.wire.itemPath, async ({ response, named, query }) => await readItem(parts, response, named, query[parts.wire.itemParameter] ?? ''))
+  on('DELETE', parts.wire.resultsPath, async ({ response, named }) => await end(parts, response, named))
+
+  const find = ({ method, url }: IncomingMessage): ReturnType<typeof router.find> => router.find(method as 'GET', url ?? '/')
   return {
-    isJobCall: request => router.find(request.method as 'GET', request.url?.split('?')[0] ?? '/') !== null,
-    handle: async (request, response, calling) => {
+    isJobCall: request => find(request) !== null,
+    handle: async (request, response, caller) => {
+      const found = find(request)
+      if (found === null) return
       request.resume()
-      caller = calling
-      handled = undefined
-      router.lookup(request, response)
-      await handled
+      const answer = found.store as JobHandler
+      await answer({ request, response, named: { caller, clientJobId: found.params.id ?? '' }, query: found.searchParams })
     },
-    submit: call => submit(parts, call, decide)
+    submit: call => submit(parts, call)
   }
 }
 
-async function submit (parts: JobCallParts, call: SubmitCall, decide: ReturnType<typeof createSubmitDecision>): Promise<void> {
+async function submit (parts: JobCallParts, call: SubmitCall): Promise<void> {
   const { response, metadata, route } = call
   const items = parts.wire.decodeSubmission(call.body)
   if (!Array.isArray(items)) {
@@ -105,14 +119,8 @@
     path: call.request.url ?? '/',
     items
   }
-  let decision = decide(route, metadata.deadlineMs)
-  let outcome = await acceptJob(parts, route, submission, call.arrivedAtMs + decision.patienceMs)
-  if (outcome === 'refused' && decision.isEarly) {
-    // The store may be back: a job that can be accepted now is not sent away.
-    decision = decide(route, metadata.deadlineMs)
-    if (!decision.isEarly) outcome = await acceptJob(parts, route, submission, call.arrivedAtMs + decision.patienceMs)
-  }
-  const { retryAfterMs } = decision
+  const patienceMs = Math.min(MAX_SUBMIT_MS, (metadata.deadlineMs ?? Infinity) - SUBMIT_MARGIN_MS)
+  const outcome = await acceptJob(parts, route, submission, call.arrivedAtMs + patienceMs)
   parts.metrics.jobCalls.inc({ call: 'submit', outcome })
   parts.log.info('job submitted', { jobId: metadata.requestId, account: accountNameOf(call.caller), route: route.name, itemCount: items.length, outcome, elapsedMs: Math.round(parts.clock.nowMs() - call.arrivedAtMs) })
   switch (outcome) {
@@ -123,7 +131,7 @@
       sendOwnAnswer(response, { status: 429, code: 'over_limit', message: 'too many tokens wait on this route', retryAfterMs: OVER_LIMIT_RETRY_AFTER_MS }, parts.notice)
       return
     case 'refused':
-      sendOwnAnswer(response, { status: 503, code: 'store_unavailable', message: 'the job could not be stored and will not run', retryAfterMs }, parts.notice)
+      sendOwnAnswer(response, { status: 503, code: 'store_unavailable', message: 'the job could not be stored and will not run', retryAfterMs: RETRY_AFTER_MS }, parts.notice)
       return
     case 'unknown':
       sendOwnAnswer(response, { status: 504, code: 'outcome_unknown', message: 'the store has not said whether the job is stored' }, parts.notice)
