--- a/packages/anvilarch-bench/src/model/__tests__/fleetModel.test.ts
+++ b/packages/anvilarch-bench/src/model/__tests__/fleetModel.test.ts
@@ -20,17 +20,14 @@
     expect(figures.itemsInTimeShare).toBe(1)
   })
 
-  // Symptom: two runs are cut for each item done, each at the price of a claim, a save and a prompt read again.
-  // Sequence: in a burst, requests go to engines with few requests and many items, past engines with slots that nobody uses.
-  // Cause: an item counted as a quarter of a request. Runs cut for each item done: 2.1 then, 1.4 now.
+  // Guards against this: two runs are cut for each item done, each at the price of a claim, a save and a prompt read again.
   it('cuts fewer items when a slot without an item is preferred', async () => {
     const [now, before] = [await play({}), await play({ batchItem: 0.25 })]
     expect(now.cutsPerItem).toBeLessThan(1.8)
     expect(now.cutsPerItem).toBeLessThan(0.85 * before.cutsPerItem)
   })
 
-  // Symptom: nearly as many connections are opened as there are requests, on a fleet of many gateways and engines.
-  // Cause: gateways did not prefer engines to which they had a connection. Connections for each request: 0.38 then, 0.25 now.
+  // Guards against this: nearly as many connections are opened as there are requests, on a fleet of many gateways and engines.
   it('opens fewer connections when an idle one is preferred', async () => {
     const [now, before] = [await play({}), await play({ idleConnection: 0 })]
     expect(now.newConnectionsPerRequest).toBeLessThan(0.8 * before.newConnectionsPerRequest)
--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -94,9 +94,7 @@
     expect(found({ ...PLANTED['requests cut by a planned stop'], faults: [STOP_FAULT, kill] })).toEqual([])
   })
 
-  // Symptom: a soak counts new work on a leaving endpoint (seed 317). Sequence: an engine is frozen; calls are given to it; its agent is told to stop
-  // 0.05 to 0.7 s later; the engine runs again after 9.5 s and begins the calls. Cause: the check took the begin at the engine for
-  // the moment at which the work was given. Evidence: the five calls were sent before the stop, ran once and got their whole answers.
+  // Guards against this: a soak counts new work on a leaving endpoint (seed 317).
   test('does not count work that waited in a frozen engine since before it began to leave', () => {
     const leave = ENGINE_LEAVE
     const endpoint = leave.endpoints[0]
@@ -111,10 +109,7 @@
     expect(found({ leaves: [leave], calls: [before], executions: [run], faults: [{ ...frozen, healedAtMs: leave.sinceMs + 1000 }] })).toEqual(counted)
   })
 
-  // Symptom: a soak blames a planned stop for a keyed order (seed 42: `conflict`, "the call under Idempotency-Key is in progress").
-  // Sequence: a careful client sends an order through two gateways at once; the second is told that the first is in progress; a stop falls
-  // into that moment. Cause: the check took this answer for a call that was cut. Evidence: in four soaks without such a stop 378 to 395
-  // of 1,370 to 1,415 keyed orders got it, within 112 ms, and each of their keys got its whole answer.
+  // Guards against this: a soak blames a planned stop for a keyed order (seed 42: `conflict`, "the call under Idempotency-Key is in progress").
   test('does not blame a planned stop for a call whose key is in progress elsewhere, unless that call was cut too', () => {
     const order = { kind: 'keyed_order', key: 'order-1', idempotent: false } as const
     const told = call({ ...order, requestId: 'order-1.0', sentAtMs: 4000, endedAtMs: 6000, told: 'failed', status: 409, code: 'conflict', ran: 'unknown' })
--- a/packages/anvilarch-daemon/src/admission/__tests__/admissionStep.test.ts
+++ b/packages/anvilarch-daemon/src/admission/__tests__/admissionStep.test.ts
@@ -66,11 +66,7 @@
     expect(tick(state, 50)).toEqual([{ kind: 'giveUp', id: 'b', reason: 'deadline', started: false, retryAfterMs: 0 }])
   })
 
-  /*
-   * Symptom: a lookup waited for a batch item.
-   * Sequence: batch fills all slots of an idle endpoint; an online request arrives.
-   * Cause: the engine runs what it has in the order in which it came.
-   */
+  // Guards against this: a lookup waited for a batch item.
   it('cuts batch off on the arrival of online work, before any time was measured, and starts that as soon as a slot is free', () => {
     const state = endpoint()
     fillWithBatch(state, 4)
@@ -79,11 +75,7 @@
     expect(release(state, preempted[0].id, 2001)).toEqual([{ kind: 'start', id: 'a' }])
   })
 
-  /*
-   * Symptom: first tokens of online requests are late by several steps of the engine.
-   * Sequence: batch items start together in an idle gap; an online request arrives behind their prompts.
-   * Cause: an engine computes prompts in the order in which they came.
-   */
+  // Guards against this: first tokens of online requests are late by several steps of the engine.
   it('lets few prompts of batch items be computed at a time, and cuts those off when online work arrives', () => {
     const state = endpoint({ slots: 16 })
     for (let id = 0; id < 8; id++) arrive(state, `b${id}`, 'batch')
@@ -106,11 +98,7 @@
     expect(finish(state, 'a', 2010)).toEqual([{ kind: 'resume', id: 'b0' }])
   })
 
-  /*
-   * Symptom: a batch item never ended.
-   * Sequence: online work comes again and again, and cuts the same item off each time.
-   * Cause: nothing bounds how often an item gives way.
-   */
+  // Guards against this: a batch item never ended.
   it('protects an item that was preempted often until it is done', () => {
     const state = endpoint({ slots: 1, maxPreemptions: 3 })
     fillWithBatch(state, 1)
@@ -140,11 +128,7 @@
     expect(finish(state, 'second', 30).map(command => command.kind)).toEqual(['start', 'start'])
   })
 
-  /*
-   * Symptom: an endpoint took no work for minutes.
-   * Sequence: a suspect waits to run alone while a long stream goes on.
-   * Cause: nothing bounds the wait, and nothing else starts meanwhile.
-   */
+  // Guards against this: an endpoint took no work for minutes.
   it('gives an isolated attempt up that waited too long, and goes on with the others', () => {
     const state = endpoint({ maxIsolationWaitMs: 500 })
     arrive(state, 'a', 'online')
--- a/packages/anvilarch-daemon/src/admission/__tests__/soloFirstToken.test.ts
+++ b/packages/anvilarch-daemon/src/admission/__tests__/soloFirstToken.test.ts
@@ -1,11 +1,6 @@
 import { type AdmissionCommand, type AdmissionState, admissionLoad, admissionStep, createAdmissionState } from '..'
 
-// Symptom: after a crash, harmless calls that ran beside the one that caused it miss their deadline, and so do calls that come
-// later, though endpoints are up. Sequence: an endpoint with 15 to 30 attempts crashes; those without a token are run again with
-// nothing beside them, each to its end; an endpoint that holds some of them starts nothing else until the last has ended. Cause:
-// a suspect kept an endpoint for the time of its whole answer, where the computing of its prompt is all that tells whether it crashes
-// the endpoint. Evidence: soak seed 42 with crashing requests and planned stops, waits for an endpoint mended: 63 of 174 calls
-// beside a crash did not finish, 166 of 7,855 idempotent calls were held to their deadline of 20 s.
+// Guards against this: after a crash, harmless calls that ran beside the one that caused it miss their deadline, and so do calls that come later, though endpoints are up.
 
 const starts = (commands: AdmissionCommand[]): string[] => commands.filter(command => command.kind === 'start').map(command => command.id)
 
--- a/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
@@ -36,12 +36,7 @@
     expect(harness.violations).toEqual([])
   })
 
-  /*
-   * Symptom: an endpoint is given orders of a placement that lost its lease.
-   * Sequence: a holder is paused and a new one takes over; the agent is restarted, and the old holder goes on. The
-   * engine does not check tokens.
-   * Cause: a restarted agent has seen no token.
-   */
+  // Guards against this: an endpoint is given orders of a placement that lost its lease.
   it('takes no order before it has read the floor of tokens, and none below it', async () => {
     await start({}, { preload: [], checksFencing: false })
     tableIsDown = true
@@ -83,12 +78,7 @@
     expect((await run('late')).refused?.reason).toBe('model_not_loaded')
   })
 
-  /*
-   * Symptom: all replicas of a service refuse work for up to a second after a change of its adapters or version.
-   * Sequence: the agents were never told which service they run, since the loaded model shows it; the document changes,
-   * and no service fits any more until placement has ordered the load.
-   * Cause: an endpoint without an assigned service forgot what it had been serving.
-   */
+  // Guards against this: all replicas of a service refuse work for up to a second after a change of its adapters or version.
   it('goes on with the service that its model fitted while a change of the service is being loaded', async () => {
     await start()
     expect((await run('before')).final?.outcome).toBe('completed')
@@ -129,11 +119,7 @@
     expect((await run('unknown', { configurationVersion: 9n, service: 'new-service' })).refused?.reason).toBe('stale_configuration')
   })
 
-  /*
-   * Symptom: a request is cut off by a planned stop.
-   * Sequence: an agent is told to stop while a stream runs and batch items are in progress.
-   * Cause: the process ends with its signal.
-   */
+  // Guards against this: a request is cut off by a planned stop.
   it('finishes what runs in a drain, hands batch back, and takes nothing new', async () => {
     await start({ options: { batchDrainGraceMs: 50 } })
     const stream = run('stream', { body: chat(200), outputMode: 'stream' })
--- a/packages/anvilarch-daemon/src/agent/__tests__/attemptTable.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/attemptTable.test.ts
@@ -182,12 +182,7 @@
     fc.assert(fc.property(ACTIONS, actions => { new History().run(actions) }), { seed: 20261202, numRuns: 3000 })
   })
 
-  /*
-   * Symptom: a caller was told `not_run`, and the attempt ran.
-   * Sequence: the gateway's start hangs in a connection that went silent; the gateway resumes over a new one and is
-   * told that the agent never saw the id; then the old connection delivers the start.
-   * Cause: nothing keeps an id that was asked for but never seen.
-   */
+  // Guards against this: a caller was told `not_run`, and the attempt ran.
   it('bars an id that is resumed or cancelled before its start arrives', () => {
     const table = createAttemptTable(OPTIONS)
     expect(send(table, { kind: 'resume', nowMs: 0, id: 'a', incarnation: 'now' })).toEqual([{ kind: 'refuse', id: 'a', reason: 'barred' }])
@@ -197,11 +192,7 @@
     }
   })
 
-  /*
-   * Symptom: a caller was told `not_run` of an attempt that had run.
-   * Sequence: the output of an ended attempt is no longer kept; then a gateway that was paused resumes it.
-   * Cause: the id was dropped together with its output, and an unknown id is barred.
-   */
+  // Guards against this: a caller was told `not_run` of an attempt that had run.
   it('says of an attempt whose output is gone that it is lost, not that it did not run', () => {
     const table = createAttemptTable(OPTIONS)
     const base = { nowMs: 0, id: 'a' }
--- a/packages/anvilarch-daemon/src/agent/__tests__/engineFailures.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/engineFailures.test.ts
@@ -29,11 +29,7 @@
     expect(harness.violations).toEqual([])
   })
 
-  /*
-   * Symptom: a caller waits for the rest of a stream that never comes.
-   * Sequence: something between agent and engine loses track of the open connections; new ones work.
-   * Cause: a silent connection gives no error.
-   */
+  // Guards against this: a caller waits for the rest of a stream that never comes.
   it('goes on over a new connection when the open ones go silent, with each token once and one execution', async () => {
     await start()
     const body = chat('silence', 200)
@@ -55,11 +51,7 @@
     expect(beats[0].load).toMatchObject({ endpoint: 'engine', runningOnline: 1 })
   })
 
-  /*
-   * Symptom: a request is run again and again, and takes an endpoint down each time.
-   * Sequence: one request ends the engine's process; another one runs beside it.
-   * Cause: nobody knows which of the two it was.
-   */
+  // Guards against this: a request is run again and again, and takes an endpoint down each time.
   it('ends all attempts in progress as crashed when the engine dies, and refuses new ones until it is back', async () => {
     await start({ crashOn: 'deadly' })
     const beside = readFrames(harness.client.startAttempt(startMessage({ attemptId: 'beside', body: chat('harmless', 400), outputMode: 'stream' })))
@@ -105,12 +97,7 @@
     expect((await beside).final).toMatchObject({ outcome: 'completed' })
   })
 
-  /*
-   * Symptom: a request takes one endpoint down after another, once for each gateway that its caller tries.
-   * Sequence: it crashes the engine before its first token; its caller sends it again through a gateway that has seen no
-   * crash; the engine is back.
-   * Cause: only the gateway of the first try knew that it was a suspect.
-   */
+  // Guards against this: a request takes one endpoint down after another, once for each gateway that its caller tries.
   it('starts what was in progress without a token at a crash only alone, until it proved harmless', async () => {
     await start({ crashOn: 'deadly' })
     const message = (attemptId: string, fields: object = {}) => startMessage({ attemptId, fingerprint: 'f', body: chat('harmless in the end', 5), ...fields })
@@ -136,11 +123,7 @@
     engine.faults.set({ frozen: false })
   })
 
-  /*
-   * Symptom: an online request waits for a batch item, or a preempted item loses or doubles tokens.
-   * Sequence: a batch item holds the only slot; an online request arrives.
-   * Cause: the engine runs what it has.
-   */
+  // Guards against this: an online request waits for a batch item, or a preempted item loses or doubles tokens.
   it('cuts a batch item off for online work and goes on with it at its offset', async () => {
     await start({ slots: 1 })
     const body = chat('batch', 200)
@@ -163,11 +146,7 @@
     expect(executions('batch')).toHaveLength(2)
   })
 
-  /*
-   * Symptom: the engine is slower than the agent's count of running attempts explains.
-   * Sequence: an attempt is cancelled, or its deadline passes, while it runs.
-   * Cause: a dropped connection does not stop a stream at the engine.
-   */
+  // Guards against this: the engine is slower than the agent's count of running attempts explains.
   it.each([
     ['cancelled', 60_000, true],
     ['deadline', 1000, false]
--- a/packages/anvilarch-daemon/src/agent/__tests__/gatewayConnections.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/gatewayConnections.test.ts
@@ -23,11 +23,7 @@
     expect(harness.violations).toEqual([])
   })
 
-  /*
-   * Symptom: a caller's stream is cut off, or starts again from its beginning.
-   * Sequence: the connection between gateway and agent breaks in the middle of a stream; the gateway resumes.
-   * Cause: the output was tied to the connection that asked for it.
-   */
+  // Guards against this: a caller's stream is cut off, or starts again from its beginning.
   it('goes on with an attempt whose reader went away, and gives the rest from any offset over another connection', async () => {
     await start()
     const gone = new AbortController()
@@ -61,12 +57,7 @@
     await until(() => engine.load().running === 0)
   })
 
-  /*
-   * Symptom: a caller was told "not run", and the request ran.
-   * Sequence: the start hangs in a silent connection; the gateway resumes over a new one and is refused as barred; the
-   * old connection then delivers the start.
-   * Cause: nothing keeps ids that were asked for but never seen.
-   */
+  // Guards against this: a caller was told "not run", and the request ran.
   it('never runs an attempt whose start arrives after it was barred', async () => {
     await start()
     const resumed = await readFrames(harness.connect().resumeAttempt({ requestId: 'r', attemptId: 'a', offsetBytes: 0n, agentIncarnation: 'incarnation-1' }))
@@ -96,11 +87,7 @@
     expect((await readFrames(harness.client.startAttempt(startMessage({ attemptId: 'a', body: BODY })))).final?.outcome).toBe('completed')
   })
 
-  /*
-   * Symptom: all callers of a connection wait for one that reads slowly.
-   * Sequence: one reader takes no more frames while its attempt goes on; others run on the same connection.
-   * Cause: frames are pushed, whether or not they are taken.
-   */
+  // Guards against this: all callers of a connection wait for one that reads slowly.
   it('holds back only the stream of a reader that takes nothing', async () => {
     await start({}, 1)
     const long = { ...BODY, max_tokens: 1500 }
@@ -114,11 +101,7 @@
     expect(textOfEvents(rest.output)).toEqual({ text: expectedText(PATH, long), tokens: 1500, isWhole: true })
   })
 
-  /*
-   * Symptom: a planned stop of an agent takes until its last bound, minutes later.
-   * Sequence: a gateway's connection goes silent in the middle of a stream; the agent is told to stop.
-   * Cause: what was sent is never taken, so that the stream never ends.
-   */
+  // Guards against this: a planned stop of an agent takes until its last bound, minutes later.
   it('does not wait in a drain for a reader whose connection went silent', async () => {
     // The server library reports each stream that it can't finish.
     const reports = jest.spyOn(console, 'error').mockImplementation(() => {})
--- a/packages/anvilarch-daemon/src/agent/__tests__/ownPause.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/ownPause.test.ts
@@ -29,9 +29,7 @@
     expect(harness.violations).toEqual([])
   })
 
-  // Symptom: after a host wakes up, its agent opens each of its streams to the engine anew and drops the connections of all gateways.
-  // Sequence: the agent's process stands still for longer than an engine may be silent; tokens and answers to pings wait in its
-  // sockets; the tick runs before they are read. Cause: the own pause counted as silence of the engine and of the gateways.
+  // Guards against this: after a host wakes up, its agent opens each of its streams to the engine anew and drops the connections of all gateways.
   it('keeps its streams to the engine and the connections of its gateways', async () => {
     const reading = readFrames(harness.client.startAttempt(startMessage({ attemptId: 'a', body: { model: 'small', messages: [{ role: 'user', content: 'x' }], max_tokens: 60 }, outputMode: 'stream' })))
     await until(() => harness.events('a').includes('attempts.first_token'))
--- a/packages/anvilarch-daemon/src/agent/__tests__/plainCalls.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/plainCalls.test.ts
@@ -27,11 +27,7 @@
     expect(harness.violations).toEqual([])
   })
 
-  /*
-   * Symptom: a trader is told "not run", orders again, and pays twice.
-   * Sequence: a call that can't be repeated is sent; the connection is cut before, or in the middle of, its answer.
-   * Cause: a cut connection says nothing of what the service did.
-   */
+  // Guards against this: a trader is told "not run", orders again, and pays twice.
   it.each([
     ['before the answer', (socket: Socket) => { socket.destroy() }],
     ['in the middle of the answer', (socket: Socket) => { socket.write('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf', () => { socket.destroy() }) }]
@@ -42,12 +38,7 @@
     expect(server.requests).toEqual(['POST /orders HTTP/1.1'])
   })
 
-  /*
-   * Symptom: a call runs twice.
-   * Sequence: the service closes an idle connection at the moment at which the call goes out on it; the HTTP client
-   * sends it again by itself.
-   * Cause: reuse of a kept-alive connection for a call that can't be repeated.
-   */
+  // Guards against this: a call runs twice.
   it('uses a connection of its own for each call that is not idempotent', async () => {
     const sockets = new Set<Socket>()
     await start(socket => {
@@ -86,11 +77,7 @@
     expect(server.requests).toHaveLength(3)
   })
 
-  /*
-   * Symptom: a lookup waits for its deadline although the service is well.
-   * Sequence: the kept-alive connection went silent; the call is lost on it.
-   * Cause: a silent connection gives no error.
-   */
+  // Guards against this: a lookup waits for its deadline although the service is well.
   it('sends an idempotent call again beside one that stays silent, and takes the first answer', async () => {
     await start((socket, number) => { if (number !== 0) socket.write(WHOLE_ANSWER) })
     const read = await call({ attemptId: 'a' })
--- a/packages/anvilarch-daemon/src/agent/__tests__/plainRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/plainRun.test.ts
@@ -9,14 +9,7 @@
 
   afterEach(async () => { await server.close() })
 
-  /*
-   * Symptom: about one idempotent call in forty to a service that resets connections failed, though its second try
-   * would have been answered.
-   * Sequence: the connection is reset; while the run asks whether the service still listens, the agent's tick finds no
-   * exchange open, takes that for silence and sends the call again; the answer to the question then finds the tries
-   * used up and ends the call.
-   * Cause: two places decided on the second try.
-   */
+  // Guards against this: about one idempotent call in forty to a service that resets connections failed, though its second try would have been answered.
   it('is not given up by the judgement on its first try while the tick has sent it again', async () => {
     server = await startRawServer((socket, number) => {
       if (number === 0) socket.destroy()
--- a/packages/anvilarch-daemon/src/attempts/__tests__/gatewayFailures.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/gatewayFailures.test.ts
@@ -40,8 +40,7 @@
 
 describe('silence', () => {
   it('resumes a stream whose connection went silent, over a new connection and from its offset', async () => {
-    // Symptom: a streamed answer stops in the middle for good. Sequence: the endpoint goes on, the agent keeps the
-    // output, but frames and heartbeats no longer arrive. Cause: something between the two ends lost the connection.
+    // Guards against this: a streamed answer stops in the middle for good.
     await start({ agents: [model('a1', { hold: true })] })
     const answer = chat()
     await condition(() => gateway.agents[0].executions.length === 1)
@@ -53,8 +52,7 @@
   })
 
   it('runs a call elsewhere when the agent proves that it never saw its start', async () => {
-    // Symptom: a call that may not be repeated is sent into a silent connection. Sequence: no answer to the start; the
-    // resumption over a new connection bars the attempt. Cause: the start was lost, so that running elsewhere is safe.
+    // Guards against this: a call that may not be repeated is sent into a silent connection.
     await start({ agents: [{ name: 'a1' }, { name: 'a2' }] })
     gateway.agents[0].faults.muteStarts = true
     const response = await reserve()
@@ -95,8 +93,7 @@
 
 describe('a lost agent', () => {
   it('continues a stream at another endpoint, whole and with one role', async () => {
-    // Symptom: a streamed answer breaks off. Sequence: the agent is killed after some events reached the caller; its
-    // successor has another incarnation. Cause: the host was lost; the request is idempotent, its text can be continued.
+    // Guards against this: a streamed answer breaks off.
     await start({ agents: [model('a1'), model('a2')] })
     gateway.agents[0].faults.dieAfterChunks = 3
     const answer = await chat()
@@ -107,8 +104,7 @@
   })
 
   it('tells a caller of a call that may not be repeated that its outcome is unknown', async () => {
-    // Symptom: a reservation is made twice. Sequence: the agent is killed after the endpoint ran the call, before its
-    // answer was read. Cause: what is not known to have failed was sent again.
+    // Guards against this: a reservation is made twice.
     await start({ agents: [{ name: 'a1', answer: () => ['{"half":', '1}'] }, { name: 'a2' }] })
     gateway.agents[0].faults.dieAfterChunks = 1
     const response = await reserve()
@@ -135,8 +131,7 @@
 
 describe('a request that crashes endpoints', () => {
   it('is run once more alone, then quarantined, and is not sent again', async () => {
-    // Symptom: one endpoint after the other crashes. Sequence: a request crashes its endpoint, its caller sends it
-    // again. Cause: nothing remembers what ran when an endpoint crashed.
+    // Guards against this: one endpoint after the other crashes.
     await start({ agents: [model('a1'), model('a2'), model('a3')] })
     gateway.agents.forEach(agent => { agent.faults.crashOn = 'poison' })
     const first = await chat('poison')
@@ -175,8 +170,7 @@
 
 describe('waiting for an endpoint', () => {
   it('waits for the only endpoint to restart when the request had begun', async () => {
-    // Symptom: answers in progress are lost with the one endpoint. Sequence: the endpoint crashes in the middle of a stream
-    // and is ready again a moment later. Cause: a request that finds no endpoint was refused at once, begun or not.
+    // Guards against this: answers in progress are lost with the one endpoint.
     await start({ agents: [model('a1', { hold: true })] })
     const [agent] = gateway.agents
     const answer = chat()
--- a/packages/anvilarch-daemon/src/attempts/__tests__/intentHistories.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/intentHistories.test.ts
@@ -170,8 +170,7 @@
   })
 
   it('answers unknown, and never runs again, when the gateway that ran the call is dead', async () => {
-    // Symptom: a reservation is made twice. Sequence: a gateway records the intent, sends the call and dies; the caller
-    // sends it again through another gateway. Cause: the row of the dead gateway was taken for one that did not run.
+    // Guards against this: a reservation is made twice.
     const world = new World()
     await run(world, 2)
     world.gateways[1].alive = false
@@ -183,8 +182,7 @@
   })
 
   it('refuses as not run within two seconds while the table does not answer, and frees the key afterwards', async () => {
-    // Symptom: a caller that was told not_run is later told that its call is in progress. Sequence: the write of the
-    // intent takes effect, all replies are lost, the call is refused. Cause: the row was left where it stood.
+    // Guards against this: a caller that was told not_run is later told that its call is in progress.
     const world = new World()
     world.table.faults.loseReplies = 3
     expect(refusal(await run(world, 1))).toMatchObject({ code: 'platform_unavailable', ran: 'not_run', retryAfterMs: expect.any(Number) })
--- a/packages/anvilarch-daemon/src/attempts/__tests__/ownPause.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/ownPause.test.ts
@@ -5,12 +5,7 @@
 import { type AttemptReader, createAttemptReader } from '../attemptReader'
 import type { RequestEvent } from '../machine/types'
 
-// Symptom: a streamed answer ends early or is refused with 503 beside load, though its agent had the whole answer and said so.
-// Sequence: the gateway's process stands still (its host is frozen or overloaded) for longer than `silenceMs`; frames and
-// heartbeats arrive in its socket meanwhile; when it wakes, its timers run first and find the stream silent; a second time
-// it gives the agent up, with the answer in it. Cause: the gateway took its own pause for silence of the agent. Evidence: with
-// the agent in a process of its own that never paused, and only the gateway's event loop kept busy for 150 ms at a bound of
-// 100 ms, each answer was cut and the agent noted as unreachable; with pauses of 60 ms none was.
+// Guards against this: a streamed answer ends early or is refused with 503 beside load, though its agent had the whole answer and said so.
 
 const WORDS = ['one ', 'two ', 'three ', 'four ', 'five']
 
--- a/packages/anvilarch-daemon/src/attempts/__tests__/requestHistories.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/requestHistories.test.ts
@@ -87,9 +87,7 @@
 
 describe('a gateway that was paused', () => {
   it('does not take a forgotten attempt for one that never ran', () => {
-    // Symptom: a caller is told that its call did not run, though it did. Sequence: the call runs and ends; the gateway
-    // stands still for longer than the agent keeps ended attempts, then resumes. Cause: an agent answers for an attempt
-    // that it forgot as for one that it never saw.
+    // Guards against this: a caller is told that its call did not run, though it did.
     const fleet = new SimulatedFleet({ agents: 2, idempotent: false, streamed: false })
     fleet.deliver(0)
     fleet.produce(0, ANSWER.length)
@@ -104,8 +102,7 @@
 
 describe('an agent that is replaced again and again', () => {
   it('does not make one request use up the retry budget of all', () => {
-    // Symptom: after one host was replaced in a loop, no other request is retried. Sequence: each successor of the agent
-    // is a new incarnation, which may be asked again. Cause: only the budget bounded the attempts of one request.
+    // Guards against this: after one host was replaced in a loop, no other request is retried.
     const fleet = new SimulatedFleet({ agents: 1, idempotent: true, streamed: false })
     for (let rounds = 0; rounds < 50 && fleet.end === undefined; rounds++) {
       fleet.deliver(0)
@@ -119,8 +116,7 @@
 
 describe('a request that finds no endpoint', () => {
   it('waits when an agent had taken it to its queue', () => {
-    // Symptom: requests that only waited are refused when an engine restarts, though they have time left. Sequence: they
-    // wait in the agent's queue, the engine goes down, no other has room. Cause: nothing had run, so they had not begun.
+    // Guards against this: requests that only waited are refused when an engine restarts, though they have time left.
     const fleet = new SimulatedFleet({ agents: 1, idempotent: false, streamed: false })
     const final = { outcome: 'endpoint_failed', totalBytes: 0, ran: 'not_run', detail: 'the endpoint went down', retryAfterMs: 0, outputTokens: 0, wasAlone: false } as const
     fleet.apply({ kind: 'accepted', stream: 1, incarnation: '1' })
--- a/packages/anvilarch-daemon/src/attempts/__tests__/wakingUp.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/wakingUp.test.ts
@@ -5,8 +5,7 @@
 
   afterEach(async () => { await gateway.stop() })
 
-  // Symptom: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324). Sequence: the flag is set; a gateway is
-  // paused before it reads the list; it wakes up and sends what its callers have sent meanwhile. Cause: it chose by what it knew before.
+  // Guards against this: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324).
   it('sends new work only once it has read the host list', async () => {
     gateway = await startTestGateway({ agents: [{ name: 'a1' }, { name: 'a2' }] })
     const [leaving] = gateway.directory.views
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/crashes.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/crashes.test.ts
@@ -34,9 +34,7 @@
 }
 
 describe('a request that waited at endpoints that went down', () => {
-  // Symptom: streams beside a crashing request end as `unavailable`, "the endpoint went down", though other endpoints stand. Sequence:
-  // a crash takes one endpoint after another; a request that was in progress at the first waits in the queues of the next ones. Cause:
-  // after three free tries the budget of retries decided, which the crashes had used up. Evidence: soak seed 42, 11 of 63 unfinished calls.
+  // Guards against this: streams beside a crashing request end as `unavailable`, "the endpoint went down", though other endpoints stand.
   it('is sent to the next one, also when the budget of retries is used up', () => {
     const history = new CrashHistory(false)
     history.begin()
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/resumptions.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/resumptions.test.ts
@@ -19,9 +19,7 @@
 }
 
 describe('a stream that goes silent again after it was resumed', () => {
-  // Symptom: an answer ends as `the agent went silent` after two silences, though its agent answered the resumption, keeps the output and
-  // the deadline is far away. Sequence: a connection goes silent while a long prompt is computed; the resumption is answered and brings
-  // heartbeats, but no output yet; that connection goes silent too. Cause: only output ended the count of resumptions.
+  // Guards against this: an answer ends as `the agent went silent` after two silences, though its agent answered the resumption, keeps the output and the deadline is far away.
   it('is resumed again when its agent has shown meanwhile that the attempt still runs', () => {
     const { apply, stream } = createRunning()
     for (let silences = 0; silences < 4; silences++) {
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/waitingForTarget.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/waitingForTarget.test.ts
@@ -39,11 +39,7 @@
 })
 
 describe('a request that had begun and finds no endpoint', () => {
-  // Symptom: harmless calls beside a request that crashes endpoints end as `endpoint_failed` within two seconds of a crash,
-  // 15 s before their deadline, though an endpoint is ready again soon. Sequence: an endpoint crashes; no other is ready for
-  // some seconds; the request runs at one that is back; that one crashes as well, and none is ready just then. Cause: all waits of a request
-  // shared the bound of the first, which was nearly over. Evidence: the ledger of a soak (seed 42, crashing requests and planned
-  // stops): 39 of 161 such calls did not finish; they ended 0.2 to 3.8 s (median 0.7) after their last start, 5.0 to 8.3 s after they were sent, of 20 s.
+  // Guards against this: harmless calls beside a request that crashes endpoints end as `endpoint_failed` within two seconds of a crash, 15 s before their deadline, though an endpoint is ready again soon.
   it('waits anew after each crash', () => {
     const request = createRequest()
     request.at(0, { kind: 'begin', suspect: false })
--- a/packages/anvilarch-daemon/src/callers/__tests__/front.test.ts
+++ b/packages/anvilarch-daemon/src/callers/__tests__/front.test.ts
@@ -70,8 +70,7 @@
   })
 
   it('lets a caller that is still writing read why it is refused', async () => {
-    // Symptom: the caller sees a reset connection instead of the status. Sequence: it is refused while it writes a long
-    // body. Cause: a connection that is closed with unread bytes is reset, and the answer is lost with it.
+    // Guards against this: the caller sees a reset connection instead of the status.
     await start({ document: { ...TEST_DOCUMENT, limits: { ...TEST_DOCUMENT.limits, maxBodyBytes: 10_000 } } })
     const socket = connect(Number(gateway.callers.address.split(':')[1]), '127.0.0.1')
     socket.on('error', () => {})
@@ -127,7 +126,7 @@
   const limited = (limits: object): Partial<TestGatewayOptions> => ({ document: { ...TEST_DOCUMENT, defaultCaller: { ...TEST_DOCUMENT.defaultCaller, ...limits } } })
 
   it('stop a caller that floods, and no other caller', async () => {
-    // Symptom: one account's burst slows everybody. Sequence: it sends far more than its share. Cause: nothing bounds it.
+    // Guards against this: one account's burst slows everybody.
     await start(limited({ requestsPerSecond: 0.001, burst: 3 }))
     const statuses = []
     for (let sent = 0; sent < 5; sent++) statuses.push((await lookup({ authorization: 'Bearer flood' })).status)
@@ -155,8 +154,7 @@
 
 describe('a caller that does not read', () => {
   it('is dropped after a while, and its attempt is cancelled', async () => {
-    // Symptom: slots of an endpoint stay taken. Sequence: a caller opens a stream and never reads. Cause: the answer waits
-    // for it without a bound.
+    // Guards against this: slots of an endpoint stay taken.
     const endless = Array.from({ length: 400 }, () => chatEvents(['x'.repeat(50_000)])[1])
     await start({ agents: [{ name: 'a1', kind: 'model', answer: () => endless }], front: { stallMs: 100 } })
     const socket = connect(Number(gateway.callers.address.split(':')[1]), '127.0.0.1')
@@ -184,8 +182,7 @@
   })
 
   it('does not wait for connections that were opened and never used', async () => {
-    // Symptom: a drain takes its full bound with nothing in progress. Sequence: the pool of a client opens a connection
-    // ahead of use. Cause: the server takes a connection that never sent a byte for a busy one.
+    // Guards against this: a drain takes its full bound with nothing in progress.
     await start({ gateway: { drainTimeoutMs: 600_000 } })
     const unused = connect(Number(gateway.callers.address.split(':')[1]), '127.0.0.1')
     await new Promise(resolve => { unused.on('connect', resolve) })
--- a/packages/anvilarch-daemon/src/configuration/__tests__/applyHistories.test.ts
+++ b/packages/anvilarch-daemon/src/configuration/__tests__/applyHistories.test.ts
@@ -94,12 +94,7 @@
 })
 
 describe('applyConfiguration', () => {
-  /*
-   * Symptom: two operators are both told that their document is version 7, or one is told "not run" and finds it in force.
-   * Sequence: conflicting documents are applied at once through several gateways, while replies of the table are lost
-   * after the write and the table refuses calls in between.
-   * Cause: a commit without a condition, or one that is sent again under a new commit id after its reply was lost.
-   */
+  // Guards against this: two operators are both told that their document is version 7, or one is told "not run" and finds it in force.
   it.each([2, 5])('gives each version one winner when %d operators apply at once', async operators => {
     const calls = fc.tuple(...Array.from({ length: operators }, (_unused, index) => callOf(index)))
     const faults = fc.array(fc.boolean(), { maxLength: 40 })
--- a/packages/anvilarch-daemon/src/configuration/__tests__/startConfigurationPoll.test.ts
+++ b/packages/anvilarch-daemon/src/configuration/__tests__/startConfigurationPoll.test.ts
@@ -31,10 +31,7 @@
     expect(configuration.version()).toBe(3)
   })
 
-  /*
-   * Symptom: a daemon that restarted runs an older document. Sequence: it restarts during an outage of the table.
-   * Cause: it guesses, from a document it has at hand, instead of asking or waiting.
-   */
+  // Guards against this: a daemon that restarted runs an older document.
   it('asks elsewhere only while it has nothing and the table is down, and else waits for the table', async () => {
     const fleet = createFakeFleet(0)
     await apply(fleet, 1)
@@ -53,7 +50,7 @@
     expect([configuration.version(), asked]).toEqual([1, before])
   })
 
-  /* Symptom: a daemon that restarts finds no document. Cause: the row was written before the object it names. */
+  // Guards against this: a daemon that restarts finds no document.
   it('finds the document of every row that it sees, since the object comes first', async () => {
     const fleet = createFakeFleet(0)
     const found: boolean[] = []
--- a/packages/anvilarch-daemon/src/jobs/__tests__/contents.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/contents.test.ts
@@ -18,10 +18,7 @@
 })
 
 describe('createChunkWriter', () => {
-  /*
-   * Symptom: a gateway that runs out of memory on a large upload. Sequence: the object store is slow, the caller is fast.
-   * Cause: reading on while chunks wait to be written.
-   */
+  // Guards against this: a gateway that runs out of memory on a large upload.
   it('takes no more from the caller while two chunks are on their way', async () => {
     const finishPut: Array<() => void> = []
     const objects = { putIfAbsent: async () => await new Promise<'created'>(resolve => { finishPut.push(() => { resolve('created') }) }) }
@@ -48,10 +45,7 @@
 
   afterEach(async () => { await gateway.stop() })
 
-  /*
-   * Symptom: a caller that takes half of its results for all of them. Sequence: the object store fails in the middle of a
-   * download. Cause: a body that ends as if it were whole.
-   */
+  // Guards against this: a caller that takes half of its results for all of them.
   it('breaks the connection when it can not go on, so that a part is not taken for the whole', async () => {
     const client = createBatchClient(gateway.server.url)
     const file = await client.upload(itemLines(20))
--- a/packages/anvilarch-daemon/src/jobs/__tests__/jobFailures.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/jobFailures.test.ts
@@ -46,10 +46,7 @@
 
   beforeEach(() => { fleet = createSimulatedFleet(5, 0) })
 
-  /*
-   * Symptom: an accepted job that nobody runs. Sequence: the gateway answers 200 and is lost at once. Cause: work that only
-   * the accepting gateway knows of.
-   */
+  // Guards against this: an accepted job that nobody runs.
   it('runs a job whose gateway is lost right after it accepted it', async () => {
     const [accepting] = await start(2, 20)
     accepting.gate.kill()
@@ -71,11 +68,7 @@
     expect(startedRuns(other)).toBeLessThanOrEqual(40)
   })
 
-  /*
-   * Symptom: items shown twice. Sequence: a holder sends the commit of a segment and is stopped; the commit is long under
-   * way; another one takes the part over and finishes it; then the commit arrives and the first holder is continued. Cause:
-   * a commit that is not fenced by the version of the part.
-   */
+  // Guards against this: items shown twice.
   it('refuses the commit of a holder that was stopped past its lease', async () => {
     const [holder] = await start(1, 8, 8)
     const { table } = holder.context.platform
@@ -128,10 +121,7 @@
     expect(Math.max(...partRows(fleet).map(row => row.epoch))).toBe(1)
   })
 
-  /*
-   * Symptom: a gateway that runs out of memory. Sequence: the object store is down for minutes while items go on to finish.
-   * Cause: results kept without bound until they can be written.
-   */
+  // Guards against this: a gateway that runs out of memory.
   it('pauses when the results that it can not write fill the buffer, and resumes', async () => {
     fleet.maxBufferedItems = 12
     const [only] = await start(1, 100, 100)
@@ -164,10 +154,7 @@
     expect(startedRuns(leaving) + startedRuns(other)).toBe(80)
   })
 
-  /*
-   * Symptom: items failed that were never run. Sequence: the fleet refuses batch work for minutes, as online work takes it
-   * all. Cause: counting a preemption as an attempt.
-   */
+  // Guards against this: items failed that were never run.
   it('waits without using up attempts while the fleet refuses its items', async () => {
     const [only] = await start(1, 8)
     const { run } = only.runner
--- a/packages/anvilarch-daemon/src/jobs/__tests__/jobRoutes.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/jobRoutes.test.ts
@@ -50,10 +50,7 @@
     expectNothingKept()
   })
 
-  /*
-   * Symptom: half a file that can be run, or chunks that stay for ever. Sequence: the caller goes away in the middle of an
-   * upload. Cause: a form that ends early taken for a whole one.
-   */
+  // Guards against this: half a file that can be run, or chunks that stay for ever.
   it('keeps nothing of an upload that breaks off', async () => {
     await breakUpload(gateway.server.url, itemLines(40))
     await until(() => gateway.store.counts.puts > 0)
@@ -98,10 +95,7 @@
 
   afterEach(async () => { for (const gateway of gateways) await gateway.stop() })
 
-  /*
-   * Symptom: one job run twice. Sequence: a client that sees no answer sends its job again, at once, through another
-   * gateway. Cause: a job that is looked for before it is written, without a condition on its key.
-   */
+  // Guards against this: one job run twice.
   it('accepts one job when it is sent to two gateways at once, with and without a key, also when it was uploaded twice', async () => {
     const again = (await clients[1].upload(itemLines(6))).id
     for (const { faults } of gateways) faults.table.latencyMs = 8
@@ -133,10 +127,7 @@
     expect((await clients[1].submit(slow, { key: 'k' })).id).toBe(named.id)
   })
 
-  /*
-   * Symptom: a caller told of an error, and a job that runs. Sequence: the reply to the commit of a job is lost after it took
-   * effect, once or for good. Cause: an error of the connection taken for a refusal.
-   */
+  // Guards against this: a caller told of an error, and a job that runs.
   it('settles an accept whose reply was lost, or says that its outcome is unknown', async () => {
     const { table } = gateways[0].context.platform
     const { commit } = table
--- a/packages/anvilarch-daemon/src/jobs/__tests__/openaiBatches.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/openaiBatches.test.ts
@@ -28,10 +28,7 @@
     expect(gateway.store.counts.conflicts).toBe(0)
   })
 
-  /*
-   * Symptom: a job that never ends. Sequence: some items fail whenever they run, one is refused as malformed by its endpoint,
-   * one is quarantined. Cause: running again without bound what can't be done.
-   */
+  // Guards against this: a job that never ends.
   it('ends a batch whose items can never be done, with a reason for each in the error file', async () => {
     await start()
     const prompts = [BAD_PROMPTS.fail, BAD_PROMPTS.refuse, BAD_PROMPTS.quarantine, 'fine']
@@ -46,10 +43,7 @@
     expect(gateway.runner.started.get(BAD_PROMPTS.quarantine)).toBe(1)
   }, 20_000)
 
-  /*
-   * Symptom: a cancelled job that goes on. Sequence: cancel while items run. Cause: holders that learn of it only when
-   * their part is done.
-   */
+  // Guards against this: a cancelled job that goes on.
   it('cancels running items within a poll, runs no further ones and keeps the partial results', async () => {
     await start({ runner: { maxRunMs: 0, slots: 8 } })
     gateway.runner.slowMs = HOUR_MS
--- a/packages/anvilarch-daemon/src/jobs/__tests__/partCore.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/partCore.test.ts
@@ -169,11 +169,7 @@
     }), { seed: SEED, numRuns: RUNS })
   })
 
-  /*
-   * Symptom: an item shown twice. Sequence: the reply to a segment's commit is lost and the lease lapses; the holder reads
-   * its rows while the commit is still under way, sees no change, and the commit then takes effect. Cause: taking "not in
-   * the row yet" for "not committed". The holder must keep the commit as it was and learn its outcome by its id.
-   */
+  // Guards against this: an item shown twice.
   it('keeps a commit whose outcome is open, with its content, over a lapse of the lease', () => {
     const world = new World()
     const [holder] = world.holders
@@ -191,10 +187,7 @@
     expect(world.committedItems().length).toBe(4)
   })
 
-  /*
-   * Symptom: a part reported as finished while the table lacks its last items. Sequence: a commit is sent twice and both
-   * replies come, the second one after the next commit was made. Cause: taking any reply for the reply to the latest commit.
-   */
+  // Guards against this: a part reported as finished while the table lacks its last items.
   it('does not take a second reply to one commit for the reply to the next', () => {
     const world = new World()
     const [holder] = world.holders
--- a/packages/anvilarch-daemon/src/jobs/sweep/__tests__/sweep.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/sweep/__tests__/sweep.test.ts
@@ -55,10 +55,7 @@
     expect(readResults(fleet, jobId).length).toBe(20)
   })
 
-  /*
-   * Symptom: rows or objects that stay for ever. Sequence: the sweeper is stopped by an outage in the middle of a job. Cause:
-   * removing the row that leads to the rest before the rest.
-   */
+  // Guards against this: rows or objects that stay for ever.
   it('removes a job after its retention, also when it is interrupted in between, and leaves a later job of the same content', async () => {
     await finish()
     const keyRow = JSON.stringify({ jobId: 'batch_later', contentHash: '' })
--- a/packages/anvilarch-daemon/src/leases/__tests__/leases.test.ts
+++ b/packages/anvilarch-daemon/src/leases/__tests__/leases.test.ts
@@ -39,10 +39,7 @@
     expect(heartbeat.holdsLease()).toBe(false)
   })
 
-  /*
-   * Symptom: two holders of one lease. Sequence: the table takes a renewal and its reply comes long after. Cause: counting
-   * the lease from the reply, while observers count from the row.
-   */
+  // Guards against this: two holders of one lease.
   it('counts the lease from the time at which a renewal was sent', async () => {
     const fleet = createSimulatedFleet(1, 0)
     const { heartbeat, gate } = await startProcess(fleet)
@@ -91,10 +88,7 @@
     expect(other.observer.stateOf(one.heartbeat.instance)).toBe('dead')
   })
 
-  /*
-   * Symptom: after an outage all gateways take over from each other. Sequence: nobody can renew for longer than a lease; the
-   * table comes back and each one reads old rows before the others have renewed. Cause: judging by the age of a row.
-   */
+  // Guards against this: after an outage all gateways take over from each other.
   it('finds nobody dead after an outage in which nobody could renew', async () => {
     const fleet = createSimulatedFleet(1, 0)
     const processes = [await startProcess(fleet), await startProcess(fleet), await startProcess(fleet)]
@@ -110,10 +104,7 @@
 })
 
 describe('startSingleLease', () => {
-  /*
-   * Symptom: orders of two holders at the same time. Sequence: the holder is stopped past its lease, another one takes it,
-   * the first is continued. Cause: a holder that believes what it knew before it was stopped.
-   */
+  // Guards against this: orders of two holders at the same time.
   it('has one holder at a time, with an epoch that grows', async () => {
     const fleet = createSimulatedFleet(1, 0)
     const processes = [await startProcess(fleet), await startProcess(fleet), await startProcess(fleet)]
@@ -145,10 +136,7 @@
     expect(JSON.parse(fleet.store.rows.get(KEY)?.value ?? '{}')).toMatchObject({ holder: '' })
   })
 
-  /*
-   * Symptom: as above. Sequence: the holder is continued and renews its heartbeat before it can read the lease row. Cause:
-   * taking the renewed heartbeat for a proof that the lease is still its own.
-   */
+  // Guards against this: as above.
   it('is not held after a lapse until the row was read again', async () => {
     const fleet = createSimulatedFleet(1, 0)
     const [one, other] = [await startProcess(fleet), await startProcess(fleet)]
--- a/packages/anvilarch-daemon/src/membership/__tests__/bootstrapConfiguration.test.ts
+++ b/packages/anvilarch-daemon/src/membership/__tests__/bootstrapConfiguration.test.ts
@@ -13,11 +13,7 @@
 }
 
 describe('chooseSource', () => {
-  /*
-   * Symptom: a version that an operator was told is accepted is replaced by the one before. Sequence: the version is
-   * applied, the table goes down, every gateway restarts and takes the configuration of the agents. Cause: the agent that
-   * answers first does not have the version yet.
-   */
+  // Guards against this: a version that an operator was told is accepted is replaced by the one before.
   it('finds a version that was spread before the operator was told, whichever agents answer', () => {
     const agents = fc.array(fc.record({ had: fc.boolean(), answered: fc.boolean(), answers: fc.boolean() }), { minLength: 1, maxLength: 12 })
     fc.assert(fc.property(agents, plan => {
--- a/packages/anvilarch-daemon/src/membership/__tests__/memberRecord.test.ts
+++ b/packages/anvilarch-daemon/src/membership/__tests__/memberRecord.test.ts
@@ -12,10 +12,7 @@
 }
 
 describe('afterAnswered', () => {
-  /*
-   * Symptom: requests go to an agent that was replaced, and each is refused. Sequence: an exchange is sent, the agent is
-   * replaced, an attempt meets the successor, the answer of the predecessor arrives last. Cause: the last answer wins.
-   */
+  // Guards against this: requests go to an agent that was replaced, and each is refused.
   it('does not bring back an incarnation that was met as gone after the exchange was sent', () => {
     const asked = afterAsked(serving(), 100)
     const met = afterIncarnation(asked, 'second', 110)
@@ -25,10 +22,7 @@
     expect(current.view).toMatchObject({ incarnation: 'second', state: 'serving' })
   })
 
-  /*
-   * Symptom: requests fail one after another on an endpoint that crashed. Sequence: an exchange is sent, the endpoint
-   * crashes, an attempt meets that, the answer from before the crash arrives. Cause: the answer says the endpoint is ready.
-   */
+  // Guards against this: requests fail one after another on an endpoint that crashed.
   it('keeps an endpoint out of use until an exchange that was sent later says it is ready', () => {
     const down = afterEndpointDown(afterAsked(serving(), 100), 'engine-1', 110)
     expect(down.view.endpoints[0].health).toBe('crashed')
@@ -37,10 +31,7 @@
     expect(afterAnswered(afterAsked(late, 130), response('first'), 140).view.endpoints[0].health).toBe('ready')
   })
 
-  /*
-   * Symptom: a leaving agent gets new work again. Sequence: it refuses an attempt because it drains, then an answer from
-   * before the drain arrives. Cause: the state of the answer replaces what the refusal has told.
-   */
+  // Guards against this: a leaving agent gets new work again.
   it('lets an incarnation that drains never serve again, but its successor', () => {
     const drained = afterDraining(afterAsked(serving(), 100))
     const late = afterAnswered(drained, response('first'), 120)
--- a/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
+++ b/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
@@ -43,11 +43,7 @@
     expect(Math.min(...fleet.agents.map(agent => agent.exchanges.length))).toBeGreaterThanOrEqual(3)
   })
 
-  /*
-   * Symptom: a gateway that was just started again refuses work as "no endpoint of this service is ready", although all
-   * endpoints are. Sequence: it says that it is ready, the balancer sends it a request, then its agents answer for the
-   * first time. Cause: readiness did not look at the directory.
-   */
+  // Guards against this: a gateway that was just started again refuses work as "no endpoint of this service is ready", although all endpoints are.
   it('is settled only once every listed agent has been asked', async () => {
     const fleet = await startFleet(2)
     fleet.agents[1].fault = 'silent'
@@ -71,10 +67,7 @@
     expect(fleet.agents.every(agent => agent.pushes === 1)).toBe(true)
   })
 
-  /*
-   * Symptom: a change is not in force at one agent for more than a minute. Sequence: the push to it is lost, and its turn
-   * to be asked comes late in a large fleet. Cause: a failed push waits for the next exchange.
-   */
+  // Guards against this: a change is not in force at one agent for more than a minute.
   it('pushes again when a push was lost', async () => {
     const fleet = await startFleet(AGENTS)
     await fleet.clock.advanceAsync(5000)
@@ -86,10 +79,7 @@
     expect(fleet.agents[7].version).toBe(1)
   })
 
-  /*
-   * Symptom: a new service is unavailable through one gateway. Sequence: another gateway has its weights loaded.
-   * Cause: the agents' turns to be asked come round in more than a minute.
-   */
+  // Guards against this: a new service is unavailable through one gateway.
   it('asks model endpoints more often while a service waits for endpoints, but not for ever', async () => {
     const fleet = await startFleet(AGENTS)
     for (const agent of fleet.agents) agent.models = []
@@ -154,10 +144,7 @@
     expect(fleet.agents.map(agent => agent.version)).toEqual([5, 5, 5])
   })
 
-  /*
-   * Symptom: requests wait on an agent that answers nobody. Sequence: the connection to it goes silent, or it dies.
-   * Cause: without a bound on the exchange nothing tells a silent connection from a quiet one.
-   */
+  // Guards against this: requests wait on an agent that answers nobody.
   it('takes a silent and a dead agent out of use, opens a new connection, and takes them back', async () => {
     const fleet = await startFleet(3)
     await fleet.clock.advanceAsync(2000)
@@ -191,11 +178,7 @@
     expect([0, 1].map(index => stateOf(fleet, index))).toEqual(['serving', 'serving'])
   })
 
-  /*
-   * Symptom: a request that crashes endpoints takes down one for each gateway that it is sent through.
-   * Sequence: it crashes an endpoint; its caller sends it again through a gateway that chooses another agent.
-   * Cause: only the first gateway and the agent of the crash knew that it was a suspect.
-   */
+  // Guards against this: a request that crashes endpoints takes down one for each gateway that it is sent through.
   it('learns of the suspects of a crash that another gateway caused', async () => {
     const fleet = await startFleet(2)
     await fleet.clock.advanceAsync(5000)
@@ -218,11 +201,7 @@
     expect(agent.exchanges.flatMap(exchange => exchange.quarantined)).toEqual(['f1', 'f2'])
   })
 
-  /*
-   * Symptom: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324). Sequence: the flag is set; the
-   * gateway's process stands still before it reads the list; its callers' requests are read when it wakes up. Cause: it chose by
-   * what it knew before its pause. Evidence: the three calls began 6,472 to 6,680 ms after the flag, right after the pause of 6,481 ms.
-   */
+  // Guards against this: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324).
   it('reads the host list before it gives out work after a pause of its own process', async () => {
     const fleet = await startFleet(2)
     await fleet.clock.advanceAsync(5000)
--- a/packages/anvilarch-daemon/src/peers/__tests__/agentClients.test.ts
+++ b/packages/anvilarch-daemon/src/peers/__tests__/agentClients.test.ts
@@ -35,8 +35,7 @@
   })
 
   it('opens one new connection for all streams that notice the same silence', async () => {
-    // Symptom: hundreds of connections to one agent. Sequence: a connection with many streams goes silent, and each of
-    // them asks for a new one. Cause: nothing told apart a silence that was answered already.
+    // Guards against this: hundreds of connections to one agent.
     const { address } = agent.view
     const silent = clients.get(address, 'online')
     await use(silent)
--- a/packages/anvilarch-daemon/src/peers/__tests__/attemptSession.test.ts
+++ b/packages/anvilarch-daemon/src/peers/__tests__/attemptSession.test.ts
@@ -42,9 +42,7 @@
   })
 
   it('goes on with one stream while the reader of another takes nothing', async () => {
-    // Symptom: all answers of a class stand still.
-    // Sequence: one caller stops reading; its frames fill the session.
-    // Cause: without credit for each stream, the agent sends on and the session's own window runs out.
+    // Guards against this: all answers of a class stand still.
     let sentBytes = 0
     const portion = STREAM_CREDIT_BYTES / 4
     const { session } = join(async function * (id) {
--- a/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
@@ -123,11 +123,7 @@
     expect(engines.every(engine => engine.models.length === 1)).toBe(true)
   })
 
-  /*
-   * Symptom: the weight store refuses loads, and all of them take long. Sequence: endpoints crash, leave and come back,
-   * orders are lost, the document changes, another gateway takes the lease, all while weights are on their way.
-   * Cause: loads that were ordered but not reported yet are not counted.
-   */
+  // Guards against this: the weight store refuses loads, and all of them take long.
   it('never exceeds the limit of loads, and reaches the document when the faults end', () => {
     const services = fc.record({ writer: fc.nat(4), portal: fc.nat(3), old: fc.nat(2) })
       .map(counts => Object.fromEntries(Object.entries(counts).filter(([, replicas]) => replicas > 0).map(([name, replicas]) => [name, { replicas }])) as Record<string, TestService>)
--- a/packages/anvilarch-daemon/src/placement/__tests__/startPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/startPlacement.test.ts
@@ -62,10 +62,7 @@
     expect(rig.orders.map(order => [order.action, order.fencingToken])).toEqual([['load', 4n], ['load', 4n]])
   })
 
-  /*
-   * Symptom: two gateways give orders at once. Sequence: the holder is paused after it made its plan, its lease lapses,
-   * another gateway takes it; the first one goes on. Cause: the plan was made under a lease that is gone.
-   */
+  // Guards against this: two gateways give orders at once.
   it('sends no order of a plan whose lease lapsed before the order was sent', async () => {
     const rig = await start(3)
     rig.lease.epoch = 4
@@ -76,10 +73,7 @@
     expect(violations).toEqual([])
   })
 
-  /*
-   * Symptom: a new holder undoes what its predecessor has just ordered. Sequence: the holder is paused after its plan,
-   * loses the lease and takes it again. Cause: the old plan goes out under the new epoch, which no agent refuses.
-   */
+  // Guards against this: a new holder undoes what its predecessor has just ordered.
   it('sends no order of a plan that was made under an earlier epoch', async () => {
     const rig = await start(3)
     rig.lease.epoch = 4
@@ -100,10 +94,7 @@
     expect(rig.orders.length).toBeLessThanOrEqual(rig.engines.length)
   })
 
-  /*
-   * Symptom: the same weights are loaded on two endpoints for one replica. Sequence: the reply to an order is lost after
-   * the agent took it. Cause: an order without a reply is taken for one that was not given.
-   */
+  // Guards against this: the same weights are loaded on two endpoints for one replica.
   it('counts an order whose reply was lost until the endpoint reports', async () => {
     const rig = await start(1)
     rig.hooks.loses = () => true
--- a/packages/anvilarch-daemon/src/platform/__tests__/createHttpPlatform.test.ts
+++ b/packages/anvilarch-daemon/src/platform/__tests__/createHttpPlatform.test.ts
@@ -57,10 +57,7 @@
     await expect(platform.hosts.list()).rejects.toMatchObject({ code: 'platform_unavailable', ran: 'not_run' })
   })
 
-  /*
-   * Symptom: a change is reported as not made and is found in force. Sequence: the table takes the commit, the connection
-   * is cut before the reply. Cause: an error of the connection is taken for a commit that did not happen.
-   */
+  // Guards against this: a change is reported as not made and is found in force.
   it('says of a lost reply that the outcome is unknown, and the commit id settles it', async () => {
     const { platform, table } = await start()
     table.faults.set({ loseReplies: 1 })
@@ -70,11 +67,7 @@
     expect(await platform.table.read(['a'])).toMatchObject([{ value: 'one', version: 1 }])
   })
 
-  /*
-   * Symptom: every call to the table times out for minutes although the table is well. Sequence: several calls leave idle
-   * connections open, something in between loses track of them. Cause: each call takes another one of the silent
-   * connections out of the pool.
-   */
+  // Guards against this: every call to the table times out for minutes although the table is well.
   it('loses one call at most to connections that went silent', async () => {
     const { platform, table } = await start()
     await Promise.all(Array.from({ length: 8 }, async () => await platform.table.read(['a'])))
--- a/packages/anvilarch-daemon/src/quarantine/__tests__/startQuarantine.test.ts
+++ b/packages/anvilarch-daemon/src/quarantine/__tests__/startQuarantine.test.ts
@@ -17,10 +17,7 @@
 }
 
 describe('startQuarantine', () => {
-  /*
-   * Symptom: a request that crashes endpoints goes on crashing them. Sequence: it is found while the table is down, and
-   * its caller sends it again through another gateway. Cause: the fingerprint stays where it was found.
-   */
+  // Guards against this: a request that crashes endpoints goes on crashing them.
   it('keeps a fingerprint found during an outage of the table and tells the other gateways after it', async () => {
     const clock = createFakeClock()
     const platform = createFakePlatform()
--- a/packages/anvilarch-daemon/src/roles/__tests__/runDaemon.test.ts
+++ b/packages/anvilarch-daemon/src/roles/__tests__/runDaemon.test.ts
@@ -52,10 +52,7 @@
 }
 
 describe('runDaemon', () => {
-  /*
-   * Symptom: no endpoint is given to a service for ten minutes. Sequence: the gateway that holds the placement lease is
-   * told to stop while a long request runs. Cause: the lease was handed on only after the last request had ended.
-   */
+  // Guards against this: no endpoint is given to a service for ten minutes.
   it('is ready with a configuration, and hands its lease on at once when it drains, while a request goes on', async () => {
     const { daemon, table, callers } = await startGateway()
     expect(await statusOf(`http://${daemon.operationsAddress}/healthz`)).toBe(200)
--- a/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
@@ -16,9 +16,7 @@
 }
 
 describe('createSuspectTable', () => {
-  // Symptom: engines restart one after another for as long as one caller sends the same request.
-  // Sequence: the request ends the engine that runs it; its caller sends it again under another id; the next engine is lost.
-  // Cause: nothing told that request from the others that were lost with the engine.
+  // Guards against this: engines restart one after another for as long as one caller sends the same request.
   it('quarantines a request that has been in the crashes of three starts', () => {
     crash('poison', 'e1@1')
     crash('poison', 'e2@1')
--- a/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -42,9 +42,7 @@
     expect(choose(TWO, { e2: { online: 2 } }, connected)).toBe('e1')
   })
 
-  // Symptom: requests of a plain service, one after another, all go to the same endpoint of several.
-  // Sequence: the first one opens a connection; whoever has no agent tells no load, so that the connection decides from then on.
-  // Cause: an open connection counted also where nothing tells that the endpoint is busy with requests of others.
+  // Guards against this: requests of a plain service, one after another, all go to the same endpoint of several.
   it('does not hold to an endpoint whose load nobody tells', () => {
     const connected = { hasIdleConnection: (candidate: Endpoint) => candidate.id === 'e2' }
     expect(choose(TWO, { e1: { ageMs: Infinity }, e2: { ageMs: Infinity } }, connected)).toBe('e1')
@@ -77,9 +75,7 @@
     expect(choose(TWO, { e1: { online: 3, ageMs: 400 }, e2: { online: 0, ageMs: 300 } })).toBe('e2')
   })
 
-  // Symptom: engines whose agents are lost stand idle while requests queue at the others.
-  // Sequence: the agents of half of the engines are killed; the engines live.
-  // Cause: only engines whose load is known were chosen.
+  // Guards against this: engines whose agents are lost stand idle while requests queue at the others.
   it('uses an endpoint whose agent is lost when those that are known are busier than it probably is', () => {
     const lost = { answers: (candidate: Endpoint) => candidate.id !== 'e2' }
     expect(choose(TWO, { e1: { online: 0 }, e2: { ownInProgress: 0, ageMs: Infinity } }, lost)).toBe('e1')
--- a/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
@@ -58,9 +58,7 @@
     expect(usableIds()).toEqual([])
   })
 
-  // Symptom: callers are refused for seconds after an outage of the store, although all endpoints are well.
-  // Sequence: the store is away; entries lapse meanwhile; it returns, and the entries come back up to two seconds later.
-  // Cause: a lapsed entry looks like that of an endpoint that is gone.
+  // Guards against this: callers are refused for seconds after an outage of the store, although all endpoints are well.
   it('keeps entries that may only have lapsed until they can be back', () => {
     lastFailureMs = clock.nowMs() - 500
     table.onListing([])
@@ -73,9 +71,7 @@
 })
 
 describe('an endpoint whose entry is removed soon after a failed call', () => {
-  // Symptom: requests reach an endpoint more than two seconds after the store has said that it leaves.
-  // Sequence: connections of a gateway are reset, so that a call or two to the store fail; two seconds later an endpoint leaves.
-  // Cause: any failed call was taken for an outage in which entries lapse, and a lapsed entry was kept beyond the bound.
+  // Guards against this: requests reach an endpoint more than two seconds after the store has said that it leaves.
   it('is left alone if the store has failed for too short a time for entries to lapse', () => {
     lastFailureMs = clock.nowMs() - 1800
     lastOutageMs = MIN_LAPSE_OUTAGE_MS - 1
@@ -94,9 +90,7 @@
 })
 
 describe('an endpoint that has restarted', () => {
-  // Symptom: for some seconds after engines have restarted, requests are refused and items are sent and refused again.
-  // Sequence: the engine lists its new incarnation; the entry of the former one is still there for three heartbeats.
-  // Cause: both entries were taken for endpoints, and an agent found the former one at its engine's address.
+  // Guards against this: for some seconds after engines have restarted, requests are refused and items are sent and refused again.
   it('is sent to as its new incarnation only', () => {
     table.onRow(rowOf({ id: 'e3', listedVersion: 5 }))
     expect(usableIds()).toEqual(['e2', 'e3'])
@@ -107,9 +101,7 @@
 })
 
 describe('atAddress', () => {
-  // Symptom: an agent sends items to an engine more than two seconds after the store has said that it leaves.
-  // Sequence: the engine's entry is removed without having been marked as draining; the engine serves on for a while.
-  // Cause: the entry was still found by its address, in its last state.
+  // Guards against this: an agent sends items to an engine more than two seconds after the store has said that it leaves.
   it('does not find an endpoint whose entry is gone', () => {
     table.onRemoved('e1')
     expect(table.atAddress(ENDPOINT.address)).toBeUndefined()
@@ -140,9 +132,7 @@
     gone.length = 0
   })
 
-  // Symptom: an endpoint that has just come back is passed over, or gets more than it can take.
-  // Sequence: it crashes with requests in progress and starts again under the id that it had, before its entry has lapsed.
-  // Cause: suspicion, loads and connections were kept by id, so that those of the former start counted for the new one.
+  // Guards against this: an endpoint that has just come back is passed over, or gets more than it can take.
   it('is another endpoint, and the former start is gone', () => {
     table.onRow(rowOf({ bornAtMs: 2000, listedVersion: 2 }))
     expect(gone).toEqual(['e1@1000'])
@@ -150,9 +140,7 @@
     expect([table.hasStart('e1@1000'), table.hasStart('e1@2000')]).toEqual([false, true])
   })
 
-  // Symptom: an endpoint that has just come back gets nothing for a heartbeat, or its former start is sent to.
-  // Sequence: a write of the former start is done late, after the entry of the new one.
-  // Cause: the row written last was taken for the newest word, whichever start it was of.
+  // Guards against this: an endpoint that has just come back gets nothing for a heartbeat, or its former start is sent to.
   it('is not replaced by a late row of its former start', () => {
     table.onRow(rowOf({ bornAtMs: 2000, listedVersion: 2 }))
     table.onRow(rowOf({ bornAtMs: 1000, state: 'draining', listedVersion: 3 }))
--- a/packages/anvilarch-serving/src/endpoints/__tests__/loadAsker.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/loadAsker.test.ts
@@ -71,9 +71,7 @@
     expect(await isOver(asking)).toBe(true)
   })
 
-  // Symptom: each request waits although nobody will answer it.
-  // Sequence: the agents are killed, or their hosts are cut off, while their engines go on.
-  // Cause: an agent that does not answer was asked and waited for at each request.
+  // Guards against this: each request waits although nobody will answer it.
   it('waits for an agent that does not answer only a few times, and asks it again later', async () => {
     for (let round = 0; round < MAX_UNANSWERED; round++) {
       const asking = asker.ask(ENDPOINTS)
@@ -107,9 +105,7 @@
     expect(reports).toHaveLength(1)
   })
 
-  // Symptom: in a burst, engines of healthy agents seem busy or are passed over, and batch items beside them do not give way.
-  // Sequence: two requests or more arrive within the 3 ms that an agent takes to answer; each asks the same agent.
-  // Cause: a question counted as unanswered from the moment it was sent.
+  // Guards against this: in a burst, engines of healthy agents seem busy or are passed over, and batch items beside them do not give way.
   it('still counts on an agent while several questions to it are open', async () => {
     const askings = [asker.ask(ENDPOINTS), asker.ask(ENDPOINTS), asker.ask(ENDPOINTS)]
     clock.advance(ANSWER_PATIENCE_MS / 2)
@@ -131,9 +127,7 @@
     expect(ENDPOINTS.map(endpoint => asker.answers(endpoint))).toEqual([true, true, false])
   })
 
-  // Symptom: a gateway takes an engine for idle, or for lost, that is neither.
-  // Sequence: a datagram with the number of an open question comes from somebody else than the agent that was asked.
-  // Cause: numbers count up from one, so that anybody can guess them, and the sender was not looked at.
+  // Guards against this: a gateway takes an engine for idle, or for lost, that is neither.
   it('takes an answer only from the address that it has asked', async () => {
     const asking = asker.ask(ENDPOINTS)
     answer(0, { ...sent[0], ip: '10.0.0.9' })
--- a/packages/anvilarch-serving/src/endpoints/__tests__/loadTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/loadTable.test.ts
@@ -10,9 +10,7 @@
 })
 
 describe('an endpoint that is gone', () => {
-  // Symptom: the memory of a gateway grows with each endpoint that is replaced.
-  // Sequence: an endpoint leaves while requests are in progress there; they end after it has been forgotten.
-  // Cause: the end of a request made the entry anew.
+  // Guards against this: the memory of a gateway grows with each endpoint that is replaced.
   it('is not known again by the end of a request', () => {
     table.onSent('e')
     table.forget('e')
--- a/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
@@ -26,9 +26,7 @@
     expect(planReservation([HELD], WANTED, 400, known(job('old', 4)))).toEqual({ plan: 'reserve', reservations: [WANTED] })
   })
 
-  // Symptom: two gateways together accept more than the limit allows.
-  // Sequence: one gateway has reserved room and is still writing its job; the other does not see that job yet.
-  // Cause: a reservation counts in full until its job is seen, or is surely not coming.
+  // Guards against this: two gateways together accept more than the limit allows.
   it('counts a reservation whose job is not known yet, until it cannot come any more', () => {
     expect(planReservation([HELD], WANTED, 700, known()).plan).toBe('full')
     const old = { ...HELD, reservedAtMs: WANTED.reservedAtMs - RESERVATION_GRACE_MS - 1 }
--- a/packages/anvilarch-serving/src/jobs/__tests__/workTable.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/workTable.test.ts
@@ -9,9 +9,7 @@
 }
 
 describe('createWorkTable', () => {
-  // Symptom: an ended job starts running again at one daemon.
-  // Sequence: the daemon has learned a newer row from its own write; the feed then tells of an older one.
-  // Cause: feed and own writes come in any order.
+  // Guards against this: an ended job starts running again at one daemon.
   it('never goes back to an older row', () => {
     const table = createWorkTable()
     table.learn(row(5, true))
--- a/packages/anvilarch-serving/src/requests/__tests__/attemptDecision.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/attemptDecision.test.ts
@@ -17,9 +17,7 @@
 const RUNS = { seed: 20261202, numRuns: 3000 }
 
 describe('nextStep', () => {
-  // Symptom: a request that may run once runs twice, a client is told "not run" of one that ran, or more endpoints run it than allowed.
-  // Sequence: any series of refusals, lost answers and cut streams.
-  // Cause: what may follow depends on all attempts so far, not on the last one alone.
+  // Guards against this: a request that may run once runs twice, a client is told "not run" of one that ran, or more endpoints run it than allowed.
   it('never repeats what may run once, keeps to the attempts allowed, and refuses only what has not run', () => {
     fc.assert(fc.property(ROUTE, HISTORY, (route, history) => {
       let mayHaveRun = 0
--- a/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
@@ -53,9 +53,7 @@
     expect(checkOverload(input(0, { loadOf: ({ id }) => loads[id] })).refused).toBe(true)
   })
 
-  // Symptom: every request of a burst beyond the capacity is late, although most of them could be in time.
-  // Sequence: 70 requests a second for 2.4 s before 40 slots held 0.7 s each.
-  // Cause: first come, first served lets the queue grow for the whole burst.
+  // Guards against this: every request of a burst beyond the capacity is late, although most of them could be in time.
   it('keeps more requests of a burst in time than a queue without refusals', () => {
     const served = (refuses: boolean): number => playBurst(refuses).filter(waitMs => waitMs <= 300).length
     expect(playBurst(false)).toHaveLength(168)
--- a/packages/anvilarch-serving/src/requests/__tests__/ownPause.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/ownPause.test.ts
@@ -1,10 +1,7 @@
 import { forwardOnFakeClock } from '../__fixtures__/forwardHarness'
 
 describe('a gateway whose own process stands still', () => {
-  // Symptom: an endpoint runs a request whose client has left two seconds before, and is cut off at once.
-  // Sequence: a request waits for the loads of endpoints; the gateway's process stands still past the deadline; on waking, the
-  // timer that ends the wait for loads runs before the one of the deadline. Cause: the first send did not look at the
-  // time that was left. Evidence: a lookup whose client's deadline was at 14.02 s was sent at 16.02 s, with 1 ms to run.
+  // Guards against this: an endpoint runs a request whose client has left two seconds before, and is cut off at once.
   it('sends nothing whose deadline has passed', async () => {
     const { clock, sent, client, placed } = forwardOnFakeClock({ holdsPlacement: true, timeoutMs: 1_000 })
     await clock.advanceAsync(1)
@@ -15,9 +12,7 @@
     expect(client).toMatchObject({ status: 504, ended: true })
   })
 
-  // Symptom: after a gateway wakes up, streams that endpoints have fed all the time run a second time elsewhere. Sequence: the
-  // process stands still for longer than a stream may be silent; events wait in its sockets; the timer runs before they are read.
-  // Cause: the own pause counted as silence of the endpoint.
+  // Guards against this: after a gateway wakes up, streams that endpoints have fed all the time run a second time elsewhere.
   it('goes on with a stream whose events came meanwhile', async () => {
     const { clock, sent, client, ownPauses } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000 })
     await clock.advanceAsync(0)
--- a/packages/anvilarch-serving/src/runner/__tests__/batchRunner.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/batchRunner.test.ts
@@ -26,9 +26,7 @@
     expect(harness.runs).toHaveLength(SLOTS - 1)
   })
 
-  // Symptom: first events of online requests come late while a job runs.
-  // Sequence: items hold the slots; online requests come and wait in the engine's queue, in order of arrival.
-  // Cause: only the runner can make room, and it noticed them at its next look at the engine, up to 40 ms later.
+  // Guards against this: first events of online requests come late while a job runs.
   it.each([1, 2, 3])('gives way at once when a gateway tells that the requests exceed the free slots by %i', async excess => {
     await startRunner(10)
     harness.tell(excess)
@@ -38,9 +36,7 @@
     expect(harness.runs.filter(run => run.abortedAtMs !== undefined)).toHaveLength(excess)
   })
 
-  // Symptom: requests wait behind items for as long as those run.
-  // Sequence: the datagram by which a gateway tells of a request is lost.
-  // Cause: the runner knew of requests only what it was told.
+  // Guards against this: requests wait behind items for as long as those run.
   it.each([1, 2, 3])('gives way to %i waiting requests of which nobody has told', async waiting => {
     await startRunner(10)
     harness.online.running = 1
@@ -69,9 +65,7 @@
     expect(harness.runs.every(run => run.abortedAtMs === undefined)).toBe(true)
   })
 
-  // Symptom: after each burst a hundred items are claimed anew; with the store away meanwhile, none goes on.
-  // Sequence: a burst fills all engines for two seconds; their runners let go of what they had paused, each for the others.
-  // Cause: a paused item was let go after 0.8 s, however long it could wait.
+  // Guards against this: after each burst a hundred items are claimed anew; with the store away meanwhile, none goes on.
   it('keeps paused items that can wait for as long as a burst usually lasts', async () => {
     await startRunner(3)
     harness.online.running = SLOTS
--- a/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
@@ -17,9 +17,7 @@
 })
 
 describe('createEngineView', () => {
-  // Symptom: items are sent to an engine on the word of an entry that its former start wrote.
-  // Sequence: the engine crashes and starts again under its id; its report answers at once, its entry comes a heartbeat later.
-  // Cause: the id fits both starts, so that the former entry was taken for that of the new one.
+  // Guards against this: items are sent to an engine on the word of an entry that its former start wrote.
   it('knows no engine between a restart and the entry of the new start', () => {
     expect(view.look({ running: 0, waiting: 0, bornAtMs: 1000 })).toBe(listed)
     expect(view.look({ running: 0, waiting: 0, bornAtMs: 2000 })).toBeUndefined()
--- a/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
@@ -58,17 +58,13 @@
     expect(chooseItems(input({ jobs }, { ranksBehind }), 6).map(candidate => candidate.job.jobId)).toEqual(['soon', 'soon', 'more', 'more', 'less', 'less'])
   })
 
-  // Symptom: nearly all items of a busy hour end just after they were due.
-  // Sequence: jobs come faster than the slack can do them; the oldest is always done next, though it is late already.
-  // Cause: due time alone does not tell what can still be done in time.
+  // Guards against this: nearly all items of a busy hour end just after they were due.
   it('leaves what is late behind what can still be in time', () => {
     const chosen = chooseItems(input({ jobs: [job('late', 14_000), job('possible', 16_000)] }), 2)
     expect(chosen.map(candidate => candidate.job.jobId)).toEqual(['possible', 'possible'])
   })
 
-  // Symptom: items that a slow engine has taken end long after they are due, while others have room.
-  // Sequence: an engine turns slow; its runner takes items as before.
-  // Cause: each runner knew only its own pace.
+  // Guards against this: items that a slow engine has taken end long after they are due, while others have room.
   it('leaves to others what only they can do in time', () => {
     const jobs = [job('a', NOW_MS + 8000, 1)]
     expect(chooseItems(input({ jobs }, { remainingMs: () => 20_000 }), 1)).toHaveLength(0)
@@ -102,9 +98,7 @@
     return chooseItems(input({ jobs }, { runner, runners }), 5).map(candidate => `${candidate.job.jobId}/${candidate.item}`)
   }
 
-  // Symptom: after a burst items wait for seconds although half of the slots are free.
-  // Sequence: all engines have room at once, and all their runners choose items.
-  // Cause: each chose the most urgent items, so that ten were claimed at a time, and all others had tried in vain.
+  // Guards against this: after a burst items wait for seconds although half of the slots are free.
   it('seldom choose the same ones', () => {
     // 20 runners with 5 free slots each, 100 items: 10 different items were chosen when each took the most urgent ones.
     expect(new Set(RUNNERS.flatMap(runner => chosenBy(runner, RUNNERS))).size).toBeGreaterThan(75)
@@ -118,9 +112,7 @@
 })
 
 describe('a claim of a holder that is not in the last listing of daemons', () => {
-  // Symptom: items run twice when an agent has just started.
-  // Sequence: a new agent writes its heartbeat and claims an item; another one has listed the daemons before that.
-  // Cause: a holder that is not listed counted as lost, also when the claim was newer than the listing.
+  // Guards against this: items run twice when an agent has just started.
   it('is left alone when it is newer than the listing', () => {
     const world = { jobs: [job('a', 20_000, 1)], claims: [claim()], members: [] }
     const listed = input(world)
--- a/packages/anvilarch-serving/src/runner/__tests__/onlineUse.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/onlineUse.test.ts
@@ -29,9 +29,7 @@
     expect(use.online()).toBe(2)
   })
 
-  // Symptom: batch items give way at an engine that nobody uses.
-  // Sequence: a gateway is killed with requests in progress; it tells nothing any more.
-  // Cause: its last count stayed.
+  // Guards against this: batch items give way at an engine that nobody uses.
   it('forgets a gateway that tells nothing any more', () => {
     use.onNotice('g1', 'e@1', 5)
     use.onLook('e@1', 5)
--- a/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/slack.test.ts
@@ -17,9 +17,7 @@
     expect(planSlack({ slots: 8, running: 8, waiting: 20, ownItems: 2, ownUnseen: 0 })).toEqual({ start: 0, stop: 2 })
   })
 
-  // Symptom: items are broken off right after their start, though no request waits.
-  // Sequence: three items start; the report shows them running; they count as unseen for some milliseconds more.
-  // Cause: the same item was counted twice when deciding what to stop.
+  // Guards against this: items are broken off right after their start, though no request waits.
   it('does not stop what it may have counted twice', () => {
     expect(planSlack({ slots: 4, running: 3, waiting: 0, ownItems: 3, ownUnseen: 3 })).toEqual({ start: 0, stop: 0 })
   })
@@ -30,10 +28,7 @@
 })
 
 describe('unseenItems', () => {
-  // Symptom: an item is started and broken off again at each look at the engine, some twenty times a second.
-  // Sequence: the engine has one slot more than the reserve; an item starts and reads its prompt; the report counts it as running
-  // but does not list it yet; the runner counts it once more and takes the engine for full.
-  // Cause: an item was taken for unseen until the engine listed it, though the report counted it.
+  // Guards against this: an item is started and broken off again at each look at the engine, some twenty times a second.
   it('counts an item only until a report can show it', () => {
     expect(unseenItems([100, 990, 996], 1000)).toBe(2)
     expect(unseenItems([950], 1000)).toBe(0)
@@ -44,9 +39,7 @@
   const patient = { pressing: false }
   const pressing = { pressing: true }
 
-  // Symptom: four runs of items are cut for each one that is done, while the engines have slots to spare on average.
-  // Sequence: an item starts in the last slot; the next request takes it; the request ends and the item starts again.
-  // Cause: each slot to spare was filled, whether or not the item could wait.
+  // Guards against this: four runs of items are cut for each one that is done, while the engines have slots to spare on average.
   it('leaves the last slot to items that cannot wait while requests take slots from items', () => {
     expect(countToStart({ count: 3, items: [patient, patient, patient, patient], online: 2, sinceCutMs: 100 })).toBe(2)
     expect(countToStart({ count: 1, items: [patient], online: 2, sinceCutMs: 100 })).toBe(0)
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -58,9 +58,7 @@
     expect(peerCalls).toBe(before)
   })
 
-  // Symptom: a transaction is done twice.
-  // Sequence: the store does it, the answer is lost, and the same call goes through a peer.
-  // Cause: a call without an answer may have been done; only its caller can tell whether it may be sent again.
+  // Guards against this: a transaction is done twice.
   it('does not send again what may have been done', async () => {
     direct = SILENT
     expect(await transport.call(CALL)).toEqual(SILENT)
@@ -84,9 +82,7 @@
     expect(transport.contact).toEqual({ lastSuccessMs: undefined, lastFailureMs: 10_900, lastOutageMs: 900 })
   })
 
-  // Symptom: after a start of all hosts, one that the store turns away serves nobody for 0.7 s, although peers are served.
-  // Sequence: it asks one of three seeds, which is turned away as well, and leaves all peers alone for a while.
-  // Cause: a single peer was asked, and its failure counted against all of them.
+  // Guards against this: after a start of all hosts, one that the store turns away serves nobody for 0.7 s, although peers are served.
   it('asks another peer when the first one is turned away as well', async () => {
     direct = BUSY
     const asked: string[] = []
@@ -105,8 +101,7 @@
     expect(new Set(asked).size).toBe(3)
   })
 
-  // Symptom: a transaction is done twice.
-  // Sequence: a peer passes the call on and gets no answer; the same call goes through another peer.
+  // Guards against this: a transaction is done twice.
   it('asks no other peer after one whose call may have been done', async () => {
     direct = BUSY
     let asked = 0
@@ -127,9 +122,7 @@
 })
 
 describe('createDirectTransport', () => {
-  // Symptom: after a gateway wakes up it takes the store for silent, and does not know whether its transactions are done.
-  // Sequence: a call is in progress; the process stands still past the call's timeout; the answer waits in the socket.
-  // Cause: the timer ran before the socket was read.
+  // Guards against this: after a gateway wakes up it takes the store for silent, and does not know whether its transactions are done.
   it('reads an answer that came while its own process stood still, and marks it', async () => {
     const server = createServer((_request, response) => { setTimeout(() => response.end('done'), 20) })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
--- a/packages/anvilarch-serving/src/telemetry/__tests__/telemetry.test.ts
+++ b/packages/anvilarch-serving/src/telemetry/__tests__/telemetry.test.ts
@@ -18,9 +18,7 @@
 })
 
 describe('createBoundedLog', () => {
-  // Symptom: all requests of a process stand still.
-  // Sequence: the reader of its standard output stalls; the pipe fills up.
-  // Cause: a write to a full pipe blocks, unless lines are dropped beyond a bound.
+  // Guards against this: all requests of a process stand still.
   it('drops and counts lines while their reader stalls, and never waits', async () => {
     const metrics = createServingMetrics()
     const stalled = new Writable({ write: () => {} })
--- a/packages/anvilarch-standins/src/engine/__tests__/engineStandin.test.ts
+++ b/packages/anvilarch-standins/src/engine/__tests__/engineStandin.test.ts
@@ -125,8 +125,7 @@
   })
 
   test('crashes when a marked request runs, and the collector knows of it', async () => {
-    // Symptom: a request that ran twice is counted once. Sequence: the engine crashes on it, the record dies with the
-    // process, the request runs again elsewhere. Cause: a record that is sent after the request began.
+    // Guards against this: a request that ran twice is counted once.
     const ledger = await startLedgerStandin()
     await start({ ledgerUrl: ledger.url, faults: { crashOn: 'poison' } })
     await expect(ask(CHAT, { messages: [{ role: 'user', content: 'poison' }] })).rejects.toThrow()
--- a/packages/anvilarch-standins/src/fleet/__tests__/ports.test.ts
+++ b/packages/anvilarch-standins/src/fleet/__tests__/ports.test.ts
@@ -1,9 +1,7 @@
 import { createServer } from 'node:net'
 import { allocatePorts } from '../ports'
 
-// Symptom: a fleet does not start, `EADDRINUSE`, when another one starts beside it (soak, seed 301). Sequence: the fleet looks for free ports
-// and sets them free; before its process listens, another process is given the port for an outgoing connection or as any free port.
-// Cause: the ports came from the range that the system gives away.
+// Guards against this: a fleet does not start, `EADDRINUSE`, when another one starts beside it (soak, seed 301).
 const FIRST_GIVEN_AWAY = 32_768
 
 describe('the ports of a fleet', () => {
--- a/packages/anvilarch-standins/src/plain/__tests__/plainStandin.test.ts
+++ b/packages/anvilarch-standins/src/plain/__tests__/plainStandin.test.ts
@@ -12,8 +12,7 @@
   })
 
   test('has the collector know of a request that crashes it', async () => {
-    // Symptom: a request that ran twice is counted once. Sequence: the endpoint crashes on it, the record dies with the
-    // process, the request runs again elsewhere. Cause: a record that is sent after the request began.
+    // Guards against this: a request that ran twice is counted once.
     const ledger = await startLedgerStandin()
     const plain = await startPlainStandin({ name: 'plain-1', ledgerUrl: ledger.url, faults: { crashOn: 'poison' } })
     await expect(call(`${plain.url}/poison`, { headers: { 'x-request-id': 'r1' } })).rejects.toThrow()
--- a/packages/anvilarch-standins/src/table/__tests__/tableState.test.ts
+++ b/packages/anvilarch-standins/src/table/__tests__/tableState.test.ts
@@ -22,8 +22,7 @@
   })
 
   test('gives a commit id that it has seen its first outcome and applies it once', () => {
-    // Symptom: a lease is taken twice. Sequence: the reply to a commit is lost, the daemon sends it again, its own
-    // first write now breaks the condition. Cause: a table that judges the repetition as a new commit.
+    // Guards against this: a lease is taken twice.
     const state = createTableState()
     const commit = { commitId: 'a', conditions: [{ key: 'x', version: 0 }], writes: [{ key: 'x', value: '1' }] }
     const first = commitWrites(state, commit)
@@ -32,8 +31,7 @@
   })
 
   test('never repeats the version of a row that was deleted and written again', () => {
-    // Symptom: a stale commit succeeds. Sequence: a row is deleted and created again while a daemon holds its old version.
-    // Cause: versions that start anew with each row.
+    // Guards against this: a stale commit succeeds.
     const state = tableWith(['x'])
     commitWrites(state, { commitId: 'b', conditions: [], writes: [{ key: 'x', value: null }] })
     commitWrites(state, { commitId: 'c', conditions: [], writes: [{ key: 'x', value: 'again' }] })
--- a/packages/anvilarch-utils/src/__tests__/invariant.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/invariant.test.ts
@@ -15,9 +15,7 @@
 })
 
 describe('afterViolation', () => {
-  // Symptom: a daemon under test ended with the exit code of a violation and left no line in its log.
-  // Sequence: the listener that ends the process was added before the one that logs.
-  // Cause: listeners were told in the order in which they were added.
+  // Guards against this: a daemon under test ended with the exit code of a violation and left no line in its log.
   test('tells what ends the process last, whenever it was added', () => {
     const told: string[] = []
     const remove = [afterViolation(() => { told.push('end') }), onViolation(() => { told.push('log') })]
--- a/packages/anvilarch-utils/src/__tests__/lifecycle.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/lifecycle.test.ts
@@ -12,9 +12,7 @@
   })
 
   it('goes on with the next part when one does not stop in time', async () => {
-    // Symptom: a daemon that was told to stop stays up for ever.
-    // Sequence: one part waits for a peer that has gone silent, so its stop never resolves.
-    // Cause: without a bound on each stop, the parts behind it are never stopped.
+    // Guards against this: a daemon that was told to stop stays up for ever.
     const clock = createFakeClock()
     const failed: string[] = []
     let firstStopped = false
--- a/packages/anvilarch-utils/src/__tests__/silenceWatch.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/silenceWatch.test.ts
@@ -50,8 +50,7 @@
 })
 
 it.each([100, 950, 5_000])('reads what came during a pause of its own process of %d ms before it judges', pauseMs => {
-  // Symptom: a process that wakes up gives up peers that have answered. Sequence: it stands still past the bound, the other
-  // side speaks meanwhile, the timer runs before the socket is read. Cause: own pauses counted as silence of the other side.
+  // Guards against this: a process that wakes up gives up peers that have answered.
   const { clock, watch, silentAtMs } = watchOn()
   clock.advance(500)
   clock.stall(pauseMs)
--- a/packages/anvilarch/src/__tests__/configCommands.test.ts
+++ b/packages/anvilarch/src/__tests__/configCommands.test.ts
@@ -93,9 +93,7 @@
     expect(outcome.stdout).toMatch(/not yet in force everywhere:\n.*\nagent-1 +agent +serving +1 +no/)
   })
 
-  // Symptom: an apply is reported as failed although it is in force, and the operator sends it again over the change
-  // of a colleague. Sequence: the gateway commits the document, then the connection breaks before the answer.
-  // Cause: the reply is lost after the write. The version in force tells what became of it.
+  // Guards against this: an apply is reported as failed although it is in force, and the operator sends it again over the change of a colleague.
   it('learns the outcome from the version in force when the reply is lost', async () => {
     gateway.state.repliesToLose['/admin/v1/configuration'] = 1
     const outcome = await run('config', 'apply', otherFile, '--json')
--- a/packages/anvilarch/src/__tests__/fleetCommands.test.ts
+++ b/packages/anvilarch/src/__tests__/fleetCommands.test.ts
@@ -102,8 +102,7 @@
 })
 
 describe('mergeEvents of a process whose wall clock was set back', () => {
-  // Symptom: an attempt ends before it starts. Sequence: an event, the wall clock goes back by 40 ms, a second event.
-  // Cause: events were ordered by wall time alone.
+  // Guards against this: an attempt ends before it starts.
   it('keeps the order of its sequence', () => {
     const lists = [[event('a', 1, 100), event('a', 2, 60), event('a', 3, 140)], [event('b', 1, 120)]]
     expect(mergeEvents(lists).map(({ process, sequence }) => `${process}${sequence}`)).toEqual(['a1', 'a2', 'b1', 'a3'])
--- a/packages/anvilarch/src/__tests__/httpClient.test.ts
+++ b/packages/anvilarch/src/__tests__/httpClient.test.ts
@@ -21,8 +21,7 @@
 const createClient = () => createHttpClient({ gatewayUrls: [silent.url, healthy.url], connectTimeoutMs: 1000, answerTimeoutMs: 50 })
 
 describe('createHttpClient', () => {
-  // Symptom: every command takes a minute. Sequence: the first gateway is stopped; the system still takes connections
-  // for it, and nobody answers. Cause: only the missing answer tells, so that its time limit is what the operator waits.
+  // Guards against this: every command takes a minute.
   it('asks the next gateway when one takes the connection and never answers', async () => {
     const client = createClient()
     await expect(client.json(READ)).resolves.toMatchObject({ services: [{ name: 'lookup' }] })
--- a/packages/anvilarch/src/__tests__/jobCommands.test.ts
+++ b/packages/anvilarch/src/__tests__/jobCommands.test.ts
@@ -46,8 +46,7 @@
     expect(keysSent()).toEqual(['night-1'])
   })
 
-  // Symptom: each item of a job runs twice. Sequence: the gateway makes the job, the reply is lost, the client sends
-  // the job again. Cause: the second request looks like a new one unless it carries the same key or the same content.
+  // Guards against this: each item of a job runs twice.
   it.each([[undefined, []], ['night-1', ['--key', 'night-1']]])('sends again when the reply is lost, and gets the same job (key %s)', async (key, words) => {
     gateway.state.repliesToLose['/v1/batches'] = 2
     const outcome = await run('job', 'submit', itemsFile, '--json', ...words)
@@ -56,8 +55,7 @@
     expect(gateway.state.jobs.size).toBe(1)
   })
 
-  // Symptom: a file whose job was cancelled by mistake can't be run again. Sequence: submit, cancel, submit. Cause: a
-  // key that the command made up of the content stayed with the cancelled job for good.
+  // Guards against this: a file whose job was cancelled by mistake can't be run again.
   it.each([
     ['in_progress', 'batch_0'], ['completed', 'batch_0'], ['cancelled', 'batch_1'], ['expired', 'batch_1']
   ])('gets job %s -> %s when the same file is submitted again', async (state, expected) => {
@@ -67,7 +65,7 @@
     expect((await run('job', 'submit', itemsFile, '--json')).json().job.id).toBe(expected)
   })
 
-  // Symptom: as above, with an answer. Sequence: the gateway's commit at the table had no reply, and it says so.
+  // Guards against this: as above, with an answer.
   it('sends again after an unknown outcome, and no sooner than it is told', async () => {
     const error = { message: 'The table did not answer.', code: 'outcome_unknown', step: 'jobs.create', ran: 'unknown' }
     gateway.state.refusals['/v1/batches'] = [{ status: 504, body: { error }, retryAfter: '4' }]
@@ -79,8 +77,7 @@
     expect(gateway.state.jobs.size).toBe(1)
   })
 
-  // Symptom: a caller at its limit is refused again and again. Sequence: the gateway states 30 s, the command comes back
-  // after 8 s. Cause: its own longest wait cut off the time that was stated.
+  // Guards against this: a caller at its limit is refused again and again.
   it('keeps to a stated time above its own longest wait, and gives up on one that is too long', async () => {
     const error = { message: 'You have 20 active jobs.', code: 'rate_limited', step: 'jobs.accept', ran: 'not_run' }
     gateway.state.refusals['/v1/batches'] = [{ status: 429, body: { error }, retryAfter: '30' }, { status: 429, body: { error }, retryAfter: '61' }]
@@ -186,8 +183,7 @@
     expect(existsSync(`${output}.part`)).toBe(false)
   })
 
-  // Symptom: a results file with fewer results than the job has. Sequence: the connection breaks in the middle of the
-  // download. Cause: what came so far was written under the wanted name.
+  // Guards against this: a results file with fewer results than the job has.
   it('leaves no file when the connection breaks', async () => {
     gateway.state.jobStates = ['completed']
     const output = join(folder, 'output.jsonl')
@@ -200,8 +196,7 @@
 })
 
 describe('createMultipartBody', () => {
-  // Symptom: the last item of a job is half a line. Sequence: a program still appends to the file while it is sent.
-  // Cause: the length was stated before the sending began.
+  // Guards against this: the last item of a job is half a line.
   it('fails when the file has changed since its size was read', async () => {
     const body = createMultipartBody(itemsFile, ITEMS.length - 1, {})
     await expect(body.open().resume().toArray()).rejects.toMatchObject({ code: 'incomplete', ran: 'not_run' })
--- a/packages/anvilarch/src/__tests__/operationsManual.test.ts
+++ b/packages/anvilarch/src/__tests__/operationsManual.test.ts
@@ -23,8 +23,7 @@
 const sources = sourcesOf(DAEMON)
 const found = (pattern: RegExp): string[] => sources.flatMap(text => [...text.matchAll(pattern)].map(([, name]) => name))
 
-// Symptom: an operator meets a name that the manual lacks, or looks for one that is gone. Sequence: a metric, event or
-// field is added or renamed, and the manual is left as it was. Cause: nothing compared the two.
+// Guards against this: an operator meets a name that the manual lacks, or looks for one that is gone.
 describe('docs/OPERATIONS.md', () => {
   it('names every metric, and none that is not there', () => {
     const metrics = found(/name: '(anvilarch_[a-z_]+)'/g)
