--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -44,13 +44,11 @@
 
 /** Weights of the daemon. */
 export const DEFAULT_PLACEMENT_WEIGHTS: PlacementWeights = {
-  // It gives way, but its claim is saved and its prompt read again. At a quarter of a request, as an item that costs nothing to
-  // cut, 2.1 runs are cut for each item done instead of 1.4 (experiment `placement`), and as many requests are in time.
+  // It gives way, but its claim is saved and its prompt read again: cutting it is not free.
   batchItem: 1,
   // A warm prefix saves the prefill of some hundred tokens, about 2 ms; more than half a request of load is not worth that.
   sharedPart: 0.4,
-  // A new connection takes a round trip and work of both hosts, and briefly a slot. As much as a request of load: 0.25 connections
-  // are opened for each request instead of 0.38 (experiment `placement`), and as many requests are in time.
+  // A new connection takes a round trip and work of both hosts, and briefly a slot.
   idleConnection: 1,
   // Another failure domain costs a millisecond and bytes between domains; it decides only between equals.
   sameDomain: 0.15,
--- a/packages/anvilarch-serving/src/jobs/jobCache.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCache.ts
@@ -9,8 +9,8 @@
 const MAX_JOBS = 1000
 
 /**
- * A gateway does not follow all jobs: 40 gateways that read the feed of 78 jobs were two thirds of the bytes that the store
- * sent on the calm day of a deployment of 80 daemons. It reads a job when a client asks for it.
+ * A gateway reads a job when a client asks for it. Did each gateway follow all jobs, the bytes that the store sends would grow
+ * with the product of gateways and jobs.
  *
  * @returns an empty cache
  */
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -33,10 +33,7 @@
 /** A table that is followed. */
 export type FollowedTable = Pick<FollowOptions, 'table' | 'partitions' | 'listener' | 'intervalMs'>
 
-/**
- * Each endpoint's heartbeat is a change, some eight a second on the smallest deployments. Gathering them takes 60 in 100
- * of all calls to the store away; an endpoint that drains must be left alone within 2 s, so that this delay is no harm.
- */
+/** Each endpoint's heartbeat is a change. An endpoint that drains must be left alone within 2 s, so that gathering them is no harm. */
 const ENDPOINT_FEED_INTERVAL_MS = 250
 
 /** Options of `followPlatform`. */
--- a/packages/anvilarch-serving/src/runner/claims.ts
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -70,7 +70,7 @@
 
 /**
  * Saves the text of an item that runs, so that the loss of this process costs a resume. The claim stays as it is: its row goes
- * to all agents, and was half of all changes that they followed when each save changed it.
+ * to all agents.
  *
  * @param parts - store and identity
  * @param jobId - id of the job
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -115,10 +115,9 @@
 /**
  * Orders the most urgent items so that runners with slots to spare seldom choose the same one.
  *
- * Answers the end of a burst: all engines have room at once, and all their runners look for items. If each takes the most
- * urgent ones, a handful of items is claimed at a time while a hundred wait: on a deployment of 39 engines 60 items a second
- * were claimed, with 190 waiting and 150 slots free. The fleet as a whole takes the same items within that second; which
- * runner takes which does not matter.
+ * Answers the end of a burst: all engines have room at once, and all their runners look for items. If each took the most urgent
+ * ones, only a handful would be claimed at a time. The fleet as a whole takes the same items; which runner takes which does
+ * not matter.
  */
 function spread (candidates: readonly Candidate[], input: ItemChoiceInput): Candidate[] {
   const ranked = candidates.map((candidate, index) => ({ candidate, index, rank: rankOf(input, candidate) }))
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -149,7 +149,7 @@
  * Keeps a copy of a table by listing it from time to time, until the signal aborts.
  *
  * Answers tables in which every row changes every few seconds: with a feed, each daemon is woken by the heartbeat of each other
- * one, which was 60 in 100 of all calls to the store on a deployment of 22 daemons, and grows with the square of their number.
+ * one, and calls to the store grow with the square of their number.
  *
  * @param options - store, table and listener
  * @returns a promise that resolves when the following has ended
