Say how clients see the end of a begun stream, in the log and as a metric

'request ended' of a stream whose head the client has tells eventCount, firstEventId and answerEnd (complete, cut, left), and anvilarch_begun_answers_total counts answers by end and outcome. Before, neither told whether an answer that ended as endpoint_status had begun, nor whether events were missing, so that the three hypotheses of the incident could not be told apart. No decision changes.

--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -117,6 +117,8 @@
     lastEventId: metadata.lastEventId,
     answerBegun: false,
     firstEventAtMs: undefined,
+    eventCount: 0,
+    firstEventId: undefined,
     longestGapMs: 0,
     failedAnswer: undefined
   }
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -3,12 +3,13 @@
 import { accountNameOf } from '../accounts/types'
 import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import type { AnswerEnd } from '../telemetry/events'
 import type { TrafficEnd } from '../telemetry/trafficTally'
 import { elapsedMs } from './requestTrail'
 import type { AttemptAnswer } from './runAttempt'
 
 /** Fields of the line about the end of a request. */
-type EndFields = Record<string, string | number | boolean | undefined>
+type EndFields = Record<string, string | number | boolean | undefined> & { answerEnd?: AnswerEnd }
 
 /** The end of one request. Whatever comes after the first end is ignored. */
 export interface RequestEnd {
@@ -56,6 +57,7 @@
       attempts: state.attemptsThatMayHaveRun,
       offers: state.offers,
       lastEventId: state.lastEventId,
+      ...state.answerBegun ? { eventCount: state.eventCount, firstEventId: state.firstEventId } : {},
       firstEventMs: state.firstEventAtMs === undefined ? undefined : Math.round(state.firstEventAtMs - client.arrivedAtMs),
       elapsedMs: elapsedMs(clock, client.arrivedAtMs),
       ...fields
@@ -73,6 +75,9 @@
     return TRAFFIC_ENDS.get(outcome) ?? 'failed'
   }
 
+  /** @returns how the client sees the end of its answer; undefined while it has no head */
+  const seenAs = (answerEnd: AnswerEnd): AnswerEnd | undefined => state.answerBegun ? answerEnd : undefined
+
   /** @returns whether this is the first end */
   const end = (outcome: string, fields: EndFields = {}): boolean => {
     if (ended) return false
@@ -80,6 +85,7 @@
     onEnd()
     metrics.requests.inc({ kind: route.kind, service: state.service ?? 'none', outcome })
     metrics.requestSeconds.observe({ kind: route.kind }, (clock.nowMs() - client.arrivedAtMs) / 1000)
+    if (fields.answerEnd !== undefined) metrics.begunAnswers.inc({ end: fields.answerEnd, outcome })
     if (state.longestGapMs > 0) metrics.longestGapSeconds.observe(state.longestGapMs / 1000)
     const result = trafficEnd(outcome)
     parts.traffic.onEnd(result)
@@ -105,15 +111,15 @@
     },
     answerWhole: (endpointId, whole) => {
       const outcome = whole.status < FIRST_ERROR_STATUS ? 'answered' : 'endpoint_status'
-      if (!end(outcome, { endpoint: endpointId, status: whole.status })) return
+      if (!end(outcome, { endpoint: endpointId, status: whole.status, answerEnd: seenAs('complete') })) return
       if (state.answerBegun) response.end()
       else sendWhole(response, whole, notice)
     },
     breakOff: reason => {
-      if (end('broken_off', { reason })) response.destroy()
+      if (end('broken_off', { reason, answerEnd: seenAs('cut') })) response.destroy()
     },
     clientLeft: () => {
-      end('client_left')
+      end('client_left', { answerEnd: seenAs('left') })
     }
   }
 }
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -176,6 +176,8 @@
   const onEvent = (endpoint: Endpoint, bytes: Buffer, id: number | undefined): void => {
     const nowMs = clock.nowMs()
     state.firstEventAtMs ??= nowMs
+    state.firstEventId ??= id
+    state.eventCount++
     if (state.lastEventId === metadata.lastEventId) metrics.firstEventSeconds.observe((nowMs - client.arrivedAtMs) / 1000)
     if (lastEventAtMs !== undefined) state.longestGapMs = Math.max(state.longestGapMs, nowMs - lastEventAtMs)
     lastEventAtMs = nowMs
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -92,6 +92,11 @@
   /** Sends in all. */
   offers: number
   lastEventId: number | undefined
+  /** Events that were handed on, and the id of the first of them. */
+  eventCount?: number
+  firstEventId?: number
+  /** How the client sees the end of an answer whose head it has. */
+  answerEnd?: AnswerEnd
   /** From the arrival to the first event of a stream. */
   firstEventMs: number | undefined
   elapsedMs: number
@@ -102,6 +107,9 @@
   reason?: string
 }
 
+/** `complete`: the protocol says so, whatever is missing. `cut`: the connection was closed. `left`: by the client. */
+export type AnswerEnd = 'complete' | 'cut' | 'left'
+
 /** Why a request was refused before any attempt: the wait against the objective, and how full the endpoints were. */
 type RefusalFields = {
   requestId: string
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -9,6 +9,7 @@
   registry: Registry
   requests: Counter<'kind' | 'service' | 'outcome'>
   requestSeconds: Histogram<'kind'>
+  begunAnswers: Counter<'end' | 'outcome'>
   firstEventSeconds: Histogram
   longestGapSeconds: Histogram
   endpointWaitSeconds: Histogram<'kind'>
@@ -34,6 +35,7 @@
     registry,
     requests: new Counter({ name: 'anvilarch_requests_total', help: 'Client requests by kind, service and outcome', labelNames: ['kind', 'service', 'outcome'], registers }),
     requestSeconds: new Histogram({ name: 'anvilarch_request_seconds', help: 'From the head of a request to its last byte', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
+    begunAnswers: new Counter({ name: 'anvilarch_begun_answers_total', help: 'Streamed answers whose head has gone to the client, by how the client sees the end and by the outcome', labelNames: ['end', 'outcome'], registers }),
     firstEventSeconds: new Histogram({ name: 'anvilarch_first_event_seconds', help: 'From the head of a stream request to its first event', buckets: LATENCY_BUCKETS_SECONDS, registers }),
     longestGapSeconds: new Histogram({ name: 'anvilarch_longest_gap_seconds', help: 'Longest time between two events of a stream as they are handed on, one value a stream', buckets: LATENCY_BUCKETS_SECONDS, registers }),
     endpointWaitSeconds: new Histogram({ name: 'anvilarch_endpoint_wait_seconds', help: 'From a send to the first event or the whole answer: queue and work', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
