Take a whole answer for a failed attempt where the rest of a stream was asked for

Cause: the end of the exchange with an endpoint was taken for the end of the client's answer. A stream broke off at one endpoint, went on at a second one, and that one answered with a whole failure. A failure that an endpoint answers itself was not counted as a failed attempt once the client had the head, and ending the answer looked only at whether there was a head: the stream was closed as complete. Any other whole answer (404, 206, 504 at the deadline) did the same.

Why this holds: an attempt tells the end of its events apart from any other whole answer, and only the former can complete a begun answer. A whole answer where the rest of a stream was asked for is a failed attempt: it goes on elsewhere within the attempts that the route allows, or the connection is closed. RequestEnd enforces it whatever its callers do. Items of jobs complete by the end of their events alone, too.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -16,6 +16,7 @@
   onHeaders: (status: number, rawHeaders: Buffer[]) => void
   onData: (chunk: Buffer) => void
   onComplete: () => void
+  onError: (error: Error) => void
 }
 
 /** A request as an endpoint got it. */
@@ -25,10 +26,14 @@
   /** Time that the endpoint was given. */
   deadlineMs: number
   aborted: boolean
-  /** Answers with the head and an event. */
+  /** Answers with an event; the head goes before the first one. */
   event: (id: number) => void
-  /** Answers with the whole. */
+  /** Ends the events. */
+  endEvents: () => void
+  /** Answers with a whole body that is no stream of events. */
   answer: (status?: number) => void
+  /** Breaks the connection. */
+  reset: () => void
 }
 
 /** What the client got. */
@@ -44,6 +49,8 @@
   clock: FakeClock
   sent: SentRequest[]
   client: ClientView
+  /** Takes all endpoints away. */
+  removeEndpoints: () => void
   /** Lets the placement end that waits for loads. */
   placed: () => void
   /** @returns how often the gateway has noticed a pause of its own */
@@ -57,6 +64,7 @@
   endpoints?: number
   /** Whether the placement waits until it is let go on. */
   holdsPlacement?: boolean
+  maxAttempts?: number
 }
 
 const REQUEST_ID = 'r1'
@@ -78,20 +86,30 @@
 
   const poolOf = (endpoint: Endpoint): Pool => ({
     dispatch: ({ headers }: { headers: string[] }, handler: ExchangeHandler) => {
+      let hasHead = false
+      const head = (status: number, rawHeaders: string[]): void => {
+        if (!hasHead) handler.onHeaders(status, rawHeaders.map(text => Buffer.from(text)))
+        hasHead = true
+      }
       const request: SentRequest = {
         endpoint: endpoint.id,
         sentAtMs: clock.nowMs(),
         deadlineMs: Number(headers[1]),
         aborted: false,
         event: id => {
-          if (id === 1) handler.onHeaders(200, ['transfer-encoding', 'chunked'].map(text => Buffer.from(text)))
+          head(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked'])
           handler.onData(Buffer.from(`id: ${id}\ndata: x\n\n`))
         },
+        endEvents: () => {
+          head(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked'])
+          handler.onComplete()
+        },
         answer: (status = 200) => {
-          handler.onHeaders(status, ['content-length', '2'].map(text => Buffer.from(text)))
+          head(status, ['content-type', 'text/plain', 'content-length', '2'])
           handler.onData(Buffer.from('ok'))
           handler.onComplete()
-        }
+        },
+        reset: () => handler.onError(Object.assign(new Error('other side closed'), { code: 'UND_ERR_SOCKET' }))
       }
       sent.push(request)
       handler.onConnect(() => { request.aborted = true })
@@ -99,20 +117,23 @@
     }
   }) as unknown as Pool
 
-  const response = {
+  const response: Record<string, unknown> = {
     headersSent: false,
     destroyed: false,
     on: () => {},
     setHeader: () => {},
     flushHeaders: () => {},
-    writeHead: (status: number) => { client.status = status },
+    writeHead: (status: number) => {
+      client.status = status
+      response.headersSent = true
+    },
     write: (bytes: Buffer) => { client.body += bytes.toString() },
     end: (bytes?: Buffer) => {
       client.body += bytes?.toString() ?? ''
       client.ended = true
     },
     destroy: () => { client.destroyed = true }
-  } as unknown as ServerResponse
+  }
 
   const metrics = createServingMetrics()
   const load = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
@@ -127,7 +148,7 @@
     latencyObjectiveMs: 100,
     gapObjectiveMs: 400,
     priority: 0,
-    maxAttempts: 3,
+    maxAttempts: options.maxAttempts ?? 3,
     resumable: true,
     jobDueMs: 0,
     jobExpiryMs: 0,
@@ -165,7 +186,7 @@
     draw: () => 0.5
   }, {
     request: { method: 'GET', url: '/', headers: {}, rawHeaders: [] } as unknown as IncomingMessage,
-    response,
+    response: response as unknown as ServerResponse,
     body: Buffer.alloc(0),
     metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: undefined, promptParts: [], promptTokens: 1, maxOutputTokens: 1 },
     route,
@@ -173,5 +194,12 @@
     configurationVersion: 1,
     arrivedAtMs: clock.nowMs()
   })
-  return { clock, sent, client, placed: () => placed(), ownPauses: async () => (await metrics.ownPauses.get()).values[0].value }
+  return {
+    clock,
+    sent,
+    client,
+    removeEndpoints: () => { endpoints.length = 0 },
+    placed: () => placed(),
+    ownPauses: async () => (await metrics.ownPauses.get()).values[0].value
+  }
 }
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -0,0 +1,40 @@
+import { forwardOnFakeClock, type ForwardHarness, type ForwardHarnessOptions } from '../__fixtures__/forwardHarness'
+
+/** A stream that breaks off after its second event. @returns once it has been sent elsewhere, if it is */
+async function brokenStream (options: ForwardHarnessOptions): Promise<ForwardHarness> {
+  const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, ...options })
+  await harness.clock.advanceAsync(0)
+  harness.sent[0].event(1)
+  harness.sent[0].event(2)
+  harness.sent[0].reset()
+  await harness.clock.advanceAsync(0)
+  return harness
+}
+
+const TWO_EVENTS = 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+
+describe('a stream that is to go on at another endpoint', () => {
+  // Guards against this: the failure of the second endpoint ends the client's answer as if it were complete.
+  it.each([500, 504, 404, 400, 422, 200, 206])('goes on at a third one when the second answers as a whole with status %i', async status => {
+    const { clock, sent, client } = await brokenStream({ endpoints: 3 })
+    sent[1].answer(status)
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: false })
+    sent[2].event(3)
+    sent[2].endEvents()
+    expect(client).toMatchObject({ status: 200, body: `${TWO_EVENTS}id: 3\ndata: x\n\n`, ended: true, destroyed: false })
+  })
+
+  it.each([500, 504, 404, 400, 422, 200, 206])('is cut when the last one answers as a whole with status %i', async status => {
+    const { clock, sent, client } = await brokenStream({ endpoints: 2 })
+    sent[1].answer(status)
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+  })
+
+  it('is complete when the second endpoint has no event left', async () => {
+    const { sent, client } = await brokenStream({ endpoints: 2 })
+    sent[1].endEvents()
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
+  })
+})
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -95,5 +95,11 @@
   /** Longest time between two events so far. */
   longestGapMs: number
   /** An endpoint's own failure; the client gets it if no other endpoint does better. */
-  failedAnswer: AttemptAnswer | undefined
+  failedAnswer: FailedAnswer | undefined
+}
+
+/** A failure that an endpoint has answered itself. */
+export interface FailedAnswer {
+  endpointId: string
+  whole: AttemptAnswer
 }
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -11,18 +11,26 @@
 /** Fields of the line about the end of a request. */
 type EndFields = Record<string, string | number | boolean | undefined> & { answerEnd?: AnswerEnd }
 
-/** The end of one request. Whatever comes after the first end is ignored. */
+/**
+ * The end of one request. Whatever comes after the first end is ignored. An answer whose head the client has ends as complete only
+ * by `completeEvents`; every other end closes its connection.
+ */
 export interface RequestEnd {
   hasEnded: () => boolean
   /** Answers from this process, or with the failure that an endpoint has answered before. */
   answer: (own: OwnAnswer) => void
-  /** Hands on what an endpoint has answered. */
+  /** Hands on what an endpoint has answered as a whole. */
   answerWhole: (endpointId: string, whole: AttemptAnswer) => void
+  /** All events of the answer have been handed on. */
+  completeEvents: (endpointId: string) => void
   /** Closes the connection, so that the answer cannot look complete. */
   breakOff: (reason: string) => void
   clientLeft: () => void
 }
 
+/** Status of every answer that is handed on in events. */
+const EVENTS_STATUS = 200
+
 /** From this status on an answer tells the client that its request has failed. */
 const FIRST_ERROR_STATUS = 400
 
@@ -96,28 +104,32 @@
     return true
   }
 
+  const breakOff = (reason: string): void => {
+    if (end('broken_off', { reason, answerEnd: seenAs('cut') })) response.destroy()
+  }
+
   return {
     hasEnded: () => ended,
     answer: own => {
       const failed = state.failedAnswer
-      if (failed !== undefined) {
+      if (state.answerBegun) breakOff(own.code)
+      else if (failed !== undefined) {
         // An endpoint has answered, if only with a failure: that is what the client gets, not one of our own.
-        if (end('endpoint_status', { status: failed.status })) sendWhole(response, failed, notice)
-        return
+        if (end('endpoint_status', { endpoint: failed.endpointId, status: failed.whole.status })) sendWhole(response, failed.whole, notice)
+      } else if (end(own.code, { status: own.status })) {
+        if (REFUSED_STATUSES.has(own.status)) metrics.refusals.inc({ kind: route.kind, reason: own.code })
+        sendOwnAnswer(response, own, notice)
       }
-      if (!end(own.code, { status: own.status })) return
-      if (REFUSED_STATUSES.has(own.status)) metrics.refusals.inc({ kind: route.kind, reason: own.code })
-      sendOwnAnswer(response, own, notice)
     },
     answerWhole: (endpointId, whole) => {
       const outcome = whole.status < FIRST_ERROR_STATUS ? 'answered' : 'endpoint_status'
-      if (!end(outcome, { endpoint: endpointId, status: whole.status, answerEnd: seenAs('complete') })) return
-      if (state.answerBegun) response.end()
-      else sendWhole(response, whole, notice)
+      if (state.answerBegun) breakOff('whole_answer')
+      else if (end(outcome, { endpoint: endpointId, status: whole.status })) sendWhole(response, whole, notice)
     },
-    breakOff: reason => {
-      if (end('broken_off', { reason, answerEnd: seenAs('cut') })) response.destroy()
+    completeEvents: endpointId => {
+      if (end('answered', { endpoint: endpointId, status: EVENTS_STATUS, answerEnd: 'complete' })) response.end()
     },
+    breakOff,
     clientLeft: () => {
       end('client_left', { answerEnd: seenAs('left') })
     }
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -6,7 +6,7 @@
 import { forwardedHeaders } from './headers'
 import type { AnswerMetadata, RequestWire } from './types'
 
-/** A whole answer. The body is empty when its events have been handed on. */
+/** A whole answer that is not handed on in events. */
 export interface AttemptAnswer {
   status: number
   rawHeaders: string[]
@@ -25,6 +25,8 @@
   afterEventId: number | undefined
   onHead: (head: { status: number, rawHeaders: string[] }) => void
   onEvent: (bytes: Buffer, id: number | undefined, data: string) => void
+  /** The answer was a stream of events, and is whole. */
+  onEventsEnd: () => void
   onAnswer: (answer: AttemptAnswer) => void
   onFailure: (failure: AttemptFailure, reason: string) => void
 }
@@ -189,7 +191,8 @@
       return
     }
     ended = true
-    options.onAnswer({ status: head.status, rawHeaders: head.rawHeaders, body: Buffer.concat(chunks) })
+    if (head.events) options.onEventsEnd()
+    else options.onAnswer({ status: head.status, rawHeaders: head.rawHeaders, body: Buffer.concat(chunks) })
   }
 
   const exchange: Exchange = startExchange(options.pool, options.request, {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -106,14 +106,14 @@
     break_off: reason => end.breakOff(reason)
   }
 
-  const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string): void => {
+  const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string, metricReason = reason): void => {
     leaveRunning()
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
     else state.refusedOffers++
     if (!isPassingRefusal(reason)) loads.onFailure(endpoint.startId)
     if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
     if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onBroken(repeatedRequestOf(client), endpoint.startId)
-    metrics.attemptFailures.inc({ kind: route.kind, reason })
+    metrics.attemptFailures.inc({ kind: route.kind, reason: metricReason })
     trail.failed(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
   }
@@ -139,31 +139,37 @@
     silence.setBoundMs(boundMs)
   }
 
-  /** Goes elsewhere after a failure that the endpoint has answered itself, if that is allowed. @returns whether it does */
-  const triesElsewhere = (endpoint: Endpoint, whole: AttemptAnswer): boolean => {
-    if (whole.status < FIRST_FAILURE_STATUS || state.answerBegun) return false
-    state.attemptsThatMayHaveRun++
-    loads.onFailure(endpoint.startId)
-    if (stepAfter('may_have_run') !== 'send_again') return false
-    trail.failed(endpoint, 'may_have_run', `status ${whole.status}`)
-    metrics.attemptFailures.inc({ kind: route.kind, reason: 'endpoint_status' })
-    state.failedAnswer = whole
-    sendAgain()
-    return true
+  /** The answer of an endpoint that failed, or that was to go on with a stream and sent something else. */
+  const onFailedAnswer = (endpoint: Endpoint, whole: AttemptAnswer): void => {
+    if (!state.answerBegun) state.failedAnswer = { endpointId: endpoint.startId, whole }
+    onFailure(endpoint, 'may_have_run', `status ${whole.status}`, 'endpoint_status')
   }
 
-  const onAnswer = (endpoint: Endpoint, whole: AttemptAnswer): void => {
+  const onSuccess = (endpoint: Endpoint): void => {
     leaveRunning()
-    observeWait()
-    if (triesElsewhere(endpoint, whole)) return
-    if (whole.status < FIRST_FAILURE_STATUS) loads.onSuccess(endpoint.startId)
+    loads.onSuccess(endpoint.startId)
     // The first event stands for the time in the queue; the slot is held from then on.
     if (state.service !== undefined && state.firstEventAtMs !== undefined) {
       parts.holdTimes.onAnswer(state.service, clock.nowMs() - state.firstEventAtMs)
     }
+  }
+
+  const onAnswer = (endpoint: Endpoint, whole: AttemptAnswer): void => {
+    observeWait()
+    if (state.answerBegun || whole.status >= FIRST_FAILURE_STATUS) {
+      onFailedAnswer(endpoint, whole)
+      return
+    }
+    onSuccess(endpoint)
     end.answerWhole(endpoint.startId, whole)
   }
 
+  const onEventsEnd = (endpoint: Endpoint): void => {
+    observeWait()
+    onSuccess(endpoint)
+    end.completeEvents(endpoint.startId)
+  }
+
   const onHead = (endpoint: Endpoint, head: { status: number, rawHeaders: string[] }): void => {
     trail.begun(endpoint, head.status)
     if (state.answerBegun) return
@@ -206,6 +212,7 @@
     afterEventId: state.lastEventId,
     onHead: head => onHead(endpoint, head),
     onEvent: (bytes, id) => onEvent(endpoint, bytes, id),
+    onEventsEnd: () => onEventsEnd(endpoint),
     onAnswer: whole => onAnswer(endpoint, whole),
     onFailure: (failure, reason) => onFailure(endpoint, failure, reason)
   })
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -92,7 +92,8 @@
       options.onEvent()
       silence.heard()
     },
-    onAnswer: answer => finish(endOfAnswer(answer.status, text)),
+    onEventsEnd: () => finish({ end: 'completed', text: text.pieces.join('\n') }),
+    onAnswer: answer => finish(endOfAnswer(answer.status)),
     onFailure: (_failure, reason) => finish({ end: 'interrupted', reason })
   })
   return {
@@ -104,8 +105,8 @@
   }
 }
 
-function endOfAnswer (status: number, text: ItemText): RunEnd {
-  if (status === 200) return { end: 'completed', text: text.pieces.join('\n') }
+/** @returns what an answer that is no stream of events says of the item */
+function endOfAnswer (status: number): RunEnd {
   if (status === IMPOSSIBLE_STATUS) return { end: 'impossible' }
   if (status === FAILED_STATUS) return { end: 'failed' }
   return { end: 'interrupted', reason: `status ${status}` }
