--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -31,7 +31,7 @@
   /** Ends the events. */
   endEvents: () => void
   /** Answers with a whole body that is no stream of events. */
-  answer: (status?: number) => void
+  answer: (status?: number, body?: string) => void
   /** Breaks the connection. */
   reset: () => void
 }
@@ -104,9 +104,9 @@
           head(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked'])
           handler.onComplete()
         },
-        answer: (status = 200) => {
-          head(status, ['content-type', 'text/plain', 'content-length', '2'])
-          handler.onData(Buffer.from('ok'))
+        answer: (status = 200, body = 'ok') => {
+          head(status, ['content-type', 'text/plain', 'content-length', String(body.length)])
+          if (body !== '') handler.onData(Buffer.from(body))
           handler.onComplete()
         },
         reset: () => handler.onError(Object.assign(new Error('other side closed'), { code: 'UND_ERR_SOCKET' }))
--- a/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -32,6 +32,14 @@
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
   })
 
+  // Guards against this: a body that is no stream of events passes for a stream without further events.
+  it.each(['', 'a paragraph\n\n'])('is cut when the last one answers 200 with %j, which is no stream of events', async body => {
+    const { clock, sent, client } = await brokenStream({ endpoints: 2 })
+    sent[1].answer(200, body)
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+  })
+
   it('is complete when the second endpoint has no event left', async () => {
     const { sent, client } = await brokenStream({ endpoints: 2 })
     sent[1].endEvents()
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -85,6 +85,8 @@
   return REFUSALS.get(status)
 }
 
+const EVENT_STREAM_TYPE = 'text/event-stream'
+
 const STATUSES_WITHOUT_BODY = new Set([204, 304])
 
 /**
@@ -98,6 +100,11 @@
   return headers.has('content-length') || headers.has('transfer-encoding') || STATUSES_WITHOUT_BODY.has(status)
 }
 
+/** @returns whether the body is a stream of events; any other body has no events to hand on, and none that could be missing */
+function isEventStream (headers: ReadonlyMap<string, string>): boolean {
+  return headers.get('content-type')?.toLowerCase().startsWith(EVENT_STREAM_TYPE) ?? false
+}
+
 /**
  * @param options - request, connections and listeners
  * @returns the attempt
@@ -128,7 +135,7 @@
       fail('may_have_run', 'encoded_answer')
       return
     }
-    const events = options.streams && status === 200
+    const events = options.streams && status === 200 && isEventStream(headers)
     head = { status, rawHeaders: forwardedHeaders(rawHeaders, NO_HEADERS), answer, events }
     if (refusalOf(status, answer) !== undefined) return
     if (!answer.signed || answer.requestId === undefined) {
