Tell the truth when no endpoint is left for a request that was sent before

Callers saw: a lookup that an endpoint may have run was answered 503, which says that it has not run; a begun stream was neither ended nor cut, so that its client waited until it gave up.

Cause: a request goes elsewhere when an endpoint is left, asks for loads first, and may find none after that wait. That end looked neither at the attempts that may have run nor at the head that the client has; for a begun stream the answer could not be written and was dropped.

Why this holds: the decision after a failed attempt is asked again without an endpoint: it cuts what has begun, and refuses only what has not run.

--- a/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -40,9 +40,36 @@
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
   })
 
+  // Guards against this: the client waits on an answer that nothing will end.
+  it('is cut when no endpoint is left by the time at which it could go on', async () => {
+    const { clock, sent, client, placed, removeEndpoints } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, holdsPlacement: true })
+    placed()
+    await clock.advanceAsync(0)
+    sent[0].event(1)
+    sent[0].reset()
+    removeEndpoints()
+    placed()
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ body: 'id: 1\ndata: x\n\n', ended: false, destroyed: true })
+  })
+
   it('is complete when the second endpoint has no event left', async () => {
     const { sent, client } = await brokenStream({ endpoints: 2 })
     sent[1].endEvents()
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
   })
 })
+
+describe('a lookup that is to be sent again', () => {
+  // Guards against this: the client is told that its request has not run though an endpoint may have run it.
+  it('is answered 502 when no endpoint is left by then', async () => {
+    const { clock, sent, client, placed, removeEndpoints } = forwardOnFakeClock({ holdsPlacement: true })
+    placed()
+    await clock.advanceAsync(0)
+    sent[0].reset()
+    removeEndpoints()
+    placed()
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ status: 502, ended: true })
+  })
+})
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -239,6 +239,12 @@
     else end.answer(unauthorizedAnswer(parts.wire.credentialScheme))
   }
 
+  /** Endpoints that could have been tried may have gone while the request waited for the choice of one. */
+  const endWithoutEndpoint = (): void => {
+    if (state.attemptsThatMayHaveRun > 0) steps[stepAfter('may_have_run')]('no_endpoint')
+    else end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
+  }
+
   const sendPrepared = (): void => {
     // After a pause of this process the timer of the deadline may run after the one that leads here. An endpoint would run
     // what nobody waits for any more.
@@ -252,7 +258,7 @@
     }
     const endpoint = choose()
     if (endpoint === undefined) {
-      end.answer({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
+      endWithoutEndpoint()
       return
     }
     trail.chosen(endpoint)
