Take no answer of the store for whole whose end cannot be told from a break

Callers would see a result or the body of an item that lacks its last part.

Cause: an answer without a length and without chunks ends with its connection, so that one which broke off looks whole.

Evidence: reading for the same cause elsewhere. transport.test.ts on the code before: outcome answered with the half of an object, where no_answer is expected.

Why this holds: such an answer counts as none, so that reads are done again and writes are looked up; one rule serves endpoints and store.

--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -1,6 +1,6 @@
 /** One attempt at an endpoint: checks that the answer is this request's, whole and in order. */
 import type { Pool } from '../endpoints/httpPool'
-import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
+import { type Exchange, type ExchangeRequest, isFramed, startExchange } from '../endpoints/exchange'
 import type { AttemptFailure } from './attemptDecision'
 import { createEventSplitter } from './eventBlocks'
 import { forwardedHeaders } from './headers'
@@ -87,19 +87,6 @@
 
 const EVENT_STREAM_TYPE = 'text/event-stream'
 
-const STATUSES_WITHOUT_BODY = new Set([204, 304])
-
-/**
- * An answer that names neither a length nor chunks ends with its connection, so that one which was broken off looks whole.
- *
- * @param status - of the answer
- * @param headers - of the answer
- * @returns whether the end of the answer can be told from a break
- */
-function isFramed (status: number, headers: ReadonlyMap<string, string>): boolean {
-  return headers.has('content-length') || headers.has('transfer-encoding') || STATUSES_WITHOUT_BODY.has(status)
-}
-
 /** @returns whether the body is a stream of events; any other body has no events to hand on, and none that could be missing */
 function isEventStream (headers: ReadonlyMap<string, string>): boolean {
   return headers.get('content-type')?.toLowerCase().startsWith(EVENT_STREAM_TYPE) ?? false
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -136,4 +136,19 @@
     server.closeAllConnections()
     server.close()
   })
+
+  // Guards against this: a part of a stored object passes for the whole of it.
+  it('does not take for whole an answer whose end a broken connection cannot be told from', async () => {
+    const server = createServer((_request, response) => {
+      response.shouldKeepAlive = false
+      response.removeHeader('Transfer-Encoding')
+      response.writeHead(200)
+      response.end('half of the obj')
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const send = createDirectTransport(`127.0.0.1:${(server.address() as AddressInfo).port}`, createSystemClock())
+    expect(await send(CALL)).toEqual({ outcome: 'no_answer', reason: 'unframed_answer' })
+    server.closeAllConnections()
+    server.close()
+  })
 })
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,6 +1,6 @@
 /** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
 import { type Clock, createSilenceWatch, type Random } from 'anvilarch-utils'
-import { startExchange } from '../endpoints/exchange'
+import { isFramed, startExchange } from '../endpoints/exchange'
 import { createPool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
 
@@ -50,7 +50,12 @@
       resolve(answer)
     }
     const exchange = startExchange(pool, call, {
-      onHead: answered => { status = answered },
+      onHead: (answered, headers) => {
+        status = answered
+        if (isFramed(answered, headers)) return
+        exchange.abort()
+        settle({ outcome: 'no_answer', reason: 'unframed_answer' })
+      },
       onData: chunk => { chunks.push(chunk) },
       onComplete: () => settle({ outcome: 'answered', status, body: Buffer.concat(chunks), readLate }),
       onFailure: failure => settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
