Break off a run at an event without an id where another endpoint may go on

Callers would see: an event twice, or events joined over a gap, in a stream that was resumed; a text of an item that lacks data.

Cause: only events with an id were held against the order; the others were handed on (items: dropped) without a place in it, so that neither a gap before them nor their repetition after a resume was noticed.

Why this holds: where events may be gone on with, each needs its id, or the run breaks off and is resumed after the last one that had one. Comments are passed on; streams that may not be resumed are as before.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -28,6 +28,8 @@
   aborted: boolean
   /** Answers with an event; the head goes before the first one. */
   event: (id: number) => void
+  /** Answers with any block of a stream of events, its empty line left out. */
+  block: (text: string) => void
   /** Ends the events. */
   endEvents: () => void
   /** Answers with a whole body that is no stream of events. */
@@ -65,10 +67,13 @@
   /** Whether the placement waits until it is let go on. */
   holdsPlacement?: boolean
   maxAttempts?: number
+  resumable?: boolean
 }
 
 const REQUEST_ID = 'r1'
 
+const EVENT_STREAM_HEADERS = ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked']
+
 function endpointNamed (id: string): Endpoint {
   return { id, bornAtMs: undefined, startId: id, service: 's', address: `${id}:1`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
@@ -96,12 +101,13 @@
         sentAtMs: clock.nowMs(),
         deadlineMs: Number(headers[1]),
         aborted: false,
-        event: id => {
-          head(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked'])
-          handler.onData(Buffer.from(`id: ${id}\ndata: x\n\n`))
+        event: id => request.block(`id: ${id}\ndata: x`),
+        block: text => {
+          head(200, EVENT_STREAM_HEADERS)
+          handler.onData(Buffer.from(`${text}\n\n`))
         },
         endEvents: () => {
-          head(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked'])
+          head(200, EVENT_STREAM_HEADERS)
           handler.onComplete()
         },
         answer: (status = 200, body = 'ok') => {
@@ -149,7 +155,7 @@
     gapObjectiveMs: 400,
     priority: 0,
     maxAttempts: options.maxAttempts ?? 3,
-    resumable: true,
+    resumable: options.resumable ?? true,
     jobDueMs: 0,
     jobExpiryMs: 0,
     waitingTokenLimit: 0,
--- a/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -60,6 +60,38 @@
   })
 })
 
+describe('an event without an id', () => {
+  // Guards against this: events after it are joined to those before it, and an endpoint that goes on sends it again.
+  it.each(['data: y', 'event: note\ndata: y', 'id: x\ndata: y', '{"error":"busy"}'])('(%j) is not handed on in a stream that may be resumed', async block => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000 })
+    await clock.advanceAsync(0)
+    sent[0].event(1)
+    sent[0].block(block)
+    await clock.advanceAsync(0)
+    sent[1].event(2)
+    sent[1].endEvents()
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: true })
+  })
+
+  it('is handed on in a stream that may not be resumed', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, resumable: false })
+    await clock.advanceAsync(0)
+    sent[0].block('data: y')
+    sent[0].endEvents()
+    expect(client).toMatchObject({ body: 'data: y\n\n', ended: true })
+  })
+
+  it('is none if it holds comments only', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000 })
+    await clock.advanceAsync(0)
+    sent[0].event(1)
+    sent[0].block(': alive')
+    sent[0].event(2)
+    sent[0].endEvents()
+    expect(client).toMatchObject({ body: 'id: 1\ndata: x\n\n: alive\n\nid: 2\ndata: x\n\n', ended: true })
+  })
+})
+
 describe('a lookup that is to be sent again', () => {
   // Guards against this: the client is told that its request has not run though an endpoint may have run it.
   it('is answered 502 when no endpoint is left by then', async () => {
--- a/packages/anvilarch-serving/src/requests/eventBlocks.ts
+++ b/packages/anvilarch-serving/src/requests/eventBlocks.ts
@@ -54,6 +54,11 @@
   }
 }
 
+/** @returns whether a block holds nothing but comments */
+export function isComment (block: EventBlock): boolean {
+  return block.bytes.toString('latin1').split('\n').every(line => line === '' || line === '\r' || line.startsWith(':'))
+}
+
 function parseBlock (bytes: Buffer): EventBlock {
   let id: number | undefined
   let data: string | undefined
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -89,7 +89,7 @@
   /** Whether the head of the answer has gone to the client. */
   answerBegun: boolean
   firstEventAtMs: number | undefined
-  /** Events that were handed on, and the id of the first of them. */
+  /** Events with an id that were handed on, and the id of the first of them. */
   eventCount: number
   firstEventId: number | undefined
   /** Longest time between two events so far. */
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -2,7 +2,7 @@
 import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeRequest, isFramed, startExchange } from '../endpoints/exchange'
 import type { AttemptFailure } from './attemptDecision'
-import { createEventSplitter } from './eventBlocks'
+import { createEventSplitter, type EventBlock, isComment } from './eventBlocks'
 import { forwardedHeaders } from './headers'
 import type { AnswerMetadata, RequestWire } from './types'
 
@@ -23,6 +23,8 @@
   streams: boolean
   /** Events go on after this one. */
   afterEventId: number | undefined
+  /** Whether another endpoint may go on with the events, which takes an id at each of them. */
+  resumable: boolean
   onHead: (head: { status: number, rawHeaders: string[] }) => void
   onEvent: (bytes: Buffer, id: number | undefined, data: string) => void
   /** The answer was a stream of events, and is whole. */
@@ -136,15 +138,20 @@
     if (events) options.onHead(head)
   }
 
+  /** @returns why a block cannot follow those before it; undefined when it can */
+  const misplacement = (block: EventBlock): string | undefined => {
+    if (block.id === undefined) return options.resumable && !isComment(block) ? 'event_without_id' : undefined
+    return lastEventId !== undefined && block.id !== lastEventId + 1 ? 'events_out_of_order' : undefined
+  }
+
   const onEvents = (chunk: Buffer): void => {
     for (const block of splitter.push(chunk)) {
-      if (block.id !== undefined) {
-        if (lastEventId !== undefined && block.id !== lastEventId + 1) {
-          fail('may_have_run', 'events_out_of_order')
-          return
-        }
-        lastEventId = block.id
+      const reason = misplacement(block)
+      if (reason !== undefined) {
+        fail('may_have_run', reason)
+        return
       }
+      lastEventId = block.id ?? lastEventId
       options.onEvent(block.bytes, block.id, block.data)
       if (ended) return
     }
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -183,7 +183,7 @@
     const nowMs = clock.nowMs()
     state.firstEventAtMs ??= nowMs
     state.firstEventId ??= id
-    state.eventCount++
+    if (id !== undefined) state.eventCount++
     if (state.lastEventId === metadata.lastEventId) metrics.firstEventSeconds.observe((nowMs - client.arrivedAtMs) / 1000)
     if (lastEventAtMs !== undefined) state.longestGapMs = Math.max(state.longestGapMs, nowMs - lastEventAtMs)
     lastEventAtMs = nowMs
@@ -210,6 +210,7 @@
     },
     streams: route.kind === 'stream',
     afterEventId: state.lastEventId,
+    resumable: route.resumable,
     onHead: head => onHead(endpoint, head),
     onEvent: (bytes, id) => onEvent(endpoint, bytes, id),
     onEventsEnd: () => onEventsEnd(endpoint),
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -83,6 +83,7 @@
     },
     streams: true,
     afterEventId: text.lastEventId,
+    resumable: true,
     onHead: silence.heard,
     onEvent: (_bytes, id, data) => {
       if (id !== undefined) {
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -92,7 +92,7 @@
   /** Sends in all. */
   offers: number
   lastEventId: number | undefined
-  /** Events that were handed on, and the id of the first of them. */
+  /** Events with an id that were handed on, and the id of the first of them. */
   eventCount?: number
   firstEventId?: number
   /** How the client sees the end of an answer whose head it has. */
