Ask of an answer that goes on with a stream that it is a stream

Callers saw a streamed completion end as if it were whole after its first words: no error event, no end mark, the body properly framed. The OpenAI client ended its loop without an error.

Cause: once the first events had gone out, the collector of a stream compared only the status of the next endpoint's answer. An answer with status 200 and another content type was read as events, gave none, and its end counted as the end of the stream.

Before: "goes on at a third one when the second gives a whole answer" got ["one ", 0] instead of ["one two three four five", 1] (text, end marks), and the OpenAI client's "Received promise resolved instead of rejected". The other statuses (202, 204, 404, 500) were told apart already; their cases passed before and keep it so.

Now the head of an answer that is to go on has to be that of a stream as well. Anything else is a failed attempt, as another status was: the next endpoint is asked, or the caller is told by an error event.

--- a/packages/anvilarch-daemon/src/attempts/__fixtures__/fakeAgent.ts
+++ b/packages/anvilarch-daemon/src/attempts/__fixtures__/fakeAgent.ts
@@ -55,6 +55,7 @@
   /** Chunks of the answer to a request. */
   answer?: (request: StartAttemptRequest) => string[]
   contentType?: string
+  status?: number
   /** Answers stop after their first chunk until `release`. */
   hold?: boolean
 }
@@ -145,7 +146,7 @@
     }
     if (faults.muteStarts) { await aborted(signal); return }
     const contentType = options.contentType ?? (request.outputMode === 'stream' ? 'text/event-stream' : 'application/json')
-    const kept: KeptAttempt = { requestId: request.requestId, isolated: request.isolated || request.soloFirstToken, chunks: [], head: { status: 200, headers: [{ name: 'Content-Type', value: contentType }] }, final: undefined, changed: [] }
+    const kept: KeptAttempt = { requestId: request.requestId, isolated: request.isolated || request.soloFirstToken, chunks: [], head: { status: options.status ?? 200, headers: [{ name: 'Content-Type', value: contentType }] }, final: undefined, changed: [] }
     attempts.set(request.attemptId, kept)
     execute(request, kept).catch(() => {})
     yield * read(kept, 0, signal)
--- /dev/null
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
@@ -0,0 +1,58 @@
+import type { StartAttemptRequest } from 'anvilarch-protocol'
+import OpenAI from 'openai'
+import { chatEvents, type FakeAgentOptions } from '../__fixtures__/fakeAgent'
+import { startTestGateway, type TestGateway } from '../__fixtures__/testGateway'
+
+const WORDS = ['one ', 'two ', 'three ', 'four ', 'five']
+
+function continuedChat (request: StartAttemptRequest): string[] {
+  const body = JSON.parse(Buffer.from(request.call?.body ?? []).toString()) as { continuation?: { tokens: number } }
+  return chatEvents(WORDS.slice(body.continuation?.tokens ?? 0))
+}
+
+const model = (name: string, more: Partial<FakeAgentOptions> = {}): FakeAgentOptions => ({ name, kind: 'model', answer: continuedChat, ...more })
+
+let gateway: TestGateway
+
+// The server library of the fake agent reports each stream that its peer cuts; here that is what is tested.
+beforeAll(() => { jest.spyOn(console, 'error').mockImplementation(() => {}) })
+afterEach(async () => { await gateway.stop() })
+
+/** Reads a stream of which the first endpoint loses all after so many events. */
+async function readAfterLoss (agents: FakeAgentOptions[], lostAfter: number): Promise<string> {
+  gateway = await startTestGateway({ agents })
+  gateway.agents[0].faults.dieAfterChunks = lostAfter
+  const body = JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'hello' }] })
+  return await (await fetch(`${gateway.url}/v1/chat/completions`, { method: 'POST', body })).text()
+}
+
+const textOf = (raw: string): string => [...raw.matchAll(/"content":"([^"]*)"/g)].map(found => found[1]).join('')
+const count = (raw: string, part: string): number => raw.split(part).length - 1
+
+describe('a stream that another endpoint is asked to go on with', () => {
+  // Guards against this: the end of an answer that is not the rest of the stream ends the stream as if it were whole.
+  it.each<[string, Partial<FakeAgentOptions>]>([
+    ['a whole answer', { contentType: 'application/json', answer: () => ['{"choices":[{"index":0,"message":{"content":"x"},"finish_reason":"stop"}]}'] }],
+    ['another success', { status: 202, answer: () => ['data: {}\n\n'] }],
+    ['an empty answer', { status: 204, contentType: '', answer: () => [] }],
+    ['a refusal', { status: 404, contentType: 'application/json', answer: () => ['{"error":{}}'] }],
+    ['a failure', { status: 500, contentType: 'application/json', answer: () => ['{"error":{}}'] }]
+  ])('goes on at a third one when the second gives %s', async (_what, answer) => {
+    const raw = await readAfterLoss([model('a1'), model('a2', answer), model('a3')], 3)
+    expect([textOf(raw), count(raw, '[DONE]')]).toEqual([WORDS.join(''), 1])
+    expect(gateway.agents[1].executions).toHaveLength(1)
+  })
+
+  it.each<[string, Partial<FakeAgentOptions>]>([
+    ['a whole answer', { contentType: 'application/json', answer: () => ['{"choices":[]}'] }],
+    ['a failure', { status: 500, contentType: 'application/json', answer: () => ['{"error":{}}'] }]
+  ])('ends with an error for the OpenAI client when the only other one gives %s', async (_what, answer) => {
+    gateway = await startTestGateway({ agents: [model('a1'), model('a2', answer)] })
+    gateway.agents[0].faults.dieAfterChunks = 3
+    const client = new OpenAI({ baseURL: `${gateway.url}/v1`, apiKey: 'k', maxRetries: 0 })
+    const read = async (): Promise<void> => {
+      for await (const chunk of await client.chat.completions.create({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] })) expect(chunk.choices).toHaveLength(1)
+    }
+    await expect(read()).rejects.toMatchObject({ error: { ran: 'ran' } })
+  })
+})
--- a/packages/anvilarch-daemon/src/attempts/output/streamCollector.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/streamCollector.ts
@@ -45,10 +45,11 @@
 
   return {
     head: (newStatus, newHeaders) => {
-      if (delivered) return newStatus === status ? undefined : `the endpoint answered ${newStatus} when asked to go on with a stream`
+      const isEvents = (newHeaders['content-type'] ?? '').startsWith('text/event-stream')
+      if (delivered) return newStatus === status && isEvents ? undefined : refusalToGoOn(newStatus, newHeaders)
       status = newStatus
       headers = newHeaders
-      answerIsEvents = (newHeaders['content-type'] ?? '').startsWith('text/event-stream')
+      answerIsEvents = isEvents
       return undefined
     },
     output: data => {
@@ -87,6 +88,10 @@
   }
 }
 
+function refusalToGoOn (status: number, headers: Headers): string {
+  return `the endpoint answered ${status} with content type "${headers['content-type'] ?? ''}" when asked to go on with a stream`
+}
+
 /** The endpoint that goes on announces its role again, and ends again what had ended already. */
 function isRepeated (chunk: CompletionChunk, finished: boolean): boolean {
   const choice = chunk.choices?.[0]
