Take a stream for whole only with a reason for its end and its end mark

Callers could get a streamed completion that ended properly framed after part of its text: without the end mark, or with the end mark and without a reason for its end. The OpenAI clients end their loop at either without an error.

Cause: the gateway took the end of one attempt, with as many bytes as its agent counted, for the end of the caller's answer. What the events said was not asked.

Now the collector says what the answer still lacks, over all of its attempts, and the machine takes an attempt that ends before that for failed, so that another endpoint goes on or the caller is told. The end mark goes out only when every choice has told why it ended, since a client stops reading there. An answer whose status tells an error needs neither; a test keeps that. The step that closed an unfinished last event at the end is gone: such an event is no end mark, and the agent closes each event itself.

--- a/packages/anvilarch-daemon/src/attempts/__fixtures__/simulatedFleet.ts
+++ b/packages/anvilarch-daemon/src/attempts/__fixtures__/simulatedFleet.ts
@@ -81,7 +81,7 @@
   apply (event: RequestEvent): void {
     const before = this.state.attempt
     if (before !== undefined && 'stream' in event && event.stream === before.stream) this.ledger.event(event, before)
-    const step = stepRequest(this.state, event, { nowMs: this.nowMs, deadlineMs: 1e9, retryAllowed: true, continuable: true, quarantined: this.quarantined })
+    const step = stepRequest(this.state, event, { nowMs: this.nowMs, deadlineMs: 1e9, retryAllowed: true, continuable: true, missing: undefined, quarantined: this.quarantined })
     this.state = step.state
     for (const command of step.commands) this.execute(command)
   }
--- a/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
@@ -55,4 +55,20 @@
     }
     await expect(read()).rejects.toMatchObject({ error: { ran: 'ran' } })
   })
+
+  // Guards against this: a stream whose end mark never came ends as if it were whole.
+  it.each<[string, (events: string[]) => string[]]>([
+    ['its end mark', events => events.slice(0, -1)],
+    ['its last words', () => []],
+    ['a reason for its end', events => [...events.slice(0, -2), 'data: [DONE]\n\n']]
+  ])('goes on at a third one when the second ends without %s', async (_what, cut) => {
+    const raw = await readAfterLoss([model('a1'), model('a2', { answer: request => cut(continuedChat(request)) }), model('a3')], 3)
+    expect([textOf(raw), count(raw, '[DONE]'), count(raw, '"stop"')]).toEqual([WORDS.join(''), 1, 1])
+  })
+
+  it('passes a first answer on as it is when its status tells an error', async () => {
+    gateway = await startTestGateway({ agents: [model('a1', { status: 500, answer: () => ['data: {"error":{}}\n\n'] })] })
+    const response = await fetch(`${gateway.url}/v1/chat/completions`, { method: 'POST', body: JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] }) })
+    expect([response.status, await response.text()]).toEqual([500, 'data: {"error":{}}\n\n'])
+  })
 })
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/crashes.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/crashes.test.ts
@@ -12,7 +12,7 @@
   constructor (private readonly retryAllowed = true) {}
 
   private apply (event: Parameters<typeof stepRequest>[1]): RequestCommand[] {
-    const step = stepRequest(this.state, event, { nowMs: 0, deadlineMs: 60_000, retryAllowed: this.retryAllowed, continuable: true, quarantined: false })
+    const step = stepRequest(this.state, event, { nowMs: 0, deadlineMs: 60_000, retryAllowed: this.retryAllowed, continuable: true, missing: undefined, quarantined: false })
     this.state = step.state
     return step.commands
   }
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/resumptions.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/resumptions.test.ts
@@ -8,7 +8,7 @@
 function createRunning (): { apply: (event: RequestEvent) => RequestCommand[], stream: () => number } {
   let state: RequestState = createRequestState({ requestId: 'r', fingerprint: 'f', idempotent: true })
   const apply = (event: RequestEvent): RequestCommand[] => {
-    const step = stepRequest(state, event, { nowMs: 0, deadlineMs: 20_000, retryAllowed: true, continuable: true, quarantined: false })
+    const step = stepRequest(state, event, { nowMs: 0, deadlineMs: 20_000, retryAllowed: true, continuable: true, missing: undefined, quarantined: false })
     state = step.state
     return step.commands
   }
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/waitingForTarget.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/waitingForTarget.test.ts
@@ -11,7 +11,7 @@
   let state = createRequestState({ requestId: 'r', fingerprint: 'f', idempotent: true })
   return {
     at: (nowMs, event) => {
-      const input: StepInput = { nowMs, deadlineMs: DEADLINE_MS, retryAllowed: true, continuable: true, quarantined: false }
+      const input: StepInput = { nowMs, deadlineMs: DEADLINE_MS, retryAllowed: true, continuable: true, missing: undefined, quarantined: false }
       const step = stepRequest(state, event, input)
       state = step.state
       return step.commands
--- a/packages/anvilarch-daemon/src/attempts/machine/frames.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/frames.ts
@@ -99,7 +99,7 @@
   return onCompleted(state, attempt, event, input)
 }
 
-/** The answer is whole only when every byte that the endpoint wrote was read. */
+/** The answer is whole only when every byte that the endpoint wrote was read, and the caller's protocol lacks nothing of it. */
 function onCompleted (state: RequestState, attempt: AttemptState, event: EventOf<'final'>, input: StepInput): Step {
   const { final } = event
   const { target } = attempt
@@ -108,16 +108,12 @@
     return resumeOrGiveUp(state, attempt, input, { reason: 'gap', message, newConnection: false })
   }
   if (attempt.receivedBytes > final.totalBytes) {
-    const failed: AttemptFailure = {
-      reason: 'excess',
-      code: 'endpoint_failed',
-      message: `${attempt.receivedBytes} bytes were received of an answer of ${final.totalBytes}`,
-      step: 'attempts.read',
-      peer: target.key,
-      ran: 'ran',
-      final: true
-    }
-    return afterAttempt(state, failed, input, [{ kind: 'leave', target }])
+    const message = `${attempt.receivedBytes} bytes were received of an answer of ${final.totalBytes}`
+    return afterAttempt(state, { ...badAnswer(attempt, 'excess', message), final: true }, input, [{ kind: 'leave', target }])
+  }
+  if (input.missing !== undefined) {
+    const message = `the endpoint ended the answer without ${input.missing}`
+    return afterAttempt(state, badAnswer(attempt, 'cut_short', message), input, [{ kind: 'leave', target }])
   }
   invariant(attempt.receivedBytes === final.totalBytes, 'answer_whole',
     () => `request ${state.facts.requestId} would complete with ${attempt.receivedBytes} of ${final.totalBytes} bytes`)
@@ -125,3 +121,7 @@
   if (attempt.isolated || attempt.soloFirstToken) commands.push({ kind: 'cleared' })
   return endCompleted(state, final.outputTokens, commands)
 }
+
+function badAnswer (attempt: AttemptState, reason: string, message: string): AttemptFailure {
+  return { reason, code: 'endpoint_failed', message, step: 'attempts.read', peer: attempt.target.key, ran: 'ran' }
+}
--- a/packages/anvilarch-daemon/src/attempts/machine/types.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/types.ts
@@ -79,6 +79,8 @@
   retryAllowed: boolean
   /** Whether what the caller has got can be continued by another endpoint. */
   continuable: boolean
+  /** What the answer lacks to be whole where its endpoint has ended it; undefined when it is whole. */
+  missing: string | undefined
   quarantined: boolean
 }
 
--- a/packages/anvilarch-daemon/src/attempts/output/rawCollector.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/rawCollector.ts
@@ -37,6 +37,7 @@
       return released || heldBytes > HELD_BYTES ? release() : undefined
     },
     continuable: () => !released,
+    missing: () => undefined,
     restart: () => {
       held = []
       heldBytes = 0
--- a/packages/anvilarch-daemon/src/attempts/output/streamCollector.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/streamCollector.ts
@@ -23,11 +23,17 @@
   let events: string[] = []
   let decoder = new TextDecoder()
   let answerIsEvents = true
+  let ended = false
 
   const parser = createParser({ onEvent: event => { pass(event.data, event.event) } })
 
   const pass = (data: string, name: string | undefined): void => {
     const chunk = parseChunk(data)
+    if (data === DONE) {
+      // A client stops reading here, so the mark goes out only when nothing of the answer is left to come.
+      if (ended || !transcript.finished()) return
+      ended = true
+    }
     if (chunk === undefined) {
       events.push(toEvent(data, name))
       return
@@ -45,7 +51,7 @@
 
   return {
     head: (newStatus, newHeaders) => {
-      const isEvents = (newHeaders['content-type'] ?? '').startsWith('text/event-stream')
+      const isEvents = isStream(newStatus, newHeaders)
       if (delivered) return newStatus === status && isEvents ? undefined : refusalToGoOn(newStatus, newHeaders)
       status = newStatus
       headers = newHeaders
@@ -61,6 +67,10 @@
       return deliver(Buffer.from(text))
     },
     continuable: () => !delivered || (answerIsEvents && transcript.continuable()),
+    missing: () => {
+      if (!answerIsEvents || ended) return undefined
+      return transcript.finished() ? 'its end mark' : 'the reason for its end'
+    },
     restart: () => {
       parser.reset()
       decoder = new TextDecoder()
@@ -69,9 +79,6 @@
       return transcript.continuation()
     },
     finish: async () => {
-      // An endpoint may end its stream without the blank line that closes the last event.
-      if (answerIsEvents) parser.feed('\n\n')
-      if (events.length > 0) await deliver(Buffer.from(events.join('')))
       if (!delivered) sink.onHead(status, headers)
       return { status, headers, body: new Uint8Array(0) }
     }
@@ -88,6 +95,11 @@
   }
 }
 
+/** The answer that tells an error is whole without an end mark, whatever its type. */
+function isStream (status: number, headers: Headers): boolean {
+  return status >= 200 && status < 300 && (headers['content-type'] ?? '').startsWith('text/event-stream')
+}
+
 function refusalToGoOn (status: number, headers: Headers): string {
   return `the endpoint answered ${status} with content type "${headers['content-type'] ?? ''}" when asked to go on with a stream`
 }
--- a/packages/anvilarch-daemon/src/attempts/output/transcript.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/transcript.ts
@@ -20,6 +20,7 @@
   /** False once the stream carried something that text alone can't continue. */
   continuable: () => boolean
   continuation: () => Continuation
+  /** Whether something was chosen to say, and all of it told why it ended. */
   finished: () => boolean
   /** Identity of the stream, which its events keep when another endpoint goes on with it. */
   identity: () => Pick<CompletionChunk, 'id' | 'created'>
@@ -33,12 +34,13 @@
   let tokens = 0
   let text = ''
   let plain = true
-  let finished = false
+  const finished = new Map<number, boolean>()
   let first: CompletionChunk | undefined
 
   const addChoice = (choice: NonNullable<CompletionChunk['choices']>[number]): void => {
-    if ((choice.index ?? 0) !== 0) plain = false
-    if (typeof choice.finish_reason === 'string') finished = true
+    const index = choice.index ?? 0
+    if (index !== 0) plain = false
+    finished.set(index, finished.get(index) === true || typeof choice.finish_reason === 'string')
     const delta = choice.delta ?? {}
     if (Object.keys(delta).some(field => !TEXT_FIELDS.has(field) && delta[field] != null)) plain = false
     const piece = choice.text ?? delta['content']
@@ -55,7 +57,7 @@
     },
     continuable: () => plain,
     continuation: () => ({ tokens, text }),
-    finished: () => finished,
+    finished: () => finished.size > 0 && [...finished.values()].every(Boolean),
     identity: () => ({ id: first?.id, created: first?.created })
   }
 }
--- a/packages/anvilarch-daemon/src/attempts/output/types.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/types.ts
@@ -22,6 +22,8 @@
   output: (data: Uint8Array) => Promise<void> | undefined
   /** Whether another endpoint may start again, or go on from what the caller has. */
   continuable: () => boolean
+  /** @returns what the answer lacks to be whole where its endpoint has ended it, or undefined */
+  missing: () => string | undefined
   /** Drops what the former attempt left unfinished. @returns what the next one goes on from, if the caller has anything */
   restart: () => Continuation | undefined
   /** Passes on what was held back. */
--- a/packages/anvilarch-daemon/src/attempts/output/wholeCollector.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/wholeCollector.ts
@@ -18,6 +18,7 @@
       return undefined
     },
     continuable: () => true,
+    missing: () => undefined,
     restart: () => {
       chunks = []
       return undefined
--- a/packages/anvilarch-daemon/src/attempts/requestTask.ts
+++ b/packages/anvilarch-daemon/src/attempts/requestTask.ts
@@ -47,6 +47,7 @@
       deadlineMs: request.deadlineMs,
       retryAllowed: parts.budget.allows(nowMs),
       continuable: collector.continuable(),
+      missing: collector.missing(),
       quarantined: parts.quarantine.has(request.fingerprint)
     }
   }
