Pass the token counts of a stream on once over all of its runs

Callers that asked for usage got it twice when the first endpoint was lost between that event and the end of its attempt: once from each run.

Cause: the events that another endpoint repeats were recognised by their choice only, and the event of the counts has none.

--- a/packages/anvilarch-daemon/src/attempts/output/transcript.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/transcript.ts
@@ -11,6 +11,7 @@
     text?: string
     finish_reason?: string | null
   }>
+  usage?: unknown
   error?: unknown
 }
 
@@ -22,6 +23,8 @@
   continuation: () => Continuation
   /** Whether something was chosen to say, and all of it told why it ended. */
   finished: () => boolean
+  /** Whether the tokens of the stream were told. */
+  counted: () => boolean
   /** Identity of the stream, which its events keep when another endpoint goes on with it. */
   identity: () => Pick<CompletionChunk, 'id' | 'created'>
 }
@@ -34,6 +37,7 @@
   let tokens = 0
   let text = ''
   let plain = true
+  let counted = false
   const finished = new Map<number, boolean>()
   let first: CompletionChunk | undefined
 
@@ -52,12 +56,14 @@
   return {
     add: chunk => {
       first ??= chunk
+      counted ||= chunk.usage != null && chunk.choices?.[0] === undefined
       if (chunk.error !== undefined) plain = false
       chunk.choices?.forEach(addChoice)
     },
     continuable: () => plain,
     continuation: () => ({ tokens, text }),
     finished: () => finished.size > 0 && [...finished.values()].every(Boolean),
+    counted: () => counted,
     identity: () => ({ id: first?.id, created: first?.created })
   }
 }
