Take an error within an engine's stream for the failure of its run

Callers of whole completions, and batch items, got the text that came before an engine's error as a completed answer with status 200 and no finish reason; the item was stored in the output file. A streamed answer was passed on with the error in it and was not continued, though another endpoint could have.

Cause: the agent passed the event on or left it out of the body like any other, and took the end mark behind it for the end of the answer.

The event reader now says of each event whether it is an error, by its field or by its name, and such an event ends the run as failed with what it tells. So the request machine decides as for any failed attempt: another endpoint, a further run of the item, or an error to the caller.

--- a/packages/anvilarch-daemon/src/agent/endpoints/engineEvents.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineEvents.ts
@@ -47,6 +47,8 @@
   /** Text of the token in this event; undefined when it carries none. */
   tokenText: string | undefined
   isEnd: boolean
+  /** What went wrong in the engine; undefined for all other events. */
+  error: string | undefined
 }
 
 const END_MARK = '[DONE]'
@@ -62,18 +64,20 @@
  */
 export function createEngineEventReader (onEvent: (event: EngineEvent) => void): EngineEventReader {
   const decoder = new StringDecoder('utf8')
-  const parser = createParser({ onEvent: message => { onEvent(parseEngineEvent(message.data)) } })
+  const parser = createParser({ onEvent: message => { onEvent(parseEngineEvent(message.data, message.event)) } })
   return { feed: data => { parser.feed(decoder.write(Buffer.from(data.buffer, data.byteOffset, data.byteLength))) } }
 }
 
 /**
  * @param data - the data of one event
+ * @param name - its name, if it has one
  * @returns the event
  */
-export function parseEngineEvent (data: string): EngineEvent {
-  if (data === END_MARK) return { data, chunk: undefined, tokenText: undefined, isEnd: true }
+export function parseEngineEvent (data: string, name?: string): EngineEvent {
+  if (data === END_MARK) return { data, chunk: undefined, tokenText: undefined, isEnd: true, error: undefined }
   const chunk = parseChunk(data)
-  return { data, chunk, tokenText: chunk === undefined ? undefined : textOf(chunk), isEnd: false }
+  const isError = name === 'error' || chunk?.error != null
+  return { data, chunk, tokenText: chunk === undefined ? undefined : textOf(chunk), isEnd: false, error: isError ? data : undefined }
 }
 
 function parseChunk (data: string): CompletionChunk | undefined {
--- a/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
@@ -26,6 +26,9 @@
 /** Connections that may be opened one after another without a token coming. */
 const MAX_QUIET_CONNECTIONS = 4
 
+/** Characters of an error of the engine that are told on. */
+const MAX_DETAIL_LENGTH = 500
+
 /** How to open the next connection. */
 type Opening = 'begin' | 'resume' | 'continue'
 
@@ -68,14 +71,22 @@
     sink.onHead(status, headers)
   }
 
+  const failStream = (detail: string): void => {
+    end('endpoint_failed', 'ran', detail)
+    connection?.exchange.abort()
+  }
+
   const emit = (data: Uint8Array | undefined): void => {
     if (data === undefined || hasEnded() || sink.onOutput(data)) return
-    end('endpoint_failed', 'ran', 'the answer is larger than "maxOutputBytes"')
-    connection?.exchange.abort()
+    failStream('the answer is larger than "maxOutputBytes"')
   }
 
   const onEvent = (event: EngineEvent): void => {
     if (hasEnded()) return
+    if (event.error !== undefined) {
+      failStream(`the engine told an error within its stream: ${event.error.slice(0, MAX_DETAIL_LENGTH)}`)
+      return
+    }
     if (event.tokenText !== undefined) {
       produced.tokens++
       produced.text += event.tokenText
