Take an engine's stream for ended only when it has told why

Callers got a text that its engine had given up as a whole completion, with the end mark (streamed) or with status 200 and "finish_reason": null (whole); as a batch item it was stored as completed.

Cause: the agent took the end mark alone for the end.

Before: "fails when the engine ends its stream without a reason", streamed and whole, got outcome "completed" instead of "endpoint_failed".

The run keeps the same transcript as the gateway's collector, in place of its own count and text. An end mark before every choice has its reason ends the run as failed and is not passed on, so another endpoint is asked or the caller is told.

--- a/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
@@ -89,4 +89,11 @@
     expect(end).toMatchObject({ outcome: 'endpoint_failed', ran: 'ran', detail: expect.stringContaining('out of memory') })
     expect(output).not.toContain('[DONE]')
   })
+
+  // Guards against this: a text that was given up by its engine counts as the whole answer.
+  it.each(MODES)('fails when the engine ends its stream without a reason, as a %s', async mode => {
+    const { end, output } = await run(mode, events(word('one '), DONE))
+    expect(end).toMatchObject({ outcome: 'endpoint_failed', ran: 'ran' })
+    expect(output).not.toContain('[DONE]')
+  })
 })
--- a/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
@@ -7,6 +7,7 @@
  * longer knows it by a new generation that continues the text so far. So the output has each token once.
  */
 import { invariant, type Ran } from 'anvilarch-utils'
+import { createTranscript } from '../../attempts/output/transcript'
 import type { EndpointCall } from '../../attempts/types'
 import type { EndpointConnections } from './connections'
 import { type ConnectionEnd, type EngineConnection, openEngineConnection } from './engineConnection'
@@ -43,7 +44,8 @@
 export function startModelRun (deps: ModelRunDeps, attempt: AttemptCall, sink: RunSink): EndpointRun {
   const request = parseModelRequest(attempt.call)
   const shaper = OUTPUT_SHAPERS[attempt.outputMode]({ wantsUsage: request?.wantsUsage ?? false, isChat: request?.isChat ?? false })
-  const produced = { tokens: 0, text: '' }
+  const transcript = createTranscript()
+  const produced = transcript.continuation
   let incarnation = deps.incarnation()
   let headSent = false
   let anySent = false
@@ -56,12 +58,12 @@
   const hasEnded = (): boolean => ended !== undefined
 
   const end = (outcome: RunEnd['outcome'], ran: Ran, detail: string): RunEnd => {
-    ended ??= { outcome, ran, detail, outputTokens: produced.tokens }
+    ended ??= { outcome, ran, detail, outputTokens: produced().tokens }
     return ended
   }
 
   const ranSoFar = (): Ran => {
-    if (produced.tokens > 0) return 'ran'
+    if (produced().tokens > 0) return 'ran'
     return anySent || connection?.exchange.sent() === true ? 'unknown' : 'not_run'
   }
 
@@ -81,15 +83,20 @@
     failStream('the answer is larger than "maxOutputBytes"')
   }
 
+  const faultOf = (event: EngineEvent): string | undefined => {
+    if (event.error !== undefined) return `the engine told an error within its stream: ${event.error.slice(0, MAX_DETAIL_LENGTH)}`
+    return event.isEnd && !transcript.finished() ? 'the engine ended its stream without telling why' : undefined
+  }
+
   const onEvent = (event: EngineEvent): void => {
     if (hasEnded()) return
-    if (event.error !== undefined) {
-      failStream(`the engine told an error within its stream: ${event.error.slice(0, MAX_DETAIL_LENGTH)}`)
+    const fault = faultOf(event)
+    if (fault !== undefined) {
+      failStream(fault)
       return
     }
+    if (event.chunk !== undefined) transcript.add(event.chunk)
     if (event.tokenText !== undefined) {
-      produced.tokens++
-      produced.text += event.tokenText
       quietConnections = 0
       sink.onToken()
     }
@@ -98,8 +105,8 @@
 
   const callFor = (opening: Opening): EndpointCall => {
     const call = opening === 'resume'
-      ? resumeCall(attempt.attemptId, (request?.given.tokens ?? 0) + produced.tokens)
-      : request?.call(produced) ?? attempt.call
+      ? resumeCall(attempt.attemptId, (request?.given.tokens ?? 0) + produced().tokens)
+      : request?.call(produced()) ?? attempt.call
     return { ...call, path: deps.basePath + call.path, headers: { ...call.headers, 'x-request-id': attempt.requestId, 'x-attempt-id': attempt.attemptId } }
   }
 
@@ -127,7 +134,7 @@
   }
 
   const cancelAtEngine = async (): Promise<void> => {
-    await cancelStream({ ...deps, attemptId: attempt.attemptId }, produced.tokens === 0)
+    await cancelStream({ ...deps, attemptId: attempt.attemptId }, produced().tokens === 0)
   }
 
   /** Decides how to go on after a connection that brought no end. */
@@ -141,7 +148,7 @@
     else await judgeEngine(last)
     if (hasEnded()) return undefined
     if (last.kind === 'unknown_stream') return 'continue'
-    sink.onResumed(wasSilent ? 'silence' : 'broken', produced.tokens)
+    sink.onResumed(wasSilent ? 'silence' : 'broken', produced().tokens)
     return 'resume'
   }
 
@@ -172,12 +179,12 @@
     quietConnections = 0
     // An engine that was replaced while the attempt waited did not crash under it.
     incarnation = deps.incarnation()
-    sink.onResumed('preempted', produced.tokens)
+    sink.onResumed('preempted', produced().tokens)
     return anySent ? 'resume' : 'begin'
   }
 
   const goOn = async (last: ConnectionEnd): Promise<Opening | undefined> => {
-    if (last.kind === 'finished') emit(shaper.finish(produced.tokens))
+    if (last.kind === 'finished') emit(shaper.finish(produced().tokens))
     if (last.kind === 'finished' || last.kind === 'answered') {
       end('completed', 'ran', '')
       return undefined
