Drop what an engine tells again after its answer had ended

Streaming callers got the end of an answer twice, or the words of another run after its end, when the connection to the engine broke between the reason for the end and the end mark. A whole answer had the further words in its text, and was stored so as an item.

Cause: the agent goes on by token offset, and an offset does not say that the end has come too. The engine sends the end again, or, if it has forgotten the stream, generates on beyond it.

Before: "ends once when its connection breaks before the end mark and the engine sends the end again" got a second event with finish_reason "stop"; "and the engine begins anew" got outputTokens 3 instead of 2.

The transcript now says which events only repeat an end or the token counts, choice by choice. The run drops them from every connection after its first, as the gateway's collector does for every run after its first.

--- a/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
@@ -96,4 +96,14 @@
     expect(end).toMatchObject({ outcome: 'endpoint_failed', ran: 'ran' })
     expect(output).not.toContain('[DONE]')
   })
+
+  // Guards against this: an answer that has ended goes on with the text of another run, or ends twice.
+  it.each<[string, Answer[]]>([
+    ['the engine sends the end again', [events(STOP, DONE)]],
+    ['the engine begins anew', [UNKNOWN, events(word('three'), STOP, DONE)]]
+  ])('ends once when its connection breaks before the end mark and %s', async (_what, more) => {
+    const { end, output } = await run('stream', cutEvents(word('one '), word('two'), STOP), ...more)
+    expect(end).toMatchObject({ outcome: 'completed', outputTokens: 2 })
+    expect(output).toBe([word('one '), word('two'), STOP, DONE].join(''))
+  })
 })
--- a/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
@@ -49,6 +49,7 @@
   let incarnation = deps.incarnation()
   let headSent = false
   let anySent = false
+  let connections = 0
   let quietConnections = 0
   let silent = false
   let connection: EngineConnection | undefined
@@ -95,7 +96,10 @@
       failStream(fault)
       return
     }
-    if (event.chunk !== undefined) transcript.add(event.chunk)
+    if (event.chunk !== undefined) {
+      if (connections > 1 && transcript.repeatsEnd(event.chunk)) return
+      transcript.add(event.chunk)
+    }
     if (event.tokenText !== undefined) {
       quietConnections = 0
       sink.onToken()
@@ -111,6 +115,7 @@
   }
 
   const readConnection = async (opening: Opening): Promise<ConnectionEnd> => {
+    connections++
     const fresh = opening === 'begin' ? undefined : deps.connections.fresh()
     const opened = openEngineConnection({
       dispatcher: fresh ?? deps.connections.pool(attempt.workClass),
--- a/packages/anvilarch-daemon/src/attempts/output/streamCollector.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/streamCollector.ts
@@ -4,7 +4,7 @@
  */
 import { createParser } from 'eventsource-parser'
 import type { Headers, WorkSink } from '../types'
-import { type CompletionChunk, createTranscript, type Transcript } from './transcript'
+import { type CompletionChunk, createTranscript } from './transcript'
 import type { OutputCollector } from './types'
 
 /** Marks the end of a completion stream. */
@@ -38,7 +38,7 @@
       events.push(toEvent(data, name))
       return
     }
-    if (continuing && isRepeated(chunk, transcript)) return
+    if (continuing && (transcript.repeatsEnd(chunk) || isRepeatedRole(chunk))) return
     transcript.add(chunk)
     events.push(toEvent(continuing ? JSON.stringify({ ...chunk, ...transcript.identity() }) : data, name))
   }
@@ -104,11 +104,10 @@
   return `the endpoint answered ${status} with content type "${headers['content-type'] ?? ''}" when asked to go on with a stream`
 }
 
-/** The endpoint that goes on announces its role again, and ends and counts again what had been ended and counted already. */
-function isRepeated (chunk: CompletionChunk, transcript: Transcript): boolean {
+/** The endpoint that goes on announces its role again. */
+function isRepeatedRole (chunk: CompletionChunk): boolean {
   const choice = chunk.choices?.[0]
-  if (choice === undefined) return chunk.usage != null && transcript.counted()
-  if (transcript.finished()) return true
+  if (choice === undefined) return false
   const content = choice.text ?? choice.delta?.['content']
   const empty = content === undefined || content === null || content === ''
   return empty && choice.delta?.['role'] !== undefined && typeof choice.finish_reason !== 'string'
--- a/packages/anvilarch-daemon/src/attempts/output/transcript.ts
+++ b/packages/anvilarch-daemon/src/attempts/output/transcript.ts
@@ -1,16 +1,19 @@
 /** What a caller has received of a completion, read from its streamed events. */
 import type { Continuation } from './types'
 
+/** One choice of an event. */
+interface ChunkChoice {
+  index?: number
+  delta?: Record<string, unknown>
+  text?: string
+  finish_reason?: string | null
+}
+
 /** One parsed event of a completion stream. */
 export interface CompletionChunk {
   id?: string
   created?: number
-  choices?: Array<{
-    index?: number
-    delta?: Record<string, unknown>
-    text?: string
-    finish_reason?: string | null
-  }>
+  choices?: ChunkChoice[]
   usage?: unknown
   error?: unknown
 }
@@ -23,8 +26,8 @@
   continuation: () => Continuation
   /** Whether something was chosen to say, and all of it told why it ended. */
   finished: () => boolean
-  /** Whether the tokens of the stream were told. */
-  counted: () => boolean
+  /** Whether an event only ends or counts again what had been ended or counted, as that of a further run may. */
+  repeatsEnd: (chunk: CompletionChunk) => boolean
   /** Identity of the stream, which its events keep when another endpoint goes on with it. */
   identity: () => Pick<CompletionChunk, 'id' | 'created'>
 }
@@ -41,10 +44,12 @@
   const finished = new Map<number, boolean>()
   let first: CompletionChunk | undefined
 
-  const addChoice = (choice: NonNullable<CompletionChunk['choices']>[number]): void => {
+  const isFinished = (choice: ChunkChoice): boolean => finished.get(choice.index ?? 0) === true
+
+  const addChoice = (choice: ChunkChoice): void => {
     const index = choice.index ?? 0
     if (index !== 0) plain = false
-    finished.set(index, finished.get(index) === true || typeof choice.finish_reason === 'string')
+    finished.set(index, isFinished(choice) || typeof choice.finish_reason === 'string')
     const delta = choice.delta ?? {}
     if (Object.keys(delta).some(field => !TEXT_FIELDS.has(field) && delta[field] != null)) plain = false
     const piece = choice.text ?? delta['content']
@@ -63,7 +68,7 @@
     continuable: () => plain,
     continuation: () => ({ tokens, text }),
     finished: () => finished.size > 0 && [...finished.values()].every(Boolean),
-    counted: () => counted,
+    repeatsEnd: ({ choices, usage }) => choices?.[0] === undefined ? counted && usage != null : choices.every(isFinished),
     identity: () => ({ id: first?.id, created: first?.created })
   }
 }
