Continue an engine's answer by its text only when its text is all of it

Callers could get an answer joined of two runs that did not fit: half a tool call followed by words, or the pieces of several choices followed by a new run that had got them all as one text; framed as complete, and stored as an item.

Cause: where an engine had forgotten the stream (a lost connection after its retention, a preempted item), the agent began a new generation from the text so far, whatever else the answer had held. The gateway asks for that before it goes to another endpoint; the agent did not.

Before: "fails when the engine forgot an answer with several choices" got the word "two" and the end of the second run behind the pieces of both choices; "with a tool call" got outcome "completed" instead of "endpoint_failed".

The agent now asks its transcript the same question as the gateway and fails the run. What has not reached a caller is then run anew as a whole.

--- a/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
@@ -11,8 +11,8 @@
 const DONE = 'data: [DONE]\n\n'
 const ERROR = 'data: {"error":{"message":"out of memory","code":500}}\n\n'
 const NAMED_ERROR = 'event: error\ndata: {"message":"out of memory"}\n\n'
-const chunk = (delta: object, finish: string | null = null): string => `data: ${JSON.stringify({ id: 'c', choices: [{ index: 0, delta, finish_reason: finish }] })}\n\n`
-const word = (content: string): string => chunk({ content })
+const chunk = (delta: object, finish: string | null = null, index = 0): string => `data: ${JSON.stringify({ id: 'c', choices: [{ index, delta, finish_reason: finish }] })}\n\n`
+const word = (content: string, index = 0): string => chunk({ content }, null, index)
 const STOP = chunk({}, 'stop')
 
 const events = (...parts: string[]): Answer => response => {
@@ -106,4 +106,14 @@
     expect(end).toMatchObject({ outcome: 'completed', outputTokens: 2 })
     expect(output).toBe([word('one '), word('two'), STOP, DONE].join(''))
   })
+
+  // Guards against this: the texts of several choices, or half a tool call, are given to a new run as one text.
+  it.each<[string, string[]]>([
+    ['several choices', [word('one '), word('eins ', 1)]],
+    ['a tool call', [chunk({ tool_calls: [{ index: 0, id: 't', function: { name: 'look', arguments: '{"a' } }] })]]
+  ])('fails when the engine forgot an answer with %s', async (_what, parts) => {
+    const { end, output } = await run('stream', cutEvents(...parts), UNKNOWN, events(word('two'), STOP, DONE))
+    expect(end).toMatchObject({ outcome: 'endpoint_failed', ran: 'ran' })
+    expect(output).toBe(parts.join(''))
+  })
 })
--- a/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/modelRun.ts
@@ -172,6 +172,8 @@
     } else if (last.kind === 'unknown_stream' && !attempt.idempotent) {
       // The engine may have run it and forgotten, which forbids a second run.
       end('endpoint_failed', ranSoFar(), 'the engine does not know the stream')
+    } else if (last.kind === 'unknown_stream' && !transcript.continuable()) {
+      end('endpoint_failed', 'ran', 'the engine does not know the stream, and its text alone does not continue it')
     }
   }
 
