Take an engine's answer without a length for whole only when its JSON is

Callers, and batch items, could get half a JSON body as a whole answer with status 200 and a length of its own, where an engine or something before it answers without a length and its connection was closed too early.

Cause: the HTTP client ends such an answer in good order at the close, since the close is its only frame, and the agent took that for the end.

Before: "tells by its JSON whether a body without a length is whole", with half a body, streamed and whole, got outcome "completed" instead of "endpoint_failed". A whole body passed before and does now.

An exchange now says whether its answer was framed. A success that was not has to be JSON to its end, which is all that these routes answer; a status that tells an error says enough by itself, whatever its body, and is passed on as before. Events need no frame: they have their end mark.

--- a/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
@@ -116,4 +116,12 @@
     expect(end).toMatchObject({ outcome: 'endpoint_failed', ran: 'ran' })
     expect(output).toBe(parts.join(''))
   })
+
+  // Guards against this: half a body counts as the whole one, since the end of its connection is its only frame.
+  it.each(MODES.flatMap(mode => [[mode, 200, '{"choices":[{"mess', 'endpoint_failed'], [mode, 200, '{"choices":[]}', 'completed'], [mode, 502, 'too busy', 'completed']] as const))(
+    'tells by its JSON whether a body without a length is whole, as a %s: %d %s', async (mode, status, body, outcome) => {
+      const { end, output } = await run(mode, response => { response.socket?.end(`HTTP/1.1 ${status} X\r\ncontent-type: application/json\r\n\r\n${body}`) })
+      expect(end).toMatchObject({ outcome, ran: 'ran' })
+      expect(output).toBe(body)
+    })
 })
--- a/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
@@ -3,7 +3,7 @@
 import type { Clock } from 'anvilarch-utils'
 import type { EndpointCall, Headers } from '../../attempts/types'
 import { createEngineEventReader, type EngineEvent } from './engineEvents'
-import { type ExchangeEnd, type HttpExchange, openExchange } from './httpExchange'
+import { type ExchangeEnd, type HttpExchange, openExchange, parseOrUndefined } from './httpExchange'
 
 /** What ended a connection. */
 export type ConnectionEnd =
@@ -57,29 +57,32 @@
  */
 export function openEngineConnection (options: EngineConnectionOptions, listener: EngineListener): EngineConnection {
   let phase: Phase = 'opening'
-  let failedStatus = 0
+  let status = 0
+  const answered: Uint8Array[] = []
   const events = createEngineEventReader(event => {
     if (phase !== 'streaming') return
     if (event.isEnd) phase = 'finished'
     listener.onEvent(event)
   })
 
-  const onHead = (status: number, headers: Headers): void => {
+  const onHead = (given: number, headers: Headers): void => {
+    status = given
     phase = phaseOf(options, status, headers)
     if (phase === 'streaming') listener.onStream(headers)
     else if (phase === 'answering') listener.onAnswer(status, headers)
-    else failedStatus = status
   }
 
   const exchange = openExchange(options.dispatcher, options.call, {
     onHead,
     onData: data => {
-      if (phase === 'answering') listener.onAnswerData(data)
-      else if (phase === 'streaming') events.feed(data)
+      if (phase === 'answering') {
+        answered.push(data)
+        listener.onAnswerData(data)
+      } else if (phase === 'streaming') events.feed(data)
     }
   }, options.clock)
 
-  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, failedStatus)) }
+  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, answered })) }
 }
 
 function phaseOf (options: EngineConnectionOptions, status: number, headers: Headers): Phase {
@@ -88,10 +91,21 @@
   return options.mayAnswer && !options.isResume && status !== STATUS_EXISTS ? 'answering' : 'failed'
 }
 
-function connectionEnd (phase: Phase, end: ExchangeEnd, failedStatus: number): ConnectionEnd {
+interface Read {
+  status: number
+  answered: Uint8Array[]
+}
+
+function connectionEnd (phase: Phase, end: ExchangeEnd, read: Read): ConnectionEnd {
   if (phase === 'finished' || phase === 'unknown_stream') return { kind: phase }
-  if (phase === 'answering') return { kind: end.kind === 'complete' ? 'answered' : 'half_answered' }
+  if (phase === 'answering') return { kind: isWholeAnswer(end, read) ? 'answered' : 'half_answered' }
   const sent = end.kind === 'complete' || end.sent
-  if (failedStatus !== 0) return { kind: 'broken', sent, detail: `status ${failedStatus}` }
+  if (phase === 'failed') return { kind: 'broken', sent, detail: `status ${read.status}` }
   return { kind: 'broken', sent, detail: end.kind === 'error' ? `${end.code}: ${end.detail}` : 'the stream broke off before its end' }
 }
+
+/** Without a frame, only a body that is JSON to its end is known to be whole. An error is told by its status alone. */
+function isWholeAnswer (end: ExchangeEnd, { status, answered }: Read): boolean {
+  if (end.kind !== 'complete') return false
+  return end.framed || status >= 300 || parseOrUndefined(Buffer.concat(answered).toString('utf8')) !== undefined
+}
--- a/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
@@ -8,7 +8,8 @@
 
 /** How an exchange ended. */
 export type ExchangeEnd =
-  | { kind: 'complete' }
+  /** `framed` is false where only the end of the connection ended the answer, which may have been cut. */
+  | { kind: 'complete', framed: boolean }
   /** `sent` is false only when no byte of the request can have left. */
   | { kind: 'error', sent: boolean, code: string, detail: string }
   | { kind: 'aborted', sent: boolean }
@@ -55,6 +56,7 @@
 export function openExchange (dispatcher: Dispatcher, call: EndpointCall, listener: ExchangeListener, clock: Clock): HttpExchange {
   let sent = false
   let aborted = false
+  let framed = true
   let lastActivityMs = clock.nowMs()
   let controller: Dispatcher.DispatchController | undefined
   let finish: (end: ExchangeEnd) => void = () => {}
@@ -76,13 +78,14 @@
     },
     onResponseStart: (_, status, headers) => {
       lastActivityMs = clock.nowMs()
+      framed = isFramed(status, headers)
       if (!aborted && status >= 200) listener.onHead(status, endToEndHeaders(headers))
     },
     onResponseData: (_, data) => {
       lastActivityMs = clock.nowMs()
       if (!aborted) listener.onData(data)
     },
-    onResponseEnd: () => { finish({ kind: 'complete' }) },
+    onResponseEnd: () => { finish({ kind: 'complete', framed }) },
     onResponseError: (_, error) => {
       const code = (error as { code?: string }).code ?? 'unknown'
       finish({ kind: 'error', sent, code, detail: error.message })
@@ -99,6 +102,13 @@
   return { done, abort, lastActivityMs: () => lastActivityMs, sent: () => sent }
 }
 
+/** Statuses whose answers have no body. */
+const BODILESS = new Set([204, 304])
+
+function isFramed (status: number, headers: Record<string, string | string[] | undefined>): boolean {
+  return BODILESS.has(status) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /** Answer to a small JSON request. */
 export interface JsonAnswer {
   status: number
@@ -133,7 +143,11 @@
   return { status, body: parseOrUndefined(Buffer.concat(chunks).toString('utf8')) }
 }
 
-function parseOrUndefined (text: string): unknown {
+/**
+ * @param text - the text of a body
+ * @returns what it holds, or undefined when it is not JSON
+ */
+export function parseOrUndefined (text: string): unknown {
   try {
     return JSON.parse(text)
   } catch {
