Reset the connection of an answer that can't be brought to its end

A caller of HTTP/1.0 took part of an answer for the whole: of a plain service whose agent was lost after the first 64 KiB, of a result file that could not be read on, and of what the end of a drain cut. For callers of HTTP/1.1 the missing last chunk told it.

Cause: the gateway closed the connection, and to HTTP/1.0 without a length the close is the end of the answer. The gateway frames each such answer itself and passes on no length.

All places that give up a begun answer now go through one function, which resets the connection; the drain resets those that are left at its bound.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -13,6 +13,7 @@
 import { createDispatchTable } from './dispatchTable'
 import { DEFAULT_OPTIONS, type FrontOptions, type FrontParts } from './frontParts'
 import { handleRequest, type HandlerParts } from './handleRequest'
+import { breakOff } from './http/breakOff'
 import { answerClientErrors } from './http/clientErrors'
 import { createGracefulCloser } from './http/gracefulClose'
 import { createCallerLimiter } from './limits/callerLimiter'
@@ -70,7 +71,7 @@
     isDraining: () => draining !== undefined
   }
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
-    handleRequest(parts, request, response).catch(() => { response.destroy() })
+    handleRequest(parts, request, response).catch(() => { breakOff(response) })
   })
   answerClientErrors(server)
   const closer = createGracefulCloser(server, context.clock)
--- a/packages/anvilarch-daemon/src/callers/http/answerSink.ts
+++ b/packages/anvilarch-daemon/src/callers/http/answerSink.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Clock } from 'anvilarch-utils'
 import type { Headers, WorkSink } from '../../attempts/types'
+import { breakOff } from './breakOff'
 import { toCaller } from './forwardedHeaders'
 
 /** Options of `createAnswerSink`. */
@@ -57,7 +58,7 @@
       resolve()
     }
     const timer = clock.after(stallMs, () => {
-      response.destroy()
+      breakOff(response)
       finish()
     })
     response.once('drain', finish)
--- a/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
+++ b/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
@@ -53,6 +53,11 @@
     }
   }
 
+  /** A close would be the end of an answer to a caller of HTTP/1.0. */
+  const cutAll = (): void => {
+    for (const socket of sockets) socket.resetAndDestroy()
+  }
+
   return {
     close: async timeoutMs => {
       const finished = new AbortController()
@@ -63,7 +68,7 @@
       const whole = await Promise.race([closed, expired])
       finished.abort()
       unused.cancel()
-      if (!whole) server.closeAllConnections()
+      if (!whole) cutAll()
       return whole
     }
   }
--- a/packages/anvilarch-daemon/src/callers/plain/plainRoutes.ts
+++ b/packages/anvilarch-daemon/src/callers/plain/plainRoutes.ts
@@ -3,6 +3,7 @@
 import type { PlainRoute } from 'anvilarch-configuration'
 import type { WorkRequest } from '../../attempts/types'
 import { createAnswerSink } from '../http/answerSink'
+import { breakOff } from '../http/breakOff'
 import { toEndpoint } from '../http/forwardedHeaders'
 import { readBody } from '../http/readBody'
 import { idempotencyKeyOf } from '../http/requestHeaders'
@@ -48,7 +49,7 @@
     response.end()
   } else if (sink.started()) {
     // The length of the answer is known to the caller only by its end, so a cut connection is the one sign of a failure.
-    response.destroy()
+    breakOff(response)
   } else {
     throw result.error
   }
--- a/packages/anvilarch-daemon/src/jobs/resultContent.ts
+++ b/packages/anvilarch-daemon/src/jobs/resultContent.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http'
 import { OBJECT_NAMES, ROW_KEYS } from 'anvilarch-protocol'
 import { AnvilarchError, invariant } from 'anvilarch-utils'
+import { breakOff } from '../callers/http/breakOff'
 import type { DaemonContext } from '../context'
 import { partRows } from './readJob'
 import { type FileRow, type JobRow, parseRow, type PartRow, type ResultKind } from './rows'
@@ -76,7 +77,7 @@
     }
   } catch (error) {
     if (!response.headersSent) throw error
-    response.destroy()
+    breakOff(response)
     return
   }
   if (!response.headersSent) response.writeHead(200, { 'content-type': CONTENT_TYPE, ...headers })
