Cut an answer that breaks off and is no stream, though one was asked for

A caller that had asked for a stream and was given another kind of answer got, where that answer broke off, its part with an error event behind it, framed as whole. Readers of JSON find no JSON; readers of events find none, since the part and the event are one line to them, and end without an error.

Cause: the end of a failed stream wrote its error event whatever had been sent.

The sink now says whether what it sent is a stream of events. Only such an answer gets the event; any other is broken off as those of plain services are.

--- a/packages/anvilarch-daemon/src/callers/__tests__/brokenAnswers.test.ts
+++ b/packages/anvilarch-daemon/src/callers/__tests__/brokenAnswers.test.ts
@@ -2,6 +2,7 @@
 import type { FakeAgentOptions } from '../../attempts/__fixtures__/fakeAgent'
 import { startTestGateway, type TestGateway } from '../../attempts/__fixtures__/testGateway'
 
+const CHAT = JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] })
 const LARGE = 'x'.repeat(100_000)
 
 let gateway: TestGateway
@@ -44,4 +45,12 @@
     const reading = read('GET /services/names/names/a HTTP/1.0\r\nhost: x\r\n\r\n', () => { gateway.callers.drain().catch(() => {}) })
     expect((await reading).ending).toBe('ECONNRESET')
   })
+
+  // Guards against this: part of an answer has the frame of a whole one, with an error event that no reader of JSON sees.
+  it.each(['1.0', '1.1'])('is cut by a reset when a stream was asked for and the answer is none, for HTTP/%s', async version => {
+    await startBreaking({ kind: 'model', contentType: 'application/json', answer: () => ['{"choices":[', '1', ']}'] })
+    const { text, ending } = await read(`POST /v1/chat/completions HTTP/${version}\r\nhost: x\r\ncontent-length: ${CHAT.length}\r\n\r\n${CHAT}`)
+    expect(text).not.toContain('data:')
+    expect(ending).toBe('ECONNRESET')
+  })
 })
--- a/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
+++ b/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
@@ -2,6 +2,7 @@
 import type { WorkResult } from '../../attempts/types'
 import { errorBody } from '../http/errorResponse'
 import { createAnswerSink } from '../http/answerSink'
+import { breakOff } from '../http/breakOff'
 import { toCaller } from '../http/forwardedHeaders'
 import { parseJsonObject, readBody } from '../http/readBody'
 import { checkWorkClass } from '../http/requestHeaders'
@@ -43,13 +44,20 @@
   response.end(result.body)
 }
 
-/** A stream that breaks off ends without its end mark and with an error event, so that a client sees it is not whole. */
+/**
+ * A stream that breaks off ends without its end mark and with an error event, so that a client sees it is not whole. An answer
+ * of another kind has no place for that event.
+ */
 async function answerStream (parts: FrontParts, context: CallerContext, run: (sink: ReturnType<typeof createAnswerSink>) => Promise<WorkResult>): Promise<void> {
   const { response, requestId } = context
   const sink = createAnswerSink(response, { clock: parts.context.clock, stallMs: parts.options.stallMs })
   const result = await run(sink)
   if (result.outcome === 'failed') {
     if (!sink.started()) throw result.error
+    if (!sink.isEvents()) {
+      breakOff(response)
+      return
+    }
     response.write(`data: ${JSON.stringify(errorBody(result.error, requestId))}\n\n`)
   }
   sink.flushHead()
--- a/packages/anvilarch-daemon/src/callers/http/answerSink.ts
+++ b/packages/anvilarch-daemon/src/callers/http/answerSink.ts
@@ -15,6 +15,8 @@
 /** A sink that knows whether anything was sent. */
 export interface AnswerSink extends WorkSink {
   started: () => boolean
+  /** Whether what was sent is a stream of events. */
+  isEvents: () => boolean
   /** Sends the header if no output did. */
   flushHead: () => void
 }
@@ -44,6 +46,7 @@
       return response.write(data) ? undefined : waitForDrain(response, options)
     },
     started: () => started,
+    isEvents: () => head?.headers['content-type']?.startsWith('text/event-stream') === true,
     flushHead
   }
 }
