Reset the connection of a cut answer where a close would be its end

Callers of HTTP/1.0 would see a stream that breaks off as whole.

Cause: an answer that can't be brought to its end was cut by closing its connection. HTTP/1.1 has chunks, whose last one is then missing; to HTTP/1.0 the close is the end.

Why this holds: only where no chunks tell the end the connection is reset. Elsewhere it is still closed, since a reset would take events with it that were handed on and not yet sent.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -126,6 +126,7 @@
   const response: Record<string, unknown> = {
     headersSent: false,
     destroyed: false,
+    useChunkedEncodingByDefault: true,
     on: () => {},
     setHeader: () => {},
     flushHeaders: () => {},
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -1,7 +1,7 @@
 /** Ends one client request, once: its answer, its metrics and its line in the log. */
 import type { ServerResponse } from 'node:http'
 import { accountNameOf } from '../accounts/types'
-import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
+import { type ClosingNotice, cutAnswer, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { AnswerEnd } from '../telemetry/events'
 import type { TrafficEnd } from '../telemetry/trafficTally'
@@ -105,7 +105,7 @@
   }
 
   const breakOff = (reason: string): void => {
-    if (end('broken_off', { reason, answerEnd: seenAs('cut') })) response.destroy()
+    if (end('broken_off', { reason, answerEnd: seenAs('cut') })) cutAnswer(response)
   }
 
   return {
