Give up a silent endpoint only where the request may go elsewhere

Callers would see: a lookup answered 502, or a begun stream cut, though its endpoint would have answered.

Cause: silence asked only whether another endpoint is left; whether it may be asked (six offers, crashes, the attempts of the route, the time left) was looked at after the run had been ended.

Why this holds: silence asks the same decision that follows a failed attempt, before it ends the run.

--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -78,8 +78,8 @@
 
   const mayOfferOnceMore = (): boolean => state.offers < MAX_OFFERS && choose() !== undefined
 
-  const stepAfter = (failure: AttemptFailure): NextStep => nextStep(route, failure, {
-    attemptsThatMayHaveRun: state.attemptsThatMayHaveRun,
+  const stepAfter = (failure: AttemptFailure, attemptsThatMayHaveRun = state.attemptsThatMayHaveRun): NextStep => nextStep(route, failure, {
+    attemptsThatMayHaveRun,
     answerBegun: state.answerBegun,
     hasUntriedEndpoint: mayOfferOnceMore() && parts.crashes.mayRun(repeatedRequestOf(client)),
     remainingMs: remainingMs()
@@ -120,7 +120,7 @@
 
   const onSilence = (endpoint: Endpoint): void => {
     silence = undefined
-    if (running === undefined || choose() === undefined) return
+    if (running === undefined || stepAfter('may_have_run', state.attemptsThatMayHaveRun + 1) !== 'send_again') return
     running.attempt.abort()
     onFailure(endpoint, 'may_have_run', 'silent')
   }
