Count only chunks and lengths as frames of an answer

Callers would see a part of an answer as whole.

Cause: any Transfer-Encoding passed for a frame; with another last coding than chunked an answer ends with its connection.

Why this holds: the rule is that of HTTP/1.1: an answer has a length, ends with its last chunk, or ends with its connection.

--- a/packages/anvilarch-serving/src/endpoints/exchange.ts
+++ b/packages/anvilarch-serving/src/endpoints/exchange.ts
@@ -102,7 +102,8 @@
  * @returns whether the end of the answer can be told from a break
  */
 export function isFramed (status: number, headers: ReadonlyMap<string, string>): boolean {
-  return headers.has('content-length') || headers.has('transfer-encoding') || STATUSES_WITHOUT_BODY.has(status)
+  const lastCoding = headers.get('transfer-encoding')?.split(',').at(-1)?.trim().toLowerCase()
+  return headers.has('content-length') || lastCoding === 'chunked' || STATUSES_WITHOUT_BODY.has(status)
 }
 
 function headerMap (rawHeaders: readonly string[]): Map<string, string> {
