--- a/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -92,6 +92,17 @@
   })
 })
 
+describe('a stream of more bytes than a whole answer may have', () => {
+  // Guards against this: a long stream is cut for its size, though none of it is held in memory.
+  it('is handed on', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000 })
+    await clock.advanceAsync(0)
+    for (let id = 1; id <= 20; id++) sent[0].block(`id: ${id}\ndata: ${'x'.repeat(1024 * 1024)}`)
+    sent[0].endEvents()
+    expect({ ended: client.ended, destroyed: client.destroyed }).toEqual({ ended: true, destroyed: false })
+  })
+})
+
 describe('a lookup that is to be sent again', () => {
   // Guards against this: the client is told that its request has not run though an endpoint may have run it.
   it('is answered 502 when no endpoint is left by then', async () => {
