--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -94,8 +94,10 @@
   const dispatch = (options: { headers: string[] }, handler: ExchangeHandler): boolean => {
     const run: EngineRun = { itemId: options.headers[1], startedAtMs: clock.nowMs(), abortedAtMs: undefined }
     runs.push(run)
-    handler.onConnect(() => { run.abortedAtMs ??= clock.nowMs() })
-    handler.onHeaders(200, ['x-id', run.itemId].map(text => Buffer.from(text)))
+    queueMicrotask(() => {
+      handler.onConnect(() => { run.abortedAtMs ??= clock.nowMs() })
+      handler.onHeaders(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked', 'x-id', run.itemId].map(text => Buffer.from(text)))
+    })
     let eventId = Number(options.headers[3])
     const next = (): void => {
       if (run.abortedAtMs !== undefined) return
