Test the ends of an item's run, and count comments for no event of it

Callers would have seen: a result is completed and its text lacks data, or pieces before and after a gap stand next to each other.

Cause: a run of an item kept the data of events with an id, dropped the rest without a word, and took every answer of status 200 for the end of the text.

A block of comments no longer counts as an event of the run, which would have reset the count of sends that made none.

--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
@@ -0,0 +1,91 @@
+import { createFakeClock } from 'anvilarch-utils'
+import type { Pool } from 'undici'
+import type { EngineWire } from '../../roles/types'
+import type { RequestWire } from '../../requests/types'
+import { type ItemText, type RunEnd, runItem } from '../itemRun'
+
+/** What an engine answers; a stream of events where no type is given. */
+interface Answer {
+  status: number
+  body: string
+  type?: string
+}
+
+/** Runs an item on from a text at an engine that gives one whole answer. */
+async function endOfRun (answer: Answer, text: ItemText): Promise<RunEnd | undefined> {
+  const ends: RunEnd[] = []
+  const dispatch = (_options: unknown, handler: Record<'onConnect' | 'onHeaders' | 'onData' | 'onComplete', (...args: unknown[]) => void>): boolean => {
+    queueMicrotask(() => {
+      handler.onConnect(() => {})
+      const headers = ['content-type', answer.type ?? 'text/event-stream', 'content-length', String(answer.body.length)]
+      handler.onHeaders(answer.status, headers.map(part => Buffer.from(part)))
+      if (answer.body !== '') handler.onData(Buffer.from(answer.body))
+      handler.onComplete()
+    })
+    return true
+  }
+  runItem({
+    clock: createFakeClock(),
+    pool: { dispatch } as unknown as Pool,
+    requestWire: { decodeAnswer: () => ({ requestId: 'item', signed: true, notRun: false }) } as unknown as RequestWire,
+    engineWire: { encodeItem: () => [] } as unknown as EngineWire,
+    item: { id: 'item', path: '/', headers: {}, body: Buffer.alloc(0), tokens: 10 },
+    host: 'h',
+    account: undefined,
+    endpointId: 'e1',
+    deadlineMs: 1000,
+    text,
+    onEvent: () => {},
+    onEnd: end => ends.push(end)
+  })
+  await new Promise(resolve => setImmediate(resolve))
+  return ends[0]
+}
+
+function startOfText (): ItemText {
+  return { lastEventId: 0, pieces: [] }
+}
+
+function textUpToSecondEvent (): ItemText {
+  return { lastEventId: 2, pieces: ['a', 'b'] }
+}
+
+describe('runItem', () => {
+  it('completes an item with the data of all its events', async () => {
+    const answer = { status: 200, body: 'id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n' }
+    expect(await endOfRun(answer, startOfText())).toEqual({ end: 'completed', text: 'a\nb\nc' })
+  })
+
+  it('completes an item that is asked to go on after its last event', async () => {
+    expect(await endOfRun({ status: 200, body: '' }, textUpToSecondEvent())).toEqual({ end: 'completed', text: 'a\nb' })
+  })
+
+  it('takes comments between events for no part of the text', async () => {
+    const answer = { status: 200, body: ': alive\n\nid: 3\ndata: c\n\n: alive\n\n' }
+    expect(await endOfRun(answer, textUpToSecondEvent())).toEqual({ end: 'completed', text: 'a\nb\nc' })
+  })
+
+  // Guards against this: an item is listed as completed and lacks the data that came without an id.
+  it.each([
+    ['a middle event has no id', 'id: 3\ndata: c\n\ndata: d\n\nid: 4\ndata: e\n\n'],
+    ['the last event has no id', 'id: 3\ndata: c\n\ndata: d\n\n'],
+    ['no event has an id', 'data: c\n\n'],
+    ['the id of an event is no number', 'id: x\ndata: c\n\n'],
+    ['the body holds something else', '{"error":"busy"}\n\n']
+  ])('goes on later when %s', async (_name, body) => {
+    expect(await endOfRun({ status: 200, body }, textUpToSecondEvent())).toMatchObject({ end: 'interrupted' })
+  })
+
+  // Guards against this: a part of a text is listed as completed since the engine answered something else.
+  it.each(['', '{"error":"busy"}\n\n', 'id: 3\ndata: c\n\n'])('goes on later when the body %j is not declared as a stream of events', async body => {
+    expect(await endOfRun({ status: 200, body, type: 'application/json' }, textUpToSecondEvent())).toMatchObject({ end: 'interrupted', reason: 'status 200' })
+  })
+
+  it.each([201, 202, 203, 204, 205, 206, 404, 408, 421, 429, 503, 504])('goes on later after status %i', async status => {
+    expect(await endOfRun({ status, body: '' }, textUpToSecondEvent())).toMatchObject({ end: 'interrupted' })
+  })
+
+  it.each([[500, 'failed'], [422, 'impossible']])('ends the run of an item at status %i also when it was to go on', async (status, end) => {
+    expect(await endOfRun({ status, body: '' }, textUpToSecondEvent())).toEqual({ end })
+  })
+})
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -86,12 +86,12 @@
     resumable: true,
     onHead: silence.heard,
     onEvent: (_bytes, id, data) => {
-      if (id !== undefined) {
-        text.lastEventId = id
-        text.pieces.push(data)
-      }
-      options.onEvent()
       silence.heard()
+      // A block of comments.
+      if (id === undefined) return
+      text.lastEventId = id
+      text.pieces.push(data)
+      options.onEvent()
     },
     onEventsEnd: () => finish({ end: 'completed', text: text.pieces.join('\n') }),
     onAnswer: answer => finish(endOfAnswer(answer.status)),
