Take an answer without any event for no whole text of an item

What callers saw: a result is `completed` with an empty output.

Cause: a 200 whose body ends before the first event counted as the end of the text, though there was nothing before it that it could have been the end of.

Evidence: before the change `runItem › goes on later when the first run ends before its first event` failed: `- "end": "interrupted" + "end": "completed"`.

Change: the end of the events completes an item only if its text holds an event. A run that is asked to go on after the last event still ends with none; `completes an item that is asked to go on after its last event` holds that. An early end of such a run cannot be told from a right one, as nothing says how many events an item has.

--- a/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
@@ -65,6 +65,11 @@
     expect(await endOfRun(answer, textUpToSecondEvent())).toEqual({ end: 'completed', text: 'a\nb\nc' })
   })
 
+  // Guards against this: an item without any output is listed as completed.
+  it('goes on later when the first run ends before its first event', async () => {
+    expect(await endOfRun({ status: 200, body: '' }, startOfText())).toMatchObject({ end: 'interrupted' })
+  })
+
   // Guards against this: an item is listed as completed and lacks the data that came without an id.
   it.each([
     ['a middle event has no id', 'id: 3\ndata: c\n\ndata: d\n\nid: 4\ndata: e\n\n'],
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -93,7 +93,7 @@
       text.pieces.push(data)
       options.onEvent()
     },
-    onEventsEnd: () => finish({ end: 'completed', text: text.pieces.join('\n') }),
+    onEventsEnd: () => finish(endOfEvents(text)),
     onAnswer: answer => finish(endOfAnswer(answer.status)),
     onFailure: (_failure, reason) => finish({ end: 'interrupted', reason })
   })
@@ -112,3 +112,9 @@
   if (status === FAILED_STATUS) return { end: 'failed' }
   return { end: 'interrupted', reason: `status ${status}` }
 }
+
+/** A run that goes on after the last event has none left to give; one from the start has at least one. */
+function endOfEvents (text: ItemText): RunEnd {
+  if (text.lastEventId === 0) return { end: 'interrupted', reason: 'no_events' }
+  return { end: 'completed', text: text.pieces.join('\n') }
+}
