Run an item from the start when its saved text cannot be read

What callers would see: an item that never ends, at a runner that keeps a slot for it; or, with a record that names no event, a text that begins with an empty line. Only this program writes such rows, so that neither was seen in service.

Cause: `decodeProgress` took whatever bytes it found. When it threw, the item stayed `claiming` for ever, a state that nothing looks after.

Evidence: before the change all five cases of `an item that is taken over` failed: four with `+ Array []` after 10 s, the record without an event with `+ "output": "` followed by `+ item0.1`.

Change: the decoder answers undefined for what is no saved text, as that of records does; without saved text an item is run from the start.

--- a/packages/anvilarch-serving/src/jobs/jobRows.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRows.ts
@@ -91,12 +91,7 @@
  * @returns the record; undefined when the bytes are not of this program
  */
 export function decodeRecord<Record extends JobRecord | ClaimRecord | MemberRecord> (row: Pick<StoredRow, 'value'>): Record | undefined {
-  try {
-    return JSON.parse(row.value.toString()) as Record
-  } catch {
-    // Only this program writes to its tables. Whatever wrote these bytes, they say nothing of a job.
-    return undefined
-  }
+  return parse(row.value) as Record | undefined
 }
 
 /** Saved text of an unfinished item. */
@@ -110,7 +105,23 @@
   return Buffer.from(JSON.stringify(progress))
 }
 
-/** @returns saved progress as it was encoded */
-export function decodeProgress (value: Buffer): SavedProgress {
-  return JSON.parse(value.toString()) as SavedProgress
+/** @returns saved progress as it was encoded; undefined when the bytes are none, so that the item is run from the start */
+export function decodeProgress (value: Buffer): SavedProgress | undefined {
+  const progress = parse(value) as Partial<SavedProgress> | null | undefined
+  if (typeof progress?.text !== 'string' || !isEventId(progress.lastEventId)) return undefined
+  return { lastEventId: progress.lastEventId, text: progress.text }
+}
+
+/** Nothing is saved before the first event. */
+function isEventId (id: unknown): id is number {
+  return Number.isInteger(id) && Number(id) > 0
+}
+
+function parse (value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString())
+  } catch {
+    // Only this program writes to its tables. Whatever wrote these bytes, they say nothing of its work.
+    return undefined
+  }
 }
