Take a refusal of the store for one whatever the frame of its body

A refusal without a length counted as no answer, so that a transaction that was not done passed for one that may have been: a job would be answered 504 instead of 503. The status alone tells that nothing was done, and nothing of the body is read.

--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -121,6 +121,21 @@
   })
 })
 
+/** @returns what becomes of half of an answer that ends with its connection */
+async function unframedAnswer (status: number): Promise<StoreAnswer> {
+  const server = createServer((_request, response) => {
+    response.shouldKeepAlive = false
+    response.removeHeader('Transfer-Encoding')
+    response.writeHead(status)
+    response.end('half of the obj')
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const answer = await createDirectTransport(`127.0.0.1:${(server.address() as AddressInfo).port}`, createSystemClock())(CALL)
+  server.closeAllConnections()
+  server.close()
+  return answer
+}
+
 describe('createDirectTransport', () => {
   // Guards against this: after a gateway wakes up it takes the store for silent, and does not know whether its transactions are done.
   it('reads an answer that came while its own process stood still, and marks it', async () => {
@@ -139,16 +154,11 @@
 
   // Guards against this: a part of a stored object passes for the whole of it.
   it('does not take for whole an answer whose end a broken connection cannot be told from', async () => {
-    const server = createServer((_request, response) => {
-      response.shouldKeepAlive = false
-      response.removeHeader('Transfer-Encoding')
-      response.writeHead(200)
-      response.end('half of the obj')
-    })
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const send = createDirectTransport(`127.0.0.1:${(server.address() as AddressInfo).port}`, createSystemClock())
-    expect(await send(CALL)).toEqual({ outcome: 'no_answer', reason: 'unframed_answer' })
-    server.closeAllConnections()
-    server.close()
+    expect(await unframedAnswer(200)).toEqual({ outcome: 'no_answer', reason: 'unframed_answer' })
+  })
+
+  // Guards against this: a refused transaction counts as one that may have been done.
+  it('takes a refusal for one whatever its body', async () => {
+    expect(await unframedAnswer(503)).toMatchObject({ outcome: 'answered', status: 503 })
   })
 })
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -34,6 +34,9 @@
 /** Calls in progress at once; feeds hold one each. */
 const MAX_CONNECTIONS = 64
 
+/** Nothing was done; what the body says is not read. */
+const BUSY_STATUS = new Set([429, 503])
+
 /**
  * @param address - IP and port of the store or of a peer
  * @param clock - local clock
@@ -52,7 +55,7 @@
     const exchange = startExchange(pool, call, {
       onHead: (answered, headers) => {
         status = answered
-        if (isFramed(answered, headers)) return
+        if (BUSY_STATUS.has(answered) || isFramed(answered, headers)) return
         exchange.abort()
         settle({ outcome: 'no_answer', reason: 'unframed_answer' })
       },
@@ -118,8 +121,6 @@
 
 const RELAY_JITTER = 0.3
 
-const BUSY_STATUS = new Set([429, 503])
-
 /**
  * The store may turn some hosts away and serve the others. Calls of a daemon that is turned away go through a peer,
  * so that its configuration and endpoints stay within their bounds and its clients' jobs are accepted.
