Cut begun answers by a reset at the end of a stop, too, where a close would be their end

The same as for answers that break off: a client of HTTP/1.0 would take a part for the whole when a gateway has waited long enough for it.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import type { Clock } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
+import { cutAnswer } from '../requests/clientAnswer'
 import type { EventLog } from '../telemetry/events'
 
 /** A listener for clients. */
@@ -12,6 +13,8 @@
   applyLimits: (limits: ClientLimits) => void
   /** @returns requests that have no whole answer yet */
   unfinishedRequests: () => UnfinishedRequest[]
+  /** Ends all connections. Answers that have begun are cut, so that they do not look complete. */
+  close: () => void
 }
 
 /** A request that has no whole answer yet. */
@@ -78,7 +81,12 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
-    unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished)
+    unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
+    close: () => {
+      server.close()
+      for (const response of inProgress.keys()) if (!response.writableEnded) cutAnswer(response)
+      server.closeAllConnections()
+    }
   }
 }
 
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -177,10 +177,9 @@
     view.close()
     use.close()
     peers.close()
-    for (const server of [clients.server, readiness]) {
-      server.close()
-      server.closeAllConnections()
-    }
+    clients.close()
+    readiness.close()
+    readiness.closeAllConnections()
     await pools.closeAll()
   })
 
