Test the ends of begun answers where callers cannot reach them, and their metric; read event ids strictly

An empty id counted as the event number 0, after which the next event was out of order; ids are whole numbers now, and anything else is an event without one.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -55,6 +55,10 @@
   removeEndpoints: () => void
   /** Lets the placement end that waits for loads. */
   placed: () => void
+  /** @returns ends of answers that had begun, with the outcome of their requests, as the metrics show them */
+  begunAnswers: () => Promise<Array<[end: string, outcome: string]>>
+  /** Closes the client's connection. */
+  leave: () => void
   /** @returns how often the gateway has noticed a pause of its own */
   ownPauses: () => Promise<number>
 }
@@ -123,11 +127,12 @@
     }
   }) as unknown as Pool
 
+  let onClose = (): void => {}
   const response: Record<string, unknown> = {
     headersSent: false,
     destroyed: false,
     useChunkedEncodingByDefault: true,
-    on: () => {},
+    on: (_event: string, listener: () => void) => { onClose = listener },
     setHeader: () => {},
     flushHeaders: () => {},
     writeHead: (status: number) => {
@@ -207,6 +212,8 @@
     client,
     removeEndpoints: () => { endpoints.length = 0 },
     placed: () => placed(),
+    begunAnswers: async () => (await metrics.begunAnswers.get()).values.map(({ labels }) => [String(labels.end), String(labels.outcome)]),
+    leave: () => onClose(),
     ownPauses: async () => (await metrics.ownPauses.get()).values[0].value
   }
 }
--- a/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -32,6 +32,14 @@
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
   })
 
+  it('is cut when the route allows no further attempt after a whole answer', async () => {
+    const { clock, sent, client } = await brokenStream({ endpoints: 3, maxAttempts: 2 })
+    sent[1].answer(500)
+    await clock.advanceAsync(0)
+    expect(sent).toHaveLength(2)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+  })
+
   // Guards against this: a body that is no stream of events passes for a stream without further events.
   it.each(['', 'a paragraph\n\n'])('is cut when the last one answers 200 with %j, which is no stream of events', async body => {
     const { clock, sent, client } = await brokenStream({ endpoints: 2 })
@@ -60,6 +68,33 @@
   })
 })
 
+describe('the metric of begun answers', () => {
+  it('tells one that is complete', async () => {
+    const { sent, begunAnswers } = await brokenStream({ endpoints: 2 })
+    sent[1].endEvents()
+    expect(await begunAnswers()).toEqual([['complete', 'answered']])
+  })
+
+  it('tells one that is cut', async () => {
+    const { sent, begunAnswers } = await brokenStream({ endpoints: 2 })
+    sent[1].answer(500)
+    expect(await begunAnswers()).toEqual([['cut', 'broken_off']])
+  })
+
+  it('tells one that its client has left', async () => {
+    const { leave, begunAnswers } = await brokenStream({ endpoints: 2 })
+    leave()
+    expect(await begunAnswers()).toEqual([['left', 'client_left']])
+  })
+
+  it('does not count a failure that is the whole answer', async () => {
+    const { clock, sent, begunAnswers } = forwardOnFakeClock({ kind: 'stream', endpoints: 1 })
+    await clock.advanceAsync(0)
+    sent[0].answer(500)
+    expect(await begunAnswers()).toEqual([])
+  })
+})
+
 describe('an event without an id', () => {
   // Guards against this: events after it are joined to those before it, and an endpoint that goes on sends it again.
   it.each(['data: y', 'event: note\ndata: y', 'id: x\ndata: y', '{"error":"busy"}'])('(%j) is not handed on in a stream that may be resumed', async block => {
--- a/packages/anvilarch-serving/src/requests/__tests__/eventBlocks.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/eventBlocks.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check'
-import { createEventSplitter } from '../eventBlocks'
+import { createEventSplitter, holdsNoEvent } from '../eventBlocks'
 
 const RUNS = { seed: 20261202, numRuns: 500 }
 
@@ -36,4 +36,19 @@
     const [block] = createEventSplitter().push(Buffer.from('x-versions: 3\r\nid: 7\r\ndata:a\r\ndata: b\r\n\r\n'))
     expect(block).toMatchObject({ id: 7, data: 'a\nb' })
   })
+
+  // Guards against this: an event without an id counts as the event number 0.
+  it.each(['', 'x', '1.5', '-1', '0x1'])('takes %j for no id', value => {
+    expect(createEventSplitter().push(Buffer.from(`id: ${value}\ndata: a\n\n`))).toMatchObject([{ id: undefined, data: 'a' }])
+  })
+})
+
+describe('holdsNoEvent', () => {
+  it.each([
+    [': alive', true], ['retry: 500', true], [': alive\r\n: still', true],
+    ['data: a', false], ['event: note', false], ['{"error":"busy"}', false], [': alive\ndata: a', false]
+  ])('is right about %j', (text, expected) => {
+    const [block] = createEventSplitter().push(Buffer.from(`${text}\n\n`))
+    expect(holdsNoEvent(block)).toBe(expected)
+  })
 })
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestEnd.test.ts
@@ -0,0 +1,46 @@
+import type { ServerResponse } from 'node:http'
+import { createFakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { createLineBudget } from '../../telemetry/lineBudget'
+import { createServingMetrics } from '../../telemetry/metrics'
+import { createTrafficTally } from '../../telemetry/trafficTally'
+import type { ClientRequest, ForwardParts, RequestState } from '../forwardTypes'
+import { createRequestEnd, type RequestEnd } from '../requestEnd'
+
+let ended: boolean
+let destroyed: boolean
+
+/** @returns the end of a stream whose head the client has */
+function endOfBegunStream (): RequestEnd {
+  ended = false
+  destroyed = false
+  const clock = createFakeClock()
+  const response = {
+    useChunkedEncodingByDefault: true,
+    writeHead: () => { throw new Error('the head has been sent') },
+    end: () => { ended = true },
+    destroy: () => { destroyed = true }
+  }
+  const parts = { clock, log: SILENT_LOGGER, metrics: createServingMetrics(), traffic: createTrafficTally(), lines: createLineBudget(clock, 20), notice: { isLeaving: () => false } }
+  const client = { response: response as unknown as ServerResponse, route: { kind: 'stream' }, metadata: {}, caller: { caller: 'unchecked' }, arrivedAtMs: 0 }
+  const state = { answerBegun: true, longestGapMs: 0, trail: { note: () => {}, reveal: () => {} } }
+  return createRequestEnd(parts as unknown as ForwardParts, client as unknown as ClientRequest, state as unknown as RequestState, () => {})
+}
+
+describe('the end of an answer whose head the client has', () => {
+  // Guards against this: an answer looks complete before its last event, or is left open.
+  it.each<[string, (end: RequestEnd) => void]>([
+    ['an answer of the gateway', end => end.answer({ status: 503, code: 'no_endpoint', message: '' })],
+    ['a whole answer of an endpoint', end => end.answerWhole('e1', { status: 200, rawHeaders: [], body: Buffer.alloc(0) })],
+    ['a break', end => end.breakOff('timeout')]
+  ])('is a cut when it is to be ended by %s', (_name, act) => {
+    act(endOfBegunStream())
+    expect({ ended, destroyed }).toEqual({ ended: false, destroyed: true })
+  })
+
+  it('is complete after the last event, whatever comes after that', () => {
+    const end = endOfBegunStream()
+    end.completeEvents('e1')
+    end.breakOff('timeout')
+    expect({ ended, destroyed }).toEqual({ ended: true, destroyed: false })
+  })
+})
--- a/packages/anvilarch-serving/src/requests/eventBlocks.ts
+++ b/packages/anvilarch-serving/src/requests/eventBlocks.ts
@@ -19,6 +19,8 @@
 const NEWLINE = 0x0a
 const CARRIAGE_RETURN = 0x0d
 
+const EVENT_ID_PATTERN = /^\d+$/
+
 /** An event larger than this is no event; a stream of them would fill the memory. */
 export const MAX_EVENT_BYTES = 4 * 1024 * 1024
 
@@ -54,9 +56,10 @@
   }
 }
 
-/** @returns whether a block holds nothing but comments */
-export function isComment (block: EventBlock): boolean {
-  return block.bytes.toString('latin1').split('\n').every(line => line === '' || line === '\r' || line.startsWith(':'))
+/** @returns whether a block is no event, but holds comments or the time to reconnect after */
+export function holdsNoEvent (block: EventBlock): boolean {
+  const lines = block.bytes.toString('latin1').split('\n')
+  return lines.every(line => line === '' || line === '\r' || line.startsWith(':') || line.startsWith('retry:'))
 }
 
 function parseBlock (bytes: Buffer): EventBlock {
@@ -84,6 +87,5 @@
 }
 
 function toEventId (value: string): number | undefined {
-  const id = Number(value)
-  return Number.isInteger(id) ? id : undefined
+  return EVENT_ID_PATTERN.test(value) ? Number(value) : undefined
 }
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -2,7 +2,7 @@
 import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeRequest, isFramed, startExchange } from '../endpoints/exchange'
 import type { AttemptFailure } from './attemptDecision'
-import { createEventSplitter, type EventBlock, isComment } from './eventBlocks'
+import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
 import { forwardedHeaders } from './headers'
 import type { AnswerMetadata, RequestWire } from './types'
 
@@ -140,7 +140,7 @@
 
   /** @returns why a block cannot follow those before it; undefined when it can */
   const misplacement = (block: EventBlock): string | undefined => {
-    if (block.id === undefined) return options.resumable && !isComment(block) ? 'event_without_id' : undefined
+    if (block.id === undefined) return options.resumable && !holdsNoEvent(block) ? 'event_without_id' : undefined
     return lastEventId !== undefined && block.id !== lastEventId + 1 ? 'events_out_of_order' : undefined
   }
 
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -87,7 +87,7 @@
     onHead: silence.heard,
     onEvent: (_bytes, id, data) => {
       silence.heard()
-      // A block of comments.
+      // No event, but a block of comments.
       if (id === undefined) return
       text.lastEventId = id
       text.pieces.push(data)
