Take no answer of a plain service for whole that ends with its connection

Callers saw `completed` and a 200 for an answer of a plain service that names neither a length nor chunks and was cut or reset: a part passed for the whole.

Cause: `settle` in the plain run took the end of the exchange for the end of the answer. The exchange told whether the answer was framed, but only with its end, and the plain run did not look.

The exchange now tells it with the head, so that the run fails before anything is handed on: the caller gets an error, not a broken body. An idempotent call goes out once more, as after any other failure; of one that is not idempotent the outcome is unknown. Answers without a body by their status or to a HEAD, and answers in chunks, are taken as before.

Plain services that answer without a length and close are therefore no longer served.

--- a/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
@@ -58,6 +58,7 @@
 export function openEngineConnection (options: EngineConnectionOptions, listener: EngineListener): EngineConnection {
   let phase: Phase = 'opening'
   let status = 0
+  let framed = true
   const answered: Uint8Array[] = []
   const events = createEngineEventReader(event => {
     if (phase !== 'streaming') return
@@ -65,8 +66,9 @@
     listener.onEvent(event)
   })
 
-  const onHead = (given: number, headers: Headers): void => {
+  const onHead = (given: number, headers: Headers, isFramed: boolean): void => {
     status = given
+    framed = isFramed
     phase = phaseOf(options, status, headers)
     if (phase === 'streaming') listener.onStream(headers)
     else if (phase === 'answering') listener.onAnswer(status, headers)
@@ -82,7 +84,7 @@
     }
   }, options.clock)
 
-  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, answered })) }
+  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, framed, answered })) }
 }
 
 function phaseOf (options: EngineConnectionOptions, status: number, headers: Headers): Phase {
@@ -93,6 +95,7 @@
 
 interface Read {
   status: number
+  framed: boolean
   answered: Uint8Array[]
 }
 
@@ -105,7 +108,7 @@
 }
 
 /** Without a frame, only a body that is JSON to its end is known to be whole. An error is told by its status alone. */
-function isWholeAnswer (end: ExchangeEnd, { status, answered }: Read): boolean {
+function isWholeAnswer (end: ExchangeEnd, { status, framed, answered }: Read): boolean {
   if (end.kind !== 'complete') return false
-  return end.framed || status >= 300 || parseOrUndefined(Buffer.concat(answered).toString('utf8')) !== undefined
+  return framed || status >= 300 || parseOrUndefined(Buffer.concat(answered).toString('utf8')) !== undefined
 }
--- a/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
@@ -8,15 +8,15 @@
 
 /** How an exchange ended. */
 export type ExchangeEnd =
-  /** `framed` is false where only the end of the connection ended the answer, which may have been cut. */
-  | { kind: 'complete', framed: boolean }
+  | { kind: 'complete' }
   /** `sent` is false only when no byte of the request can have left. */
   | { kind: 'error', sent: boolean, code: string, detail: string }
   | { kind: 'aborted', sent: boolean }
 
 /** Takes the response. */
 export interface ExchangeListener {
-  onHead: (status: number, headers: Headers) => void
+  /** `framed` is false where the end of the connection alone ends the answer, which may then have been cut. */
+  onHead: (status: number, headers: Headers, framed: boolean) => void
   onData: (data: Uint8Array) => void
 }
 
@@ -25,6 +25,8 @@
   /** Resolves when it ended; never rejects. */
   done: Promise<ExchangeEnd>
   abort: () => void
+  /** Ends the exchange as one whose answer failed; the listener hears no more. */
+  fail: (code: string, detail: string) => void
   /** When the last byte came, or when the exchange was opened. */
   lastActivityMs: () => number
   sent: () => boolean
@@ -55,22 +57,21 @@
  */
 export function openExchange (dispatcher: Dispatcher, call: EndpointCall, listener: ExchangeListener, clock: Clock): HttpExchange {
   let sent = false
-  let aborted = false
-  let framed = true
+  let stopped = false
   let lastActivityMs = clock.nowMs()
   let controller: Dispatcher.DispatchController | undefined
   let finish: (end: ExchangeEnd) => void = () => {}
   const done = new Promise<ExchangeEnd>(resolve => { finish = resolve })
-  const abort = (): void => {
-    if (aborted) return
-    aborted = true
+  const stop = (end: ExchangeEnd): void => {
+    if (stopped) return
+    stopped = true
+    finish(end)
     controller?.abort(new Error('aborted'))
-    finish({ kind: 'aborted', sent })
   }
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart: given => {
       controller = given
-      if (aborted) {
+      if (stopped) {
         given.abort(new Error('aborted'))
         return
       }
@@ -78,14 +79,14 @@
     },
     onResponseStart: (_, status, headers) => {
       lastActivityMs = clock.nowMs()
-      framed = isFramed(status, headers)
-      if (!aborted && status >= 200) listener.onHead(status, endToEndHeaders(headers))
+      if (stopped || status < 200) return
+      listener.onHead(status, endToEndHeaders(headers), call.method === 'HEAD' || isFramed(status, headers))
     },
     onResponseData: (_, data) => {
       lastActivityMs = clock.nowMs()
-      if (!aborted) listener.onData(data)
+      if (!stopped) listener.onData(data)
     },
-    onResponseEnd: () => { finish({ kind: 'complete', framed }) },
+    onResponseEnd: () => { finish({ kind: 'complete' }) },
     onResponseError: (_, error) => {
       const code = (error as { code?: string }).code ?? 'unknown'
       finish({ kind: 'error', sent, code, detail: error.message })
@@ -99,7 +100,13 @@
     headersTimeout: 0,
     bodyTimeout: 0
   }, handler)
-  return { done, abort, lastActivityMs: () => lastActivityMs, sent: () => sent }
+  return {
+    done,
+    abort: () => { stop({ kind: 'aborted', sent }) },
+    fail: (code, detail) => { stop({ kind: 'error', sent, code, detail }) },
+    lastActivityMs: () => lastActivityMs,
+    sent: () => sent
+  }
 }
 
 /** Statuses whose answers have no body. */
--- a/packages/anvilarch-daemon/src/agent/endpoints/plainRun.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/plainRun.ts
@@ -3,7 +3,8 @@
  *
  * A call that is not idempotent goes out once, on a connection of its own: on a kept-alive connection the server's
  * idle close can cross the request, and then nobody knows whether it ran. Only a failure before the request was handed
- * to a connection proves that it did not run; after that, without a whole answer, the outcome is unknown.
+ * to a connection proves that it did not run; after that, without a whole answer, the outcome is unknown. An answer that ends with
+ * its connection is not taken: one that was cut would look whole.
  *
  * An idempotent call that stays silent is sent again beside the first one, since a silent connection and a slow
  * service look the same; the first answer counts.
@@ -99,7 +100,11 @@
       path: deps.basePath + call.call.path,
       headers: { ...call.call.headers, 'x-request-id': call.requestId, 'x-attempt-id': call.attemptId }
     }, {
-      onHead: (status, headers) => { if (ended === undefined && win(exchange)) sink.onHead(status, headers) },
+      onHead: (status, headers, framed) => {
+        if (ended !== undefined) return
+        if (!framed) exchange.fail('unframed_answer', 'the answer names neither a length nor chunks')
+        else if (win(exchange)) sink.onHead(status, headers)
+      },
       onData: data => {
         if (ended !== undefined || winner !== exchange) return
         if (!sink.onOutput(data)) finish('endpoint_failed', 'ran', 'the answer is larger than "maxOutputBytes"')
