Take chunks alone for a frame, not any transfer coding

Callers saw `completed` for a cut answer of a plain service with `Transfer-Encoding: gzip`; an engine's answer of that kind was taken for framed too, so that its JSON was not asked whether it is whole.

Cause: `isFramed` asked only whether there is a transfer coding. The end of a body can be told only where the last coding is `chunked`; the HTTP client reads any other answer up to the end of its connection.

`isFramed(status, header)` now lies in anvilarch-utils, so that each part of the system can use the one rule: a status without a body, or a last coding `chunked`, or, without any coding, a length. It takes a lookup, as callers hold headers in maps and in records.

--- a/packages/anvilarch-daemon/src/agent/__tests__/plainRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/plainRun.test.ts
@@ -60,6 +60,12 @@
     expect(heads).toBe(0)
   })
 
+  // Guards against this: a coding that says nothing of the end passes for a frame.
+  it.each(['gzip', 'chunked, gzip', 'gzip\r\ntransfer-encoding: xchunked'])('does not take an answer for whole whose codings are %j', async codings => {
+    expect(await answer(`HTTP/1.1 200 OK\r\ntransfer-encoding: ${codings}\r\n\r\nhalf`)).toMatchObject({ outcome: 'endpoint_failed', ran: 'unknown' })
+    expect(heads).toBe(0)
+  })
+
   it.each([
     ['a status without a body', 'GET', 'HTTP/1.1 204 No Content\r\n\r\n'],
     ['the answer to a HEAD', 'HEAD', 'HTTP/1.1 200 OK\r\n\r\n'],
--- a/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
@@ -3,7 +3,7 @@
  * whether the request was handed to a connection before it failed.
  */
 import type { Dispatcher } from 'undici'
-import { type Clock, createSilenceWatch } from 'anvilarch-utils'
+import { type Clock, createSilenceWatch, isFramed } from 'anvilarch-utils'
 import type { EndpointCall, Headers } from '../../attempts/types'
 
 /** How an exchange ended. */
@@ -80,7 +80,7 @@
     onResponseStart: (_, status, headers) => {
       lastActivityMs = clock.nowMs()
       if (stopped || status < 200) return
-      listener.onHead(status, endToEndHeaders(headers), call.method === 'HEAD' || isFramed(status, headers))
+      listener.onHead(status, endToEndHeaders(headers), call.method === 'HEAD' || isFramed(status, name => headers[name]?.toString()))
     },
     onResponseData: (_, data) => {
       lastActivityMs = clock.nowMs()
@@ -109,13 +109,6 @@
   }
 }
 
-/** Statuses whose answers have no body. */
-const BODILESS = new Set([204, 304])
-
-function isFramed (status: number, headers: Record<string, string | string[] | undefined>): boolean {
-  return BODILESS.has(status) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
 /** Answer to a small JSON request. */
 export interface JsonAnswer {
   status: number
