Take no answer of the platform for whole that ends with its connection

Jobs would run on the first part of an object, or their results lack their end, when the connection to the store broke within an answer without a length.

Cause: the caller of the platform's services took the end of the body for the end of the answer. An accepted answer now needs a frame; one without counts as lost, of which nothing is known, so that reads are done again and writes are looked up. A status that no port accepts still tells by itself.

Before, `httpObjects.test.ts` said: Received promise resolved instead of rejected Resolved to value: "half"

--- a/packages/anvilarch-daemon/src/platform/http/httpCaller.ts
+++ b/packages/anvilarch-daemon/src/platform/http/httpCaller.ts
@@ -1,6 +1,6 @@
 /** Calls to one service of the platform, each bounded in time, counted, and with typed errors. */
 import { Pool } from 'undici'
-import { AnvilarchError, type Clock, type Ran, createSilenceWatch } from 'anvilarch-utils'
+import { AnvilarchError, type Clock, type Ran, createSilenceWatch, isFramed } from 'anvilarch-utils'
 import type { Metrics } from '../../metrics/types'
 
 /** Options of `createHttpCaller`. */
@@ -86,7 +86,10 @@
       signal
     })
     const body = await response.body.bytes()
-    if (call.accept.includes(response.statusCode)) return { status: response.statusCode, body }
+    if (call.accept.includes(response.statusCode)) {
+      if (!isFramed(response.statusCode, name => response.headers[name]?.toString())) throw new Error('the answer names neither a length nor chunks')
+      return { status: response.statusCode, body }
+    }
     throw new UnexpectedStatusError(response.statusCode, parseRetryAfterMs(response.headers['retry-after']))
   }
 
