Take a part of an object only where a part was asked for

A reader of an object would get a part of it for the whole, or the whole for the part that it had asked for.

Cause: the object port accepted 200 and 206 alike, whatever it had asked. It now accepts the one status that answers the question; any other is an error of the platform, after which the read is done again.

Before, `httpObjects.test.ts` said, for a 206 without a range and for a 200 with one: Received promise resolved instead of rejected Resolved to value: "half" Resolved to value: "both all"

--- a/packages/anvilarch-daemon/src/platform/__tests__/httpObjects.test.ts
+++ b/packages/anvilarch-daemon/src/platform/__tests__/httpObjects.test.ts
@@ -22,7 +22,9 @@
 describe('an object over HTTP', () => {
   // Guards against this: a job runs on the first part of its items, or its results lack their end.
   it.each([
-    ['that ends with its connection', 'HTTP/1.1 200 OK\r\n\r\nhalf', undefined]
+    ['that ends with its connection', 'HTTP/1.1 200 OK\r\n\r\nhalf', undefined],
+    ['of which a part came unasked', 'HTTP/1.1 206 Partial Content\r\ncontent-length: 4\r\n\r\nhalf', undefined],
+    ['that came whole where a part was asked for', 'HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nboth all', RANGE]
   ])('is not taken for the wanted one: %s', async (_name, bytes, range) => {
     await expect(getFrom(bytes, range)).rejects.toMatchObject({ code: 'platform_unavailable', step: 'platform.objects.get' })
   })
--- a/packages/anvilarch-daemon/src/platform/http/objectPort.ts
+++ b/packages/anvilarch-daemon/src/platform/http/objectPort.ts
@@ -4,6 +4,7 @@
 import { parseJsonAnswer } from './json'
 
 const STATUS_CREATED = 201
+const STATUS_PART = 206
 const STATUS_NOT_FOUND = 404
 
 /**
@@ -17,8 +18,10 @@
       return answer.status === STATUS_CREATED ? 'created' : 'exists'
     },
     get: async (name, range, signal) => {
-      const headers = range === undefined ? undefined : { range: `bytes=${range.fromByte}-${range.toByte}` }
-      const answer = await caller.call({ operation: 'get', method: 'GET', path: objectPath(name), headers, accept: [200, 206, STATUS_NOT_FOUND], signal })
+      const asked = range === undefined
+        ? { accept: [200, STATUS_NOT_FOUND] }
+        : { accept: [STATUS_PART, STATUS_NOT_FOUND], headers: { range: `bytes=${range.fromByte}-${range.toByte}` } }
+      const answer = await caller.call({ operation: 'get', method: 'GET', path: objectPath(name), ...asked, signal })
       return answer.status === STATUS_NOT_FOUND ? null : answer.body
     },
     list: async (prefix, options, signal) => {
