Send no file whose chunks are not of its size

A caller that read an uploaded file back waited for bytes that never came, or, with a further request on the connection, took the head of the next answer for the rest of the file; with a chunk that is too long, the rest of it stood before the next answer.

Cause: the content went out under the length of the row without a look at what the chunks hold.

The readers of a file now count what they give: the last chunk has to bring the file to its size, and none may exceed it. What fails there fails as a missing chunk does: with 502 `incomplete` before the head was sent, by a cut connection after it.

--- a/packages/anvilarch-daemon/src/jobs/__fixtures__/batchClient.ts
+++ b/packages/anvilarch-daemon/src/jobs/__fixtures__/batchClient.ts
@@ -91,3 +91,21 @@
   await new Promise<void>(resolve => { socket.write(head + content, () => { resolve() }) })
   socket.destroy()
 }
+
+/**
+ * Sends requests one after another on one connection, without waiting for answers.
+ *
+ * @param url - of the gateway
+ * @param paths - to get; the gateway is asked to close the connection after the last one
+ * @returns all that comes until the connection ends
+ */
+export async function getOnOneConnection (url: string, paths: string[]): Promise<string> {
+  const { hostname, port } = new URL(url)
+  const socket = connect(Number(port), hostname)
+  const heads = paths.map((path, index) => `GET ${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer shop\r\n${index === paths.length - 1 ? 'connection: close\r\n' : ''}\r\n`)
+  socket.write(heads.join(''))
+  let text = ''
+  socket.on('data', data => { text += data.toString() })
+  socket.on('error', () => {})
+  return await new Promise(resolve => { socket.once('close', () => { resolve(text) }) })
+}
--- a/packages/anvilarch-daemon/src/jobs/__tests__/contents.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/contents.test.ts
@@ -1,6 +1,6 @@
 import { createChunkWriter } from '../chunkWriter'
 import { createLineSplitter } from '../lineSplitter'
-import { createBatchClient, itemLine, itemLines } from '../__fixtures__/batchClient'
+import { createBatchClient, getOnOneConnection, itemLine, itemLines } from '../__fixtures__/batchClient'
 import { startTestGateway, type TestGateway } from '../__fixtures__/testGateway'
 
 describe('createLineSplitter', () => {
@@ -64,4 +64,32 @@
     }
     expect((await client.results(batch.output_file_id)).length).toBe(20)
   })
+  // Guards against this: the next answer on the connection passes for the rest of a file.
+  it.each([
+    ['shorter', (body: Uint8Array) => body.slice(1)],
+    ['longer', (body: Uint8Array) => Buffer.concat([body, body])]
+  ])('sends nothing after a file whose last chunk is %s than it was', async (_name, change) => {
+    const file = await createBatchClient(gateway.server.url).upload(itemLines(20))
+    const { objects } = gateway.context.platform
+    const { get } = objects
+    const changed = async (name: string): Promise<Uint8Array | null> => {
+      const body = await get(name)
+      return body === null ? null : change(body)
+    }
+    const names = (await objects.list('', { limit: 100 })).names
+    objects.get = async name => name === names.at(-1) ? await changed(name) : await get(name)
+    const text = await getOnOneConnection(gateway.server.url, [`/v1/files/${file.id}/content`, '/v1/files'])
+    const [, body = ''] = text.split('\r\n\r\n')
+    expect(body.length).toBeLessThan(file.bytes)
+    expect(text).not.toContain('"object":"list"')
+  })
+
+  // Guards against this: a caller waits for bytes that never come.
+  it('answers with an error when the only chunk of a file is too short', async () => {
+    const file = await createBatchClient(gateway.server.url).upload(itemLines(1))
+    const { objects } = gateway.context.platform
+    const { get } = objects
+    objects.get = async name => (await get(name))?.slice(1) ?? null
+    expect(await getOnOneConnection(gateway.server.url, [`/v1/files/${file.id}/content`])).toMatch(/^HTTP\/1.1 502 [^]*"code":"incomplete"/)
+  })
 })
--- a/packages/anvilarch-daemon/src/jobs/resultContent.ts
+++ b/packages/anvilarch-daemon/src/jobs/resultContent.ts
@@ -20,8 +20,22 @@
  * @param signal - of the caller going away
  */
 export async function sendFileContent (context: DaemonContext, file: FileRow, response: ServerResponse, signal: AbortSignal): Promise<void> {
-  const readers = file.chunkItems.map((_items, chunk) => objectReader(context, OBJECT_NAMES.fileChunk(file.id, chunk), signal))
-  await sendObjects(readers, response, signal, { 'content-length': String(file.sizeBytes) })
+  await sendObjects(chunkReaders(context, file, signal), response, signal, { 'content-length': String(file.sizeBytes) })
+}
+
+/** The row names the size of the file alone, so that a chunk of another size shows at the last one, or where the file is exceeded. */
+function chunkReaders (context: DaemonContext, file: FileRow, signal: AbortSignal): ObjectReader[] {
+  let foundBytes = 0
+  return file.chunkItems.map((_items, chunk) => {
+    const read = objectReader(context, OBJECT_NAMES.fileChunk(file.id, chunk), signal)
+    const isLast = chunk === file.chunkItems.length - 1
+    return async () => {
+      const body = await read()
+      foundBytes += body.length
+      if (isLast ? foundBytes === file.sizeBytes : foundBytes <= file.sizeBytes) return body
+      throw incomplete(`The chunks of file "${file.id}" hold ${foundBytes} bytes instead of ${file.sizeBytes}.`)
+    }
+  })
 }
 
 /**
@@ -58,10 +72,14 @@
   return async () => {
     const body = await context.platform.objects.get(name, undefined, signal)
     if (body !== null) return body
-    throw new AnvilarchError(`The object "${name}" is missing.`, { code: 'incomplete', step: 'jobs.read_content', ran: 'ran' })
+    throw incomplete(`The object "${name}" is missing.`)
   }
 }
 
+function incomplete (message: string): AnvilarchError {
+  return new AnvilarchError(message, { code: 'incomplete', step: 'jobs.read_content', ran: 'ran' })
+}
+
 /**
  * Once the head is sent an error can't be told any more. The connection is then cut before the end of the body, so that
  * the caller sees that the content is not whole.
