Take only a 200 for an answer of a gateway in the command line

Cause: the client took every status below 400 for the whole answer. It follows no redirect and asks for no part, and a gateway answers each of its calls with 200, so that this is now the one status that is taken; the others are errors as those above 400 are. Of a call that a status below 300 answers it is not known whether it ran.

Before, `httpClient.test.ts` said, for 302, 206 and 204: Received promise resolved instead of rejected Resolved to value: "login" Resolved to value: "part" Resolved to value: ""

--- a/packages/anvilarch/src/__tests__/httpClient.test.ts
+++ b/packages/anvilarch/src/__tests__/httpClient.test.ts
@@ -1,3 +1,4 @@
+import { createServer, type AddressInfo, type Server } from 'node:net'
 import { type FakeGateway, startFakeGateway } from '../__fixtures__/fakeGateway'
 import { createHttpClient, type HttpCall } from '../gateway/httpClient'
 
@@ -37,3 +38,36 @@
     expect(healthy.state.requests).toEqual([])
   })
 })
+
+describe('a file from a gateway', () => {
+  let server: Server
+  afterEach(() => { server.close() })
+
+  /** Reads a file from a gateway that answers so and then ends the connection. */
+  const readFrom = async (bytes: string): Promise<string> => {
+    server = createServer(socket => { socket.once('data', () => { socket.end(bytes) }) })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const client = createHttpClient({ gatewayUrls: [`http://127.0.0.1:${(server.address() as AddressInfo).port}`], connectTimeoutMs: 1000, answerTimeoutMs: 1000 })
+    try {
+      const { body } = await client.stream({ ...READ, path: '/v1/files/f/content', step: 'jobs.results' })
+      return Buffer.concat(await body.toArray()).toString()
+    } finally {
+      await client.close()
+    }
+  }
+
+  // Guards against this: a login page or a part gets the name of a results file.
+  it.each([
+    ['302 Found', 'location: /\r\ncontent-length: 5\r\n\r\nlogin'],
+    ['206 Partial Content', 'content-length: 4\r\n\r\npart'],
+    ['204 No Content', '\r\n']
+  ])('is not what comes with status %s', async (status, rest) => {
+    await expect(readFrom(`HTTP/1.1 ${status}\r\n${rest}`)).rejects.toMatchObject({ code: 'internal', exit: 'failed', step: 'jobs.results' })
+  })
+
+  it('is taken with a length and in chunks', async () => {
+    expect(await readFrom('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfull')).toBe('full')
+    server.close()
+    expect(await readFrom('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n')).toBe('full')
+  })
+})
--- a/packages/anvilarch/src/gateway/failures.ts
+++ b/packages/anvilarch/src/gateway/failures.ts
@@ -80,7 +80,7 @@
 }
 
 /**
- * @param status - HTTP status, 400 or above
+ * @param status - HTTP status of an answer that is not taken
  * @param bodyText - body of the answer
  * @param retryAfter - header of that name, in seconds
  * @param step - what was being done
@@ -96,7 +96,7 @@
     code,
     step: stated.step ?? step,
     peer: stated.peer ?? gatewayUrl,
-    ran: stated.ran ?? (status < 500 ? 'not_run' : 'unknown'),
+    ran: stated.ran ?? (status >= 300 && status < 500 ? 'not_run' : 'unknown'),
     retryAfterMs: stated.retry_after_ms ?? secondsToMs(retryAfter),
     exit: EXIT_BY_STATUS[status] ?? 'failed',
     hint: stated.code === undefined && issues === undefined ? NOT_A_GATEWAY_HINT : STEP_HINTS[step]?.[code] ?? HINTS[code],
--- a/packages/anvilarch/src/gateway/httpClient.ts
+++ b/packages/anvilarch/src/gateway/httpClient.ts
@@ -1,6 +1,6 @@
 /** HTTP to one of several gateways: the next one is tried when one can't be reached. */
 import type { Readable } from 'node:stream'
-import { Agent, request } from 'undici'
+import { Agent, type Dispatcher, request } from 'undici'
 import { CliError } from '../cliError'
 import { answerFailure, isTakenElsewhere, transportFailure } from './failures'
 
@@ -47,7 +47,8 @@
   close: () => Promise<void>
 }
 
-const FIRST_ERROR_STATUS = 400
+/** The one status of a gateway's whole answer: no call asks for a part of one or follows a redirect. */
+const STATUS_WHOLE = 200
 
 /**
  * @param options - gateways, key and time limits
@@ -57,7 +58,7 @@
   const dispatcher = new Agent({ connect: { timeout: options.connectTimeoutMs } })
   let urls = [...options.gatewayUrls]
 
-  const send = async (gatewayUrl: string, call: HttpCall): Promise<Readable> => {
+  const send = async (gatewayUrl: string, call: HttpCall): Promise<Dispatcher.ResponseData> => {
     const authorization = options.apiKey === undefined ? {} : { authorization: `Bearer ${options.apiKey}` }
     const timeoutMs = call.answerTimeoutMs ?? options.answerTimeoutMs
     const answer = await request(new URL(call.path, gatewayUrl), {
@@ -68,7 +69,7 @@
       bodyTimeout: timeoutMs,
       dispatcher
     })
-    if (answer.statusCode < FIRST_ERROR_STATUS) return answer.body
+    if (answer.statusCode === STATUS_WHOLE) return answer
     const retryAfter = answer.headers['retry-after']
     throw answerFailure(answer.statusCode, await answer.body.text(), typeof retryAfter === 'string' ? retryAfter : undefined, call.step, gatewayUrl)
   }
@@ -77,7 +78,7 @@
     isTakenElsewhere(error) || (call.isRepeatable && error.code === 'outcome_unknown' && error.exit === 'unreachable')
 
   /** Runs `read` on the answer of the first gateway that gives one. */
-  const firstAnswer = async <Answer>(call: HttpCall, read: (body: Readable, gatewayUrl: string) => Promise<Answer>): Promise<Answer> => {
+  const firstAnswer = async <Answer>(call: HttpCall, read: (answer: Dispatcher.ResponseData, gatewayUrl: string) => Promise<Answer>): Promise<Answer> => {
     let last: CliError | undefined
     for (const gatewayUrl of urls) {
       try {
@@ -93,8 +94,8 @@
   }
 
   return {
-    json: call => firstAnswer(call, async body => JSON.parse(await textOf(body))),
-    stream: call => firstAnswer(call, async (body, gatewayUrl) => ({ body, gatewayUrl })),
+    json: call => firstAnswer(call, async ({ body }) => JSON.parse(await textOf(body))),
+    stream: call => firstAnswer(call, async ({ body }, gatewayUrl) => ({ body, gatewayUrl })),
     close: async () => { await dispatcher.destroy() }
   }
 }
