Take no file for whole that ends with its connection in the command line

Cause: the client took the end of the connection for the end of the file. A file now needs a frame; without one the next gateway is asked, and at last the command ends as unreachable and leaves no file. JSON answers are not concerned: a part of an object is no JSON.

--- a/packages/anvilarch/src/__tests__/httpClient.test.ts
+++ b/packages/anvilarch/src/__tests__/httpClient.test.ts
@@ -56,6 +56,11 @@
     }
   }
 
+  // Guards against this: a results file with fewer results than the job has gets its final name.
+  it('is not whole when it ends with its connection', async () => {
+    await expect(readFrom('HTTP/1.1 200 OK\r\n\r\n{"line":1}\n')).rejects.toMatchObject({ code: 'unavailable', exit: 'unreachable', step: 'jobs.results' })
+  })
+
   // Guards against this: a login page or a part gets the name of a results file.
   it.each([
     ['302 Found', 'location: /\r\ncontent-length: 5\r\n\r\nlogin'],
--- a/packages/anvilarch/src/gateway/httpClient.ts
+++ b/packages/anvilarch/src/gateway/httpClient.ts
@@ -1,6 +1,7 @@
 /** HTTP to one of several gateways: the next one is tried when one can't be reached. */
 import type { Readable } from 'node:stream'
 import { Agent, type Dispatcher, request } from 'undici'
+import { isFramed } from 'anvilarch-utils'
 import { CliError } from '../cliError'
 import { answerFailure, isTakenElsewhere, transportFailure } from './failures'
 
@@ -95,7 +96,7 @@
 
   return {
     json: call => firstAnswer(call, async ({ body }) => JSON.parse(await textOf(body))),
-    stream: call => firstAnswer(call, async ({ body }, gatewayUrl) => ({ body, gatewayUrl })),
+    stream: call => firstAnswer(call, async (answer, gatewayUrl) => ({ body: await framedBody(answer), gatewayUrl })),
     close: async () => { await dispatcher.destroy() }
   }
 }
@@ -109,3 +110,10 @@
   for await (const part of body) parts.push(part as Buffer)
   return Buffer.concat(parts).toString('utf8')
 }
+
+/** A body that ends with its connection may have been cut, and nothing in a stream would show it. */
+async function framedBody ({ statusCode, headers, body }: Dispatcher.ResponseData): Promise<Readable> {
+  if (isFramed(statusCode, name => headers[name]?.toString())) return body
+  await body.dump()
+  throw new Error('it names neither a length nor chunks')
+}
