--- a/packages/anvilarch-serving/src/endpoints/exchange.ts
+++ b/packages/anvilarch-serving/src/endpoints/exchange.ts
@@ -92,20 +92,6 @@
   }
 }
 
-const STATUSES_WITHOUT_BODY = new Set([204, 304])
-
-/**
- * An answer that names neither a length nor chunks ends with its connection, so that one which was broken off looks whole.
- *
- * @param status - of the answer
- * @param headers - of the answer
- * @returns whether the end of the answer can be told from a break
- */
-export function isFramed (status: number, headers: ReadonlyMap<string, string>): boolean {
-  const lastCoding = headers.get('transfer-encoding')?.split(',').at(-1)?.trim().toLowerCase()
-  return headers.has('content-length') || lastCoding === 'chunked' || STATUSES_WITHOUT_BODY.has(status)
-}
-
 function headerMap (rawHeaders: readonly string[]): Map<string, string> {
   const map = new Map<string, string>()
   for (let index = 0; index < rawHeaders.length; index += 2) map.set(rawHeaders[index].toLowerCase(), rawHeaders[index + 1])
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -1,6 +1,7 @@
 /** One attempt at an endpoint: checks that the answer is this request's, whole and in order. */
+import { isFramed } from 'anvilarch-utils'
 import type { Pool } from '../endpoints/httpPool'
-import { type Exchange, type ExchangeRequest, isFramed, startExchange } from '../endpoints/exchange'
+import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { AttemptFailure } from './attemptDecision'
 import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
 import { forwardedHeaders } from './headers'
@@ -131,7 +132,7 @@
       fail('may_have_run', 'unsigned_answer')
       return
     }
-    if (!isFramed(status, headers)) {
+    if (!isFramed(status, name => headers.get(name))) {
       fail('may_have_run', 'unframed_answer')
       return
     }
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,6 +1,6 @@
 /** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
-import { type Clock, createSilenceWatch, type Random } from 'anvilarch-utils'
-import { isFramed, startExchange } from '../endpoints/exchange'
+import { type Clock, createSilenceWatch, isFramed, type Random } from 'anvilarch-utils'
+import { startExchange } from '../endpoints/exchange'
 import { createPool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
 
@@ -55,7 +55,7 @@
     const exchange = startExchange(pool, call, {
       onHead: (answered, headers) => {
         status = answered
-        if (BUSY_STATUS.has(answered) || isFramed(answered, headers)) return
+        if (BUSY_STATUS.has(answered) || isFramed(answered, name => headers.get(name))) return
         exchange.abort()
         settle({ outcome: 'no_answer', reason: 'unframed_answer' })
       },
--- a/packages/anvilarch-utils/src/__tests__/framing.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/framing.test.ts
@@ -18,6 +18,7 @@
     [200, {}],
     [206, {}],
     [200, { 'transfer-encoding': 'gzip' }],
+    [200, { 'transfer-encoding': 'identity' }],
     [200, { 'transfer-encoding': 'chunked, gzip' }],
     [200, { 'transfer-encoding': 'xchunked' }],
     [200, { 'transfer-encoding': '' }],
