--- /dev/null
+++ b/deploy/days/shortDays.mjs
@@ -0,0 +1,98 @@
+// Writes days of 14 seconds on which several disruptions overlap: `node deploy/days/shortDays.mjs --seed 1 --count 24 --out target/days`.
+//
+// Each day has disruptions that break answers off, others that make endpoints answer something else than what was asked for, and some of
+// the hosts, the store and the configuration. They start within four seconds and last for several, so that one request can meet two of them.
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { parseArgs } from 'node:util'
+import { createRandom } from 'anvilarch-utils'
+
+const DAY_S = 14
+const FIRST_START_S = 2
+const LAST_START_S = 6
+
+/** Break answers off, or let them wait for good. */
+const BREAKING = [
+  { kind: 'garble', share: 0.9, x: 0.4 },
+  { kind: 'garble', how: 'unframed', share: 0.9, x: 0.3 },
+  { kind: 'srv_crash', share: 0.4, for_s: 2 },
+  { kind: 'srv_crash', how: 'dark', share: 0.3, for_s: 3 },
+  { kind: 'srv_crash', how: 'gone', share: 0.3 },
+  { kind: 'answer_lost', share: 0.9, x: 0.3 },
+  { kind: 'answer_lost', how: 'reset', share: 0.9, x: 0.3 },
+  { kind: 'srv_grey', how: 'reset', share: 0.7, x: 0.4 },
+  { kind: 'srv_grey', how: 'hang', share: 0.6, x: 0.4 },
+  { kind: 'srv_grey', how: 'mute', share: 0.6, x: 0.4 },
+  { kind: 'srv_cut', how: 'reset', share: 0.4 },
+  { kind: 'reset_conns', share: 0.8, x: 0.6 }
+]
+
+/** Let endpoints answer something else. */
+const ANSWERING = [
+  { kind: 'srv_grey', how: 'errors', share: 0.8, x: 0.6 },
+  { kind: 'srv_grey', how: 'shed', share: 0.7, x: 0.5 },
+  { kind: 'srv_grey', how: 'busy', share: 0.7, x: 0.5 },
+  { kind: 'srv_grey', how: 'errors one_zone', share: 0.8, x: 0.6 },
+  { kind: 'garble', how: 'extra', share: 0.8, x: 0.3 },
+  { kind: 'garble', how: 'extra late', share: 0.8, x: 0.3 },
+  { kind: 'garble', how: 'early', share: 0.8, x: 0.3 },
+  { kind: 'replace_with_reuse', share: 0.3 },
+  { kind: 'release', share: 0.6, x: 3, gap_s: 0.5 },
+  { kind: 'scale_in', how: 'spot', share: 0.3, x: 1 },
+  { kind: 'srv_slow', share: 0.6, x: 6 }
+]
+
+/** Disturb everything else. */
+const AROUND = [
+  { kind: 'node_kill', share: 0.3 },
+  { kind: 'herd_kill', share: 0.6 },
+  { kind: 'node_freeze', share: 0.3, for_s: 2.5 },
+  { kind: 'node_slow', share: 0.3, x: 5 },
+  { kind: 'node_cut', how: 'servers', share: 0.3 },
+  { kind: 'platform_down', how: 'silent' },
+  { kind: 'platform_down', how: 'nodes busy', share: 0.4 },
+  { kind: 'platform_lost', how: 'late', x: 0.4 },
+  { kind: 'platform_compact', x: 4 },
+  { kind: 'give_up', share: 0.3 },
+  { kind: 'burst', x: 1.6 },
+  { kind: 'hup', share: 0.6, gap_s: 0.3 }
+]
+
+const PLANNED = [
+  { kind: 'config_change', how: 'route' },
+  { kind: 'config_change', how: 'weights' },
+  { kind: 'config_change', how: 'timeout' },
+  { kind: 'config_storm', gap_s: 0.3 },
+  { kind: 'roll_term', how: 'busy', share: 0.5, gap_s: 0.8 }
+]
+
+/** @returns a number of different entries of a table, each with its start and, where it has none, its length */
+function draw (random, table, count) {
+  const left = [...table]
+  return Array.from({ length: count }, () => {
+    const [entry] = left.splice(Math.floor(random.next() * left.length), 1)
+    const at = FIRST_START_S + random.next() * (LAST_START_S - FIRST_START_S)
+    return { for_s: 5, ...entry, at: Number(at.toFixed(2)) }
+  })
+}
+
+function toToml (entries) {
+  return entries.map(entry => `  { ${Object.entries(entry).map(([name, value]) => `${name} = ${JSON.stringify(value)}`).join(', ')} },\n`).join('')
+}
+
+function dayOf (seed) {
+  const random = createRandom(seed)
+  const faults = [
+    ...draw(random, BREAKING, 1 + Math.floor(random.next() * 2)),
+    ...draw(random, ANSWERING, 1 + Math.floor(random.next() * 2)),
+    ...draw(random, AROUND, Math.floor(random.next() * 3))
+  ]
+  const plan = draw(random, PLANNED, Math.floor(random.next() * 2))
+  return `name = "short-${seed}"\nslot = "trouble"\nseed = ${seed}\nlength_s = ${DAY_S}.0\nfaults = [\n${toToml(faults)}]\nplan = [\n${toToml(plan)}]\n`
+}
+
+const { values } = parseArgs({ options: { seed: { type: 'string' }, count: { type: 'string' }, out: { type: 'string' } } })
+const first = Number(values.seed ?? 1)
+const folder = values.out ?? join('target', 'days')
+mkdirSync(folder, { recursive: true })
+for (let seed = first; seed < first + Number(values.count ?? 1); seed++) writeFileSync(join(folder, `short-${seed}.toml`), dayOf(seed))
