Give the soak an engine that fails a share of its requests

No kind of fault of the soak made an engine answer requests with a failure that would otherwise run: `failOn` fails one marked item of a job for good, `outage` is set for the platform's stores only, and a frozen, silent or crashed engine answers nothing. So a stream that broke could never go on at an engine that answers status 500.

The stand-ins get the switch `failShare` (a share of the requests for work, also of resumed streams, is answered 500 before it runs; health and reports stay good), the soak the kind `failing_engine` (half of one engine's requests for 3 to 12 seconds). A pair with a kind that breaks connections or ends engines lets a broken stream meet it. The kind can cost a call its answer, so it counts as a disturbance to the checks of another cause; every check of wrong answers stays as it is.

Evidence: engineStandin.test.ts, "fails a share of the requests for work before they run, with good health".

--- a/packages/anvilarch-bench/src/soak/checker/disturbance.ts
+++ b/packages/anvilarch-bench/src/soak/checker/disturbance.ts
@@ -3,8 +3,8 @@
 
 /** Online calls need no part of the platform, so its faults excuse nothing. */
 const CUTTING_FAULTS: ReadonlySet<string> = new Set([
-  'kill_agent', 'kill_gateway', 'kill_engine', 'kill_acceptor', 'outage_after_apply', 'pause_agent', 'pause_gateway', 'engine_frozen', 'engine_silence',
-  'plain_silence', 'peer_silence', 'peer_delay', 'crashing_request'
+  'kill_agent', 'kill_gateway', 'kill_engine', 'kill_acceptor', 'outage_after_apply', 'pause_agent', 'pause_gateway', 'engine_frozen', 'failing_engine',
+  'engine_silence', 'plain_silence', 'peer_silence', 'peer_delay', 'crashing_request'
 ])
 
 /** Callers whose requests crash the engines that run them. */
--- a/packages/anvilarch-bench/src/soak/faults/connectionFaults.ts
+++ b/packages/anvilarch-bench/src/soak/faults/connectionFaults.ts
@@ -1,26 +1,35 @@
-/** Faults of connections and endpoints: frozen engines, and open connections that go silent while new ones work. */
+/** Faults of connections and endpoints: frozen and failing engines, and open connections that go silent while new ones work. */
+import type { Faults } from 'anvilarch-standins'
 import type { SilentRelay } from '../relay/silentRelay'
 import { claimTarget, release } from './targets'
 import type { FaultContext, FaultKind } from './types'
 
 /** Longer than the silence after which a stream is opened anew, and shorter than the longest request. */
-const FROZEN_FROM_MS = 3000
-const FROZEN_UNTIL_MS = 12_000
+const ENGINE_FROM_MS = 3000
+const ENGINE_UNTIL_MS = 12_000
+const FAILING_SHARE = 0.5
 /** Connections stay silent for good; the hold only keeps the next fault from following at once. */
 const SILENT_HOLD_MS = 3000
 
 /** An engine that accepts requests and answers none. */
-export const ENGINE_FROZEN: FaultKind = {
-  inject: async context => {
-    const target = claimTarget(context, ['engine'])
-    if (target === undefined) return undefined
-    await context.fleet.setFaults(target, { frozen: true })
-    return {
-      target,
-      holdMs: context.random.between(FROZEN_FROM_MS, FROZEN_UNTIL_MS),
-      heal: async () => {
-        await context.fleet.setFaults(target, { frozen: false })
-        release(context, target)
+export const ENGINE_FROZEN = switchedEngine({ frozen: true }, { frozen: false })
+
+/** An engine that answers a share of its requests with a whole failure while its health is good. */
+export const FAILING_ENGINE = switchedEngine({ failShare: FAILING_SHARE }, { failShare: 0 })
+
+function switchedEngine (set: Partial<Faults>, back: Partial<Faults>): FaultKind {
+  return {
+    inject: async context => {
+      const target = claimTarget(context, ['engine'])
+      if (target === undefined) return undefined
+      await context.fleet.setFaults(target, set)
+      return {
+        target,
+        holdMs: context.random.between(ENGINE_FROM_MS, ENGINE_UNTIL_MS),
+        heal: async () => {
+          await context.fleet.setFaults(target, back)
+          release(context, target)
+        }
       }
     }
   }
--- a/packages/anvilarch-bench/src/soak/faults/faultTable.ts
+++ b/packages/anvilarch-bench/src/soak/faults/faultTable.ts
@@ -1,6 +1,6 @@
 /** All kinds of faults that a soak injects. */
 import { callers } from './callerFaults'
-import { connectionDelay, connectionSilence, endpointSilence, ENGINE_FROZEN } from './connectionFaults'
+import { connectionDelay, connectionSilence, endpointSilence, ENGINE_FROZEN, FAILING_ENGINE } from './connectionFaults'
 import { KILL_ACCEPTOR, OUTAGE_AFTER_APPLY } from './momentFaults'
 import { switched } from './platformFaults'
 import { kill, LEAVING_FLAG, pause, stop } from './processFaults'
@@ -37,6 +37,7 @@
   host_list_lag: switched({ standin: 'hosts', set: { lagMs: LONG_LAG_MS }, back: { lagMs: HOST_LIST_LAG_MS } }),
   host_list_outage: switched({ standin: 'hosts', set: { outage: true }, back: { outage: false } }),
   engine_frozen: ENGINE_FROZEN,
+  failing_engine: FAILING_ENGINE,
   engine_silence: endpointSilence('engine'),
   plain_silence: endpointSilence('plain'),
   peer_silence: connectionSilence('agents'),
--- a/packages/anvilarch-standins/src/common/faults.ts
+++ b/packages/anvilarch-standins/src/common/faults.ts
@@ -18,6 +18,8 @@
   crashOn: string
   /** Text in a request that gives 500; empty for none. */
   failOn: string
+  /** Share, from 0 to 1, of requests for work that are answered with 500 before they run; health and reports stay good. */
+  failShare: number
 }
 
 /** No fault at all. */
@@ -29,7 +31,8 @@
   silence: false,
   lagMs: 0,
   crashOn: '',
-  failOn: ''
+  failOn: '',
+  failShare: 0
 }
 
 /** The switches of one stand-in. */
--- a/packages/anvilarch-standins/src/common/httpEdge.ts
+++ b/packages/anvilarch-standins/src/common/httpEdge.ts
@@ -29,6 +29,8 @@
   method: 'GET' | 'POST' | 'PUT' | 'DELETE' | 'ANY'
   path: string
   handle: (request: EdgeRequest) => EdgeReply | Promise<EdgeReply>
+  /** Whether the route runs callers' work, which `failShare` fails a part of. */
+  isWork?: boolean
 }
 
 /** Options that every stand-in takes. */
@@ -165,6 +167,10 @@
     sendJson(response, 500, { error: { message: 'the request holds the text that fails' } })
     return
   }
+  if (route.isWork === true && pipeline.random.next() < faults.failShare) {
+    sendJson(response, 500, { error: { message: 'one of the share of requests that fail' } })
+    return
+  }
   const reply = await route.handle(edgeRequest)
   if (pipeline.crash !== undefined && contains(edgeRequest, faults.crashOn)) {
     pipeline.crash()
--- a/packages/anvilarch-standins/src/engine/__tests__/engineStandin.test.ts
+++ b/packages/anvilarch-standins/src/engine/__tests__/engineStandin.test.ts
@@ -55,6 +55,20 @@
     expect(engine.ledger().executions).toHaveLength(1)
   })
 
+  test('fails a share of the requests for work before they run, with good health', async () => {
+    await start({ faults: { failShare: 0.5 } })
+    const body = { messages: MESSAGES, max_tokens: 1 }
+    const answers = await Promise.all(Array.from({ length: 40 }, async (_, index) => await ask(CHAT, body, `a${index}`)))
+    const failed = answers.filter(({ status }) => status === 500)
+    expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([200, 500]))
+    expect(engine.ledger().executions).toHaveLength(answers.length - failed.length)
+    engine.faults.set({ failShare: 1 })
+    expect((await ask(CHAT, body, 'b1')).status).toBe(500)
+    const ran = engine.ledger().executions[0].attemptId
+    expect((await onStream(ran, 'resume', { offsetTokens: 0 })).status).toBe(500)
+    expect(await callForJson(`${engine.url}/health`)).toMatchObject({ status: 'ok' })
+  })
+
   test('frees the slot of a cancelled stream and goes on with it when it is resumed', async () => {
     await start({ engine: { slots: 1 } })
     const body = { messages: MESSAGES, max_tokens: 100, stream: true }
--- a/packages/anvilarch-standins/src/engine/engineStandin.ts
+++ b/packages/anvilarch-standins/src/engine/engineStandin.ts
@@ -64,9 +64,9 @@
   const edge: Edge<EngineLedger> = await startEdge<EngineLedger>({
     crashesItself: true,
     routes: [
-      { method: 'POST', path: '/v1/chat/completions', handle: request => complete(state, edge, 'chat', request) },
-      { method: 'POST', path: '/v1/completions', handle: request => complete(state, edge, 'completion', request) },
-      { method: 'POST', path: '/v1/streams/:attemptId/resume', handle: request => resume(state, request) },
+      { method: 'POST', path: '/v1/chat/completions', isWork: true, handle: request => complete(state, edge, 'chat', request) },
+      { method: 'POST', path: '/v1/completions', isWork: true, handle: request => complete(state, edge, 'completion', request) },
+      { method: 'POST', path: '/v1/streams/:attemptId/resume', isWork: true, handle: request => resume(state, request) },
       { method: 'POST', path: '/v1/streams/:attemptId/cancel', handle: request => cancel(state, request) },
       { method: 'GET', path: '/load', handle: () => ({ status: 200, body: reports.loadAsOf(clock.nowMs(), engineOptions.loadLagMs + edge.faults.get().lagMs) }) },
       { method: 'GET', path: '/cache-events', handle: request => cacheEvents(state, edge, request) },
--- a/packages/anvilarch-standins/src/fleet/fleetFile.ts
+++ b/packages/anvilarch-standins/src/fleet/fleetFile.ts
@@ -78,7 +78,8 @@
         silence: 'true silences the connections open at that moment for good; new ones work',
         lagMs: 'how late lists, load reports and cache events are',
         crashOn: 'text in a request that ends the process with exit code 70 when the request runs; the fleet starts it again with the same faults',
-        failOn: 'text in a request that gives 500'
+        failOn: 'text in a request that gives 500',
+        failShare: 'share from 0 to 1 of an engine\'s requests for work that are answered with 500 before they run; health stays good'
       },
       ledger: 'The process "ledger" collects the executions of all endpoints and outlives them: GET <http address>/ledger, or /ledger?request=ID.'
     }
