See answers that lack what follows their text

A caller that reads its stream by the protocol takes `finish_reason` for the end of the text, and asked for the usage. Missing text and a missing `[DONE]` after a clean end were seen before: the new tests of these passed at once.

Before: streamEnds.test.ts, "is found when it lacks the reason" and "... the usage that was asked for": expected ["answers incomplete that were told as whole"], received []; "a whole answer without a reason for its end is incomplete": expected "incomplete", received undefined.

The reader now counts an answer as whole only with reason, usage and end. In clients.test.ts the answer that is to be "completed" gets these events too, as every engine sends them to a request of this client; what it expects is unchanged.

--- a/packages/anvilarch-bench/src/clients/__tests__/clients.test.ts
+++ b/packages/anvilarch-bench/src/clients/__tests__/clients.test.ts
@@ -5,6 +5,7 @@
 
 const token = (content: string): string => `data: ${JSON.stringify({ choices: [{ delta: { content } }] })}\n\n`
 const DONE = 'data: [DONE]\n\n'
+const ENDING = `data: ${JSON.stringify({ choices: [{ delta: {}, finish_reason: 'stop' }] })}\n\ndata: ${JSON.stringify({ choices: [], usage: {} })}\n\n${DONE}`
 
 describe('createChatReader', () => {
   test('stamps the first token and the gaps between tokens', () => {
@@ -14,7 +15,7 @@
     clock.advance(20)
     reader.feed(token('b').slice(0, 10))
     clock.advance(5)
-    reader.feed(token('b').slice(10) + DONE)
+    reader.feed(token('b').slice(10) + ENDING)
     expect(reader.finish('ab')).toMatchObject({ outcome: 'completed', firstTokenAtMs: 100, gapsMs: [25], tokens: 2, endedAtMs: 125 })
   })
 
--- a/packages/anvilarch-bench/src/clients/chatClient.ts
+++ b/packages/anvilarch-bench/src/clients/chatClient.ts
@@ -90,7 +90,8 @@
 export function createChatReader (clock: Clock): ChatReader {
   const answer = emptyAnswer(0)
   let text = ''
-  let done = false
+  /** The pieces that follow the text; an answer that lacks one is not whole. */
+  const ending = { reason: false, usage: false, done: false }
   let lastTokenAtMs: number | undefined
 
   const noteToken = (content: string): void => {
@@ -103,7 +104,7 @@
   }
   const onEvent = (data: string): void => {
     if (data === DONE) {
-      done = true
+      ending.done = true
       return
     }
     const chunk = JSON.parse(data) as ChatChunk
@@ -114,6 +115,8 @@
       answer.detail = chunk.error.message ?? ''
       return
     }
+    ending.usage ||= typeof chunk.usage === 'object' && chunk.usage !== null
+    ending.reason ||= typeof chunk.choices?.[0]?.finish_reason === 'string'
     answer.promptTokens = chunk.usage?.prompt_tokens ?? answer.promptTokens
     answer.cachedTokens = chunk.usage?.prompt_tokens_details?.cached_tokens ?? answer.cachedTokens
     const content = chunk.choices?.[0]?.delta?.content
@@ -123,7 +126,7 @@
 
   const judge = (expected: string): Answer['outcome'] => {
     if (answer.code !== '') return 'failed'
-    if (text === expected) return done ? 'completed' : 'incomplete'
+    if (text === expected) return Object.values(ending).every(Boolean) ? 'completed' : 'incomplete'
     return expected.startsWith(text) ? 'incomplete' : 'wrong'
   }
   return {
--- a/packages/anvilarch-bench/src/soak/load/modelCalls.ts
+++ b/packages/anvilarch-bench/src/soak/load/modelCalls.ts
@@ -106,9 +106,9 @@
  */
 export function judgeText (text: string, expected: string): AnswerFault | undefined {
   try {
-    const { choices } = JSON.parse(text) as { choices?: Array<{ message?: { content?: string } }> }
+    const { choices } = JSON.parse(text) as { choices?: Array<{ message?: { content?: string }, finish_reason?: string | null }> }
     const found = choices?.[0]?.message?.content ?? ''
-    if (found === expected) return undefined
+    if (found === expected) return typeof choices?.[0]?.finish_reason === 'string' ? undefined : 'incomplete'
     return expected.startsWith(found) ? 'incomplete' : 'crossed'
   } catch {
     return 'incomplete'
