Judge the pieces of a stream whatever its end

A stream that ended with an error event, broke or was left by its caller was never held against the right answer: only what was told as whole was. Pieces that came twice, or from another run, went unseen exactly where streams are resumed, and an event that was not JSON counted as a broken connection.

The reader says of every answer whether its text is the start of the right one, and a check of its own counts those that were not told as whole; the two checks of whole answers stay as they were.

--- a/packages/anvilarch-bench/src/clients/answer.ts
+++ b/packages/anvilarch-bench/src/clients/answer.ts
@@ -26,6 +26,8 @@
   promptTokens: number
   cachedTokens: number
   endedAtMs: number
+  /** Whether the text that came is not the start of the right answer. */
+  isCrossed: boolean
   detail: string
 }
 
@@ -59,6 +61,7 @@
     promptTokens: 0,
     cachedTokens: 0,
     endedAtMs,
+    isCrossed: false,
     detail: ''
   }
 }
--- a/packages/anvilarch-bench/src/clients/chatClient.ts
+++ b/packages/anvilarch-bench/src/clients/chatClient.ts
@@ -44,6 +44,7 @@
   const { clock } = options
   const reader = createChatReader(clock)
   const body = chatBody(request, true)
+  const expected = options.expectedText(CHAT_PATH, body)
   try {
     const response = await options.dispatcher.request({
       origin,
@@ -61,9 +62,9 @@
     const decoder = new TextDecoder()
     for await (const chunk of response.body) reader.feed(decoder.decode(chunk as Uint8Array, { stream: true }))
   } catch (error) {
-    return brokenAnswer(error, clock.nowMs(), reader.answer)
+    return reader.finish(expected, error)
   }
-  return reader.finish(options.expectedText(CHAT_PATH, body))
+  return reader.finish(expected)
 }
 
 /**
@@ -80,7 +81,8 @@
 interface ChatReader {
   answer: Answer
   feed: (text: string) => void
-  finish: (expected: string) => Answer
+  /** @param error - what broke the stream off; undefined after a clean end */
+  finish: (expected: string, error?: unknown) => Answer
 }
 
 /**
@@ -92,6 +94,7 @@
   let text = ''
   /** The pieces that follow the text; an answer that lacks one is not whole. */
   const ending = { reason: false, usage: false, done: false }
+  let garbled = false
   let lastTokenAtMs: number | undefined
 
   const noteToken = (content: string): void => {
@@ -107,7 +110,11 @@
       ending.done = true
       return
     }
-    const chunk = JSON.parse(data) as ChatChunk
+    const chunk = parseChunk(data)
+    if (chunk === undefined) {
+      garbled = true
+      return
+    }
     if (chunk.error !== undefined) {
       answer.code = chunk.error.code ?? 'error_event'
       answer.ran = chunk.error.ran ?? ''
@@ -126,16 +133,26 @@
 
   const judge = (expected: string): Answer['outcome'] => {
     if (answer.code !== '') return 'failed'
-    if (text === expected) return Object.values(ending).every(Boolean) ? 'completed' : 'incomplete'
-    return expected.startsWith(text) ? 'incomplete' : 'wrong'
+    if (answer.isCrossed) return 'wrong'
+    return text === expected && Object.values(ending).every(Boolean) ? 'completed' : 'incomplete'
   }
   return {
     answer,
     feed: chunk => { parser.feed(chunk) },
-    finish: expected => {
+    finish: (expected, error) => {
+      answer.isCrossed = garbled || !expected.startsWith(text)
+      if (error !== undefined) return brokenAnswer(error, clock.nowMs(), answer)
       const outcome = judge(expected)
       const detail = outcome === 'wrong' ? `expected ${JSON.stringify(expected.slice(0, 60))}, got ${JSON.stringify(text.slice(0, 60))}` : answer.detail
       return { ...answer, outcome, detail, endedAtMs: clock.nowMs() }
     }
   }
 }
+
+function parseChunk (data: string): ChatChunk | undefined {
+  try {
+    return JSON.parse(data) as ChatChunk
+  } catch {
+    return undefined
+  }
+}
--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -43,6 +43,7 @@
   'items started long after a cancellation': { submissions: [submission({ cancelledAtMs: 1500 })], executions: [execution({ requestId: 'batch_1.0.0.1.0.0', startedAtMs: 12_000 })] },
   'answers incomplete that were told as whole': { calls: [call({ fault: 'incomplete' })] },
   'answers crossed that were told as whole': { calls: [call({ fault: 'crossed' })] },
+  'streams with other pieces that were not told as whole': { calls: [call({ kind: 'stream', told: 'broken', code: 'UND_ERR_SOCKET', fault: 'crossed' })] },
   'calls run after "not_run"': { calls: [call({ told: 'refused', ran: 'not_run' })], executions: [execution()] },
   'non-idempotent runs above one, calls without key': { calls: [call(ORDER)], executions: [execution(), execution({ executionId: 'execution-2' })] },
   'non-idempotent runs above one, calls with key': {
--- a/packages/anvilarch-bench/src/soak/checker/callChecks.ts
+++ b/packages/anvilarch-bench/src/soak/checker/callChecks.ts
@@ -23,6 +23,7 @@
 export const CALL_CHECKS: Check[] = [
   { name: 'answers incomplete that were told as whole', run: evidence => answersWith(evidence, 'incomplete') },
   { name: 'answers crossed that were told as whole', run: evidence => answersWith(evidence, 'crossed') },
+  { name: 'streams with other pieces that were not told as whole', run: otherPieces },
   { name: 'calls run after "not_run"', run: runAfterNotRun },
   { name: 'non-idempotent runs above one, calls without key', run: evidence => runsAboveOne(evidence, 'order') },
   { name: 'non-idempotent runs above one, calls with key', run: evidence => runsAboveOne(evidence, 'keyed_order') },
@@ -40,6 +41,11 @@
   return { trials: whole.length, wrong: whole.filter(call => call.fault === fault).map(describeCall) }
 }
 
+function otherPieces (evidence: Evidence): Finding {
+  const begun = evidence.calls.filter(call => call.kind === 'stream' && call.status === 200 && call.told !== 'whole')
+  return { trials: begun.length, wrong: begun.filter(call => call.fault === 'crossed').map(describeCall) }
+}
+
 function runAfterNotRun (evidence: Evidence): Finding {
   const claims = evidence.calls.filter(call => call.ran === 'not_run' && call.told !== 'whole')
   const wrong = claims.flatMap(call => {
--- a/packages/anvilarch-bench/src/soak/load/modelCalls.ts
+++ b/packages/anvilarch-bench/src/soak/load/modelCalls.ts
@@ -66,20 +66,22 @@
 }
 
 /**
- * A stream that ended without an error was told as whole, even if its last event is missing.
+ * A stream that ended without an error was told as whole, even if its last event is missing. Whatever its end, its pieces
+ * must be the start of the right answer.
  *
  * @param answer - as the client read it
  * @param isGone - whether the caller went away before its end
  * @returns what the caller was told
  */
 export function judgeStream (answer: Answer, isGone: boolean): { told: Told, fault: AnswerFault | undefined } {
-  if (isGone) return { told: 'gone', fault: undefined }
+  const crossed = answer.isCrossed ? 'crossed' : undefined
+  if (isGone) return { told: 'gone', fault: crossed }
   const ended = answer.code === ''
   const verdicts: Record<Answer['outcome'], { told: Told, fault: AnswerFault | undefined }> = {
     completed: { told: 'whole', fault: undefined },
     refused: { told: 'refused', fault: undefined },
-    failed: { told: 'failed', fault: undefined },
-    incomplete: ended ? { told: 'whole', fault: 'incomplete' } : { told: 'broken', fault: undefined },
+    failed: { told: 'failed', fault: crossed },
+    incomplete: ended ? { told: 'whole', fault: 'incomplete' } : { told: 'broken', fault: crossed },
     wrong: { told: 'whole', fault: 'crossed' },
     unreachable: { told: 'broken', fault: undefined }
   }
--- a/packages/anvilarch-bench/src/soak/load/slowStream.ts
+++ b/packages/anvilarch-bench/src/soak/load/slowStream.ts
@@ -2,7 +2,7 @@
 import { expectedText } from 'anvilarch-standins'
 import { type Clock, sleep } from 'anvilarch-utils'
 import type { Dispatcher } from 'undici'
-import { type Answer, brokenAnswer, errorAnswer } from '../../clients/answer'
+import { type Answer, errorAnswer } from '../../clients/answer'
 import { chatBody, createChatReader } from '../../clients/chatClient'
 import type { CallRecord } from '../types'
 import { judgeStream, drawPrompt } from './modelCalls'
@@ -63,7 +63,7 @@
       await sleep(clock, CHUNK_DELAY_MS)
     }
   } catch (error) {
-    return brokenAnswer(error, clock.nowMs(), reader.answer)
+    return reader.finish(expected, error)
   }
   return reader.finish(expected)
 }
--- a/packages/anvilarch-bench/src/soak/types.ts
+++ b/packages/anvilarch-bench/src/soak/types.ts
@@ -11,7 +11,7 @@
  */
 export type Told = 'whole' | 'refused' | 'failed' | 'broken' | 'gone'
 
-/** What is wrong with an answer that was told as whole: it came short, or it belongs to another request. */
+/** What is wrong with an answer: it was told as whole and came short, or its pieces are not those of the right answer. */
 export type AnswerFault = 'incomplete' | 'crossed'
 
 /** One call and its end. Times are wall times, since the ledgers of other processes are held against them. */
