Link packages outside the folder of packages in a scratch copy

The tool that runs the soak without one mechanism could not build its copy: "Cannot find module 'anvilarch-platform'", since it linked only what lies in `packages`, and `platform` lies beside it. So no mechanism has been switched off since that package is used by the command-line tool.

Before: scratchCopy.test.ts, "links each package of the repository to that of the copy": ENOENT, readlink '.../copy/node_modules/anvilarch-platform'.

The copy's own packages are now linked as the repository links them, by the same relative paths, wherever they lie.

--- a/packages/anvilarch-bench/src/soak/switchedOff/scratchCopy.ts
+++ b/packages/anvilarch-bench/src/soak/switchedOff/scratchCopy.ts
@@ -1,6 +1,6 @@
 /** Makes a scratch copy of the repository, with the packages of the copy linked to each other, and builds it. */
 import { execFileSync } from 'node:child_process'
-import { cpSync, existsSync, mkdirSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
+import { cpSync, existsSync, mkdirSync, readdirSync, readFileSync, readlinkSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { basename, join } from 'node:path'
 import type { Replacement } from './switches'
 
@@ -22,14 +22,19 @@
   execFileSync('npm', ['run', 'build'], { cwd: directory, stdio: 'inherit' })
 }
 
-/** Libraries are those of the original; the packages of the repository must be those of the copy. */
-function linkModules (root: string, directory: string): void {
+/**
+ * Libraries are those of the original; the packages of the repository must be those of the copy.
+ *
+ * @param root - of the repository
+ * @param directory - of the copy
+ */
+export function linkModules (root: string, directory: string): void {
   mkdirSync(join(directory, 'node_modules'))
   for (const name of readdirSync(join(root, 'node_modules'))) {
-    if (!OWN_PACKAGE.test(name)) symlinkSync(join(root, 'node_modules', name), join(directory, 'node_modules', name))
+    const module = join(root, 'node_modules', name)
+    symlinkSync(OWN_PACKAGE.test(name) ? readlinkSync(module) : module, join(directory, 'node_modules', name))
   }
   for (const name of readdirSync(join(root, 'packages'))) {
-    symlinkSync(join('../packages', name), join(directory, 'node_modules', name))
     const own = join(root, 'packages', name, 'node_modules')
     if (existsSync(own)) symlinkSync(own, join(directory, 'packages', name, 'node_modules'))
   }
