Show that the soak sees a failure that ends a begun stream as whole

The daemon's gateway refuses an answer of another status when an endpoint is asked to go on with a stream (`streamCollector.ts`, head). Nothing showed that the soak would notice its absence, and before `failing_engine` it could not: no engine answered a stream that had broken with a failure.

The stream had begun at engine-1, which a crashing request ended, and went on at engine-2, which failed half of its requests; its caller got a clean end without an error and without the rest.

--- a/packages/anvilarch-bench/src/soak/switchedOff/switches.ts
+++ b/packages/anvilarch-bench/src/soak/switchedOff/switches.ts
@@ -192,6 +192,17 @@
     minutes: 3,
     seed: 2
   },
+  answer_that_goes_on: {
+    mechanism: 'a whole failure is not taken for the rest of a stream that has begun',
+    replacements: [{
+      file: `${DAEMON}/attempts/output/streamCollector.ts`,
+      text: 'if (delivered) return newStatus === status ? undefined :',
+      by: 'if (delivered) return newStatus > 0 ? undefined :'
+    }],
+    faults: ['failing_engine', 'crashing_request'],
+    minutes: 1,
+    seed: 2
+  },
   drain_refusal: {
     mechanism: 'an agent that drains refuses new work',
     replacements: [{
