--- a/packages/anvilarch-bench/src/soak/switchedOff/switches.ts
+++ b/packages/anvilarch-bench/src/soak/switchedOff/switches.ts
@@ -196,7 +196,7 @@
     mechanism: 'a whole failure is not taken for the rest of a stream that has begun',
     replacements: [{
       file: `${DAEMON}/attempts/output/streamCollector.ts`,
-      text: 'if (delivered) return newStatus === status ? undefined :',
+      text: 'if (delivered) return newStatus === status && isEvents ? undefined :',
       by: 'if (delivered) return newStatus > 0 ? undefined :'
     }],
     faults: ['failing_engine', 'crashing_request'],
