Reset the connection of a cut answer only where nothing else tells its end

A caller of HTTP/1.1 whose answer was cut, by a failure or at the bound of a drain, could lose what had been sent before the cut: a reset drops bytes that are still on their way. It gains nothing by it, since it sees the cut by the missing last chunk or the length.

Cause: `breakOff` and the cut at the end of a drain reset every connection for the sake of callers of HTTP/1.0. The connection is now reset only where the answer has neither chunks nor a length; others are closed. For that the closer keeps the last answer of each connection, and closes one whose answer is written out, as its bytes may be on their way as well.

The tests in `brokenAnswers.test.ts` asked for a reset from HTTP/1.1 too. That was the mechanism and not what it is for. In its place they ask that the answer is in chunks (plain service), that its last chunk does not come and that the connection ends, which no reader of chunks takes for whole; `contents.test.ts` asks the same of a real client. HTTP/1.0 is tested as before, and at a drain both versions are now.

Before, they said for HTTP/1.1 in all three places, and for each answer with a length or chunks in `breakOff`: Expected: "closed" Received: "ECONNRESET"

--- a/packages/anvilarch-daemon/src/callers/http/breakOff.ts
+++ b/packages/anvilarch-daemon/src/callers/http/breakOff.ts
@@ -2,12 +2,20 @@
 import type { ServerResponse } from 'node:http'
 
 /**
- * Cuts the connection of an answer that had begun. It is reset and not closed: a caller of HTTP/1.0 has no other sign of the
- * end of an answer than the close, and would take the part for the whole.
+ * @param response - the answer
+ * @returns whether its caller has no other sign of its end than the close, as a caller of HTTP/1.0 without a length
+ */
+export function endsWithConnection (response: ServerResponse): boolean {
+  return !response.useChunkedEncodingByDefault && !response.hasHeader('content-length')
+}
+
+/**
+ * Cuts the connection of an answer that had begun. A caller sees by the length or the missing last chunk that the answer is not
+ * whole, and keeps what was sent before; only where neither is there, the connection is reset.
  *
  * @param response - the answer
  */
 export function breakOff (response: ServerResponse): void {
-  response.socket?.resetAndDestroy()
+  if (endsWithConnection(response)) response.socket?.resetAndDestroy()
   response.destroy()
 }
--- a/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
+++ b/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
@@ -1,7 +1,8 @@
 /** Closes an HTTP server without cutting a request. */
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { type Clock, sleep } from 'anvilarch-utils'
+import { endsWithConnection } from './breakOff'
 
 /** Closes one server. */
 export interface GracefulCloser {
@@ -26,18 +27,22 @@
  * @returns its closer
  */
 export function createGracefulCloser (server: Server, clock: Clock): GracefulCloser {
-  const sockets = new Set<Socket>()
+  /** Open connections, with the last answer on each. */
+  const sockets = new Map<Socket, ServerResponse | undefined>()
   server.on('connection', (socket: Socket) => {
-    sockets.add(socket)
+    sockets.set(socket, undefined)
     socket.once('close', () => { sockets.delete(socket) })
   })
+  server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
+    if (sockets.has(socket)) sockets.set(socket, response)
+  })
 
   /**
    * Pools open connections ahead of use. The server takes one that never sent a byte for busy, and would wait for it
    * until the whole bound has passed.
    */
   const closeUnused = (): void => {
-    for (const socket of sockets) {
+    for (const socket of sockets.keys()) {
       if (socket.bytesRead === 0) socket.destroy()
     }
   }
@@ -53,9 +58,11 @@
     }
   }
 
-  /** A close would be the end of an answer to a caller of HTTP/1.0. */
   const cutAll = (): void => {
-    for (const socket of sockets) socket.resetAndDestroy()
+    for (const [socket, response] of sockets) {
+      if (response !== undefined && !response.writableFinished && endsWithConnection(response)) socket.resetAndDestroy()
+      else socket.destroy()
+    }
   }
 
   return {
