Keep an engine's answer a second time only where its JSON has to prove it whole

Each answer of an engine that is not a stream stood in memory twice until its end, though only one without a frame and with a status below 300 is parsed to see whether it is whole.

The bytes are now kept only where they are needed, which is known with the head. No rule changes; `modelRun.test.ts` holds the rule. There is no test of the memory: none was found that gives the same verdict on each run.

--- a/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
@@ -46,6 +46,7 @@
 
 type Phase = 'opening' | 'streaming' | 'finished' | 'answering' | 'unknown_stream' | 'failed'
 
+const FIRST_FAILURE_STATUS = 300
 const STATUS_UNKNOWN = 404
 /** The engine has the attempt already; it is to be resumed. */
 const STATUS_EXISTS = 409
@@ -58,18 +59,17 @@
 export function openEngineConnection (options: EngineConnectionOptions, listener: EngineListener): EngineConnection {
   let phase: Phase = 'opening'
   let status = 0
-  let framed = true
-  const answered: Uint8Array[] = []
+  let unproved: Uint8Array[] | undefined
   const events = createEngineEventReader(event => {
     if (phase !== 'streaming') return
     if (event.isEnd) phase = 'finished'
     listener.onEvent(event)
   })
 
-  const onHead = (given: number, headers: Headers, isFramed: boolean): void => {
+  const onHead = (given: number, headers: Headers, framed: boolean): void => {
     status = given
-    framed = isFramed
     phase = phaseOf(options, status, headers)
+    unproved = framed || status >= FIRST_FAILURE_STATUS ? undefined : []
     if (phase === 'streaming') listener.onStream(headers)
     else if (phase === 'answering') listener.onAnswer(status, headers)
   }
@@ -78,13 +78,13 @@
     onHead,
     onData: data => {
       if (phase === 'answering') {
-        answered.push(data)
+        unproved?.push(data)
         listener.onAnswerData(data)
       } else if (phase === 'streaming') events.feed(data)
     }
   }, options.clock)
 
-  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, framed, answered })) }
+  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, unproved })) }
 }
 
 function phaseOf (options: EngineConnectionOptions, status: number, headers: Headers): Phase {
@@ -95,8 +95,8 @@
 
 interface Read {
   status: number
-  framed: boolean
-  answered: Uint8Array[]
+  /** Body of an answer of which neither a frame nor the status says that it is whole. */
+  unproved: Uint8Array[] | undefined
 }
 
 function connectionEnd (phase: Phase, end: ExchangeEnd, read: Read): ConnectionEnd {
@@ -108,7 +108,7 @@
 }
 
 /** Without a frame, only a body that is JSON to its end is known to be whole. An error is told by its status alone. */
-function isWholeAnswer (end: ExchangeEnd, { status, framed, answered }: Read): boolean {
+function isWholeAnswer (end: ExchangeEnd, { unproved }: Read): boolean {
   if (end.kind !== 'complete') return false
-  return framed || status >= 300 || parseOrUndefined(Buffer.concat(answered).toString('utf8')) !== undefined
+  return unproved === undefined || parseOrUndefined(Buffer.concat(unproved).toString('utf8')) !== undefined
 }
