--- a/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
@@ -1,17 +1,8 @@
-import type { StartAttemptRequest } from 'anvilarch-protocol'
 import OpenAI from 'openai'
-import { chatEvents, type FakeAgentOptions } from '../__fixtures__/fakeAgent'
+import { continuedChat, continuingModel, WORDS } from '../__fixtures__/continuingModel'
+import { type FakeAgentOptions } from '../__fixtures__/fakeAgent'
 import { startTestGateway, type TestGateway } from '../__fixtures__/testGateway'
 
-const WORDS = ['one ', 'two ', 'three ', 'four ', 'five']
-
-function continuedChat (request: StartAttemptRequest): string[] {
-  const body = JSON.parse(Buffer.from(request.call?.body ?? []).toString()) as { continuation?: { tokens: number } }
-  return chatEvents(WORDS.slice(body.continuation?.tokens ?? 0))
-}
-
-const model = (name: string, more: Partial<FakeAgentOptions> = {}): FakeAgentOptions => ({ name, kind: 'model', answer: continuedChat, ...more })
-
 let gateway: TestGateway
 
 // The server library of the fake agent reports each stream that its peer cuts; here that is what is tested.
@@ -38,7 +29,7 @@
     ['a refusal', { status: 404, contentType: 'application/json', answer: () => ['{"error":{}}'] }],
     ['a failure', { status: 500, contentType: 'application/json', answer: () => ['{"error":{}}'] }]
   ])('goes on at a third one when the second gives %s', async (_what, answer) => {
-    const raw = await readAfterLoss([model('a1'), model('a2', answer), model('a3')], 3)
+    const raw = await readAfterLoss([continuingModel('a1'), continuingModel('a2', answer), continuingModel('a3')], 3)
     expect([textOf(raw), count(raw, '[DONE]')]).toEqual([WORDS.join(''), 1])
     expect(gateway.agents[1].executions).toHaveLength(1)
   })
@@ -47,7 +38,7 @@
     ['a whole answer', { contentType: 'application/json', answer: () => ['{"choices":[]}'] }],
     ['a failure', { status: 500, contentType: 'application/json', answer: () => ['{"error":{}}'] }]
   ])('ends with an error for the OpenAI client when the only other one gives %s', async (_what, answer) => {
-    gateway = await startTestGateway({ agents: [model('a1'), model('a2', answer)] })
+    gateway = await startTestGateway({ agents: [continuingModel('a1'), continuingModel('a2', answer)] })
     gateway.agents[0].faults.dieAfterChunks = 3
     const client = new OpenAI({ baseURL: `${gateway.url}/v1`, apiKey: 'k', maxRetries: 0 })
     const read = async (): Promise<void> => {
@@ -62,12 +53,12 @@
     ['its last words', () => []],
     ['a reason for its end', events => [...events.slice(0, -2), 'data: [DONE]\n\n']]
   ])('goes on at a third one when the second ends without %s', async (_what, cut) => {
-    const raw = await readAfterLoss([model('a1'), model('a2', { answer: request => cut(continuedChat(request)) }), model('a3')], 3)
+    const raw = await readAfterLoss([continuingModel('a1'), continuingModel('a2', { answer: request => cut(continuedChat(request)) }), continuingModel('a3')], 3)
     expect([textOf(raw), count(raw, '[DONE]'), count(raw, '"stop"')]).toEqual([WORDS.join(''), 1, 1])
   })
 
   it('passes a first answer on as it is when its status tells an error', async () => {
-    gateway = await startTestGateway({ agents: [model('a1', { status: 500, answer: () => ['data: {"error":{}}\n\n'] })] })
+    gateway = await startTestGateway({ agents: [continuingModel('a1', { status: 500, answer: () => ['data: {"error":{}}\n\n'] })] })
     const response = await fetch(`${gateway.url}/v1/chat/completions`, { method: 'POST', body: JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] }) })
     expect([response.status, await response.text()]).toEqual([500, 'data: {"error":{}}\n\n'])
   })
--- a/packages/anvilarch-daemon/src/attempts/__tests__/gatewayFailures.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/gatewayFailures.test.ts
@@ -1,16 +1,6 @@
-import type { StartAttemptRequest } from 'anvilarch-protocol'
-import { chatEvents, type FakeAgentOptions } from '../__fixtures__/fakeAgent'
+import { continuedChat, continuingModel, WORDS } from '../__fixtures__/continuingModel'
 import { startTestGateway, type TestGateway, type TestGatewayOptions } from '../__fixtures__/testGateway'
 
-const WORDS = ['one ', 'two ', 'three ', 'four ', 'five']
-
-function continuedChat (request: StartAttemptRequest): string[] {
-  const body = JSON.parse(Buffer.from(request.call?.body ?? []).toString()) as { continuation?: { tokens: number } }
-  return chatEvents(WORDS.slice(body.continuation?.tokens ?? 0))
-}
-
-const model = (name: string, more: Partial<FakeAgentOptions> = {}): FakeAgentOptions => ({ name, kind: 'model', answer: continuedChat, ...more })
-
 let gateway: TestGateway
 
 // The server library of the fake agent reports each stream that its peer cuts; here that is what is tested.
@@ -41,7 +31,7 @@
 describe('silence', () => {
   it('resumes a stream whose connection went silent, over a new connection and from its offset', async () => {
     // Guards against this: a streamed answer stops in the middle for good.
-    await start({ agents: [model('a1', { hold: true })] })
+    await start({ agents: [continuingModel('a1', { hold: true })] })
     const answer = chat()
     await condition(() => gateway.agents[0].executions.length === 1)
     gateway.agents[0].faults.silenceOpenStreams = true
@@ -94,7 +84,7 @@
 describe('a lost agent', () => {
   it('continues a stream at another endpoint, whole and with one role', async () => {
     // Guards against this: a streamed answer breaks off.
-    await start({ agents: [model('a1'), model('a2')] })
+    await start({ agents: [continuingModel('a1'), continuingModel('a2')] })
     gateway.agents[0].faults.dieAfterChunks = 3
     const answer = await chat()
     expect(answer).toMatchObject({ status: 200, text: WORDS.join('') })
@@ -114,7 +104,7 @@
   })
 
   it('ends a stream that nobody can continue with an error event and without its end mark', async () => {
-    await start({ agents: [model('a1')] })
+    await start({ agents: [continuingModel('a1')] })
     gateway.agents[0].faults.dieAfterChunks = 3
     const { events } = await chat()
     expect(events).not.toContain('[DONE]')
@@ -132,7 +122,7 @@
 describe('a request that crashes endpoints', () => {
   it('is run once more alone, then quarantined, and is not sent again', async () => {
     // Guards against this: one endpoint after the other crashes.
-    await start({ agents: [model('a1'), model('a2'), model('a3')] })
+    await start({ agents: [continuingModel('a1'), continuingModel('a2'), continuingModel('a3')] })
     gateway.agents.forEach(agent => { agent.faults.crashOn = 'poison' })
     const first = await chat('poison')
     expect([first.status, executions().sort()]).toEqual([422, [0, 1, 1]])
@@ -143,7 +133,7 @@
 
   it.each([['beside others when it had produced tokens', true, false], ['alone until its first token when it had produced none', false, true]])('runs a request that shared the endpoint %s, and does not condemn it', async (_how, hasTokens, soloFirstToken) => {
     const first = hasTokens ? continuedChat : (request: StartAttemptRequest): string[] => ['', ...continuedChat(request)]
-    await start({ agents: [model('a1', { hold: true, answer: first }), model('a2')] })
+    await start({ agents: [continuingModel('a1', { hold: true, answer: first }), continuingModel('a2')] })
     const [spare] = gateway.directory.views.splice(1, 1)
     const neighbour = chat('harmless')
     await condition(() => gateway.agents[0].executions.length === 1)
@@ -171,7 +161,7 @@
 describe('waiting for an endpoint', () => {
   it('waits for the only endpoint to restart when the request had begun', async () => {
     // Guards against this: answers in progress are lost with the one endpoint.
-    await start({ agents: [model('a1', { hold: true })] })
+    await start({ agents: [continuingModel('a1', { hold: true })] })
     const [agent] = gateway.agents
     const answer = chat()
     await condition(() => agent.executions.length === 1)
@@ -197,14 +187,14 @@
 
 describe('giving up', () => {
   it('answers at the deadline and cancels at the agent', async () => {
-    await start({ agents: [model('a1', { hold: true })] })
+    await start({ agents: [continuingModel('a1', { hold: true })] })
     const response = await fetch(`${gateway.url}/v1/completions`, { method: 'POST', headers: { 'x-deadline-ms': '150' }, body: JSON.stringify({ model: 'writer', prompt: 'x' }) })
     expect([response.status, response.headers.get('retry-after')]).toEqual([504, '1'])
     await condition(() => gateway.agents[0].cancelled.length === 1)
   })
 
   it('cancels at the agent when the caller goes away', async () => {
-    await start({ agents: [model('a1', { hold: true })] })
+    await start({ agents: [continuingModel('a1', { hold: true })] })
     const controller = new AbortController()
     const response = await fetch(`${gateway.url}/v1/chat/completions`, { method: 'POST', signal: controller.signal, body: JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] }) })
     expect(response.status).toBe(200)
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -5,12 +5,12 @@
 import { createResultReader, type JobResult } from '../../jobs/resultReader'
 import { encodeSubmission } from '../../jobs/submission'
 import type { JobItem, JobRecord } from '../../jobs/types'
-import type { Configuration, Endpoint, Route } from '../../model/types'
-import type { PlatformWire } from '../../roles/types'
+import type { Endpoint } from '../../model/types'
 import type { MetadataStore } from '../../store/types'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type BatchRunner, startBatchRunner } from '../batchRunner'
 import { createPace } from '../pace'
+import { CONFIGURATION, WIRE } from './jobRoute'
 import { type CallFate, createMemoryStore, type MemoryStore } from './memoryStore'
 import { createScriptedEngine, type RunTrouble, type ScriptedEngine, wholeTextOf } from './scriptedEngine'
 
@@ -205,12 +205,3 @@
     writeObject: (name, bytes) => whileAlive(() => client.writeObject(name, bytes))
   }
 }
-
-const ROUTE = { name: 'jobs', host: 'h', pathPrefix: '/jobs', kind: 'batch', targets: [{ service: 'models', weight: 1 }] } as unknown as Route
-
-const CONFIGURATION = { version: 1, routes: [ROUTE], services: new Map() } as unknown as Configuration
-
-const WIRE = {
-  request: { decodeAnswer: (headers: ReadonlyMap<string, string>) => ({ requestId: headers.get('x-id'), signed: true, notRun: false }) },
-  engine: { encodeItem: (item: { id: string }, _host: string, terms: { lastEventId?: number }) => ['x-id', item.id, 'x-after', String(terms.lastEventId ?? 0)] }
-} as unknown as PlatformWire
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -7,12 +7,12 @@
 import { encodeSubmission } from '../../jobs/submission'
 import type { ClaimRecord } from '../../jobs/types'
 import { createWorkTable } from '../../jobs/workTable'
-import type { Configuration, Endpoint, Route } from '../../model/types'
-import type { PlatformWire } from '../../roles/types'
+import type { Endpoint } from '../../model/types'
 import type { MetadataStore } from '../../store/types'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type BatchRunner, startBatchRunner } from '../batchRunner'
 import { createPace } from '../pace'
+import { CONFIGURATION, WIRE } from './jobRoute'
 
 /** A run at the engine. */
 export interface EngineRun {
@@ -136,12 +136,3 @@
 function endpointWith (slots: number): Endpoint {
   return { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 'models', address: ENDPOINT_ADDRESS, failureDomain: 'a', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
-
-const ROUTE = { name: 'jobs', host: 'h', pathPrefix: '/jobs', kind: 'batch', targets: [{ service: 'models', weight: 1 }] } as unknown as Route
-
-const CONFIGURATION = { version: 1, routes: [ROUTE], services: new Map() } as unknown as Configuration
-
-const WIRE = {
-  request: { decodeAnswer: (headers: ReadonlyMap<string, string>) => ({ requestId: headers.get('x-id'), signed: true, notRun: false }) },
-  engine: { encodeItem: (item: { id: string }, _host: string, terms: { lastEventId?: number }) => ['x-id', item.id, 'x-after', String(terms.lastEventId ?? 0)] }
-} as unknown as PlatformWire
