--- a/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/endOfStream.test.ts
@@ -1,6 +1,6 @@
 import OpenAI from 'openai'
 import { continuedChat, continuingModel, WORDS } from '../__fixtures__/continuingModel'
-import { type FakeAgentOptions } from '../__fixtures__/fakeAgent'
+import type { FakeAgentOptions } from '../__fixtures__/fakeAgent'
 import { startTestGateway, type TestGateway } from '../__fixtures__/testGateway'
 
 let gateway: TestGateway
