Run an item again at an endpoint that has not failed it

Callers saw items that can be done in the error file of their job, status_500, after four runs at an engine that failed half of its requests, while two others were ready.

Cause: each run of an item is a request of its own, and the endpoint of a request follows from the hash of its prompt prefix, so that all runs of an item go to one endpoint while it has room. Within a request the machine does not go back to an endpoint that failed it; between runs nothing was kept.

A result now names the endpoints whose agents took the request. The holder of a part keeps those of the runs of an item that failed, and the next run avoids them: they are chosen only when no other endpoint may be, also after all others have refused. The holder keeps this in memory, like its count of runs; one that takes over a part begins anew.

--- a/packages/anvilarch-daemon/src/attempts/__tests__/intentHistories.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/intentHistories.test.ts
@@ -74,8 +74,8 @@
   }
 }
 
-const answered = (call: Call): WorkResult => ({ outcome: 'completed', status: 200, headers: {}, body: Buffer.from(`${call.key} ${call.body}`), attempts: 1, outputTokens: 0 })
-const failed = (ran: Ran) => (): WorkResult => ({ outcome: 'failed', attempts: 1, error: new AnvilarchError('x', { code: 'unavailable', step: 's', ran }) })
+const answered = (call: Call): WorkResult => ({ outcome: 'completed', status: 200, headers: {}, body: Buffer.from(`${call.key} ${call.body}`), attempts: 1, outputTokens: 0, takenBy: [] })
+const failed = (ran: Ran) => (): WorkResult => ({ outcome: 'failed', attempts: 1, takenBy: [], error: new AnvilarchError('x', { code: 'unavailable', step: 's', ran }) })
 
 const ACTIONS: Record<string, (world: World, at: number) => Promise<void> | void> = {
   call: (world, at) => { world.call(at) },
--- a/packages/anvilarch-daemon/src/attempts/requestTask.ts
+++ b/packages/anvilarch-daemon/src/attempts/requestTask.ts
@@ -15,6 +15,8 @@
 
 type CommandHandlers = { [Kind in RequestCommand['kind']]: (command: Extract<RequestCommand, { kind: Kind }>) => void }
 
+const NOTHING_TO_AVOID: ReadonlySet<string> = new Set()
+
 /** The request as the outside sees it. */
 export interface RequestTask {
   run: (signal: AbortSignal | undefined) => Promise<WorkResult>
@@ -33,6 +35,7 @@
   const recorder = createRecorder(context, request)
   const ledger = createAttemptLedger(request.requestId)
   const queue: RequestEvent[] = []
+  const takenBy = new Set<string>()
   let state: RequestState = createRequestState(request)
   let dispatching = false
   let backpressure: Promise<void> | undefined
@@ -73,6 +76,7 @@
     const step = stepRequest(state, event, facts())
     state = step.state
     if (before !== undefined && before.attemptId !== state.attempt?.attemptId) router.noteEnded(before.target, request.workClass)
+    if (state.attempt?.accepted === true) takenBy.add(state.attempt.target.key)
     for (const command of step.commands) {
       recorder.command(command)
       const handler = handlers[command.kind] as (command: RequestCommand) => void
@@ -88,7 +92,8 @@
     settle({
       outcome: 'failed',
       error: toAnvilarchError(error, { code: 'internal', step: 'attempts.run', ran: 'unknown' }),
-      attempts: state.attempts
+      attempts: state.attempts,
+      takenBy: [...takenBy]
     })
   }
 
@@ -121,7 +126,7 @@
 
   const chooseNow = (exclude: readonly string[]): void => {
     const { service, workClass, affinityKey } = request
-    const target = router.choose({ service, workClass, affinityKey, exclude: new Set(exclude) })
+    const target = router.choose({ service, workClass, affinityKey, exclude: new Set(exclude), avoid: request.avoid ?? NOTHING_TO_AVOID })
     dispatch(target === undefined ? { kind: 'no_target' } : { kind: 'chosen', target, attemptId: parts.nextAttemptId() })
   }
 
@@ -166,14 +171,14 @@
     stopWaiting?.()
     answered()
     ledger.ended(ended.outcome === 'failed' ? ended.ran : 'ran')
-    if (ended.outcome === 'failed') settle({ outcome: 'failed', error: toError(ended), attempts: state.attempts })
+    if (ended.outcome === 'failed') settle({ outcome: 'failed', error: toError(ended), attempts: state.attempts, takenBy: [...takenBy] })
     else finish(ended.outputTokens).catch(abandon)
   }
 
   const finish = async (outputTokens: number): Promise<void> => {
     await backpressure
     const answer = await collector.finish()
-    settle({ outcome: 'completed', ...answer, attempts: state.attempts, outputTokens })
+    settle({ outcome: 'completed', ...answer, attempts: state.attempts, outputTokens, takenBy: [...takenBy] })
   }
 
   const handlers: CommandHandlers = {
--- a/packages/anvilarch-daemon/src/attempts/types.ts
+++ b/packages/anvilarch-daemon/src/attempts/types.ts
@@ -31,6 +31,8 @@
   fingerprint: string
   /** Prompt prefix hash for cache affinity; empty when there is none. */
   affinityKey: string
+  /** Keys of endpoints that run it only when no other may. */
+  avoid?: ReadonlySet<string>
 }
 
 /** Takes the answer as it comes. Only for output mode `stream` and `raw`. */
@@ -40,10 +42,10 @@
   onOutput: (data: Uint8Array) => Promise<void> | void
 }
 
-/** How a request ended. `failed` says in its error whether the request ran. */
+/** How a request ended. `failed` says in its error whether the request ran; `takenBy` has the keys of endpoints whose agents took it. */
 export type WorkResult =
-  | { outcome: 'completed', status: number, headers: Headers, body: Uint8Array, attempts: number, outputTokens: number }
-  | { outcome: 'failed', error: AnvilarchError, attempts: number }
+  | { outcome: 'completed', status: number, headers: Headers, body: Uint8Array, attempts: number, outputTokens: number, takenBy: readonly string[] }
+  | { outcome: 'failed', error: AnvilarchError, attempts: number, takenBy: readonly string[] }
 
 /** Runs requests through agents: routing, attempts, retries, resumption. */
 export interface RequestRunner {
--- a/packages/anvilarch-daemon/src/jobs/itemQueue.ts
+++ b/packages/anvilarch-daemon/src/jobs/itemQueue.ts
@@ -14,8 +14,13 @@
   runs: number
   /** Times that it was put off without a run, since the last run. */
   deferrals: number
+  /** Keys of the endpoints that took it in runs that failed. */
+  failedAt: ReadonlySet<string>
 }
 
+/** Shared, since most items never fail. */
+const NOWHERE: ReadonlySet<string> = new Set()
+
 /** The waiting items of one part. */
 export interface ItemQueue {
   /** @returns the next item that may be run now, without taking it */
@@ -64,7 +69,7 @@
     defer: (index, untilMs) => { deferred.push({ index, untilMs }) },
     waiting: () => fresh + deferred.length,
     tries: index => {
-      const known = tries.get(index) ?? { runs: 0, deferrals: 0 }
+      const known = tries.get(index) ?? { runs: 0, deferrals: 0, failedAt: NOWHERE }
       tries.set(index, known)
       return known
     }
--- a/packages/anvilarch-daemon/src/jobs/itemRequest.ts
+++ b/packages/anvilarch-daemon/src/jobs/itemRequest.ts
@@ -10,6 +10,8 @@
   caller: string
   target: BatchTarget
   deadlineMs: number
+  /** Keys of endpoints that have failed the item. */
+  avoid: ReadonlySet<string>
 }
 
 /** Where the items that name a model go. */
@@ -61,6 +63,7 @@
     deadlineMs: run.deadlineMs,
     // The same content has the same fingerprint online and in a job, so that a quarantine holds for both.
     fingerprint: completionFingerprint(service, item.body),
-    affinityKey: affinityKeyOf(item.body)
+    affinityKey: affinityKeyOf(item.body),
+    avoid: run.avoid
   }
 }
--- a/packages/anvilarch-daemon/src/jobs/partItems.ts
+++ b/packages/anvilarch-daemon/src/jobs/partItems.ts
@@ -118,6 +118,13 @@
     handle(index, requestId, verdict)
   }
 
+  const judge = (index: number, requestId: string, result: WorkResult): void => {
+    const verdict = judgeResult(result)
+    const tries = queue.tries(index)
+    if (verdict.verdict === 'run_again') tries.failedAt = new Set([...tries.failedAt, ...result.takenBy])
+    apply(index, requestId, verdict)
+  }
+
   const unknownModel = (index: number, model: string): void => {
     const tries = queue.tries(index)
     tries.runs += 1
@@ -141,10 +148,11 @@
     const remainingMs = job.expiresAtMs - clock.wallMs()
     const deadlineMs = clock.nowMs() + Math.min(ITEM_TIMEOUT_MS, remainingMs)
     const requestId = requestIdOf(ready.index)
-    const request = itemRequest(itemAt(ready.index), { requestId, caller: job.caller, target: ready.target, deadlineMs })
+    const avoid = queue.tries(ready.index).failedAt
+    const request = itemRequest(itemAt(ready.index), { requestId, caller: job.caller, target: ready.target, deadlineMs, avoid })
     const result = await options.runner.run(request, { signal: controller.signal }).catch(asFailed)
     running.delete(ready.index)
-    if (!controller.signal.aborted) apply(ready.index, requestId, judgeResult(result))
+    if (!controller.signal.aborted) judge(ready.index, requestId, result)
     options.onRunEnded()
   }
 
@@ -182,7 +190,7 @@
 
 function asFailed (error: unknown): WorkResult {
   const details = { code: 'internal', step: 'jobs.run_item', ran: 'unknown' } as const
-  return { outcome: 'failed', error: error instanceof AnvilarchError ? error : toAnvilarchError(error, details), attempts: 1 }
+  return { outcome: 'failed', error: error instanceof AnvilarchError ? error : toAnvilarchError(error, details), attempts: 1, takenBy: [] }
 }
 
 /** An answer that is not JSON is kept as text. */
--- a/packages/anvilarch-daemon/src/routing/__tests__/routing.test.ts
+++ b/packages/anvilarch-daemon/src/routing/__tests__/routing.test.ts
@@ -18,6 +18,7 @@
     workClass: 'online',
     affinityKey: '',
     exclude: new Set(),
+    avoid: new Set(),
     targets,
     ownFailureDomain: 'hall-a',
     ownRegion: 'west',
@@ -73,6 +74,12 @@
     expect(chooseTarget(policy, input(three, {}, { exclude: new Set(three.map(each => each.key)) }))).toBeUndefined()
   })
 
+  it.each(policies)('takes an endpoint to avoid only when no other is left: %s', policy => {
+    const avoid = new Set(['a/e', 'c/e'])
+    expect(chooseTarget(policy, input(three, { b: 9 }, { avoid, affinityKey: 'p' }))?.agent).toBe('b')
+    expect(chooseTarget(policy, input(three, {}, { avoid, exclude: new Set(['b/e', 'c/e']) }))?.agent).toBe('a')
+  })
+
   it('sends the same prefix to the same endpoint, also after another one has left', () => {
     const chosen = (targets: Target[], key: string): string | undefined => chooseTarget('affinity', input(targets, {}, { affinityKey: key }))?.agent
     const keys = Array.from({ length: 200 }, (_, each) => `prefix-${each}`)
@@ -138,7 +145,7 @@
   it('sees at once what the directory was told, and counts free batch slots over a service', () => {
     const directory = createFakeDirectory([agent('a', {}, { load: load(0) }), agent('b', {}, { load: load(0) })])
     const router = createRouter(createTestContext(), directory)
-    const choose = (): string[] => Array.from({ length: 20 }, () => router.choose({ service: 'writer', workClass: 'online', affinityKey: '', exclude: new Set() })?.agent ?? '')
+    const choose = (): string[] => Array.from({ length: 20 }, () => router.choose({ service: 'writer', workClass: 'online', affinityKey: '', exclude: new Set(), avoid: new Set() })?.agent ?? '')
     expect(router.freeBatch('writer')).toBe(8)
     expect(new Set(choose())).toEqual(new Set(['a', 'b']))
     directory.noteDraining('a')
--- a/packages/anvilarch-daemon/src/routing/policies.ts
+++ b/packages/anvilarch-daemon/src/routing/policies.ts
@@ -27,11 +27,20 @@
  * @returns the chosen endpoint, or undefined when there is none
  */
 export function chooseTarget (policy: RoutingPolicy, input: PolicyInput): Target | undefined {
-  const allowed = input.exclude.size === 0 ? input.targets : input.targets.filter(target => !input.exclude.has(target.key))
+  const allowed = preferUnavoided(without(input.targets, input.exclude), input.avoid)
   if (allowed.length === 0) return undefined
   return POLICIES[policy](policy === 'affinity' ? preferOwnRegion(allowed, input) : allowed, input)
 }
 
+function preferUnavoided (targets: readonly Target[], avoid: ReadonlySet<string>): readonly Target[] {
+  const others = without(targets, avoid)
+  return others.length > 0 ? others : targets
+}
+
+function without (targets: readonly Target[], keys: ReadonlySet<string>): readonly Target[] {
+  return keys.size === 0 ? targets : targets.filter(target => !keys.has(target.key))
+}
+
 /** Another region costs many times the latency, so it is used only when no endpoint of the own one has room. */
 function preferOwnRegion (targets: readonly Target[], input: PolicyInput): readonly Target[] {
   const own = targets.filter(target => target.region === input.ownRegion)
--- a/packages/anvilarch-daemon/src/routing/types.ts
+++ b/packages/anvilarch-daemon/src/routing/types.ts
@@ -34,6 +34,8 @@
   affinityKey: string
   /** Keys of endpoints that must not be chosen. */
   exclude: ReadonlySet<string>
+  /** Keys of endpoints that are chosen only when no other may be. */
+  avoid: ReadonlySet<string>
 }
 
 /** Everything that a policy decides on. */
