Wait for a crashed engine before a fault of the soak switches it

The test on the code before: rejected with the refused connection. The switch now waits until the engine is back, for at most ten seconds; other errors end the run as before.

--- a/packages/anvilarch-bench/src/soak/faults/connectionFaults.ts
+++ b/packages/anvilarch-bench/src/soak/faults/connectionFaults.ts
@@ -1,5 +1,5 @@
 /** Faults of connections and endpoints: frozen and failing engines, and open connections that go silent while new ones work. */
-import type { Faults } from 'anvilarch-standins'
+import { type Faults, waitFor } from 'anvilarch-standins'
 import type { SilentRelay } from '../relay/silentRelay'
 import { claimTarget, release } from './targets'
 import type { FaultContext, FaultKind } from './types'
@@ -8,6 +8,8 @@
 const ENGINE_FROM_MS = 3000
 const ENGINE_UNTIL_MS = 12_000
 const FAILING_SHARE = 0.5
+/** Longer than a crashed engine is away. */
+const RESTART_BOUND_MS = 10_000
 /** Connections stay silent for good; the hold only keeps the next fault from following at once. */
 const SILENT_HOLD_MS = 3000
 
@@ -22,12 +24,12 @@
     inject: async context => {
       const target = claimTarget(context, ['engine'])
       if (target === undefined) return undefined
-      await context.fleet.setFaults(target, set)
+      await setFaultsOnceUp(context, target, set)
       return {
         target,
         holdMs: context.random.between(ENGINE_FROM_MS, ENGINE_UNTIL_MS),
         heal: async () => {
-          await context.fleet.setFaults(target, back)
+          await setFaultsOnceUp(context, target, back)
           release(context, target)
         }
       }
@@ -35,6 +37,20 @@
   }
 }
 
+/** An engine that a request has crashed takes no call until it is back. */
+async function setFaultsOnceUp ({ fleet, clock }: FaultContext, target: string, changes: Partial<Faults>): Promise<void> {
+  const isSet = async (): Promise<boolean> => {
+    try {
+      await fleet.setFaults(target, changes)
+      return true
+    } catch (error) {
+      if ((error as { code?: string }).code === 'ECONNREFUSED') return false
+      throw error
+    }
+  }
+  await waitFor(isSet, { clock, timeoutMs: RESTART_BOUND_MS, what: `${target} to take a switch` })
+}
+
 /**
  * @param role - of the endpoint
  * @returns a fault that makes its open connections silent
