--- a/deploy/days/shortDays.mjs
+++ b/deploy/days/shortDays.mjs
@@ -1,7 +1,9 @@
-// Writes days of 14 seconds on which several disruptions overlap: `node deploy/days/shortDays.mjs --seed 1 --count 24 --out target/days`.
+// Writes days of 14 seconds on which several disruptions overlap:
+// `node deploy/days/shortDays.mjs --seed 1 --count 24 --service NAME --out target/days`.
 //
 // Each day has disruptions that break answers off, others that make endpoints answer something else than what was asked for, and some of
 // the hosts, the store and the configuration. They start within four seconds and last for several, so that one request can meet two of them.
+// Those of endpoints hit the service that is named; without a name the day's seed picks one for each, and few requests meet two.
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
@@ -66,6 +68,12 @@
   { kind: 'roll_term', how: 'busy', share: 0.5, gap_s: 0.8 }
 ]
 
+/** @returns the entries, held to a service if one is given; connections are reset at hosts, whatever they lead to */
+function atService (entries, service) {
+  if (service === undefined) return entries
+  return entries.map(entry => entry.kind === 'reset_conns' ? entry : { ...entry, service })
+}
+
 /** @returns a number of different entries of a table, each with its start and, where it has none, its length */
 function draw (random, table, count) {
   const left = [...table]
@@ -80,19 +88,19 @@
   return entries.map(entry => `  { ${Object.entries(entry).map(([name, value]) => `${name} = ${JSON.stringify(value)}`).join(', ')} },\n`).join('')
 }
 
-function dayOf (seed) {
+function dayOf (seed, service) {
   const random = createRandom(seed)
   const faults = [
-    ...draw(random, BREAKING, 1 + Math.floor(random.next() * 2)),
-    ...draw(random, ANSWERING, 1 + Math.floor(random.next() * 2)),
+    ...atService(draw(random, BREAKING, 1 + Math.floor(random.next() * 2)), service),
+    ...atService(draw(random, ANSWERING, 1 + Math.floor(random.next() * 2)), service),
     ...draw(random, AROUND, Math.floor(random.next() * 3))
   ]
   const plan = draw(random, PLANNED, Math.floor(random.next() * 2))
   return `name = "short-${seed}"\nslot = "trouble"\nseed = ${seed}\nlength_s = ${DAY_S}.0\nfaults = [\n${toToml(faults)}]\nplan = [\n${toToml(plan)}]\n`
 }
 
-const { values } = parseArgs({ options: { seed: { type: 'string' }, count: { type: 'string' }, out: { type: 'string' } } })
+const { values } = parseArgs({ options: { seed: { type: 'string' }, count: { type: 'string' }, service: { type: 'string' }, out: { type: 'string' } } })
 const first = Number(values.seed ?? 1)
 const folder = values.out ?? join('target', 'days')
 mkdirSync(folder, { recursive: true })
-for (let seed = first; seed < first + Number(values.count ?? 1); seed++) writeFileSync(join(folder, `short-${seed}.toml`), dayOf(seed))
+for (let seed = first; seed < first + Number(values.count ?? 1); seed++) writeFileSync(join(folder, `short-${seed}.toml`), dayOf(seed, values.service))
