Take requests that a client sends at once one after another

What callers saw: a client that sends its next request before it has the answer to the one before (HTTP/1.1 pipelining) and leaves is not noticed for that next request.

Cause: Node.js gives the connection to an answer only when the one before is whole, and tells `close` only to the answer that has the connection. The end of a request was taken from that event alone.

Why it works: a request is taken when the answer before it has closed and it has the connection itself, so that leaving, cuts and drains mean the same for each request. Where the connection ends with the answer before, the requests behind it are not taken, and are told as closed.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -58,11 +58,12 @@
  */
 export function createClientServer (options: ClientServerOptions): ClientServer {
   const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
+  const inTurn = createTurns(options.onRequest)
   const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: HEAD_CEILING_BYTES }, (request, response) => {
     const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
     inProgress.set(response, { socket: request.socket, unfinished })
     response.on('close', () => inProgress.delete(response))
-    options.onRequest(request, response)
+    inTurn(request, response)
   })
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     const { status, reason } = REJECTIONS.get(error.code ?? '') ?? MALFORMED
@@ -90,6 +91,30 @@
   }
 }
 
+/**
+ * A client may send its next request before it has the answer to the one before. The answer to the next one gets the connection only
+ * when the one before is whole; until then nothing tells that the client has left, and a cut does not reach the client.
+ *
+ * @param onRequest - takes a request
+ * @returns takes a request once the one before on its connection has ended; not at all where the connection ends with that one
+ */
+function createTurns (onRequest: ClientServerOptions['onRequest']): ClientServerOptions['onRequest'] {
+  const last = new WeakMap<Socket, ServerResponse>()
+  return (request, response) => {
+    const before = last.get(request.socket)
+    last.set(request.socket, response)
+    if (response.socket !== null || before === undefined) {
+      onRequest(request, response)
+      return
+    }
+    before.once('close', () => {
+      if (response.socket !== null) onRequest(request, response)
+      // Nobody else tells those who wait for the end of an answer that never gets the connection.
+      else response.emit('close')
+    })
+  }
+}
+
 /**
  * @param request - whose head has been read
  * @returns size of its head on the wire
