Cut the answers of a client of HTTP/1.0 that ends its side or sends no request

What callers saw: a client of HTTP/1.0 whose stream is in progress and that ends its own side of the connection (a half-close), or that sends bytes which are no request, got a plain close in the midst of the stream, which is the end of an answer there: a part looked whole.

Node.js ends the connection of such a client by itself, and bytes that are no request let the listener destroy the socket; neither way came through `cutAnswer`, which resets.

Why it works: answers without their end are cut on a connection whose client has ended its side before Node.js closes it, and before the socket of bytes that are no request is destroyed. To clients of HTTP/1.1 nothing changes: their connection is closed without the last chunk.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -65,11 +65,15 @@
     response.on('close', () => inProgress.delete(response))
     inTurn(request, response)
   })
+  const answersOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
+  // Node.js closes the connection of a client that has ended its side, which a client of HTTP/1.0 would take for the end of its answer.
+  server.on('connection', socket => { socket.prependListener('end', () => answersOn(socket).forEach(cutUnfinished)) })
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     const { status, reason } = REJECTIONS.get(error.code ?? '') ?? MALFORMED
-    const midway = [...inProgress.values()].some(entry => entry.socket === socket)
-    if (error.code === 'ECONNRESET' || !socket.writable || midway) {
+    const midway = answersOn(socket)
+    if (error.code === 'ECONNRESET' || !socket.writable || midway.length > 0) {
       // Bytes of ours within an answer in progress would pass for a part of it.
+      midway.forEach(cutUnfinished)
       socket.destroy()
       return
     }
@@ -85,12 +89,16 @@
     unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
     close: () => {
       server.close()
-      for (const response of inProgress.keys()) if (!response.writableEnded) cutAnswer(response)
+      for (const response of inProgress.keys()) cutUnfinished(response)
       server.closeAllConnections()
     }
   }
 }
 
+function cutUnfinished (response: ServerResponse): void {
+  if (!response.writableEnded) cutAnswer(response)
+}
+
 /**
  * A client may send its next request before it has the answer to the one before. The answer to the next one gets the connection only
  * when the one before is whole; until then nothing tells that the client has left, and a cut does not reach the client.
