Hand on the head of an answer to a HEAD as the endpoint gives it

Cause: `isFramed` needs to be told of a HEAD by its caller, and `runAttempt` did not; the length handed on was that of the body read.

Why it works: the end of a HEAD's answer is the end of its head, and its length is the endpoint's word on another answer, which goes on as it is.

--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -1,5 +1,4 @@
 /** Ends one client request, once: its answer, its metrics and its line in the log. */
-import type { ServerResponse } from 'node:http'
 import { accountNameOf } from '../accounts/types'
 import { type ClosingNotice, cutAnswer, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
@@ -115,7 +114,7 @@
       if (state.answerBegun) breakOff(own.code)
       else if (failed !== undefined) {
         // An endpoint has answered, if only with a failure: that is what the client gets, not one of our own.
-        if (end('endpoint_status', { endpoint: failed.endpointId, status: failed.whole.status })) sendWhole(response, failed.whole, notice)
+        if (end('endpoint_status', { endpoint: failed.endpointId, status: failed.whole.status })) sendWhole(client, failed.whole, notice)
       } else if (end(own.code, { status: own.status })) {
         if (REFUSED_STATUSES.has(own.status)) metrics.refusals.inc({ kind: route.kind, reason: own.code })
         sendOwnAnswer(response, own, notice)
@@ -124,7 +123,7 @@
     answerWhole: (endpointId, whole) => {
       const outcome = whole.status < FIRST_ERROR_STATUS ? 'answered' : 'endpoint_status'
       if (state.answerBegun) breakOff('whole_answer')
-      else if (end(outcome, { endpoint: endpointId, status: whole.status })) sendWhole(response, whole, notice)
+      else if (end(outcome, { endpoint: endpointId, status: whole.status })) sendWhole(client, whole, notice)
     },
     completeEvents: endpointId => {
       if (end('answered', { endpoint: endpointId, status: EVENTS_STATUS, answerEnd: 'complete' })) response.end()
@@ -136,10 +135,10 @@
   }
 }
 
-function sendWhole (response: ServerResponse, whole: AttemptAnswer, notice: ClosingNotice): void {
+function sendWhole ({ request, response }: ClientRequest, whole: AttemptAnswer, notice: ClosingNotice): void {
   if (notice.isLeaving()) response.setHeader('Connection', 'close')
   const headers = [...whole.rawHeaders]
-  if (whole.status !== 204 && whole.status !== 304) headers.push('Content-Length', String(whole.body.length))
+  if (request.method !== 'HEAD' && whole.status !== 204 && whole.status !== 304) headers.push('Content-Length', String(whole.body.length))
   response.writeHead(whole.status, headers)
   response.end(whole.body)
 }
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -106,6 +106,13 @@
   let ended = false
   const chunks: Buffer[] = []
   const splitter = createEventSplitter()
+  const asksForHead = options.request.method === 'HEAD'
+
+  /** The length of a body that is handed on is left to the sender. The answer to a HEAD names one that it does not have. */
+  const handedOnHeaders = (rawHeaders: string[], headers: ReadonlyMap<string, string>): string[] => {
+    const length = asksForHead ? headers.get('content-length') : undefined
+    return [...forwardedHeaders(rawHeaders, NO_HEADERS), ...length === undefined ? [] : ['Content-Length', length]]
+  }
 
   const fail = (failure: AttemptFailure, reason: string): void => {
     if (ended) return
@@ -126,13 +133,13 @@
       return
     }
     const events = options.streams && status === 200 && isEventStream(headers)
-    head = { status, rawHeaders: forwardedHeaders(rawHeaders, NO_HEADERS), answer, events }
+    head = { status, rawHeaders: handedOnHeaders(rawHeaders, headers), answer, events }
     if (refusalOf(status, answer) !== undefined) return
     if (!answer.signed || answer.requestId === undefined) {
       fail('may_have_run', 'unsigned_answer')
       return
     }
-    if (!isFramed(status, name => headers.get(name))) {
+    if (!asksForHead && !isFramed(status, name => headers.get(name))) {
       fail('may_have_run', 'unframed_answer')
       return
     }
