Count no attempt where a silent endpoint was never reached

What callers saw: a request that may be repeated was answered 502, which promises nothing, though it had run nowhere, or its stream was cut although the route allowed another run.

Cause: silence was taken for "may have run" whatever had been exchanged. A request that still waits for its connection has not left.

Evidence: silenceAtLastOffer.test.ts, "an endpoint to which there is no connection in time": 3 of 3 failed before (502 for 503; the third endpoint not tried). exchange.test.ts shows on real sockets that a request given up while it waits for a connection is not sent (passed before, too).

Why it works: an exchange tells whether a byte may have left, and a silent attempt that has sent none counts as not run. Where the request may go nowhere else, the endpoint is waited for as before.

The harness of forwarded requests holds back connections, tells counts of requests in progress and reads what it sends as headers; its other additions are for the random histories of requests.

--- a/packages/anvilarch-serving/src/endpoints/exchange.ts
+++ b/packages/anvilarch-serving/src/endpoints/exchange.ts
@@ -27,6 +27,8 @@
 
 /** An exchange in progress. */
 export interface Exchange {
+  /** @returns whether a byte of the request may have left */
+  mayBeSent: () => boolean
   /** Closes the connection, by which the endpoint drops the request. Nothing is heard afterwards. */
   abort: () => void
 }
@@ -84,6 +86,7 @@
   }
   dispatched = true
   return {
+    mayBeSent: () => abortUpstream !== undefined,
     abort: () => {
       aborted = true
       ended = true
--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -1,6 +1,6 @@
 /** One client request on a fake clock, with endpoints and a client in memory. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { createFakeClock, type FakeClock, SILENT_LOGGER, sleep } from 'anvilarch-utils'
 import type { Pool } from '../../endpoints/httpPool'
 import type { Endpoint, Route } from '../../model/types'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -25,7 +25,13 @@
   sentAtMs: number
   /** Time that the endpoint was given. */
   deadlineMs: number
+  /** The endpoint is to go on after this event. */
+  lastEventId: number | undefined
+  /** False until a connection is there, which it is at once unless `onSend` holds it back. */
+  connected: boolean
   aborted: boolean
+  /** The exchange as the client of HTTP tells it, for endings that have no method here. */
+  exchange: Omit<ExchangeHandler, 'onConnect'>
   /** Answers with an event; the head goes before the first one. */
   event: (id: number) => void
   /** Answers with any block of a stream of events, its empty line left out. */
@@ -44,6 +50,11 @@
   body: string
   ended: boolean
   destroyed: boolean
+  /** The client has closed its connection. */
+  left: boolean
+  /** Heads that were sent, and pieces after the end; more than one head, or any such piece, is a fault of the gateway. */
+  headCount: number
+  piecesAfterEnd: number
 }
 
 /** The request and what is around it. */
@@ -53,6 +64,18 @@
   client: ClientView
   /** Takes all endpoints away. */
   removeEndpoints: () => void
+  /** Takes the first endpoint away; another start of one may come in its place. */
+  replaceEndpoint: (isListedAgain: boolean) => void
+  /** Ends the connection of the client as the end of a stop does. */
+  stopNow: () => void
+  /** Takes the key of the caller away. */
+  takeKeyAway: () => void
+  /** Says that endpoints crash when they run the request. */
+  quarantine: () => void
+  /** @returns requests that count as in progress at endpoints, by each of the two tables */
+  inProgress: () => { loads: number, notices: number }
+  /** How often the permit was given back. */
+  permitsGivenBack: () => number
   /** Lets the placement end that waits for loads. */
   placed: () => void
   /** @returns ends of answers that had begun, with the outcome of their requests, as the metrics show them */
@@ -72,11 +95,22 @@
   holdsPlacement?: boolean
   maxAttempts?: number
   resumable?: boolean
+  /** Last event that the client has already. */
+  lastEventId?: number
+  /** How long placements take, each in turn. */
+  placementMs?: () => number
+  /** Whether the limit of the account lets the request start. */
+  granted?: boolean
+  /** Called for each send. @returns false while there is no connection to the endpoint */
+  onSend?: (request: SentRequest) => boolean
 }
 
 const REQUEST_ID = 'r1'
 
-const EVENT_STREAM_HEADERS = ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked']
+/** Headers of an answer that is this request's, with the signature of its endpoint. */
+export const OWN_HEADERS = ['request-id', REQUEST_ID, 'signature', 's']
+
+export const EVENT_STREAM_HEADERS = [...OWN_HEADERS, 'content-type', 'text/event-stream', 'transfer-encoding', 'chunked']
 
 function endpointNamed (id: string): Endpoint {
   return { id, bornAtMs: undefined, startId: id, service: 's', address: `${id}:1`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
@@ -89,9 +123,14 @@
 export function forwardOnFakeClock (options: ForwardHarnessOptions = {}): ForwardHarness {
   const clock = createFakeClock()
   const sent: SentRequest[] = []
-  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false }
+  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false, left: false, headCount: 0, piecesAfterEnd: 0 }
   const endpoints = Array.from({ length: options.endpoints ?? 2 }, (_, index) => endpointNamed(`e${index + 1}`))
+  let endpointCount = endpoints.length
   let placed: () => void = () => {}
+  let hasKey = true
+  let isQuarantined = false
+  let permitsGivenBack = 0
+  const inProgress = { loads: 0, notices: 0 }
 
   const poolOf = (endpoint: Endpoint): Pool => ({
     dispatch: ({ headers }: { headers: string[] }, handler: ExchangeHandler) => {
@@ -104,7 +143,10 @@
         endpoint: endpoint.id,
         sentAtMs: clock.nowMs(),
         deadlineMs: Number(headers[1]),
+        lastEventId: headers[3] === '' ? undefined : Number(headers[3]),
+        connected: false,
         aborted: false,
+        exchange: handler,
         event: id => request.block(`id: ${id}\ndata: x`),
         block: text => {
           head(200, EVENT_STREAM_HEADERS)
@@ -115,14 +157,15 @@
           handler.onComplete()
         },
         answer: (status = 200, body = 'ok') => {
-          head(status, ['content-type', 'text/plain', 'content-length', String(body.length)])
+          head(status, [...OWN_HEADERS, 'content-type', 'text/plain', 'content-length', String(body.length)])
           if (body !== '') handler.onData(Buffer.from(body))
           handler.onComplete()
         },
         reset: () => handler.onError(Object.assign(new Error('other side closed'), { code: 'UND_ERR_SOCKET' }))
       }
       sent.push(request)
-      handler.onConnect(() => { request.aborted = true })
+      request.connected = options.onSend?.(request) ?? true
+      if (request.connected) handler.onConnect(() => { request.aborted = true })
       return true
     }
   }) as unknown as Pool
@@ -137,14 +180,26 @@
     flushHeaders: () => {},
     writeHead: (status: number) => {
       client.status = status
+      client.headCount++
       response.headersSent = true
     },
-    write: (bytes: Buffer) => { client.body += bytes.toString() },
+    write: (bytes: Buffer) => {
+      if (client.ended) client.piecesAfterEnd++
+      // What is written to an answer that was cut, or to a client that has left, is dropped.
+      else if (response.destroyed === false) client.body += bytes.toString()
+    },
     end: (bytes?: Buffer) => {
+      if (client.ended) client.piecesAfterEnd++
+      if (response.destroyed === true) return
       client.body += bytes?.toString() ?? ''
       client.ended = true
+      clock.after(0, () => onClose())
     },
-    destroy: () => { client.destroyed = true }
+    destroy: () => {
+      client.destroyed = true
+      response.destroyed = true
+      clock.after(0, () => onClose())
+    }
   }
 
   const metrics = createServingMetrics()
@@ -171,28 +226,35 @@
     clock,
     log: SILENT_LOGGER as EventLog,
     metrics,
-    loads: { onReport: () => {}, onSent: () => {}, onEnded: () => {}, onFailure: () => {}, onSuccess: () => {}, loadOf: () => load, forget: () => {} },
+    loads: { onReport: () => {}, onSent: () => { inProgress.loads++ }, onEnded: () => { inProgress.loads-- }, onFailure: () => {}, onSuccess: () => {}, loadOf: () => load, forget: () => {} },
     placement: {
-      prepare: async () => { if (options.holdsPlacement === true) await new Promise<void>(resolve => { placed = resolve }) },
+      prepare: async () => {
+        if (options.holdsPlacement === true) await new Promise<void>(resolve => { placed = resolve })
+        if (options.placementMs !== undefined) await sleep(clock, options.placementMs())
+      },
       choose: ({ excluded }) => endpoints.find(endpoint => !excluded.has(endpoint.startId)),
       known: () => endpoints,
       count: () => endpoints.length,
       loadOf: () => load
     },
-    use: { onSent: () => {}, onEnded: () => {}, forget: () => {}, close: () => {} },
+    use: { onSent: () => { inProgress.notices++ }, onEnded: () => { inProgress.notices-- }, forget: () => {}, close: () => {} },
     pools: { poolOf, openTo: () => 0, release: () => {}, closeAll: async () => {} },
     wire: {
       decodeCredential: () => ({ credential: 'none' }),
       credentialScheme: 'Key',
       decodeRequest: () => { throw new Error('the head is decoded already') },
-      encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs)],
-      decodeAnswer: () => ({ requestId: REQUEST_ID, signed: true, notRun: false })
+      encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs), 'last-event-id', String(terms.lastEventId ?? '')],
+      decodeAnswer: headers => ({ requestId: headers.get('request-id'), signed: headers.has('signature'), notRun: headers.has('not-run') })
     },
     notice: { isLeaving: () => false },
     holdTimes: createHoldTimes(),
-    crashes: { mayRun: () => true, onBroken: () => {}, onEndpointLost: () => {} },
-    limits: { ask: async () => ({ granted: true, giveBack: () => {} }) },
-    isStillAllowed: () => true,
+    crashes: { mayRun: () => !isQuarantined, onBroken: () => {}, onEndpointLost: () => {} },
+    limits: {
+      ask: async () => options.granted === false
+        ? { granted: false, retryAfterMs: 100, granter: 'home' }
+        : { granted: true, giveBack: () => { permitsGivenBack++ } }
+    },
+    isStillAllowed: () => hasKey,
     traffic: createTrafficTally(),
     lines: createLineBudget(clock, 20),
     draw: () => 0.5
@@ -200,7 +262,7 @@
     request: { method: 'GET', url: '/', headers: {}, rawHeaders: [] } as unknown as IncomingMessage,
     response: response as unknown as ServerResponse,
     body: Buffer.alloc(0),
-    metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: undefined, promptParts: [], promptTokens: 1, maxOutputTokens: 1 },
+    metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: options.lastEventId, promptParts: [], promptTokens: 1, maxOutputTokens: 1 },
     route,
     caller: { caller: 'unchecked' },
     configurationVersion: 1,
@@ -211,9 +273,22 @@
     sent,
     client,
     removeEndpoints: () => { endpoints.length = 0 },
+    replaceEndpoint: isListedAgain => {
+      endpoints.shift()
+      if (isListedAgain) endpoints.push(endpointNamed(`e${++endpointCount}`))
+    },
+    stopNow: () => { (response as unknown as ServerResponse).destroy() },
+    takeKeyAway: () => { hasKey = false },
+    quarantine: () => { isQuarantined = true },
+    inProgress: () => ({ ...inProgress }),
+    permitsGivenBack: () => permitsGivenBack,
     placed: () => placed(),
     begunAnswers: async () => (await metrics.begunAnswers.get()).values.map(({ labels }) => [String(labels.end), String(labels.outcome)]),
-    leave: () => onClose(),
+    leave: () => {
+      client.left = true
+      response.destroyed = true
+      onClose()
+    },
     ownPauses: async () => (await metrics.ownPauses.get()).values[0].value
   }
 }
--- a/packages/anvilarch-serving/src/requests/__tests__/silenceAtLastOffer.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/silenceAtLastOffer.test.ts
@@ -30,3 +30,23 @@
     expect(client).toMatchObject({ ended: true, destroyed: false })
   })
 })
+
+describe('an endpoint to which there is no connection in time', () => {
+  // Guards against this: a request that never got to it counts as one that it may have run.
+  it.each<ForwardHarnessOptions['kind']>(['idempotent', 'stream'])('leaves all attempts of the route to others (%s)', async kind => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind, endpoints: 3, maxAttempts: 2, timeoutMs: 10_000, onSend: ({ endpoint }) => endpoint !== 'e1' })
+    await clock.advanceAsync(350)
+    sent[1].reset()
+    await clock.advanceAsync(0)
+    sent[2].answer(200)
+    expect(client).toMatchObject({ status: 200, body: 'ok' })
+  })
+
+  it('lets the client be told that its request has not run', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ endpoints: 2, onSend: ({ endpoint }) => endpoint !== 'e1' })
+    await clock.advanceAsync(350)
+    sent[1].answer(421)
+    await clock.advanceAsync(0)
+    expect(client.status).toBe(503)
+  })
+})
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -36,6 +36,8 @@
 
 /** An attempt in progress. */
 export interface Attempt {
+  /** @returns whether the endpoint may have run the request, as far as is known by now */
+  mayHaveRun: () => boolean
   /** Ends the attempt; nothing is heard afterwards. */
   abort: () => void
 }
@@ -216,6 +218,7 @@
     onFailure: failure => fail(failure.notSent ? 'not_run' : 'may_have_run', failure.reason)
   })
   return {
+    mayHaveRun: exchange.mayBeSent,
     abort: () => {
       ended = true
       exchange.abort()
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -120,9 +120,13 @@
 
   const onSilence = (endpoint: Endpoint): void => {
     silence = undefined
-    if (running === undefined || stepAfter('may_have_run', state.attemptsThatMayHaveRun + 1) !== 'send_again') return
+    if (running === undefined) return
+    // A request that still waits for a connection never gets to the endpoint once it is given up.
+    const failure = running.attempt.mayHaveRun() ? 'may_have_run' : 'not_run'
+    const attemptsThen = state.attemptsThatMayHaveRun + (failure === 'may_have_run' ? 1 : 0)
+    if (stepAfter(failure, attemptsThen) !== 'send_again') return
     running.attempt.abort()
-    onFailure(endpoint, 'may_have_run', 'silent')
+    onFailure(endpoint, failure, 'silent')
   }
 
   const onOwnPause = (endpoint: Endpoint, lateMs: number): void => {
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -98,6 +98,7 @@
     onFailure: (_failure, reason) => finish({ end: 'interrupted', reason })
   })
   return {
+    ...attempt,
     abort: () => {
       ended = true
       silence.cancel()
