Take a stream from the start that ends without an event for a failed run

What callers see: an endpoint that declares a stream of events and ends it, framed, before the first one gave the client an empty answer that looks complete; a request whose first run had told no event and broke off was completed so by the second one, too.

The end of an exchange completed the answer without regard to what the receiver has.

Why it works: an end completes the events only for a receiver that has one, of this run or before it. A client that names the last event still gets an empty rest, and a HEAD its head.

--- a/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/begunAnswers.test.ts
@@ -68,6 +68,44 @@
   })
 })
 
+describe('a stream of events that ends before its first one', () => {
+  // Guards against this: an empty answer is framed as complete though the client has no event of its stream.
+  it.each([true, false])('is no answer to a request from the start (resumable: %s)', async resumable => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', endpoints: 2, timeoutMs: 10_000, resumable })
+    await clock.advanceAsync(0)
+    sent[0].block(': alive')
+    sent[0].endEvents()
+    await clock.advanceAsync(0)
+    sent[1]?.endEvents()
+    expect(client).toMatchObject({ ended: false, destroyed: true })
+  })
+
+  it('is none for one from the start that goes on elsewhere', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', endpoints: 2, timeoutMs: 10_000 })
+    await clock.advanceAsync(0)
+    sent[0].endEvents()
+    await clock.advanceAsync(0)
+    sent[1].event(1)
+    sent[1].endEvents()
+    expect(client).toMatchObject({ body: 'id: 1\ndata: x\n\n', ended: true })
+  })
+
+  it('is complete for a client that has the last event', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', lastEventId: 3 })
+    await clock.advanceAsync(0)
+    sent[0].endEvents()
+    expect(client).toMatchObject({ body: '', ended: true, destroyed: false })
+  })
+
+  it('is complete if its events bear no ids', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', resumable: false })
+    await clock.advanceAsync(0)
+    sent[0].block('data: y')
+    sent[0].endEvents()
+    expect(client).toMatchObject({ body: 'data: y\n\n', ended: true, destroyed: false })
+  })
+})
+
 describe('the metric of begun answers', () => {
   it('tells one that is complete', async () => {
     const { sent, begunAnswers } = await brokenStream({ endpoints: 2 })
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -104,6 +104,8 @@
 export function startAttempt (options: AttemptOptions): Attempt {
   let head: { status: number, rawHeaders: string[], answer: AnswerMetadata, events: boolean } | undefined
   let lastEventId = options.afterEventId
+  /** Whether the receiver has an event; one that goes on after the last has none left to get. */
+  let hasEvent = (options.afterEventId ?? 0) > 0
   let wholeBytes = 0
   let ended = false
   const chunks: Buffer[] = []
@@ -162,6 +164,7 @@
         return
       }
       lastEventId = block.id ?? lastEventId
+      hasEvent ||= block.id !== undefined || !holdsNoEvent(block)
       options.onEvent(block.bytes, block.id, block.data)
       if (ended) return
     }
@@ -201,6 +204,11 @@
       fail('may_have_run', 'cut_within_an_event')
       return
     }
+    // The work on a request begins with its first event.
+    if (head.events && !hasEvent && !asksForHead) {
+      fail('may_have_run', 'no_events')
+      return
+    }
     // Such a status tells the client that the request has not run; this endpoint does not say so.
     if (head.status === 503 || head.status === 429 || head.status === 408) {
       fail('may_have_run', 'refusal_without_proof')
