Run an item that has failed over a connection of its own

An item could be listed as dead_letter before its engine had failed it as often as its route allows. An engine may send an answer a second time, late, where the next answer on a kept connection is expected; the id of the request tells it apart. All runs of an item bear the same id: the second copy of the 500 of one run was counted as the failure of the next run, whatever that run came to.

A run of an item with a counted failure now takes a connection that is closed after its answer, so that no answer to an earlier run can stand on it. Items without a failure keep to the kept connections; other answers that could come twice cost a run that is gone on with, and no failure.

--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -52,7 +52,10 @@
   const closing = new AbortController()
   const pace = createPace()
   const heartbeat = startHeartbeat(context, { role: 'agent', onWritten: view.work.learn, details: () => ({ eventMs: pace.eventMs() }) })
-  const pool = createPool(`http://${agent.engineAddress}`, { connections: ENGINE_CONNECTIONS, pipelining: 1, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  const poolOptions = { connections: ENGINE_CONNECTIONS, connectTimeout: REPORT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 }
+  const pool = createPool(`http://${agent.engineAddress}`, { ...poolOptions, pipelining: 1 })
+  // Without pipelining, a connection is closed after its first answer.
+  const freshPool = createPool(`http://${agent.engineAddress}`, { ...poolOptions, pipelining: 0 })
   const runner = startBatchRunner({
     store: context.store,
     work: view.work,
@@ -66,6 +69,7 @@
     configuration: view.configuration.current,
     wire: context.wire,
     pool,
+    freshPool,
     engineAddress: agent.engineAddress,
     service: agent.service,
     retentionMs: settings.retentionMs,
@@ -87,7 +91,7 @@
     heartbeat.stop()
     view.close()
     peers.close()
-    await pool.destroy()
+    await Promise.all([pool.destroy(), freshPool.destroy()])
   })
   return {
     stop: async () => {
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -158,6 +158,7 @@
       configuration: () => CONFIGURATION,
       wire: WIRE,
       pool: engine.pool,
+      freshPool: engine.freshPool,
       engineAddress: name,
       service: 'models',
       retentionMs: 900_000,
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -122,6 +122,7 @@
     configuration: () => CONFIGURATION,
     wire: WIRE,
     pool: { dispatch } as unknown as Pool,
+    freshPool: { dispatch } as unknown as Pool,
     engineAddress: ENDPOINT_ADDRESS,
     service: 'models',
     retentionMs: 900_000,
--- a/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
@@ -6,16 +6,18 @@
  * How a run goes wrong; `atEvent` counts the events of the run, from 0. `from_start`: does not go on after the event that it
  * was asked to, but starts anew. `no_stream`: a whole body that holds no event. `empty`: a whole answer without an event, given
  * to runs from the start only, since it is right for one that goes on after the last event. `silent`: goes on when it has been
- * given up.
+ * given up. `fail_twice`: 500, and once more on a kept connection, as if it were the answer to the next run of the item.
  */
 export type RunTrouble =
-  | { trouble: 'none' | 'from_start' | 'of_another' | 'no_stream' | 'empty' }
+  | { trouble: 'none' | 'from_start' | 'of_another' | 'no_stream' | 'empty' | 'fail_twice' }
   | { trouble: 'status', status: number }
   | { trouble: 'break' | 'silent' | 'without_id' | 'skip' | 'cut', atEvent: number }
 
 /** The engine. */
 export interface ScriptedEngine {
   pool: Pool
+  /** Connections that each take one run. */
+  freshPool: Pool
   running: () => number
   /** Breaks all connections; the next start bears another time. */
   restart: () => void
@@ -29,7 +31,7 @@
   eventCount: (itemId: string) => number
   /** Asked once for each run. */
   nextTrouble: () => RunTrouble
-  /** Told of each answer that is not a stream. */
+  /** Told of each answer to a run that is not a stream, repeated ones left out. */
   onStatus: (itemId: string, status: number) => void
 }
 
@@ -47,6 +49,8 @@
 /** Longer than a runner waits for an event. */
 const SILENT_MS = 4000
 
+const FAILED_STATUS = 500
+
 const LINE_BREAK_EVERY = 3
 const EMPTY_EVERY = 7
 
@@ -73,12 +77,13 @@
 export function createScriptedEngine (options: ScriptedEngineOptions): ScriptedEngine {
   const { clock } = options
   const open = new Map<Handler, () => void>()
+  /** Items whose failure comes once more on a kept connection. */
+  const failsAgain = new Set<string>()
   let bornAtMs = 1
 
   const end = (handler: Handler): void => { open.delete(handler) }
 
   const answer = (handler: Handler, itemId: string, status: number, body: string): void => {
-    options.onStatus(itemId, status)
     handler.onHeaders(status, ['x-id', itemId, 'content-type', EVENT_STREAM_TYPE, 'content-length', String(body.length)].map(text => Buffer.from(text)))
     if (body !== '') handler.onData(Buffer.from(body))
     // A listener that has given the answer up has closed the connection.
@@ -121,30 +126,40 @@
     clock.after(options.eventIntervalMs, () => next(first))
   }
 
-  const begin = (handler: Handler, itemId: string, from: number): void => {
+  const begin = (handler: Handler, itemId: string, from: number, isKept: boolean): void => {
     if (!open.has(handler)) return
+    if (isKept && failsAgain.delete(itemId)) {
+      answer(handler, itemId, FAILED_STATUS, '')
+      return
+    }
     const trouble = options.nextTrouble()
-    if (trouble.trouble === 'status') answer(handler, itemId, trouble.status, '')
-    else if (trouble.trouble === 'no_stream') answer(handler, itemId, 200, '{"error":"busy"}\n\n')
+    if (trouble.trouble === 'status' || trouble.trouble === 'fail_twice') {
+      const status = 'status' in trouble ? trouble.status : FAILED_STATUS
+      if (isKept && trouble.trouble === 'fail_twice') failsAgain.add(itemId)
+      options.onStatus(itemId, status)
+      answer(handler, itemId, status, '')
+    } else if (trouble.trouble === 'no_stream') answer(handler, itemId, 200, '{"error":"busy"}\n\n')
     else if (trouble.trouble === 'empty' && from === 0) answer(handler, itemId, 200, '')
     else stream(handler, itemId, from, trouble)
   }
 
-  const dispatch = (request: { headers: string[] }, handler: Handler): boolean => {
+  const dispatch = (request: { headers: string[] }, handler: Handler, isKept: boolean): boolean => {
     const [, itemId, , from] = request.headers
     open.set(handler, () => { handler.onError(new Error('broken')) })
     queueMicrotask(() => {
       handler.onConnect(() => end(handler))
-      begin(handler, itemId, Number(from))
+      begin(handler, itemId, Number(from), isKept)
     })
     return true
   }
 
   return {
-    pool: { dispatch } as unknown as Pool,
+    pool: { dispatch: (request: { headers: string[] }, handler: Handler) => dispatch(request, handler, true) } as unknown as Pool,
+    freshPool: { dispatch: (request: { headers: string[] }, handler: Handler) => dispatch(request, handler, false) } as unknown as Pool,
     running: () => open.size,
     restart: () => {
       bornAtMs++
+      failsAgain.clear()
       const broken = [...open.values()]
       open.clear()
       broken.forEach(breakOff => breakOff())
--- a/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
@@ -38,6 +38,7 @@
 const trouble: fc.Arbitrary<RunTrouble> = fc.oneof(
   { weight: 2, arbitrary: fc.record({ trouble: fc.constant('none' as const) }) },
   { weight: 4, arbitrary: fc.record({ trouble: fc.constantFrom('from_start' as const, 'of_another' as const, 'no_stream' as const, 'empty' as const) }) },
+  { weight: 2, arbitrary: fc.record({ trouble: fc.constant('fail_twice' as const) }) },
   { weight: 2, arbitrary: fc.record({ trouble: fc.constant('status' as const), status: fc.constantFrom(500, 500, 422, 204, 206, 404, 421, 503, 504) }) },
   {
     weight: 6,
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -20,6 +20,8 @@
   engine: EngineView
   /** Connections to the engine beside the agent. */
   pool: Pool
+  /** The same, each for one run only. */
+  freshPool: Pool
   held: HeldItems
   pace: Pace
   submissions: ResultReader
@@ -147,6 +149,12 @@
     runInBackground(log, 'settle item', () => settle(entry, end))
   }
 
+  /**
+   * An engine may answer a second time where the next answer on a connection is expected. Runs of an item bear the same id, so
+   * that the failure of an earlier one would count for the next.
+   */
+  const poolFor = (entry: HeldItem, job: JobRecord): Pool => job.failures[entry.item] === undefined ? parts.pool : parts.freshPool
+
   const run = (entry: HeldItem, job: JobRecord, item: JobItem, endpoint: Endpoint): void => {
     const nowMs = clock.nowMs()
     entry.state = 'running'
@@ -158,7 +166,7 @@
     log.info('item run started', { jobId: entry.jobId, itemId: entry.itemId, endpoint: endpoint.startId, fromEventId })
     entry.run = runItem({
       clock,
-      pool: parts.pool,
+      pool: poolFor(entry, job),
       requestWire: parts.wire.request,
       engineWire: parts.wire.engine,
       item,
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -19,6 +19,8 @@
   wire: PlatformWire
   /** Connections to the engine beside the agent. */
   pool: Pool
+  /** The same, each for one run only. */
+  freshPool: Pool
   engineAddress: string
   service: string
   /** How long results are promised, from the submission on. */
