Let histories of items freeze runners, drop the feed's history and end the job

The random histories did not draw a holder that stands still and goes on while its engine runs, a copy of the work that misses changes and is listed anew from an older version, nor a job that its client ends while items run. They do now, and look besides at positions that are written anew, at items listed twice in a job that was ended, and at runs that are left at an engine at the end.

--- a/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
@@ -5,6 +5,7 @@
 import { CLAIM_TABLE, JOB_TABLE, MEMBER_TABLE, recordRow } from '../../jobs/jobRows'
 import type { JobRecord, MemberRecord } from '../../jobs/types'
 import type { MetadataStore, RowChange, RowKey, StoredRow, Transaction, TransactionOutcome } from '../../store/types'
+import type { ProcessClock } from './processClock'
 
 /**
  * What becomes of a call. `unanswered`: done, without an answer. `late`: the same, seconds after it. `lost`: neither done nor
@@ -21,7 +22,14 @@
   putObject: (name: string, bytes: Buffer) => void
   put: (key: RowKey, record: JobRecord | MemberRecord) => void
   /** @returns a copy of the work that hears of each change after the lag */
-  follow: (lagMs: number) => WorkTable
+  follow: (process: Pick<ProcessClock, 'whenRunning'>, lagMs: number) => FollowedWork
+}
+
+/** A copy of the work. */
+export interface FollowedWork {
+  work: WorkTable
+  /** The copy hears of no change for so long; then the store has forgotten what it missed, and the copy is listed anew. */
+  loseHistory: (durationMs: number) => void
 }
 
 const ANSWER_MS = 20
@@ -41,10 +49,14 @@
   const rows = new Map<string, StoredRow>()
   const objects = new Map<string, Buffer>()
   const followers: Array<(change: RowChange) => void> = []
+  const changes: RowChange[] = []
   let version = 0
   const idOf = (key: RowKey): string => `${key.table}|${key.partition}|${key.key}`
   const rowOf = (key: RowKey): StoredRow | undefined => rows.get(idOf(key))
-  const tell = (change: RowChange): void => followers.forEach(follower => follower(change))
+  const tell = (change: RowChange): void => {
+    changes.push(change)
+    followers.forEach(follower => follower(change))
+  }
   const after = async (delayMs: number): Promise<void> => await new Promise(resolve => { clock.after(delayMs, resolve) })
 
   const apply = ({ conditions, puts, removes }: Transaction): TransactionOutcome => {
@@ -110,19 +122,45 @@
     lastSuccessMs: () => clock.nowMs()
   }
 
-  const follow = (lagMs: number): WorkTable => {
+  const rowsOf = (table: string): StoredRow[] => [...rows.values()].filter(row => row.table === table)
+
+  const follow = (process: Pick<ProcessClock, 'whenRunning'>, lagMs: number): FollowedWork => {
     const work = createWorkTable()
     const listeners = new Map([[JOB_TABLE, work.listeners.jobs], [CLAIM_TABLE, work.listeners.claims]])
-    const listMembers = (): void => work.listeners.members.onListing([...rows.values()].filter(row => row.table === MEMBER_TABLE), version)
+    let isLost = false
+    const listMembers = (): void => work.listeners.members.onListing(rowsOf(MEMBER_TABLE), version)
+    const later = (action: () => void): void => { clock.after(lagMs, () => process.whenRunning(action)) }
     const hear = (change: RowChange): void => {
       listeners.get(change.change === 'put' ? change.row.table : change.key.table)?.onChange(change)
       listMembers()
     }
     for (const row of rows.values()) listeners.get(row.table)?.onChange({ change: 'put', row })
     listMembers()
-    followers.push(change => { clock.after(lagMs, () => hear(change)) })
-    return work
+    followers.push(change => { if (!isLost) later(() => hear(change)) })
+    /** The rows are read some time after the version from which the changes are told again. */
+    const list = (): void => {
+      const sinceVersion = version
+      clock.after(ANSWER_MS, () => {
+        isLost = false
+        for (const [table, listener] of listeners) {
+          const listed = rowsOf(table)
+          later(() => listener.onListing(listed, sinceVersion))
+        }
+        for (const change of changes.filter(change => versionOf(change) > sinceVersion)) later(() => hear(change))
+      })
+    }
+    return {
+      work,
+      loseHistory: durationMs => {
+        isLost = true
+        clock.after(durationMs, list)
+      }
+    }
   }
 
   return { client, rows: () => [...rows.values()], row: rowOf, object: name => objects.get(name), putObject: (name, bytes) => { objects.set(name, bytes) }, put, follow }
 }
+
+function versionOf (change: RowChange): number {
+  return change.change === 'put' ? change.row.version : change.version
+}
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -1,7 +1,9 @@
 /** Batch runners side by side on a fake clock, each with a scripted engine, with one store. */
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
-import { newJob } from '../../jobs/jobRecord'
+import { createJobCache } from '../../jobs/jobCache'
+import { endJob, newJob } from '../../jobs/jobRecord'
 import { jobKey, memberKey, submissionObject } from '../../jobs/jobRows'
+import { changeJob } from '../../jobs/jobStore'
 import { createResultReader, type JobResult } from '../../jobs/resultReader'
 import { encodeSubmission } from '../../jobs/submission'
 import type { JobItem, JobRecord } from '../../jobs/types'
@@ -12,6 +14,7 @@
 import { createPace } from '../pace'
 import { CONFIGURATION, WIRE } from './jobRoute'
 import { type CallFate, createMemoryStore, type MemoryStore } from './memoryStore'
+import { createProcessClock, type ProcessClock } from './processClock'
 import { createScriptedEngine, type RunTrouble, type ScriptedEngine, wholeTextOf } from './scriptedEngine'
 
 /** What goes wrong; each entry is used up by one call or run, and nothing goes wrong after the last. */
@@ -34,6 +37,10 @@
   /** Requests of online clients at the engine. */
   setOnline: (requests: number) => void
   setReady: (ready: boolean) => void
+  /** The process stands still for so long, and the store takes it for dead meanwhile; its engine goes on. */
+  freeze: (durationMs: number) => void
+  /** What the process has copied is out of date for so long, and listed anew then. */
+  loseHistory: (durationMs: number) => void
 }
 
 /** The fleet, with one job. */
@@ -42,6 +49,8 @@
   store: MemoryStore
   agents: FleetAgent[]
   job: () => JobRecord
+  /** A client ends the job. */
+  endJob: () => void
   /** All calls of the store end so; undefined follows the script again. */
   setFate: (fate: CallFate | undefined) => void
   /** Nothing goes wrong any more. */
@@ -59,6 +68,9 @@
 /** The longest outlasts a write that is given up. */
 const LAGS_MS = [15, 300, 1800]
 
+/** As long as a client waits for the end. */
+const END_PATIENCE_MS = 1200
+
 /** Small, so that the longer texts do not fit into a row. */
 const MAX_ROW_BYTES = 400
 
@@ -79,25 +91,33 @@
   const eventCount = (itemId: string): number => script.eventCounts[items.findIndex(item => item.id === itemId)]
   store.putObject(submissionObject(JOB_ID), encodeSubmission(items))
   store.put(jobKey(JOB_ID), newJob(items, { jobId: JOB_ID, account: undefined, host: 'h', path: '/jobs', nowMs: 0, dueMs: 600_000, expiryMs: 900_000, maxAttempts: 3 }))
-  const agents = Array.from({ length: agentCount }, (_, index) => createAgent({
-    clock,
-    store,
-    name: `agent${index}`,
-    lagMs: LAGS_MS[index % LAGS_MS.length],
-    engine: createScriptedEngine({
-      clock,
-      eventIntervalMs: EVENT_INTERVAL_MS,
-      eventCount,
-      nextTrouble: () => script.runs.shift() ?? { trouble: 'none' },
-      onStatus: (itemId, status) => statuses.set(itemId, [...statuses.get(itemId) ?? [], status])
+  const agents = Array.from({ length: agentCount }, (_, index) => {
+    const process = createProcessClock(clock)
+    return createAgent({
+      clock: process,
+      store,
+      name: `agent${index}`,
+      lagMs: LAGS_MS[index % LAGS_MS.length],
+      engine: createScriptedEngine({
+        clock,
+        toReader: process.whenRunning,
+        eventIntervalMs: EVENT_INTERVAL_MS,
+        eventCount,
+        nextTrouble: () => script.runs.shift() ?? { trouble: 'none' },
+        onStatus: (itemId, status) => statuses.set(itemId, [...statuses.get(itemId) ?? [], status])
+      })
     })
-  }))
+  })
   const job = (): JobRecord => JSON.parse(String(store.row(jobKey(JOB_ID))?.value)) as JobRecord
   return {
     clock,
     store,
     agents,
     job,
+    endJob: () => {
+      const parts = { store: store.client, work: createJobCache(), clock, log: SILENT_LOGGER }
+      changeJob(parts, JOB_ID, job => job.ended ? undefined : { next: endJob(job) }, clock.nowMs() + END_PATIENCE_MS).catch(() => {})
+    },
     setFate: fate => { fateOfAll = fate },
     endTroubles: () => {
       fateOfAll = undefined
@@ -121,7 +141,7 @@
 }
 
 interface AgentParts {
-  clock: FakeClock
+  clock: ProcessClock
   store: MemoryStore
   name: string
   lagMs: number
@@ -129,7 +149,7 @@
 }
 
 function createAgent ({ clock, store, name, lagMs, engine }: AgentParts): FleetAgent {
-  const work = store.follow(lagMs)
+  const { work, loseHistory } = store.follow(clock, lagMs)
   let incarnation = 0
   let online = 0
   let ready = true
@@ -146,7 +166,7 @@
     tellStore()
     life = new AbortController()
     return startBatchRunner({
-      store: endingWith(store.client, life.signal),
+      store: endingWith(store.client, clock, life.signal),
       work,
       clock,
       log: SILENT_LOGGER,
@@ -188,15 +208,22 @@
       online = requests
       agent.runner.onUse('gateway', endpoint().startId, requests)
     },
-    setReady: nowReady => { ready = nowReady }
+    setReady: nowReady => { ready = nowReady },
+    freeze: durationMs => {
+      clock.standStill(durationMs)
+      agent.setHeard(false)
+      clock.after(durationMs, () => agent.setHeard(true))
+    },
+    loseHistory
   }
   return agent
 }
 
-/** The store as a process has it: nothing is sent, and no answer is heard, once that process has ended. */
-function endingWith (client: MetadataStore, life: AbortSignal): MetadataStore {
+/** The store as a process has it: nothing is sent, and no answer is heard, once that process has ended or while it stands still. */
+function endingWith (client: MetadataStore, process: ProcessClock, life: AbortSignal): MetadataStore {
   const whileAlive = async <Answer>(call: () => Promise<Answer>): Promise<Answer> => {
     const answer = life.aborted ? undefined : await call()
+    await new Promise<void>(resolve => process.whenRunning(resolve))
     return life.aborted || answer === undefined ? await new Promise<never>(() => {}) : answer
   }
   return {
--- a/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
@@ -31,6 +31,8 @@
   eventCount: (itemId: string) => number
   /** Asked once for each run. */
   nextTrouble: () => RunTrouble
+  /** Carries what the engine sends to the process that reads it. */
+  toReader: (action: () => void) => void
   /** Told of each answer to a run that is not a stream, repeated ones left out. */
   onStatus: (itemId: string, status: number) => void
 }
@@ -143,8 +145,25 @@
     else stream(handler, itemId, from, trouble)
   }
 
-  const dispatch = (request: { headers: string[] }, handler: Handler, isKept: boolean): boolean => {
+  /** What has come for a reader that has given the run up meanwhile is not read. */
+  const readerOf = (reader: Handler): Handler => {
+    let isAborted = false
+    const unlessAborted = (action: () => void): void => options.toReader(() => { if (!isAborted) action() })
+    return {
+      onConnect: abort => reader.onConnect(() => {
+        isAborted = true
+        abort()
+      }),
+      onHeaders: (status, rawHeaders) => unlessAborted(() => reader.onHeaders(status, rawHeaders)),
+      onData: chunk => unlessAborted(() => reader.onData(chunk)),
+      onComplete: () => unlessAborted(reader.onComplete),
+      onError: error => unlessAborted(() => reader.onError(error))
+    }
+  }
+
+  const dispatch = (request: { headers: string[] }, reader: Handler, isKept: boolean): boolean => {
     const [, itemId, , from] = request.headers
+    const handler = readerOf(reader)
     open.set(handler, () => { handler.onError(new Error('broken')) })
     queueMicrotask(() => {
       handler.onConnect(() => end(handler))
--- a/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
@@ -1,9 +1,11 @@
 /**
  * Symptoms looked for: a completed text that lacks an event, has one twice or joins runs that do not fit, an item listed twice or
- * never. Sequences: runners claim, run, pause, save, release and take over items while engines answer wrongly, fall silent and
- * restart, writes are refused, lost or late, and agents are replaced, stopped, or taken for dead though they go on.
+ * never, a position that is written anew, an item that runs on after its job. Sequences: runners claim, run, pause, save, release and take over items while engines answer wrongly, fall silent and
+ * restart, writes are refused, lost or late, copies of the work are out of date and listed anew, and agents are replaced, stopped,
+ * stand still and go on, or are taken for dead though they go on. In some histories a client ends the job.
  */
 import fc from 'fast-check'
+import { resultKey } from '../../jobs/jobRows'
 import type { CallFate } from '../__fixtures__/memoryStore'
 import { createRunnerFleet, type RunnerFleet } from '../__fixtures__/runnerFleet'
 import type { RunTrouble } from '../__fixtures__/scriptedEngine'
@@ -11,13 +13,14 @@
 type Step =
   | { type: 'wait', ms: number }
   | { type: 'store', fate: CallFate, ms: number }
-  | { type: 'burst' | 'drain' | 'lapse', agent: number, ms: number }
+  | { type: 'burst' | 'drain' | 'lapse' | 'freeze' | 'lose_history', agent: number, ms: number }
   | { type: 'replace' | 'stop' | 'restart', agent: number }
 
 const AGENTS = 3
 const SLOTS = 3
 const MAX_ATTEMPTS = 3
 const SEED = Number(process.env.ITEM_HISTORIES_SEED ?? 20_263)
+const MAX_STEPS = 40
 const RUNS = Number(process.env.ITEM_HISTORIES ?? 100)
 const HEAL_STEP_MS = 5000
 const HEAL_STEPS = 40
@@ -32,6 +35,7 @@
   { weight: 5, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 10, max: 800 }) }) },
   { weight: 2, arbitrary: fc.record({ type: fc.constant('store' as const), fate, ms }) },
   { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('burst' as const, 'drain' as const, 'lapse' as const), agent, ms }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('freeze' as const, 'lose_history' as const), agent, ms: fc.integer({ min: 10, max: 9000 }) }) },
   { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('replace' as const, 'stop' as const, 'restart' as const), agent }) }
 )
 
@@ -53,7 +57,9 @@
   eventCounts: fc.array(fc.oneof(fc.integer({ min: 1, max: 6 }), fc.integer({ min: 7, max: 70 })), { minLength: 1, maxLength: 14 }),
   calls: fc.array(fate, { maxLength: 60 }),
   runs: fc.array(trouble, { minLength: 5, maxLength: 40 }),
-  steps: fc.array(step, { minLength: 5, maxLength: 40 })
+  steps: fc.array(step, { minLength: 5, maxLength: MAX_STEPS }),
+  /** A client ends the job after so many steps. */
+  endsAfter: fc.oneof({ weight: 4, arbitrary: fc.constant(undefined) }, { weight: 1, arbitrary: fc.nat({ max: MAX_STEPS }) })
 })
 
 async function take (fleet: RunnerFleet, step: Step): Promise<void> {
@@ -80,6 +86,8 @@
     burst: () => forAWhile(() => target.setOnline(SLOTS), () => target.setOnline(0)),
     drain: () => forAWhile(() => target.setReady(false), () => target.setReady(true)),
     lapse: () => forAWhile(() => target.setHeard(false), () => target.setHeard(true)),
+    freeze: () => 'ms' in step && target.freeze(step.ms),
+    lose_history: () => 'ms' in step && target.loseHistory(step.ms),
     replace: target.replace,
     stop: () => { target.stop().catch(() => {}) },
     restart: target.engine.restart
@@ -88,18 +96,31 @@
 }
 
 async function heal (fleet: RunnerFleet, itemCount: number): Promise<void> {
-  await fleet.clock.advanceAsync(HEAL_STEP_MS)
+  await fleet.clock.advanceAsync(2 * HEAL_STEP_MS)
   fleet.endTroubles()
   for (const target of fleet.agents) {
     target.setHeard(true)
     target.setOnline(0)
     target.setReady(true)
   }
-  for (let count = 0; count < HEAL_STEPS && fleet.job().listed.length < itemCount; count++) await fleet.clock.advanceAsync(HEAL_STEP_MS)
+  for (let count = 0; count < HEAL_STEPS && !fleet.job().ended && fleet.job().listed.length < itemCount; count++) await fleet.clock.advanceAsync(HEAL_STEP_MS)
   // Writes that come late may still change something.
   await fleet.clock.advanceAsync(HEAL_STEP_MS)
 }
 
+/** What has been listed once stays as it is. */
+function createPositionCheck (fleet: RunnerFleet): { look: () => void } {
+  const seen: Array<{ item: number, version: number | undefined }> = []
+  const versionOf = (item: number): number | undefined => fleet.store.row(resultKey(fleet.job().jobId, item))?.version
+  return {
+    look: () => {
+      const now = fleet.job().listed.map(({ item }) => ({ item, version: versionOf(item) }))
+      expect(now.slice(0, seen.length)).toEqual(seen)
+      seen.push(...now.slice(seen.length))
+    }
+  }
+}
+
 function mayBeGivenUp (fleet: RunnerFleet, itemId: string): boolean {
   const statuses = fleet.statuses.get(itemId) ?? []
   return statuses.includes(422) || statuses.filter(status => status === 500).length >= MAX_ATTEMPTS
@@ -108,14 +129,24 @@
 describe('batch runners', () => {
   // Guards against this: a result is listed as completed and its text is not the data of all events, once and in order.
   it('list each item once, with its whole text', async () => {
-    await fc.assert(fc.asyncProperty(history, async ({ eventCounts, calls, runs, steps }) => {
+    await fc.assert(fc.asyncProperty(history, async ({ eventCounts, calls, runs, steps, endsAfter }) => {
       const fleet = createRunnerFleet(AGENTS, { eventCounts, calls: [...calls], runs: [...runs] })
       try {
         await fleet.clock.advanceAsync(300)
-        for (const next of steps) await take(fleet, next)
+        const positions = createPositionCheck(fleet)
+        for (const [index, next] of steps.entries()) {
+          if (index === endsAfter) fleet.endJob()
+          await take(fleet, next)
+          positions.look()
+        }
         await heal(fleet, eventCounts.length)
+        positions.look()
         const results = await fleet.results()
-        expect(results.map(result => result.itemId).sort()).toEqual(eventCounts.map((_, index) => `item${index}`).sort())
+        const itemIds = results.map(result => result.itemId)
+        const expectedIds = eventCounts.map((_, index) => `item${index}`)
+        if (fleet.job().ended) expect(itemIds).toEqual([...new Set(itemIds)])
+        else expect(itemIds.sort()).toEqual(expectedIds.sort())
+        expect(fleet.agents.map(target => target.engine.running())).toEqual(fleet.agents.map(() => 0))
         for (const { itemId, outcome, output } of results) {
           if (outcome === 'completed') expect(output).toBe(fleet.expectedText(itemId))
           else expect(mayBeGivenUp(fleet, itemId)).toBe(true)
