Let go of items whose runs bring nothing at their engine

An item waited for ever at an engine that cannot do it, while other engines were free: an engine that answers each run for another request, with a body that is no stream, with a status that counts for nothing (404, 503 without proof), or that breaks off before the first event. A paused item is let go of after 0.8 or 3 s, but each run without an event, which come every 640 ms at most, paused it anew. Nor could such an item be given up after its age, since a living runner held it.

A run that its engine ends without an event now leaves the time since when the item is paused as it was. Runs that are cut for online requests still count from the cut.

--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -37,6 +37,8 @@
   /** Requests of online clients at the engine. */
   setOnline: (requests: number) => void
   setReady: (ready: boolean) => void
+  /** All runs at the engine go wrong so, before the script is asked; undefined follows the script again. */
+  setTrouble: (trouble: RunTrouble | undefined) => void
   /** The process stands still for so long, and the store takes it for dead meanwhile; its engine goes on. */
   freeze: (durationMs: number) => void
   /** What the process has copied is out of date for so long, and listed anew then. */
@@ -93,8 +95,10 @@
   store.put(jobKey(JOB_ID), newJob(items, { jobId: JOB_ID, account: undefined, host: 'h', path: '/jobs', nowMs: 0, dueMs: 600_000, expiryMs: 900_000, maxAttempts: 3 }))
   const agents = Array.from({ length: agentCount }, (_, index) => {
     const process = createProcessClock(clock)
+    let troubleOfAll: RunTrouble | undefined
     return createAgent({
       clock: process,
+      setTrouble: trouble => { troubleOfAll = trouble },
       store,
       name: `agent${index}`,
       lagMs: LAGS_MS[index % LAGS_MS.length],
@@ -103,7 +107,7 @@
         toReader: process.whenRunning,
         eventIntervalMs: EVENT_INTERVAL_MS,
         eventCount,
-        nextTrouble: () => script.runs.shift() ?? { trouble: 'none' },
+        nextTrouble: () => troubleOfAll ?? script.runs.shift() ?? { trouble: 'none' },
         onStatus: (itemId, status) => statuses.set(itemId, [...statuses.get(itemId) ?? [], status])
       })
     })
@@ -146,9 +150,10 @@
   name: string
   lagMs: number
   engine: ScriptedEngine
+  setTrouble: FleetAgent['setTrouble']
 }
 
-function createAgent ({ clock, store, name, lagMs, engine }: AgentParts): FleetAgent {
+function createAgent ({ clock, store, name, lagMs, engine, setTrouble }: AgentParts): FleetAgent {
   const { work, loseHistory } = store.follow(clock, lagMs)
   let incarnation = 0
   let online = 0
@@ -214,6 +219,7 @@
       agent.setHeard(false)
       clock.after(durationMs, () => agent.setHeard(true))
     },
+    setTrouble,
     loseHistory
   }
   return agent
--- a/packages/anvilarch-serving/src/runner/heldItems.ts
+++ b/packages/anvilarch-serving/src/runner/heldItems.ts
@@ -26,6 +26,7 @@
   /** Last event whose text the store has. */
   savedEventId: number
   savedAtMs: number
+  /** When it was last paused; a run that its engine ended without an event leaves this as it is. */
   pausedAtMs: number
   startedAtMs: number
   /** Up to where the pace of this run has been learned. */
--- a/packages/anvilarch-serving/src/runner/itemSteps.ts
+++ b/packages/anvilarch-serving/src/runner/itemSteps.ts
@@ -73,15 +73,28 @@
 export function createItemSteps (parts: StepParts): ItemSteps {
   const { clock, log, held } = parts
 
-  const pause = (entry: HeldItem, reason: string): void => {
+  const pauseSince = (entry: HeldItem, reason: string, pausedAtMs: number): void => {
     entry.run?.abort()
     entry.run = undefined
     entry.state = 'paused'
-    entry.pausedAtMs = clock.nowMs()
+    entry.pausedAtMs = pausedAtMs
     parts.metrics.itemRuns.inc({ outcome: 'paused' })
     log.info('item paused', { jobId: entry.jobId, itemId: entry.itemId, reason, lastEventId: entry.text.lastEventId })
   }
 
+  const pause = (entry: HeldItem, reason: string): void => pauseSince(entry, reason, clock.nowMs())
+
+  /** An item that this engine does not bring on counts as paused all the while, so that others get it in the end. */
+  const onInterrupted = (entry: HeldItem, reason: string, fromEventId: number): void => {
+    if (entry.text.lastEventId > fromEventId) {
+      pause(entry, reason)
+      return
+    }
+    entry.refusals.onFruitless()
+    parts.engineRefusals.onFruitless()
+    pauseSince(entry, reason, entry.pausedAtMs)
+  }
+
   const release = async (entry: HeldItem, reason: ReleaseReason): Promise<boolean> => {
     entry.run?.abort()
     entry.run = undefined
@@ -137,11 +150,7 @@
       elapsedMs: Math.round(clock.nowMs() - entry.startedAtMs)
     })
     if (end.end === 'interrupted') {
-      if (entry.text.lastEventId === fromEventId) {
-        entry.refusals.onFruitless()
-        parts.engineRefusals.onFruitless()
-      }
-      pause(entry, end.reason)
+      onInterrupted(entry, end.reason, fromEventId)
       return
     }
     if (end.end === 'completed') parts.pace.onItem(entry.tokens, entry.text.lastEventId)
@@ -207,6 +216,7 @@
       parts.onSlotFreed()
       return
     }
+    entry.pausedAtMs = clock.nowMs()
     if (items.err || items.val?.[place] === undefined) {
       log.warn('items of a job cannot be read', { jobId: job.jobId, reason: items.err ? items.val.reason : 'no object' })
       entry.state = 'paused'
