Count the tokens of jobs that wait for long at gateways that do not know them

More tokens could wait on a route than its limit allows. A gateway drops a reservation from the route's row 15 s after it was made if no job has come of it. Since gateways read jobs only when clients ask for them, a gateway that does not know a job took it for one that had never come, and dropped its reservation with the next acceptance, though its items still waited. In addition, the jobs that are read when the row seems full went through the cache of 1,000 jobs, where those read first may be pushed out by the rest of their partition.

A reservation is now given up for the lack of its job only when the store has told of all jobs of the row, and these are kept aside from the cache. The row therefore grows until it seems full; one of 300 reservations is looked through as well, so that it stays short of the limit of a row.

--- a/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
@@ -9,7 +9,7 @@
 }
 
 function known (...jobs: JobRecord[]): Parameters<typeof planReservation>[3] {
-  return { job: jobId => jobs.filter(record => record.jobId === jobId).map(record => ({ record, version: 1 }))[0] }
+  return { areAll: true, job: jobId => jobs.filter(record => record.jobId === jobId).map(record => ({ record, version: 1 }))[0] }
 }
 
 const WANTED: Reservation = { jobId: 'new', tokens: 400, reservedAtMs: 100_000 }
@@ -33,6 +33,11 @@
     expect(planReservation([old], WANTED, 700, known()).plan).toBe('reserve')
   })
 
+  it('counts an old reservation whose job has not been looked for', () => {
+    const old = { ...HELD, reservedAtMs: WANTED.reservedAtMs - RESERVATION_GRACE_MS - 1 }
+    expect(planReservation([old], WANTED, 700, { ...known(), areAll: false }).plan).toBe('full')
+  })
+
   it('finds a job that has reserved already', () => {
     expect(planReservation([WANTED], WANTED, 0, known()).plan).toBe('already_reserved')
   })
--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -2,11 +2,11 @@
 import { sleep } from 'anvilarch-utils'
 import type { Route } from '../model/types'
 import { newJob } from './jobRecord'
-import { JOB_TABLE, jobKey, recordRow, submissionObject } from './jobRows'
+import { decodeRecord, JOB_TABLE, jobKey, recordRow, submissionObject } from './jobRows'
 import { type JobParts, readJob } from './jobStore'
-import { planReservation, quotaKey, type Reservation, reservedTokens } from './quota'
+import { type KnownJobs, planReservation, quotaKey, type Reservation, reservedTokens } from './quota'
 import { encodeSubmission } from './submission'
-import type { JobItem } from './types'
+import type { JobItem, JobRecord } from './types'
 
 /** A job as a client hands it in. */
 export interface Submission {
@@ -24,6 +24,9 @@
  */
 export type AcceptOutcome = 'accepted' | 'over_limit' | 'refused' | 'unknown'
 
+/** A row of so many reservations has some 30 KB. */
+const MANY_RESERVATIONS = 300
+
 /** Pause between tries while the store refuses. */
 const RETRY_PAUSE_MS = 120
 
@@ -90,14 +93,15 @@
       const row = read.val.rows.find(candidate => candidate.key === key.key)
       const current = row === undefined ? [] : JSON.parse(row.value.toString()) as Reservation[]
       const wanted = { jobId: submission.jobId, tokens, reservedAtMs: parts.store.storeNowMs() ?? 0 }
-      // Only a row that seems full is worth finding out what of it still waits.
-      const seemsFull = reservedTokens(current) + tokens > route.waitingTokenLimit
-      if (seemsFull && !await refreshJobs(parts, current)) {
+      // Only a row that seems full or has grown long is worth finding out what of it still waits.
+      const seemsFull = reservedTokens(current) + tokens > route.waitingTokenLimit || current.length >= MANY_RESERVATIONS
+      const known = seemsFull ? await readJobs(parts, current) : { job: parts.work.job, areAll: false }
+      if (known === undefined) {
         if (parts.clock.nowMs() > untilMs) return 'refused'
         await sleep(parts.clock, RETRY_PAUSE_MS)
         continue
       }
-      const plan = planReservation(current, wanted, route.waitingTokenLimit, parts.work)
+      const plan = planReservation(current, wanted, route.waitingTokenLimit, known)
       if (plan.plan === 'already_reserved') return 'accepted'
       if (plan.plan === 'full') {
         parts.log.info('job over the limit of waiting tokens', { jobId: submission.jobId, tokens, waitingTokens: plan.waitingTokens, limitTokens: route.waitingTokenLimit })
@@ -116,12 +120,20 @@
   }
 }
 
-/** Reads the jobs of reservations. @returns whether the store has told of all of them */
-async function refreshJobs (parts: JobParts, reservations: readonly Reservation[]): Promise<boolean> {
+/** Reads the jobs of reservations, which may be more than the copy holds. @returns them all, or undefined if the store has not told of all */
+async function readJobs (parts: JobParts, reservations: readonly Reservation[]): Promise<KnownJobs | undefined> {
   const partitions = new Set(reservations.map(reservation => jobKey(reservation.jobId).partition))
   const reads = await Promise.all([...partitions].map(partition => parts.store.readRows({ table: JOB_TABLE, partition })))
-  for (const read of reads) if (read.ok) read.val.rows.forEach(parts.work.learn)
-  return reads.every(read => read.ok)
+  const reserved = new Set(reservations.map(reservation => reservation.jobId))
+  const jobs = new Map<string, { record: JobRecord }>()
+  for (const read of reads) {
+    if (read.err) return undefined
+    for (const row of read.val.rows) {
+      const record = reserved.has(row.key) ? decodeRecord<JobRecord>(row) : undefined
+      if (record !== undefined) jobs.set(row.key, { record })
+    }
+  }
+  return { job: jobId => jobs.get(jobId), areAll: true }
 }
 
 async function createJob (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -8,7 +8,7 @@
 import type { RowKey } from '../store/types'
 import { waitingTokens } from './jobRecord'
 import { QUOTA_TABLE } from './jobRows'
-import type { WorkTable } from './workTable'
+import type { JobRecord } from './types'
 
 /** A job that counts against the limit. */
 export interface Reservation {
@@ -18,6 +18,13 @@
   reservedAtMs: number
 }
 
+/** What is known of the jobs of reservations. */
+export interface KnownJobs {
+  job: (jobId: string) => { record: JobRecord } | undefined
+  /** Whether a job that is not known does not exist; a gateway knows only what it has lately read. */
+  areAll: boolean
+}
+
 /** What a reservation comes to. */
 export type ReservationPlan =
   | { plan: 'reserve', reservations: Reservation[] }
@@ -52,23 +59,23 @@
  * @param current - jobs that hold tokens, from the row
  * @param wanted - the new job
  * @param limitTokens - most tokens that may wait
- * @param work - the copy of all jobs, which tells what of each reservation still waits
+ * @param known - tells what of each reservation still waits
  * @returns the next list of reservations, or how many tokens wait when the job does not fit
  */
 export function planReservation (
-  current: readonly Reservation[], wanted: Reservation, limitTokens: number, work: Pick<WorkTable, 'job'>
+  current: readonly Reservation[], wanted: Reservation, limitTokens: number, known: KnownJobs
 ): ReservationPlan {
   if (current.some(reservation => reservation.jobId === wanted.jobId)) return { plan: 'already_reserved' }
   const still = current
-    .map(reservation => ({ ...reservation, tokens: stillWaiting(reservation, wanted.reservedAtMs, work) }))
+    .map(reservation => ({ ...reservation, tokens: stillWaiting(reservation, wanted.reservedAtMs, known) }))
     .filter(reservation => reservation.tokens > 0)
   const waiting = still.reduce((sum, reservation) => sum + reservation.tokens, 0)
   if (waiting + wanted.tokens > limitTokens) return { plan: 'full', waitingTokens: waiting }
   return { plan: 'reserve', reservations: [...still, wanted] }
 }
 
-function stillWaiting (reservation: Reservation, nowMs: number, work: Pick<WorkTable, 'job'>): number {
-  const job = work.job(reservation.jobId)
+function stillWaiting (reservation: Reservation, nowMs: number, known: KnownJobs): number {
+  const job = known.job(reservation.jobId)
   if (job !== undefined) return Math.min(reservation.tokens, waitingTokens(job.record))
-  return nowMs - reservation.reservedAtMs > RESERVATION_GRACE_MS ? 0 : reservation.tokens
+  return known.areAll && nowMs - reservation.reservedAtMs > RESERVATION_GRACE_MS ? 0 : reservation.tokens
 }
