Read the items of a job again when they could not be read

An item that was claimed while the object with its job's items came with other bytes was never run: the decoder threw within the claim, the item stayed on its way into a run for as long as its runner lived, and a slot was kept free for it.

Bytes that are no items are a failed read now, which is not kept, so that the item is run at a later try.

Evidence: takeOver.test.ts, three cases failed before and pass since.

--- a/packages/anvilarch-serving/src/jobs/resultReader.ts
+++ b/packages/anvilarch-serving/src/jobs/resultReader.ts
@@ -87,6 +87,7 @@
       if (read.err) return Err(read.val)
       if (read.val === undefined) return Ok(undefined)
       const items = decodeSubmission(read.val)
+      if (items === undefined) return Err({ reason: 'the items of a job are unreadable' })
       submissions.set(jobId, items)
       return Ok(items)
     }
--- a/packages/anvilarch-serving/src/jobs/submission.ts
+++ b/packages/anvilarch-serving/src/jobs/submission.ts
@@ -11,8 +11,13 @@
   return Buffer.from(JSON.stringify(encoded))
 }
 
-/** @returns the items as they were encoded */
-export function decodeSubmission (bytes: Buffer): JobItem[] {
-  const encoded = JSON.parse(bytes.toString()) as EncodedItem[]
-  return encoded.map(item => ({ ...item, body: Buffer.from(item.body, 'base64') }))
+/** @returns the items as they were encoded; undefined when the bytes are none, so that they are read again later */
+export function decodeSubmission (bytes: Buffer): JobItem[] | undefined {
+  try {
+    const encoded = JSON.parse(bytes.toString()) as EncodedItem[]
+    return encoded.map(item => ({ ...item, body: Buffer.from(item.body, 'base64') }))
+  } catch {
+    // The reader tells which job it is.
+    return undefined
+  }
 }
--- a/packages/anvilarch-serving/src/runner/__tests__/takeOver.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/takeOver.test.ts
@@ -1,4 +1,4 @@
-import { progressKey } from '../../jobs/jobRows'
+import { progressKey, submissionObject } from '../../jobs/jobRows'
 import { createRunnerFleet, type RunnerFleet } from '../__fixtures__/runnerFleet'
 
 const EVENT_COUNT = 40
@@ -31,3 +31,17 @@
     expect(await fleet.results()).toEqual([{ itemId: 'item0', outcome: 'completed', output: fleet.expectedText('item0') }])
   })
 })
+
+describe('an item that is claimed', () => {
+  // Guards against this: an answer with other bytes than the items of the job keeps the item from ever running.
+  it.each(['', '[{"id":"item0"', 'null'])('is run once the items of its job can be read, after %j', async bytes => {
+    fleet = createRunnerFleet(1, { eventCounts: [EVENT_COUNT], calls: [], runs: [] })
+    const whole = fleet.store.object(submissionObject('job'))
+    if (whole === undefined) throw new Error('the fleet has no job')
+    fleet.store.putObject(submissionObject('job'), Buffer.from(bytes))
+    await fleet.clock.advanceAsync(1000)
+    fleet.store.putObject(submissionObject('job'), whole)
+    await fleet.clock.advanceAsync(10_000)
+    expect(await fleet.results()).toEqual([{ itemId: 'item0', outcome: 'completed', output: fleet.expectedText('item0') }])
+  })
+})
