--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -52,6 +52,8 @@
   destroyed: boolean
   /** The client has closed its connection. */
   left: boolean
+  /** When the answer ended or was cut. */
+  endedAtMs: number | undefined
   /** Heads that were sent, and pieces after the end; more than one head, or any such piece, is a fault of the gateway. */
   headCount: number
   piecesAfterEnd: number
@@ -66,6 +68,8 @@
   removeEndpoints: () => void
   /** Takes the first endpoint away; another start of one may come in its place. */
   replaceEndpoint: (isListedAgain: boolean) => void
+  /** @returns endpoints that may be sent to and have not been */
+  untriedCount: () => number
   /** Ends the connection of the client as the end of a stop does. */
   stopNow: () => void
   /** Takes the key of the caller away. */
@@ -123,7 +127,7 @@
 export function forwardOnFakeClock (options: ForwardHarnessOptions = {}): ForwardHarness {
   const clock = createFakeClock()
   const sent: SentRequest[] = []
-  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false, left: false, headCount: 0, piecesAfterEnd: 0 }
+  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false, left: false, endedAtMs: undefined, headCount: 0, piecesAfterEnd: 0 }
   const endpoints = Array.from({ length: options.endpoints ?? 2 }, (_, index) => endpointNamed(`e${index + 1}`))
   let endpointCount = endpoints.length
   let placed: () => void = () => {}
@@ -193,10 +197,12 @@
       if (response.destroyed === true) return
       client.body += bytes?.toString() ?? ''
       client.ended = true
+      client.endedAtMs ??= clock.nowMs()
       clock.after(0, () => onClose())
     },
     destroy: () => {
       client.destroyed = true
+      client.endedAtMs ??= clock.nowMs()
       response.destroyed = true
       clock.after(0, () => onClose())
     }
@@ -277,6 +283,7 @@
       endpoints.shift()
       if (isListedAgain) endpoints.push(endpointNamed(`e${++endpointCount}`))
     },
+    untriedCount: () => endpoints.filter(({ id }) => !sent.some(({ endpoint }) => endpoint === id)).length,
     stopNow: () => { (response as unknown as ServerResponse).destroy() },
     takeKeyAway: () => { hasKey = false },
     quarantine: () => { isQuarantined = true },
