Cut answers that cannot be brought to their end in one place

Both client interfaces had a function of their own that cuts an answer which has begun, by a close or, where only the close would tell the end, by a reset. They now share the one of the older path in anvilarch-utils, which resets less: not where a length is announced. An answer that the platform's path cuts never has one.

No behaviour changes.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -1,7 +1,7 @@
 /** The HTTP server towards callers, with its graceful shutdown. */
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { type LifecycleManager, sleep } from 'anvilarch-utils'
+import { cutAnswer, type LifecycleManager, sleep } from 'anvilarch-utils'
 import { createIntentKeeper } from '../attempts/intents/intentKeeper'
 import { startIntentSweep } from '../attempts/intents/intentSweep'
 import type { RequestRunner } from '../attempts/types'
@@ -13,7 +13,6 @@
 import { createDispatchTable } from './dispatchTable'
 import { DEFAULT_OPTIONS, type FrontOptions, type FrontParts } from './frontParts'
 import { handleRequest, type HandlerParts } from './handleRequest'
-import { breakOff } from './http/breakOff'
 import { answerClientErrors } from './http/clientErrors'
 import { createGracefulCloser } from './http/gracefulClose'
 import { createCallerLimiter } from './limits/callerLimiter'
@@ -71,7 +70,7 @@
     isDraining: () => draining !== undefined
   }
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
-    handleRequest(parts, request, response).catch(() => { breakOff(response) })
+    handleRequest(parts, request, response).catch(() => { cutAnswer(response) })
   })
   answerClientErrors(server)
   const closer = createGracefulCloser(server, context.clock)
--- a/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
+++ b/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
@@ -1,8 +1,8 @@
 /** The completion routes of the OpenAI-style API. */
+import { cutAnswer } from 'anvilarch-utils'
 import type { WorkResult } from '../../attempts/types'
 import { errorBody } from '../http/errorResponse'
 import { createAnswerSink } from '../http/answerSink'
-import { breakOff } from '../http/breakOff'
 import { toCaller } from '../http/forwardedHeaders'
 import { parseJsonObject, readBody } from '../http/readBody'
 import { checkWorkClass } from '../http/requestHeaders'
@@ -55,7 +55,7 @@
   if (result.outcome === 'failed') {
     if (!sink.started()) throw result.error
     if (!sink.isEvents()) {
-      breakOff(response)
+      cutAnswer(response)
       return
     }
     response.write(`data: ${JSON.stringify(errorBody(result.error, requestId))}\n\n`)
--- a/packages/anvilarch-daemon/src/callers/handleRequest.ts
+++ b/packages/anvilarch-daemon/src/callers/handleRequest.ts
@@ -1,9 +1,8 @@
 /** Takes one HTTP request from its arrival to its answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { toAnvilarchError } from 'anvilarch-utils'
+import { cutAnswer, toAnvilarchError } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
 import type { DispatchTable } from './dispatchTable'
-import { breakOff } from './http/breakOff'
 import { sendError } from './http/errorResponse'
 import { bearerKeyOf, deadlineOf, requestIdOf } from './http/requestHeaders'
 import { lingerThenClose } from './http/unreadBody'
@@ -91,7 +90,7 @@
   if (typed.code === 'internal') parts.context.logger.error('a request failed in the gateway', { requestId, error: describe(error) })
   parts.context.metrics.refusals.inc({ class: 'front', reason: typed.code })
   if (response.headersSent || response.destroyed) {
-    breakOff(response)
+    cutAnswer(response)
     return
   }
   if (error instanceof MethodNotAllowed) response.setHeader('allow', error.allowed.join(', '))
--- a/packages/anvilarch-daemon/src/callers/http/answerSink.ts
+++ b/packages/anvilarch-daemon/src/callers/http/answerSink.ts
@@ -1,8 +1,7 @@
 /** Writes an answer to a caller as it comes, at the pace at which the caller reads. */
 import type { ServerResponse } from 'node:http'
-import type { Clock } from 'anvilarch-utils'
+import { type Clock, cutAnswer } from 'anvilarch-utils'
 import type { Headers, WorkSink } from '../../attempts/types'
-import { breakOff } from './breakOff'
 import { toCaller } from './forwardedHeaders'
 
 /** Options of `createAnswerSink`. */
@@ -61,7 +60,7 @@
       resolve()
     }
     const timer = clock.after(stallMs, () => {
-      breakOff(response)
+      cutAnswer(response)
       finish()
     })
     response.once('drain', finish)
--- a/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
+++ b/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
@@ -1,8 +1,7 @@
 /** Closes an HTTP server without cutting a request. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { type Clock, sleep } from 'anvilarch-utils'
-import { endsWithConnection } from './breakOff'
+import { type Clock, endsWithConnection, sleep } from 'anvilarch-utils'
 
 /** Closes one server. */
 export interface GracefulCloser {
--- a/packages/anvilarch-daemon/src/jobs/resultContent.ts
+++ b/packages/anvilarch-daemon/src/jobs/resultContent.ts
@@ -2,8 +2,7 @@
 import { once } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { OBJECT_NAMES, ROW_KEYS } from 'anvilarch-protocol'
-import { AnvilarchError, invariant } from 'anvilarch-utils'
-import { breakOff } from '../callers/http/breakOff'
+import { AnvilarchError, cutAnswer, invariant } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
 import { partRows } from './readJob'
 import { type FileRow, type JobRow, parseRow, type PartRow, type ResultKind } from './rows'
@@ -95,7 +94,7 @@
     }
   } catch (error) {
     if (!response.headersSent) throw error
-    breakOff(response)
+    cutAnswer(response)
     return
   }
   if (!response.headersSent) response.writeHead(200, { 'content-type': CONTENT_TYPE, ...headers })
--- a/packages/anvilarch-serving/src/requests/clientAnswer.ts
+++ b/packages/anvilarch-serving/src/requests/clientAnswer.ts
@@ -48,14 +48,3 @@
   response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': bytes.length })
   response.end(bytes)
 }
-
-/**
- * Cuts the connection of an answer that has begun, so that it does not look complete. To a client of HTTP/1.0 a close is the end of an
- * answer: its connection is reset. Others see that the last chunk is missing, and keep what was sent before.
- *
- * @param response - of the client's request
- */
-export function cutAnswer (response: ServerResponse): void {
-  if (!response.useChunkedEncodingByDefault) response.socket?.resetAndDestroy()
-  response.destroy()
-}
--- a/packages/anvilarch-serving/src/requests/requestEnd.ts
+++ b/packages/anvilarch-serving/src/requests/requestEnd.ts
@@ -1,6 +1,7 @@
 /** Ends one client request, once: its answer, its metrics and its line in the log. */
+import { cutAnswer } from 'anvilarch-utils'
 import { accountNameOf } from '../accounts/types'
-import { type ClosingNotice, cutAnswer, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
+import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from './clientAnswer'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { AnswerEnd } from '../telemetry/events'
 import type { TrafficEnd } from '../telemetry/trafficTally'
--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
-import { createSystemClock, SILENT_LOGGER } from 'anvilarch-utils'
-import { cutAnswer } from '../../requests/clientAnswer'
+import { createSystemClock, cutAnswer, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
 import { type ClientServer, createClientServer } from '../clientServer'
 
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,9 +1,8 @@
 /** The listener for clients: bounds what they send and how long they take, and answers bytes that are no request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Clock } from 'anvilarch-utils'
+import { type Clock, cutAnswer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
-import { cutAnswer } from '../requests/clientAnswer'
 import type { EventLog } from '../telemetry/events'
 
 /** A listener for clients. */
--- a/packages/anvilarch-daemon/src/callers/http/breakOff.ts
+++ b/packages/anvilarch-utils/src/cutAnswer.ts
@@ -1,4 +1,4 @@
-/** The end of an answer that can't be brought to its end. */
+/** Ends an HTTP answer that can't be brought to its end, so that it does not look complete. */
 import type { ServerResponse } from 'node:http'
 
 /**
@@ -10,12 +10,12 @@
 }
 
 /**
- * Cuts the connection of an answer that had begun. A caller sees by the length or the missing last chunk that the answer is not
+ * Cuts the connection of an answer that has begun. A caller sees by the length or the missing last chunk that the answer is not
  * whole, and keeps what was sent before; only where neither is there, the connection is reset.
  *
  * @param response - the answer
  */
-export function breakOff (response: ServerResponse): void {
+export function cutAnswer (response: ServerResponse): void {
   if (endsWithConnection(response)) response.socket?.resetAndDestroy()
   response.destroy()
 }
