Tell begun answers apart by their head, and keep wire names out of the harness of requests

boundary.test.ts was red: a header of the fixtures had the name of one on the platform's wire. And the histories of requests told a stream by its status and body, so that an answer that was no stream and had the same could pass for one; they ask now whether its head went out before the rest of it.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -50,6 +50,8 @@
   body: string
   ended: boolean
   destroyed: boolean
+  /** The head went out before the rest of the answer was there. */
+  begun: boolean
   /** The client has closed its connection. */
   left: boolean
   /** When the answer ended or was cut. */
@@ -127,7 +129,7 @@
 export function forwardOnFakeClock (options: ForwardHarnessOptions = {}): ForwardHarness {
   const clock = createFakeClock()
   const sent: SentRequest[] = []
-  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false, left: false, endedAtMs: undefined, headCount: 0, piecesAfterEnd: 0 }
+  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false, begun: false, left: false, endedAtMs: undefined, headCount: 0, piecesAfterEnd: 0 }
   const endpoints = Array.from({ length: options.endpoints ?? 2 }, (_, index) => endpointNamed(`e${index + 1}`))
   let endpointCount = endpoints.length
   let placed: () => void = () => {}
@@ -181,7 +183,7 @@
     useChunkedEncodingByDefault: true,
     on: (_event: string, listener: () => void) => { onClose = listener },
     setHeader: () => {},
-    flushHeaders: () => {},
+    flushHeaders: () => { client.begun = true },
     writeHead: (status: number) => {
       client.status = status
       client.headCount++
@@ -249,7 +251,7 @@
       decodeCredential: () => ({ credential: 'none' }),
       credentialScheme: 'Key',
       decodeRequest: () => { throw new Error('the head is decoded already') },
-      encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs), 'last-event-id', String(terms.lastEventId ?? '')],
+      encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs), 'go-on-after', String(terms.lastEventId ?? '')],
       decodeAnswer: headers => ({ requestId: headers.get('request-id'), signed: headers.has('signature'), notRun: headers.has('not-run') })
     },
     notice: { isLeaving: () => false },
--- a/packages/anvilarch-serving/src/requests/__fixtures__/scriptedEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/scriptedEndpoint.ts
@@ -61,7 +61,7 @@
 
 function eventText (id: number | string, data: string, style: EventStyle): string {
   const lines = [`id: ${id}`, `data: ${data}`, '', '']
-  if (style === 'with_version') lines.unshift('x-weight-versions: 7')
+  if (style === 'with_version') lines.unshift('version: 7')
   if (style === 'with_comments') lines.unshift(': alive', '')
   return lines.join(style === 'crlf' ? '\r\n' : '\n')
 }
--- a/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
@@ -273,18 +273,13 @@
       const { client } = played.harness
       checkRuns(played)
       checkRest(played)
-      if (isStream(played)) checkStream(played)
+      if (client.begun) checkStream(played)
       else if (!client.left && !played.isStopped) checkWhole(played)
       if (!client.left && !played.isStopped && hasFailed(played)) checkGivenUp(played)
     }), { seed: SEED, numRuns: RUNS })
   })
 })
 
-/** @returns whether the client has got events, or the head of them */
-function isStream ({ drawn, harness: { client }, runs }: Played): boolean {
-  return drawn.kind === 'stream' && client.status === 200 && !runs.some(run => run.whole?.body === client.body && run.whole.status === client.status)
-}
-
 function hasFailed ({ harness: { client } }: Played): boolean {
   return client.destroyed || (client.status ?? 0) >= 500
 }
