Take a request behind one that is answered without being taken

What callers saw: a client that sends requests at once, of which one has an expectation that nobody meets, got no answer to the request behind that one, and its connection stayed open.

Cause: Node.js answers such a request with 417 by itself. The turn of the request behind it was told by the close of the last request taken; its answer did not have the connection yet, which passed for the end of the connection.

Why it works: a request is taken when its answer gets the connection, whoever answered before it, and is told as closed when Node.js gives it up with the connection.

--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -82,4 +82,17 @@
     await until(() => clients.unfinishedRequests().length === 0)
     expect(taken.map(({ path }) => path)).toEqual(['/1'])
   })
+
+  // Guards against this: a request behind one that is answered without being taken is never answered.
+  it('are taken after one whose expectation nobody meets', async () => {
+    const socket = connect((clients.server.address() as AddressInfo).port, '127.0.0.1')
+    socket.on('error', () => {})
+    socket.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nExpect: other\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n')
+    await until(() => clients.unfinishedRequests().length === 2)
+    taken[0].response.end('first')
+    await until(() => taken.length === 2)
+    expect(taken[1].path).toBe('/3')
+    socket.destroy()
+    await until(() => clients.unfinishedRequests().length === 0)
+  })
 })
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -103,21 +103,21 @@
  * when the one before is whole; until then nothing tells that the client has left, and a cut does not reach the client.
  *
  * @param onRequest - takes a request
- * @returns takes a request once the one before on its connection has ended; not at all where the connection ends with that one
+ * @returns takes a request once its answer has the connection; not at all where the connection ends before
  */
 function createTurns (onRequest: ClientServerOptions['onRequest']): ClientServerOptions['onRequest'] {
-  const last = new WeakMap<Socket, ServerResponse>()
   return (request, response) => {
-    const before = last.get(request.socket)
-    last.set(request.socket, response)
-    if (response.socket !== null || before === undefined) {
+    if (response.socket !== null) {
       onRequest(request, response)
       return
     }
-    before.once('close', () => {
-      if (response.socket !== null) onRequest(request, response)
-      // Nobody else tells those who wait for the end of an answer that never gets the connection.
-      else response.emit('close')
+    // Nobody else tells those who wait for the end of an answer that never gets the connection.
+    const tellClosed = (): void => { response.emit('close') }
+    request.once('close', tellClosed)
+    response.once('socket', () => {
+      request.off('close', tellClosed)
+      // Node.js hands over the connection within the end of the answer before, whose listeners come first.
+      process.nextTick(() => onRequest(request, response))
     })
   }
 }
