Take no request whose client has ended its side

What callers saw: a client that sends two requests at once and ends its side while the first answer is on its way had its second request sent to an endpoint, though nothing could be answered any more.

Cause: answers without their end are cut when a client ends its side. One that does not have the connection yet is destroyed only when it gets it, and its request was taken then.

Why it works: a request whose answer has been cut is not taken.

--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import { createSystemClock, cutAnswer, SILENT_LOGGER } from 'anvilarch-utils'
@@ -95,4 +96,18 @@
     socket.destroy()
     await until(() => clients.unfinishedRequests().length === 0)
   })
+
+  // Guards against this: an endpoint gets a request of a client that has ended its side.
+  it('are not taken once the client has ended its side', async () => {
+    const { socket, closed } = await openClient('/1', '/2')
+    socket.pause()
+    taken[0].response.end(Buffer.alloc(32 * 1024 * 1024))
+    const ended = once(taken[0].response.socket as Socket, 'end')
+    socket.end()
+    await ended
+    socket.resume()
+    await until(closed)
+    await until(() => clients.unfinishedRequests().length === 0)
+    expect(taken.map(({ path }) => path)).toEqual(['/1'])
+  })
 })
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -117,7 +117,7 @@
     response.once('socket', () => {
       request.off('close', tellClosed)
       // Node.js hands over the connection within the end of the answer before, whose listeners come first.
-      process.nextTick(() => onRequest(request, response))
+      process.nextTick(() => { if (!response.destroyed) onRequest(request, response) })
     })
   }
 }
