Count the time of a request from its arrival, not from its turn

What callers saw: a request that a client sends before it has the answer to the one before got its time anew when it was taken: an endpoint was told 1,992 to 1,999 ms of 2,000 after the request had waited for some 800 ms, and the timeout of its route began so late, too.

Cause: requests of one connection are taken in turn, and the time of arrival was read when a request was taken.

Why it works: the listener notes when a head has arrived, and hands that on with the request.

--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -28,6 +28,8 @@
 export interface ClientCall {
   request: IncomingMessage
   response: ServerResponse
+  /** Local time at which the head of the request had arrived. */
+  arrivedAtMs: number
   forward: ForwardParts
   jobs: JobCalls
   configuration: ConfigurationHolder
@@ -44,8 +46,7 @@
  * @param call - as its head has come
  */
 export async function handleClient (call: ClientCall): Promise<void> {
-  const { request, response, forward, notice } = call
-  const arrivedAtMs = forward.clock.nowMs()
+  const { request, response, arrivedAtMs, forward, notice } = call
   if (await waitForConfiguration(call) === undefined) {
     sendOwnAnswer(response, { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }, notice)
     return
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -28,7 +28,8 @@
 export interface ClientServerOptions {
   log: EventLog
   clock: Clock
-  onRequest: (request: IncomingMessage, response: ServerResponse) => void
+  /** `arrivedAtMs`: local time at which the head had arrived, which may be long before the request is taken. */
+  onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void
 }
 
 /** How often the server looks for heads that take too long. */
@@ -62,7 +63,7 @@
     const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
     inProgress.set(response, { socket: request.socket, unfinished })
     response.on('close', () => inProgress.delete(response))
-    inTurn(request, response)
+    inTurn(request, response, unfinished.arrivedAtMs)
   })
   const answersOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
   // Node.js closes the connection of a client that has ended its side, which a client of HTTP/1.0 would take for the end of its answer.
@@ -106,9 +107,9 @@
  * @returns takes a request once its answer has the connection; not at all where the connection ends before
  */
 function createTurns (onRequest: ClientServerOptions['onRequest']): ClientServerOptions['onRequest'] {
-  return (request, response) => {
+  return (request, response, arrivedAtMs) => {
     if (response.socket !== null) {
-      onRequest(request, response)
+      onRequest(request, response, arrivedAtMs)
       return
     }
     // Nobody else tells those who wait for the end of an answer that never gets the connection.
@@ -117,7 +118,7 @@
     response.once('socket', () => {
       request.off('close', tellClosed)
       // Node.js hands over the connection within the end of the answer before, whose listeners come first.
-      process.nextTick(() => { if (!response.destroyed) onRequest(request, response) })
+      process.nextTick(() => { if (!response.destroyed) onRequest(request, response, arrivedAtMs) })
     })
   }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -147,10 +147,11 @@
   const clients = createClientServer({
     log,
     clock,
-    onRequest: (request, response) => {
+    onRequest: (request, response, arrivedAtMs) => {
       handleClient({
         request,
         response,
+        arrivedAtMs,
         forward,
         jobs,
         configuration: view.configuration,
