Count a failure that the same endpoint answers again as no attempt of an item

Cause: each failed run of an item used up one of its four attempts, wherever it ran. The four runs take some seven seconds. While one endpoint fails what it is given and the others are down or full, all four go to that one, also since a further run avoids the endpoints that failed the item: they are taken when no other one may be.

Evidence: itemAttempts.test.ts, 3 of 6 failed before. One endpoint fails, two are away for a minute: all of 3 items were final as failed.

A run counts as an attempt if its last endpoint answers the item with a failure for the first time, or if as many endpoints as the service has replicas have done so. What one endpoint answers again and again says as much of the endpoint as of the item. An item that all endpoints fail ends after its attempts as before, so does one whose service has one replica; runs that count for nothing are bounded by 16, some six minutes with their waits. An endpoint that was lost while it ran the item is avoided by the next run, but is none that has answered.

--- a/packages/anvilarch-daemon/src/attempts/requestTask.ts
+++ b/packages/anvilarch-daemon/src/attempts/requestTask.ts
@@ -35,7 +35,7 @@
   const recorder = createRecorder(context, request)
   const ledger = createAttemptLedger(request.requestId)
   const queue: RequestEvent[] = []
-  const takenBy = new Set<string>()
+  const takenBy: string[] = []
   let state: RequestState = createRequestState(request)
   let dispatching = false
   let backpressure: Promise<void> | undefined
@@ -76,7 +76,7 @@
     const step = stepRequest(state, event, facts())
     state = step.state
     if (before !== undefined && before.attemptId !== state.attempt?.attemptId) router.noteEnded(before.target, request.workClass)
-    if (state.attempt?.accepted === true) takenBy.add(state.attempt.target.key)
+    if (state.attempt?.accepted === true) noteTaken(state.attempt.target.key)
     for (const command of step.commands) {
       recorder.command(command)
       const handler = handlers[command.kind] as (command: RequestCommand) => void
@@ -84,6 +84,10 @@
     }
   }
 
+  const noteTaken = (key: string): void => {
+    if (takenBy.at(-1) !== key) takenBy.push(key)
+  }
+
   /** A fault of this program must not leave the caller without an answer. */
   const abandon = (error: unknown): void => {
     reader.leave()
@@ -93,7 +97,7 @@
       outcome: 'failed',
       error: toAnvilarchError(error, { code: 'internal', step: 'attempts.run', ran: 'unknown' }),
       attempts: state.attempts,
-      takenBy: [...takenBy]
+      takenBy
     })
   }
 
@@ -171,14 +175,14 @@
     stopWaiting?.()
     answered()
     ledger.ended(ended.outcome === 'failed' ? ended.ran : 'ran')
-    if (ended.outcome === 'failed') settle({ outcome: 'failed', error: toError(ended), attempts: state.attempts, takenBy: [...takenBy] })
+    if (ended.outcome === 'failed') settle({ outcome: 'failed', error: toError(ended), attempts: state.attempts, takenBy })
     else finish(ended.outputTokens).catch(abandon)
   }
 
   const finish = async (outputTokens: number): Promise<void> => {
     await backpressure
     const answer = await collector.finish()
-    settle({ outcome: 'completed', ...answer, attempts: state.attempts, outputTokens, takenBy: [...takenBy] })
+    settle({ outcome: 'completed', ...answer, attempts: state.attempts, outputTokens, takenBy })
   }
 
   const handlers: CommandHandlers = {
--- a/packages/anvilarch-daemon/src/attempts/types.ts
+++ b/packages/anvilarch-daemon/src/attempts/types.ts
@@ -42,7 +42,7 @@
   onOutput: (data: Uint8Array) => Promise<void> | void
 }
 
-/** How a request ended. `failed` says in its error whether the request ran; `takenBy` has the keys of endpoints whose agents took it. */
+/** How a request ended. `failed` says in its error whether the request ran; `takenBy` has the keys of endpoints whose agents took it, the last one last. */
 export type WorkResult =
   | { outcome: 'completed', status: number, headers: Headers, body: Uint8Array, attempts: number, outputTokens: number, takenBy: readonly string[] }
   | { outcome: 'failed', error: AnvilarchError, attempts: number, takenBy: readonly string[] }
--- a/packages/anvilarch-daemon/src/jobs/itemQueue.ts
+++ b/packages/anvilarch-daemon/src/jobs/itemQueue.ts
@@ -1,4 +1,5 @@
 /** The items of a leased part that wait to be run: fresh ones in file order, and ones put off until a time. */
+import { type ItemTries, UNTRIED } from './itemAttempts'
 import { hasItem, itemSetFromText } from './itemSet'
 import type { PartRow } from './rows'
 
@@ -8,19 +9,6 @@
   untilMs: number
 }
 
-/** How often an item was tried by this holder. */
-export interface ItemTries {
-  /** Runs that failed. */
-  runs: number
-  /** Times that it was put off without a run, since the last run. */
-  deferrals: number
-  /** Keys of the endpoints that took it in runs that failed. */
-  failedAt: ReadonlySet<string>
-}
-
-/** Shared, since most items never fail. */
-const NOWHERE: ReadonlySet<string> = new Set()
-
 /** The waiting items of one part. */
 export interface ItemQueue {
   /** @returns the next item that may be run now, without taking it */
@@ -32,6 +20,7 @@
   /** Items that wait, whether they may be run now or not. */
   waiting: () => number
   tries: (index: number) => ItemTries
+  noteTries: (index: number, tries: ItemTries) => void
 }
 
 /**
@@ -68,10 +57,7 @@
     },
     defer: (index, untilMs) => { deferred.push({ index, untilMs }) },
     waiting: () => fresh + deferred.length,
-    tries: index => {
-      const known = tries.get(index) ?? { runs: 0, deferrals: 0, failedAt: NOWHERE }
-      tries.set(index, known)
-      return known
-    }
+    tries: index => tries.get(index) ?? UNTRIED,
+    noteTries: (index, changed) => { tries.set(index, changed) }
   }
 }
--- a/packages/anvilarch-daemon/src/jobs/partItems.ts
+++ b/packages/anvilarch-daemon/src/jobs/partItems.ts
@@ -3,6 +3,7 @@
 import type { RequestRunner, WorkResult } from '../attempts/types'
 import type { DaemonContext } from '../context'
 import type { ChunkLines } from './chunkLines'
+import { afterFailedRun, areUsedUp, type FailedRun, type RunBounds } from './itemAttempts'
 import { type Item, type ItemError, type ItemResponse, type ItemResult, parseItemLine, resultLine } from './itemLine'
 import { type ItemVerdict, judgeResult } from './itemOutcome'
 import { createItemQueue } from './itemQueue'
@@ -30,6 +31,14 @@
   target: BatchTarget
 }
 
+/** A run of an item that has ended. */
+interface EndedRun {
+  index: number
+  requestId: string
+  service: string
+  takenBy: readonly string[]
+}
+
 /** The items of one part. */
 export interface PartItems {
   next: (nowMs: number) => ReadyItem | undefined
@@ -53,6 +62,8 @@
 const UNKNOWN_MODEL_DELAY_MS = 8_000
 /** Attempts of an item while no configuration says otherwise. */
 const DEFAULT_ITEM_ATTEMPTS = 3
+/** Service of an item that names an unknown model. */
+const NO_SERVICE = ''
 /** Items looked at for one that can be started. */
 const LOOK_AHEAD_ITEMS = 16
 
@@ -92,49 +103,51 @@
     queue.defer(index, context.clock.nowMs() + Math.max(leastMs, context.random.jitter(delayMs, BACKOFF_JITTER)))
   }
 
-  const maxAttempts = (): number => context.configuration.current()?.document.limits.maxItemAttempts ?? DEFAULT_ITEM_ATTEMPTS
+  const boundsOf = (service: string): RunBounds => {
+    const document = context.configuration.current()?.document
+    return { maxAttempts: document?.limits.maxItemAttempts ?? DEFAULT_ITEM_ATTEMPTS, replicas: document?.services[service]?.replicas ?? 0 }
+  }
+
+  /** @returns whether the item may be run again */
+  const noteFailedRun = (index: number, service: string, run: FailedRun): boolean => {
+    const bounds = boundsOf(service)
+    const tries = afterFailedRun(queue.tries(index), run, bounds)
+    queue.noteTries(index, tries)
+    return !areUsedUp(tries, bounds)
+  }
 
-  const verdicts: { [Kind in ItemVerdict['verdict']]: (index: number, requestId: string, verdict: Extract<ItemVerdict, { verdict: Kind }>) => void } = {
-    answered: (index, requestId, verdict) => {
+  const verdicts: { [Kind in ItemVerdict['verdict']]: (ended: EndedRun, verdict: Extract<ItemVerdict, { verdict: Kind }>) => void } = {
+    answered: ({ index, requestId }, verdict) => {
       finish(index, 'output', { statusCode: verdict.statusCode, requestId, body: parseBody(verdict.body) }, null)
     },
-    failed: finishFailed,
-    run_again: (index, requestId, verdict) => {
-      const tries = queue.tries(index)
-      tries.runs += 1
-      tries.deferrals = 0
-      if (tries.runs >= maxAttempts()) finishFailed(index, requestId, verdict)
-      else backOff(index, tries.runs - 1, RUN_BACKOFF_MS, MAX_RUN_BACKOFF_MS)
+    failed: ({ index, requestId }, verdict) => { finishFailed(index, requestId, verdict) },
+    run_again: ({ index, requestId, service, takenBy }, verdict) => {
+      const mayRun = noteFailedRun(index, service, { takenBy, isAnswered: verdict.statusCode !== undefined })
+      if (mayRun) backOff(index, queue.tries(index).runs - 1, RUN_BACKOFF_MS, MAX_RUN_BACKOFF_MS)
+      else finishFailed(index, requestId, verdict)
     },
-    wait: (index, _requestId, verdict) => {
+    wait: ({ index }, verdict) => {
       const tries = queue.tries(index)
       backOff(index, tries.deferrals, WAIT_BACKOFF_MS, MAX_WAIT_BACKOFF_MS, verdict.retryAfterMs)
-      tries.deferrals += 1
+      queue.noteTries(index, { ...tries, deferrals: tries.deferrals + 1 })
     }
   }
 
-  const apply = (index: number, requestId: string, verdict: ItemVerdict): void => {
-    const handle = verdicts[verdict.verdict] as (index: number, requestId: string, verdict: ItemVerdict) => void
-    handle(index, requestId, verdict)
-  }
-
-  const judge = (index: number, requestId: string, result: WorkResult): void => {
+  const judge = (ended: EndedRun, result: WorkResult): void => {
     const verdict = judgeResult(result)
-    const tries = queue.tries(index)
-    if (verdict.verdict === 'run_again') tries.failedAt = new Set([...tries.failedAt, ...result.takenBy])
-    apply(index, requestId, verdict)
+    const handle = verdicts[verdict.verdict] as (ended: EndedRun, verdict: ItemVerdict) => void
+    handle(ended, verdict)
   }
 
   const unknownModel = (index: number, model: string): void => {
-    const tries = queue.tries(index)
-    tries.runs += 1
     queue.take(index)
-    if (tries.runs < maxAttempts()) {
+    const requestId = requestIdOf(index)
+    if (noteFailedRun(index, NO_SERVICE, { takenBy: [], isAnswered: false })) {
       queue.defer(index, context.clock.nowMs() + UNKNOWN_MODEL_DELAY_MS)
       return
     }
     const message = `No service takes batch work for the model "${model}".`
-    apply(index, requestIdOf(index), { verdict: 'failed', code: 'model_not_found', message })
+    finishFailed(index, requestId, { verdict: 'failed', code: 'model_not_found', message })
   }
 
   /** Unique for each run over all holders: an agent that refused an attempt bars its id. */
@@ -152,7 +165,7 @@
     const request = itemRequest(itemAt(ready.index), { requestId, caller: job.caller, target: ready.target, deadlineMs, avoid })
     const result = await options.runner.run(request, { signal: controller.signal }).catch(asFailed)
     running.delete(ready.index)
-    if (!controller.signal.aborted) judge(ready.index, requestId, result)
+    if (!controller.signal.aborted) judge({ index: ready.index, requestId, service: ready.target.service, takenBy: result.takenBy }, result)
     options.onRunEnded()
   }
 
