Load the model of an engine again after its crash while no order can come

Cause: an engine that was started again after a crash has no model until the holder of the placement lease orders it, and nobody can hold that lease while the table is down. Every engine that crashed in an outage stayed empty until some six seconds after it.

An agent now keeps the last order to load that an endpoint has taken, until the model is unloaded or the endpoint released. When a new process of the endpoint lacks that model, the document still names model and version for the service, and the lease row can't be read, the agent repeats the order with its own token, in turn with other orders. While the table answers, nothing changes: the holder orders the load, and paces loads over the fleet.

Fencing: the token is the one of the last order that the endpoint took through this agent, so that tokens at the endpoint don't go down. One that knows a newer order refuses, and the agent forgets the load; one that ignores tokens gets no order that was taken back. After a restart the agent knows no load and repeats none. Not kept in an outage: the bound on loads at a time, since nobody counts them; each engine that has crashed loads its own weights.

--- a/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
@@ -12,17 +12,29 @@
   let engine: EngineStandin
   let harness: AgentHarness
   let tableIsDown: boolean
+  let tableReads: number
   let rows: Map<string, string>
 
   const start = async (given: Partial<HarnessOptions> = {}, engineOptions: EngineStandinOptions = { preload: ['small:1'] }): Promise<void> => {
     tableIsDown = false
+    tableReads = 0
     rows = new Map([[ROW_KEYS.placementLease, JSON.stringify({ epoch: 5 })]])
     engine = await startEngineStandin({ engine: ENGINE, ...engineOptions })
     harness = await startAgentHarness({
-      endpoints: [{ name: 'engine', kind: 'model', url: engine.url }], table: { rows, isDown: () => tableIsDown }, ...given, options: { orderAnswerMs: 50, ...given.options }
+      endpoints: [{ name: 'engine', kind: 'model', url: engine.url }], table: { rows, isDown: isTableDown }, ...given, options: { orderAnswerMs: 50, ...given.options }
     })
   }
 
+  const isTableDown = (): boolean => {
+    tableReads++
+    return tableIsDown
+  }
+
+  const restartEngine = async (options: EngineStandinOptions = {}): Promise<void> => {
+    await engine.close()
+    engine = await startEngineStandin({ engine: ENGINE, port: engine.port, ...options })
+  }
+
   const order = async (action: string, token: number, fields: { service?: string, model?: string, version?: string } = {}) =>
     await harness.client.order({ endpoint: 'engine', fencingToken: BigInt(token), orderId: `${action}-${token}`, action, service: 'assistant', model: 'small', version: '1', adapters: [], ...fields })
 
@@ -88,6 +100,49 @@
     expect((await harness.client.exchange({ gateway: 'g', gatewayIncarnation: 'i', configurationVersion: 2n, quarantined: [] })).endpoints[0].service).toBe('assistant')
   })
 
+  // Guards against this: an engine that crashed stands idle for as long as the table is down, since nobody may give orders.
+  it('loads the model of the last order again after a crash while no order can come', async () => {
+    await start({}, { preload: [], checksFencing: true })
+    await order('load', 9)
+    await order('assign', 10, { service: 'assistant' })
+    await until(isReady)
+    tableIsDown = true
+    await restartEngine({ checksFencing: true })
+    await until(() => engine.models().length > 0)
+    await until(isReady)
+    expect(await run('after')).toMatchObject({ status: 200, final: { outcome: 'completed' } })
+    expect(engine.ledger().orders).toMatchObject([{ action: 'load', model: 'small', version: '1', fencingToken: 9, accepted: true }])
+  })
+
+  // Guards against this: loads of weights beyond those that the placement allows at a time.
+  it('leaves the load after a crash to the placement while the table answers', async () => {
+    await start({}, { preload: [] })
+    await order('load', 9)
+    await until(isReady)
+    const readsBefore = tableReads
+    await restartEngine()
+    await until(() => tableReads >= readsBefore + 3)
+    expect(engine.ledger().orders).toEqual([])
+    expect(await order('load', 9)).toMatchObject({ outcome: 'started' })
+    await until(isReady)
+  })
+
+  it('gives up a load after a crash that the engine refuses for a newer order', async () => {
+    await start({}, { preload: [] })
+    await order('load', 9)
+    await until(isReady)
+    tableIsDown = true
+    await engine.close()
+    const { port } = engine
+    engine = await startEngineStandin({ engine: ENGINE, port, checksFencing: true, preload: ['other:1'] })
+    await fetch(`${engine.url}/orders`, { method: 'POST', body: JSON.stringify({ action: 'load', model: 'other', version: '1', fencingToken: 50 }) })
+    await until(() => harness.context.timeline.query().some(event => event.event === 'orders.reload' && event.detail?.outcome === 'stale_fencing_token'))
+    const readsBefore = tableReads
+    await new Promise(resolve => { setTimeout(resolve, 1000) })
+    expect(tableReads).toBe(readsBefore)
+    expect(engine.models().map(loaded => loaded.model)).toEqual(['other'])
+  })
+
   it('unloads a model only after the attempts that need it have ended', async () => {
     await start()
     const running = run('long', { body: chat(200) })
--- a/packages/anvilarch-daemon/src/agent/orders.ts
+++ b/packages/anvilarch-daemon/src/agent/orders.ts
@@ -4,7 +4,9 @@
 import { sleep } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
 import type { EndpointTask } from './endpointTask'
+import type { EngineOrderResult } from './endpoints/types'
 import { type FencingEvent, type FencingVerdict, fencingStep, INITIAL_FENCING } from './fencing'
+import { afterOrder, isReloadDue, type LastLoad } from './lastLoad'
 
 /** Answer to an order. */
 export type OrderAnswer = MessageInitShape<typeof OrderResponseSchema>
@@ -13,6 +15,8 @@
 export interface Orders {
   order: (request: OrderRequest) => Promise<OrderAnswer>
   highestToken: () => number
+  /** Loads the model of the last order in force again at endpoints that have crashed, while nobody can give orders. */
+  reload: () => Promise<void>
 }
 
 type Outcome = { outcome: 'done' | 'started' } | { outcome: 'refused', reason: string }
@@ -31,6 +35,8 @@
   let fencing = INITIAL_FENCING
   let floorRead: Promise<void> | undefined
   const chains = new Map<string, { last: Promise<unknown>, waiting: number }>()
+  const lastLoads = new Map<string, LastLoad>()
+  let reloading = false
 
   const fence = (event: FencingEvent): FencingVerdict => {
     const step = fencingStep(fencing, event)
@@ -81,14 +87,28 @@
 
   const actions: Record<string, Action | undefined> = { load: callEngine, unload, assign }
 
-  const runInTurn = (task: EndpointTask, request: OrderRequest, action: Action): Promise<Outcome> => {
-    const chain = chains.get(request.endpoint) ?? { last: Promise.resolve(), waiting: 0 }
-    chains.set(request.endpoint, chain)
-    if (chain.waiting >= MAX_WAITING_ORDERS) return Promise.resolve({ outcome: 'refused', reason: 'endpoint_failed' })
+  const runInTurn = async <Result> (endpoint: string, run: () => Promise<Result>): Promise<Result | undefined> => {
+    const chain = chains.get(endpoint) ?? { last: Promise.resolve(), waiting: 0 }
+    chains.set(endpoint, chain)
+    if (chain.waiting >= MAX_WAITING_ORDERS) return undefined
     chain.waiting++
-    const result = chain.last.then(async () => await action(task, request)).finally(() => { chain.waiting-- })
+    const result = chain.last.then(run).finally(() => { chain.waiting-- })
     chain.last = result.catch(() => {})
-    return result
+    return await result
+  }
+
+  const noteLastLoad = (endpoint: string, last: LastLoad | undefined): void => {
+    if (last === undefined) lastLoads.delete(endpoint)
+    else lastLoads.set(endpoint, last)
+  }
+
+  const carryOut = async (task: EndpointTask, request: OrderRequest, action: Action): Promise<Outcome> => {
+    const outcome = await runInTurn(request.endpoint, async () => {
+      const result = await action(task, request)
+      if (result.outcome !== 'refused') noteLastLoad(request.endpoint, afterOrder(lastLoads.get(request.endpoint), request, task.health.incarnation()))
+      return result
+    })
+    return outcome ?? { outcome: 'refused', reason: 'endpoint_failed' }
   }
 
   const decide = async (request: OrderRequest): Promise<Outcome> => {
@@ -99,7 +119,7 @@
     const verdict = fence({ kind: 'order', token: Number(request.fencingToken) })
     if (verdict !== 'allowed') return { outcome: 'refused', reason: verdict }
     record('accepted', request)
-    return await orStarted(request, runInTurn(task, request, action))
+    return await orStarted(request, carryOut(task, request, action))
   }
 
   // An order may wait for one before it, or for attempts to end; whoever sent it must not wait as long.
@@ -117,7 +137,39 @@
     record(outcome.outcome, request, outcome.outcome === 'refused' ? { reason: outcome.reason } : {})
   }
 
+  const isDue = (endpoint: string, task: EndpointTask): boolean => {
+    const { health } = task
+    const probed = { isUp: health.state() === 'ready', incarnation: health.incarnation(), models: health.models() }
+    return isReloadDue(lastLoads.get(endpoint), probed, context.configuration.current()?.document)
+  }
+
+  // An order may have come meanwhile, so that what is due is looked at again in turn.
+  const reloadInTurn = async (endpoint: string, task: EndpointTask): Promise<void> => {
+    await runInTurn(endpoint, async () => {
+      const last = lastLoads.get(endpoint)
+      if (last === undefined || !isDue(endpoint, task)) return
+      const { model, version, adapters, fencingToken } = last
+      const outcome = await task.adapter.order({ action: 'load', model, version, adapters, fencingToken })
+      noteLastLoad(endpoint, AFTER_RELOAD[outcome](last, task.health.incarnation()))
+      context.timeline.record('orders.reload', { detail: { endpoint, model, version, token: fencingToken, outcome } })
+      context.logger.info('the last load was repeated after a crash', { endpoint, model, version, outcome })
+      await task.health.probe()
+    })
+  }
+
+  const reload = async (): Promise<void> => {
+    const due = [...tasks].filter(([endpoint, task]) => isDue(endpoint, task))
+    if (due.length === 0 || reloading) return
+    reloading = true
+    try {
+      if (!await canPlacementAct(context)) await Promise.all(due.map(async ([endpoint, task]) => { await reloadInTurn(endpoint, task) }))
+    } finally {
+      reloading = false
+    }
+  }
+
   return {
+    reload,
     order: async request => {
       const outcome = await decide(request)
       recordEnd(request, outcome)
@@ -127,6 +179,28 @@
   }
 }
 
+/** What is left to repeat, by the endpoint's answer. */
+const AFTER_RELOAD: Record<EngineOrderResult, (last: LastLoad, incarnation: string) => LastLoad | undefined> = {
+  done: (last, incarnation) => ({ ...last, incarnation }),
+  started: (last, incarnation) => ({ ...last, incarnation }),
+  // The endpoint knows an order that this agent does not.
+  stale_fencing_token: () => undefined,
+  endpoint_failed: last => last
+}
+
+/**
+ * While the table answers, the holder of the placement lease orders what is missing, and paces loads over the fleet. No
+ * gateway can have that lease for long without the table.
+ */
+async function canPlacementAct (context: DaemonContext): Promise<boolean> {
+  try {
+    await readLeaseEpoch(context)
+    return true
+  } catch {
+    return false
+  }
+}
+
 async function readLeaseEpoch (context: DaemonContext): Promise<number> {
   const [row] = await context.platform.table.read([ROW_KEYS.placementLease])
   if (row === null) return 0
--- a/packages/anvilarch-daemon/src/agent/startAgent.ts
+++ b/packages/anvilarch-daemon/src/agent/startAgent.ts
@@ -66,7 +66,10 @@
   }
   const workTick = createTick(clock, options.tickMs, runWorkTick)
 
-  const probeAll = async (): Promise<void> => { await Promise.all([...tasks.values()].map(async task => { await task.refresh() })) }
+  const probeAll = async (): Promise<void> => {
+    await Promise.all([...tasks.values()].map(async task => { await task.refresh() }))
+    if (!isDraining()) await orders.reload()
+  }
   const slowTick = createTick(clock, options.probeIntervalMs, afterPause => {
     // Retentions end, and the batch limit grows, also while no work is in progress.
     runWorkTick(afterPause)
