Keep an endpoint with the service of its last load after a crash

Cause: an endpoint without an order to assign it serves what its models fit exactly, or the service that it fitted last. The crash takes the models, and with them that memory.

The service that the last order to load was for now stands in while no service is fitted. As before, it counts only while the model of that service is there.

Evidence: agentControl.test.ts "goes on with the service of its last load after a crash" failed before.

--- a/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
@@ -114,6 +114,24 @@
     expect(engine.ledger().orders).toMatchObject([{ action: 'load', model: 'small', version: '1', fencingToken: 9, accepted: true }])
   })
 
+  // Guards against this: an endpoint that has its model again serves nothing, since its service got other adapters meanwhile.
+  it('goes on with the service of its last load after a crash', async () => {
+    await start({}, { preload: [] })
+    await order('load', 9)
+    await until(isReady)
+    tableIsDown = true
+    const { assistant } = TEST_DOCUMENT.services
+    offerDocument(harness.context, 2, {
+      ...TEST_DOCUMENT,
+      models: { small: { ...TEST_DOCUMENT.models.small, adapters: ['notes'] } },
+      services: { ...TEST_DOCUMENT.services, assistant: { ...assistant, adapters: ['notes'] } as typeof assistant }
+    })
+    await restartEngine()
+    await until(() => engine.models().length > 0)
+    await until(isReady)
+    expect((await run('after', { configurationVersion: 2n })).final?.outcome).toBe('completed')
+  })
+
   // Guards against this: loads of weights beyond those that the placement allows at a time.
   it('leaves the load after a crash to the placement while the table answers', async () => {
     await start({}, { preload: [] })
--- a/packages/anvilarch-daemon/src/agent/endpointTask.ts
+++ b/packages/anvilarch-daemon/src/agent/endpointTask.ts
@@ -33,6 +33,8 @@
   /** Service given by the last order. */
   assigned: () => string
   assign: (service: string) => void
+  /** Service that the last order to load was for; empty for none. */
+  loadFor: (service: string) => void
   /** Whether the endpoint could serve this service now. */
   refusalFor: (service: string, requestVersion: number) => TaskRefusal | undefined
   /** Takes an attempt in, or says why not. */
@@ -94,6 +96,7 @@
   const entries = new Map<string, Entry>()
   let assigned = ''
   let settled = ''
+  let loadedFor = ''
   let withdrawn: string | undefined
   /** Whether the last crash came while one attempt computed its prompt alone. */
   let crashCauseKnown = false
@@ -209,7 +212,7 @@
       version: context.configuration.version(),
       document: context.configuration.current()?.document
     }
-    settled = settledService(now, settled)
+    settled = settledService(now, settled === '' ? loadedFor : settled)
     return { ...now, settled }
   }
 
@@ -222,6 +225,7 @@
     health,
     assigned: () => assigned,
     assign: service => { assigned = service },
+    loadFor: service => { loadedFor = service },
     refusalFor: (service, requestVersion) => {
       if (health.state() !== 'ready') return { reason: 'endpoint_down', retryAfterMs: 0 }
       const reason = serviceRefusal(view(), service, requestVersion)
--- a/packages/anvilarch-daemon/src/agent/orders.ts
+++ b/packages/anvilarch-daemon/src/agent/orders.ts
@@ -98,6 +98,7 @@
   }
 
   const noteLastLoad = (endpoint: string, last: LastLoad | undefined): void => {
+    tasks.get(endpoint)?.loadFor(last?.service ?? '')
     if (last === undefined) lastLoads.delete(endpoint)
     else lastLoads.set(endpoint, last)
   }
