--- a/packages/anvilarch-bench/src/soak/relay/__tests__/silentRelay.test.ts
+++ b/packages/anvilarch-bench/src/soak/relay/__tests__/silentRelay.test.ts
@@ -2,9 +2,13 @@
 import { once } from 'node:events'
 import { type SilentRelay, startSilentRelay } from '../silentRelay'
 
+/** The tests end after 30 s. */
+const GIVE_UP_MS = 20_000
+
 describe('startSilentRelay', () => {
   let echo: Server
   let relay: SilentRelay
+  let sink: Server | undefined
   const clients: Socket[] = []
 
   beforeEach(async () => {
@@ -18,8 +22,18 @@
     for (const client of clients.splice(0)) client.destroy()
     await relay.close()
     await new Promise(resolve => { echo.close(resolve) })
+    sink?.close()
   })
 
+  /** Ends with the test when the condition never comes true, instead of keeping the event loop busy for good. */
+  const until = async (condition: () => boolean): Promise<void> => {
+    const giveUpMs = performance.now() + GIVE_UP_MS
+    while (!condition()) {
+      if (performance.now() > giveUpMs) throw new Error(`never came true: ${String(condition)}`)
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
+  }
+
   const open = (): Socket => {
     const [host, port] = relay.address.split(':')
     const client = connect(Number(port), host)
@@ -52,21 +66,21 @@
 
   test('passes on late what it held back, also when its sender has gone meanwhile', async () => {
     const received: string[] = []
-    const sink = createServer(socket => { socket.on('data', data => { received.push(String(data)) }) })
-    await new Promise<void>(resolve => { sink.listen(0, '127.0.0.1', resolve) })
-    relay.setTarget(`127.0.0.1:${(sink.address() as AddressInfo).port}`)
+    const receiver = createServer(socket => { socket.on('data', data => { received.push(String(data)) }) })
+    sink = receiver
+    await new Promise<void>(resolve => { receiver.listen(0, '127.0.0.1', resolve) })
+    relay.setTarget(`127.0.0.1:${(receiver.address() as AddressInfo).port}`)
     const old = open()
     old.write('early')
-    while (received.length < 1) await new Promise(resolve => { setImmediate(resolve) })
+    await until(() => received.length >= 1)
     const held = relay.hold()
     expect(held.connections).toBe(1)
     old.end('late')
     await once(old, 'finish')
     open().write('new')
-    while (received.length < 2) await new Promise(resolve => { setImmediate(resolve) })
+    await until(() => received.length >= 2)
     held.release()
-    while (received.length < 3) await new Promise(resolve => { setImmediate(resolve) })
+    await until(() => received.length >= 3)
     expect(received).toEqual(['early', 'new', 'late'])
-    sink.close()
   })
 })
--- a/packages/anvilarch-standins/src/fleet/__tests__/supervisor.test.ts
+++ b/packages/anvilarch-standins/src/fleet/__tests__/supervisor.test.ts
@@ -21,8 +21,17 @@
 }
 
 describe('createSupervisor', () => {
+  let supervisor: Supervisor
+
+  // A child that is started again and again would outlive a test that fails.
+  afterEach(async () => {
+    supervisor.retire()
+    supervisor.kill('SIGKILL')
+    await supervisor.ended()
+  })
+
   test('starts a process again that a request has crashed, until it is retired', async () => {
-    const supervisor = supervise(`process.exit(${CRASH_EXIT_CODE})`)
+    supervisor = supervise(`process.exit(${CRASH_EXIT_CODE})`)
     supervisor.spawn()
     await waitFor(() => supervisor.process.starts >= 3, { clock, timeoutMs: 20_000, what: 'three starts' })
     supervisor.retire()
@@ -30,7 +39,7 @@
   })
 
   test('leaves a process ended that ended otherwise', async () => {
-    const supervisor = supervise('setInterval(() => {}, 1000)')
+    supervisor = supervise('setInterval(() => {}, 1000)')
     supervisor.spawn()
     supervisor.kill('SIGKILL')
     expect(await supervisor.ended()).toEqual({ code: null, signal: 'SIGKILL' })
