--- a/packages/anvilarch-daemon/src/agent/orders.ts
+++ b/packages/anvilarch-daemon/src/agent/orders.ts
@@ -197,7 +197,8 @@
   try {
     await readLeaseEpoch(context)
     return true
-  } catch {
+  } catch (error) {
+    context.logger.warn('the placement lease row could not be read', { error: String(error) })
     return false
   }
 }
