--- a/packages/anvilarch-daemon/src/admission/__tests__/soloFirstToken.test.ts
+++ b/packages/anvilarch-daemon/src/admission/__tests__/soloFirstToken.test.ts
@@ -83,7 +83,7 @@
 
 describe('how long an endpoint is kept by the suspects of a crash', () => {
   it('is a first token each, not an answer each', () => {
-    // Before: 16 suspects of 2 s each, one after another, kept an endpoint for 32 s. Now: for 16 times 100 ms, beside other work.
+    // Guards against this: suspects run alone to their ends, one after another, and keep an endpoint from all other work meanwhile.
     const state = endpoint(32)
     const FIRST_TOKEN_MS = 100
     const ANSWER_MS = 2_000
--- a/packages/anvilarch-daemon/src/attempts/__tests__/wakingUp.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/__tests__/wakingUp.test.ts
@@ -5,7 +5,7 @@
 
   afterEach(async () => { await gateway.stop() })
 
-  // Guards against this: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324).
+  // Guards against this: an endpoint is given work long after the host list has said that it leaves.
   it('sends new work only once it has read the host list', async () => {
     gateway = await startTestGateway({ agents: [{ name: 'a1' }, { name: 'a2' }] })
     const [leaving] = gateway.directory.views
--- a/packages/anvilarch-daemon/src/attempts/machine/__tests__/waitingForTarget.test.ts
+++ b/packages/anvilarch-daemon/src/attempts/machine/__tests__/waitingForTarget.test.ts
@@ -39,7 +39,7 @@
 })
 
 describe('a request that had begun and finds no endpoint', () => {
-  // Guards against this: harmless calls beside a request that crashes endpoints end as `endpoint_failed` within two seconds of a crash, 15 s before their deadline, though an endpoint is ready again soon.
+  // Guards against this: harmless calls beside a request that crashes endpoints end as `endpoint_failed` soon after a crash, long before their deadline, though an endpoint is ready again soon.
   it('waits anew after each crash', () => {
     const request = createRequest()
     request.at(0, { kind: 'begin', suspect: false })
--- a/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
+++ b/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
@@ -201,7 +201,7 @@
     expect(agent.exchanges.flatMap(exchange => exchange.quarantined)).toEqual(['f1', 'f2'])
   })
 
-  // Guards against this: an endpoint is given work 6.5 s after the host list has said that it leaves (soak, seed 324).
+  // Guards against this: an endpoint is given work long after the host list has said that it leaves.
   it('reads the host list before it gives out work after a pause of its own process', async () => {
     const fleet = await startFleet(2)
     await fleet.clock.advanceAsync(5000)
--- a/packages/anvilarch-standins/src/fleet/__tests__/ports.test.ts
+++ b/packages/anvilarch-standins/src/fleet/__tests__/ports.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net'
 import { allocatePorts } from '../ports'
 
-// Guards against this: a fleet does not start, `EADDRINUSE`, when another one starts beside it (soak, seed 301).
+// Guards against this: a fleet does not start, `EADDRINUSE`, when another one starts beside it.
 const FIRST_GIVEN_AWAY = 32_768
 
 /** @returns the first of so many ports in a row that no process has; another fleet may run beside the test */
