Order a load again once its endpoint shows that it was lost

Cause: the holder of the placement lease took an order for under way until its effect showed, or for 60 s. The endpoint counted as loading for that minute. The same held for an order that waited with an agent that was replaced.

The agent now reports, for each endpoint, the last order that is over, once a probe that was sent after its end was answered. What such a report does not show was lost with the process that had it, whichever way that ended: a crash after or during the load, a crash while the order waited, a late refusal. The holder gives up an order that is settled without its effect, or whose agent was replaced; a load that shows as under way still counts, also at a host that cannot be reached, so that the limit of loads holds.

Weighed against giving up an order as soon as the endpoint is reported as not ready (trial, four lines): a crash and a restart between two reports are not seen by it.

Tests: two cases of a lost load (seen at once, and two steps late), one of a replaced agent; all three failed before. The histories of planPlacement draw engines that restart between two reports, and keep the limit of loads.

--- a/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
@@ -1,6 +1,6 @@
 import { ROW_KEYS } from 'anvilarch-protocol'
 import { type EngineStandin, type EngineStandinOptions, startEngineStandin } from 'anvilarch-standins'
-import { type AgentHarness, type HarnessOptions, offerDocument, readFrames, startAgentHarness, startMessage, TEST_DOCUMENT, until } from '../__fixtures__/agentHarness'
+import { type AgentHarness, type HarnessOptions, offerDocument, PROBE_INTERVAL_MS, readFrames, startAgentHarness, startMessage, TEST_DOCUMENT, until } from '../__fixtures__/agentHarness'
 
 const ENGINE = { baseStepMs: 5, perSequenceMs: 0, prefillPerTokenMs: 0, perThousandContextTokensMs: 0 }
 
@@ -78,6 +78,23 @@
     await until(() => harness.context.timeline.query().filter(event => event.event === 'orders.done').length === 1)
   })
 
+  // Guards against this: a load that is still to show counts as lost and is ordered twice, or a lost one counts as still to show.
+  it('reports an order as settled once the endpoint was asked after its end', async () => {
+    const settledOrder = (): string => harness.agent.state().endpoints[0].settledOrder
+    await start({}, { preload: ['small:1'] })
+    const running = run('long', { body: chat(200) })
+    await until(() => harness.events('long').includes('attempts.first_token'))
+    expect(await order('unload', 6)).toMatchObject({ outcome: 'started' })
+    await new Promise(resolve => { setTimeout(resolve, 2 * PROBE_INTERVAL_MS) })
+    expect(settledOrder()).toBe('')
+    await running
+    await until(() => settledOrder() === 'unload-6')
+    expect(harness.agent.state().endpoints[0].models).toEqual([])
+    await order('load', 7)
+    await restartEngine()
+    await until(() => settledOrder() === 'load-7' && harness.agent.state().endpoints[0].models.length === 0)
+  })
+
   it('passes the token on, and the refusal of an engine that knows a newer one', async () => {
     await start({}, { preload: ['small:1'], checksFencing: true })
     await fetch(`${engine.url}/orders`, { method: 'POST', body: JSON.stringify({ action: 'load', model: 'other', version: '1', fencingToken: 50 }) })
--- a/packages/anvilarch-daemon/src/agent/agentService.ts
+++ b/packages/anvilarch-daemon/src/agent/agentService.ts
@@ -87,6 +87,7 @@
     health: task.health.state(),
     models: task.health.models(),
     fencingToken: BigInt(Math.max(orders.highestToken(), task.health.fencingToken())),
-    load: { endpoint: task.settings.name, ...task.load() }
+    load: { endpoint: task.settings.name, ...task.load() },
+    settledOrder: orders.settledOrder(task.settings.name)
   }))
 }
--- a/packages/anvilarch-daemon/src/agent/endpointHealth.ts
+++ b/packages/anvilarch-daemon/src/agent/endpointHealth.ts
@@ -24,6 +24,10 @@
   incarnation: () => string
   models: () => LoadedModelState[]
   fencingToken: () => number
+  /** Probes sent so far. */
+  probesSent: () => number
+  /** Number of the probe, counted from one, whose answer is the newest. */
+  lastAnswered: () => number
   /** Asks the endpoint; calls made while an answer is awaited share it. */
   probe: () => Promise<ProbeResult>
   /** @returns what became of the process that had this incarnation */
@@ -44,6 +48,8 @@
   let models: LoadedModelState[] = []
   let fencingToken = 0
   let silentProbes = 0
+  let probesSent = 0
+  let lastAnswered = 0
   const inFlight = new Map<boolean, Promise<ProbeResult>>()
 
   const setDown = (detail: string): void => {
@@ -82,8 +88,10 @@
   const probe = (fresh: boolean): Promise<ProbeResult> => {
     const shared = inFlight.get(fresh)
     if (shared !== undefined) return shared
+    const sequence = ++probesSent
     const asked = adapter.probe(fresh).then(result => {
       inFlight.delete(fresh)
+      if (result.state !== 'silent') lastAnswered = Math.max(lastAnswered, sequence)
       note(result)
       return result
     })
@@ -96,6 +104,8 @@
     incarnation: () => incarnation,
     models: () => models,
     fencingToken: () => fencingToken,
+    probesSent: () => probesSent,
+    lastAnswered: () => lastAnswered,
     probe: async () => await probe(false),
     judge: async before => {
       const result = await probe(true)
--- a/packages/anvilarch-daemon/src/agent/orders.ts
+++ b/packages/anvilarch-daemon/src/agent/orders.ts
@@ -15,11 +15,21 @@
 export interface Orders {
   order: (request: OrderRequest) => Promise<OrderAnswer>
   highestToken: () => number
+  /** Id of the last order to an endpoint that is over, once the endpoint was asked again after it; empty before. */
+  settledOrder: (endpoint: string) => string
   /** Loads the model of the last order in force again at endpoints that have crashed, while nobody can give orders. */
   reload: () => Promise<void>
 }
 
 type Outcome = { outcome: 'done' | 'started' } | { outcome: 'refused', reason: string }
+
+/** An order that is over. */
+interface EndedOrder {
+  orderId: string
+  /** Probes that were sent to the endpoint before the end: their answers may lack what the order did. */
+  probesBefore: number
+}
+
 type Action = (task: EndpointTask, request: OrderRequest) => Promise<Outcome>
 
 const MAX_WAITING_ORDERS = 32
@@ -36,6 +46,7 @@
   let floorRead: Promise<void> | undefined
   const chains = new Map<string, { last: Promise<unknown>, waiting: number }>()
   const lastLoads = new Map<string, LastLoad>()
+  const endedOrders = new Map<string, EndedOrder>()
   let reloading = false
 
   const fence = (event: FencingEvent): FencingVerdict => {
@@ -59,7 +70,6 @@
     const token = Number(request.fencingToken)
     if (fence({ kind: 'apply', token }) !== 'allowed') return { outcome: 'refused', reason: 'stale_fencing_token' }
     const result = await task.adapter.order({ action: request.action as 'load' | 'unload', model: request.model, version: request.version, adapters: request.adapters, fencingToken: token })
-    task.health.probe().catch(() => {})
     return result === 'done' || result === 'started' ? { outcome: result } : { outcome: 'refused', reason: result }
   }
 
@@ -107,6 +117,8 @@
     const outcome = await runInTurn(request.endpoint, async () => {
       const result = await action(task, request)
       if (result.outcome !== 'refused') noteLastLoad(request.endpoint, afterOrder(lastLoads.get(request.endpoint), request, task.health.incarnation()))
+      endedOrders.set(request.endpoint, { orderId: request.orderId, probesBefore: task.health.probesSent() })
+      task.health.probe().catch(error => { context.logger.warn('an endpoint was not probed after an order', { endpoint: request.endpoint, error: String(error) }) })
       return result
     })
     return outcome ?? { outcome: 'refused', reason: 'endpoint_failed' }
@@ -176,7 +188,12 @@
       recordEnd(request, outcome)
       return { reason: '', ...outcome, fencingToken: BigInt(fencing.highestToken) }
     },
-    highestToken: () => fencing.highestToken
+    highestToken: () => fencing.highestToken,
+    settledOrder: endpoint => {
+      const ended = endedOrders.get(endpoint)
+      const answered = tasks.get(endpoint)?.health.lastAnswered() ?? 0
+      return ended !== undefined && answered > ended.probesBefore ? ended.orderId : ''
+    }
   }
 }
 
--- a/packages/anvilarch-daemon/src/placement/__fixtures__/simulatedFleet.ts
+++ b/packages/anvilarch-daemon/src/placement/__fixtures__/simulatedFleet.ts
@@ -11,13 +11,16 @@
   state: AgentView['state']
   health: 'ready' | 'crashed'
   service: string
+  /** Process of the agent. */
+  incarnation: string
+  settledOrder: string
   models: Array<{ model: string, version: string, adapters: string[], state: string }>
 }
 
 /** @returns engines without weights, spread over the failure domains */
 export function createEngines (count: number, failureDomains: string[]): SimulatedEngine[] {
   return Array.from({ length: count }, (_unused, index) => ({
-    name: `agent-${index}`, failureDomain: failureDomains[index % failureDomains.length], state: 'serving', health: 'ready', service: '', models: []
+    name: `agent-${index}`, failureDomain: failureDomains[index % failureDomains.length], state: 'serving', health: 'ready', service: '', incarnation: 'first', settledOrder: '', models: []
   }))
 }
 
@@ -28,13 +31,13 @@
     host: engine.name,
     address: engine.name,
     operationsAddress: '',
-    incarnation: 'i',
+    incarnation: engine.incarnation,
     failureDomain: engine.failureDomain,
     region: 'addis',
     state: engine.state,
     configurationVersion: 1,
     lastHeardMs: 0,
-    endpoints: [{ endpoint: 'engine', kind: 'model', service: engine.service, health: engine.health, models: engine.models.map(model => ({ ...model })), fencingToken: 0n } as unknown as EndpointState]
+    endpoints: [{ endpoint: 'engine', kind: 'model', service: engine.service, health: engine.health, models: engine.models.map(model => ({ ...model })), fencingToken: 0n, settledOrder: engine.settledOrder } as unknown as EndpointState]
   }))
 }
 
@@ -48,6 +51,11 @@
   assign: (engine, { service }) => { engine.service = service }
 }
 
+/** The process of an engine ends and another one is there at once, so that nobody finds it away. */
+export function restart (engine: SimulatedEngine): void {
+  engine.models = []
+}
+
 /** Ends every load in progress. */
 export function finishLoads (engines: SimulatedEngine[]): void {
   for (const engine of engines) engine.models = engine.models.map(model => ({ ...model, state: 'ready' }))
--- a/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import type { ConfigurationDocument } from 'anvilarch-configuration'
 import type { AgentView } from '../../membership/types'
-import { createEngines, documentOf, EFFECTS, finishLoads, type SimulatedEngine, type TestService, toViews } from '../__fixtures__/simulatedFleet'
+import { createEngines, documentOf, EFFECTS, finishLoads, restart, type SimulatedEngine, type TestService, toViews } from '../__fixtures__/simulatedFleet'
 import { planPlacement } from '../planPlacement'
 import { afterObserved, EMPTY_MEMORY, type SlotMemory, slotKey, toSlots } from '../slots'
 import type { PlannedOrder } from '../types'
@@ -34,8 +34,12 @@
   const orders = planPlacement(document, toSlots(views, holder.memory, holder.nowMs, BOUNDS))
   const sent = new Map(holder.memory.sent)
   for (const order of orders) {
-    sent.set(slotKey(order.agent, order.endpoint), { ...order, sentAtMs: holder.nowMs })
-    if (takes(order)) EFFECTS[order.action](engines.find(engine => engine.name === order.agent) as SimulatedEngine, order)
+    const engine = engines.find(found => found.name === order.agent) as SimulatedEngine
+    const orderId = `${order.agent} at ${holder.nowMs}`
+    sent.set(slotKey(order.agent, order.endpoint), { ...order, orderId, agentIncarnation: engine.incarnation, sentAtMs: holder.nowMs })
+    if (!takes(order)) continue
+    EFFECTS[order.action](engine, order)
+    engine.settledOrder = orderId
   }
   holder.orders = orders
   holder.memory = { ...holder.memory, sent }
@@ -93,6 +97,43 @@
     expect(holder.orders.map(order => order.action)).toEqual(['load'])
   })
 
+  // Guards against this: an engine whose process ended with a load stands idle until the order has timed out.
+  it.each([0, 2])('orders a load again once its endpoint shows that it was lost, seen %d steps late', lagSteps => {
+    const engines = createEngines(3, DOMAINS)
+    const document = documentOf({ writer: { replicas: 3 } }, 3)
+    const holder = newHolder(lagSteps)
+    step(holder, document, engines)
+    restart(engines[0])
+    for (let count = 0; count <= lagSteps; count++) step(holder, document, engines)
+    expect(holder.orders).toMatchObject([{ agent: engines[0].name, action: 'load' }])
+  })
+
+  // Guards against this: an order that waited with an agent ends with it, and its endpoint stands idle until the order has timed out.
+  it('orders a load again once the agent that has it was replaced', () => {
+    const engines = createEngines(3, DOMAINS)
+    const document = documentOf({ writer: { replicas: 3 } }, 3)
+    const holder = newHolder()
+    step(holder, document, engines, order => order.agent !== engines[0].name)
+    step(holder, document, engines)
+    expect(holder.orders).toEqual([])
+    engines[0].incarnation = 'second'
+    step(holder, document, engines)
+    expect(holder.orders).toMatchObject([{ agent: engines[0].name, action: 'load' }])
+  })
+
+  it('counts the load of an endpoint that cannot be reached', () => {
+    const engines = createEngines(2, DOMAINS)
+    const document = documentOf({ writer: { replicas: 1 } }, 1)
+    const holder = newHolder()
+    step(holder, document, engines)
+    const loading = engines.find(engine => engine.models.length > 0) as SimulatedEngine
+    loading.state = 'unreachable'
+    for (let waitedMs = 0; waitedMs < BOUNDS.loadHoldMs; waitedMs += STEP_MS) {
+      step(holder, document, engines)
+      expect(holder.orders).toEqual([])
+    }
+  })
+
   it('changes the version in place without leaving the service', () => {
     const engines = createEngines(3, DOMAINS)
     const holder = newHolder()
@@ -131,6 +172,7 @@
       fc.record({ kind: fc.constant('step' as const), lost: fc.boolean() }),
       fc.record({ kind: fc.constant('finish' as const) }),
       fc.record({ kind: fc.constant('crash' as const), engine: fc.nat(8) }),
+      fc.record({ kind: fc.constant('restart' as const), engine: fc.nat(8) }),
       fc.record({ kind: fc.constant('drain' as const), engine: fc.nat(8) }),
       fc.record({ kind: fc.constant('back' as const), engine: fc.nat(8) }),
       fc.record({ kind: fc.constant('document' as const), services })
@@ -144,6 +186,7 @@
         if (found.kind === 'finish') finishLoads(engines)
         if (found.kind === 'document') wanted = found.services
         if (found.kind === 'crash') Object.assign(engines[found.engine], { health: 'crashed', models: [] })
+        if (found.kind === 'restart') restart(engines[found.engine])
         if (found.kind === 'drain') Object.assign(engines[found.engine], { state: 'draining' })
         if (found.kind === 'back') Object.assign(engines[found.engine], { health: 'ready', state: 'serving' })
       }
--- a/packages/anvilarch-daemon/src/placement/slots.ts
+++ b/packages/anvilarch-daemon/src/placement/slots.ts
@@ -83,21 +83,33 @@
  */
 export function afterObserved (memory: SlotMemory, agents: AgentView[], nowMs: number, bounds: OrderBounds): SlotMemory {
   const states = new Map(agents.flatMap(agent => agent.endpoints.map(endpoint => [slotKey(agent.name, endpoint.endpoint), { agent, endpoint }])))
-  const isUsable = ({ agent, endpoint }: { agent: AgentView, endpoint: EndpointState }): boolean =>
+  const isUsable = ({ agent, endpoint }: FoundEndpoint): boolean =>
     agent.state === 'serving' && endpoint.health === 'ready'
   const gone = [...states].filter(([, state]) => !isUsable(state))
   const goneSinceMs = new Map(gone.map(([key]) => [key, memory.goneSinceMs.get(key) ?? nowMs]))
   const sent = new Map([...memory.sent].filter(([key, order]) => {
-    const endpoint = states.get(key)?.endpoint
-    return endpoint !== undefined && isUnderWay(endpoint, order, nowMs, bounds)
+    const state = states.get(key)
+    return state !== undefined && isUnderWay(state, order, nowMs, bounds)
   }))
   return { goneSinceMs, sent }
 }
 
-function isUnderWay (endpoint: EndpointState, order: SentOrder, nowMs: number, bounds: OrderBounds): boolean {
+/** An endpoint of the fleet, with its agent. */
+interface FoundEndpoint {
+  agent: AgentView
+  endpoint: EndpointState
+}
+
+function isUnderWay ({ agent, endpoint }: FoundEndpoint, order: SentOrder, nowMs: number, bounds: OrderBounds): boolean {
   const model = endpoint.models.find(found => found.model === order.model && found.version === order.version)
-  const isTaken = nowMs - order.sentAtMs < bounds.orderTimeoutMs || (order.action === 'load' && model?.state === 'loading')
-  return isTaken && !EFFECTS[order.action](order, endpoint, model)
+  if (EFFECTS[order.action](order, endpoint, model)) return false
+  if (order.action === 'load' && model?.state === 'loading') return true
+  return !isOver(agent, endpoint, order) && nowMs - order.sentAtMs < bounds.orderTimeoutMs
+}
+
+/** The process of the endpoint that took an order, or the agent with which it waited, may end before its effect shows. */
+function isOver (agent: AgentView, endpoint: EndpointState, order: SentOrder): boolean {
+  return endpoint.settledOrder === order.orderId || agent.incarnation !== order.agentIncarnation
 }
 
 /** How the effect of an order shows in what the endpoint reports. */
--- a/packages/anvilarch-daemon/src/placement/startPlacement.ts
+++ b/packages/anvilarch-daemon/src/placement/startPlacement.ts
@@ -7,7 +7,7 @@
 import type { AgentClients } from '../peers/types'
 import { planPlacement } from './planPlacement'
 import { afterObserved, EMPTY_MEMORY, type SlotMemory, slotKey, toSlots } from './slots'
-import type { PlannedOrder } from './types'
+import type { PlannedOrder, SentOrder } from './types'
 
 /** What placement works with. */
 export interface PlacementParts {
@@ -98,8 +98,9 @@
     const agent = parts.directory.get(order.agent)
     if (agent === undefined) return
     const key = slotKey(order.agent, order.endpoint)
-    held.memory = { ...held.memory, sent: new Map(held.memory.sent).set(key, { ...order, sentAtMs: clock.nowMs() }) }
-    const outcome = await callAgent(agent.address, order, epoch)
+    const sentOrder: SentOrder = { ...order, orderId: randomUUID(), agentIncarnation: agent.incarnation, sentAtMs: clock.nowMs() }
+    held.memory = { ...held.memory, sent: new Map(held.memory.sent).set(key, sentOrder) }
+    const outcome = await callAgent(agent.address, sentOrder, epoch)
     parts.directory.noteOrdered(order.agent)
     context.timeline.record('placement.order', { detail: { ...order, adapters: order.adapters.join(','), epoch, outcome } })
     context.logger.info('placement order', { agent: order.agent, endpoint: order.endpoint, action: order.action, service: order.service, model: order.model, outcome })
@@ -111,12 +112,12 @@
     held.pausedUntilMs.set(key, clock.nowMs() + options.refusedPauseMs)
   }
 
-  const callAgent = async (address: string, order: PlannedOrder, epoch: number | undefined): Promise<string> => {
+  const callAgent = async (address: string, order: SentOrder, epoch: number | undefined): Promise<string> => {
     invariant(epoch !== undefined, 'order_needs_epoch', () => `order ${order.action} to ${order.agent}/${order.endpoint} without a lease`)
-    const { endpoint, action, service, model, version, adapters } = order
+    const { orderId, endpoint, action, service, model, version, adapters } = order
     try {
       const response = await parts.clients.get(address, 'control').order(
-        { endpoint, fencingToken: BigInt(epoch), orderId: randomUUID(), action, service, model, version, adapters },
+        { endpoint, fencingToken: BigInt(epoch), orderId, action, service, model, version, adapters },
         { timeoutMs: ORDER_TIMEOUT_MS, signal: stopping.signal })
       return response.outcome === 'refused' ? response.reason : response.outcome
     } catch (error) {
--- a/packages/anvilarch-daemon/src/placement/types.ts
+++ b/packages/anvilarch-daemon/src/placement/types.ts
@@ -20,6 +20,9 @@
 
 /** An order that was sent and whose effect the endpoint has not reported yet. */
 export interface SentOrder extends PlannedOrder {
+  orderId: string
+  /** Process of the agent as it was known at the time of sending. */
+  agentIncarnation: string
   sentAtMs: number
 }
 
