Check in soaks that engines get their models back and that the service answers

A soak told a minute without any engine as 37 unfinished calls: its checks looked at calls that shared an engine with a crashing request, not at those that found none. Two checks more, with bounds from stated times, not from figures of a run:

- each process of an engine that stays for 20 s (the placement's grace of 10 s before an endpoint is replaced, and 10 s for a handover of the lease) has an order to load by then, unless its agent was away or the placement could not act;
- in no ten seconds with 20 calls or more does the model service answer none of them whole, unless another fault than crashing requests can cut calls.

Processes of engines are recorded only from here on.

--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -1,6 +1,7 @@
 import { call, evidence, execution, jobAnswer, submission } from '../../__fixtures__/evidence'
 import type { Evidence } from '../../types'
 import { checkEvidence, CHECKS } from '../checkEvidence'
+import { DOWN_MS, RELOAD_BOUND_MS } from '../serviceChecks'
 
 /** Names of the checks that found something. */
 function found (planted: Partial<Evidence>): string[] {
@@ -14,6 +15,9 @@
 const VERSION = { daemon: 'agent-1', processId: 7, atMs: 1000, version: 4 }
 const APPLY = { gateway: 'gateway-1', operator: 'a', sentAtMs: 1000, endedAtMs: 1100, status: 200, version: 5, hash: 'x' }
 const ORDERED = { endpoint: 'engine-1', processId: 7, atMs: 1000, action: 'load' }
+const IDLE_ENGINE = { endpoint: 'engine-1', processId: 7, firstSeenMs: 1000, lastSeenMs: 1000 + RELOAD_BOUND_MS }
+const REFUSED_CALLS = Array.from({ length: 20 }, (_unused, index) =>
+  call({ requestId: `call-${index}`, sentAtMs: 1000 + index, endedAtMs: 2000, told: 'refused', status: 503, code: 'unavailable', ran: 'not_run', retryAfterMs: 1000 }))
 const RUNNING = { state: 'running' as const, endedAtMs: undefined }
 
 /** A sound record of each kind, which no check may complain about. */
@@ -71,7 +75,9 @@
   'requests cut by a planned stop': { stops: [STOP], faults: [STOP_FAULT], calls: [call({ sentAtMs: 4000, endedAtMs: 6000, told: 'broken', code: 'UND_ERR_SOCKET' })] },
   'planned stops that did not end by themselves': { stops: [{ ...STOP, exitCode: null }] },
   'daemons that ended without being told to': { unplannedExits: [{ daemon: 'agent-1', atMs: 1000, exit: 'code 1' }] },
-  'invariant violations': { violations: [{ daemon: 'agent-1', processId: 7, name: 'item_has_one_result', count: 1 }] }
+  'invariant violations': { violations: [{ daemon: 'agent-1', processId: 7, name: 'item_has_one_result', count: 1 }] },
+  'engines that came back and got no order to load in time': { engineProcesses: [IDLE_ENGINE], orders: [{ ...ORDERED, atMs: IDLE_ENGINE.lastSeenMs + 1, fencingToken: 1 }] },
+  'ten seconds without a whole answer of the model service': { calls: REFUSED_CALLS }
 }
 
 describe('checkEvidence', () => {
@@ -125,6 +131,33 @@
     expect(found({ ...stopped, calls: [{ ...told, status: 502, code: 'outcome_unknown' }, other] })).toEqual(blamed)
   })
 
+  // Guards against this: a soak passes although an engine that crashed stands idle for a minute.
+  test('expects an order to load for each process of an engine, unless its agent was away or the placement could not act', () => {
+    const name = 'engines that came back and got no order to load in time'
+    const crashing = { fault: 'crashing_request', target: 'callers', injectedAtMs: 0, healedAtMs: 5000 }
+    const away = { fault: 'stop_agent', target: 'agent-1', injectedAtMs: 500, healedAtMs: 3000 }
+    const outage = { fault: 'table_outage', target: 'table', injectedAtMs: 500, healedAtMs: 3000 }
+    const loaded = { ...ORDERED, atMs: IDLE_ENGINE.firstSeenMs + RELOAD_BOUND_MS, fencingToken: 1 }
+    const engineProcesses = [IDLE_ENGINE]
+    expect(found({ engineProcesses, orders: [loaded], faults: [crashing] })).toEqual([])
+    expect(found({ engineProcesses, faults: [crashing] })).toEqual([name])
+    expect(found({ engineProcesses, orders: [{ ...loaded, processId: 8 }] })).toEqual([name])
+    expect(found({ engineProcesses, faults: [STOP_FAULT] })).toEqual([name])
+    expect(found({ engineProcesses, faults: [away] })).toEqual([name])
+    expect(found({ engineProcesses, faults: [away], leaves: [{ ...ENGINE_LEAVE, untilMs: 2000 }] })).toEqual([])
+    expect(found({ engineProcesses, faults: [outage] })).toEqual([])
+    expect(found({ engineProcesses: [{ ...IDLE_ENGINE, lastSeenMs: IDLE_ENGINE.lastSeenMs - 1 }] })).toEqual([])
+  })
+
+  test('takes a service for down when a whole window of calls has no whole answer, and not for crashes alone', () => {
+    const name = 'ten seconds without a whole answer of the model service'
+    const crashing = { fault: 'crashing_request', target: 'callers', injectedAtMs: 0, healedAtMs: 5000 }
+    expect(found({ calls: REFUSED_CALLS, faults: [crashing] })).toEqual([name])
+    expect(found({ calls: [...REFUSED_CALLS, call({ sentAtMs: 1000 + DOWN_MS - 1, endedAtMs: 1000 + DOWN_MS })] })).toEqual([])
+    expect(found({ calls: REFUSED_CALLS.slice(1) })).toEqual([])
+    expect(found({ calls: REFUSED_CALLS, faults: [{ ...crashing, fault: 'kill_engine', target: 'engine-1' }] })).toEqual([])
+  })
+
   test('does not expect the system to know what a lagging list of hosts does not show yet', () => {
     const leave = { ...ENGINE_LEAVE, by: 'host_list' as const }
     const lag = { fault: 'host_list_lag', target: 'hosts', injectedAtMs: 500, healedAtMs: 4000 }
--- a/packages/anvilarch-bench/src/soak/checker/checkEvidence.ts
+++ b/packages/anvilarch-bench/src/soak/checker/checkEvidence.ts
@@ -3,6 +3,7 @@
 import { CALL_CHECKS } from './callChecks'
 import { DAEMON_CHECKS } from './daemonChecks'
 import { JOB_CHECKS } from './jobChecks'
+import { SERVICE_CHECKS } from './serviceChecks'
 import type { Check } from './types'
 
 /** One count of a run, which must be 0. */
@@ -14,7 +15,7 @@
 }
 
 /** All checks, in the order in which they are printed. */
-export const CHECKS: readonly Check[] = [...JOB_CHECKS, ...CALL_CHECKS, ...DAEMON_CHECKS]
+export const CHECKS: readonly Check[] = [...JOB_CHECKS, ...CALL_CHECKS, ...DAEMON_CHECKS, ...SERVICE_CHECKS]
 
 const MAX_EXAMPLES = 5
 
--- a/packages/anvilarch-bench/src/soak/run/watchOrders.ts
+++ b/packages/anvilarch-bench/src/soak/run/watchOrders.ts
@@ -1,4 +1,4 @@
-/** Reads the orders that the engines have taken, again and again, since an engine that ends takes its list along. */
+/** Reads the orders that the engines have taken, again and again, since an engine that ends takes its list along, and notes their processes. */
 import { type EngineLedger, type Fleet, type FleetProcess } from 'anvilarch-standins'
 import { type Clock, sleep } from 'anvilarch-utils'
 import { Agent } from 'undici'
@@ -31,11 +31,18 @@
     if (processId === undefined) return
     const orders = await readOrders(spec.addresses.http, dispatcher)
     if (orders === undefined || engine.processId !== processId) return
+    noteSeen(spec.name, processId)
     evidence.orders = evidence.orders.filter(order => order.endpoint !== spec.name || order.processId !== processId)
     for (const { action, accepted, atMs, fencingToken } of orders) {
       if (accepted) evidence.orders.push({ endpoint: spec.name, processId, atMs, action, fencingToken })
     }
   }
+  const noteSeen = (endpoint: string, processId: number): void => {
+    const nowMs = clock.wallMs()
+    const known = evidence.engineProcesses.find(found => found.endpoint === endpoint && found.processId === processId)
+    if (known === undefined) evidence.engineProcesses.push({ endpoint, processId, firstSeenMs: nowMs, lastSeenMs: nowMs })
+    else known.lastSeenMs = nowMs
+  }
   const watch = async (engine: FleetProcess): Promise<void> => {
     while (!stopping.signal.aborted) {
       await read(engine)
--- a/packages/anvilarch-bench/src/soak/types.ts
+++ b/packages/anvilarch-bench/src/soak/types.ts
@@ -160,6 +160,14 @@
   fencingToken: number
 }
 
+/** A process of a model endpoint, and when it was seen. */
+export interface EngineProcess {
+  endpoint: string
+  processId: number
+  firstSeenMs: number
+  lastSeenMs: number
+}
+
 /** Everything that the checker reads. */
 export interface Evidence {
   calls: CallRecord[]
@@ -172,6 +180,7 @@
   stops: StopRecord[]
   unplannedExits: UnplannedExit[]
   orders: OrderRecord[]
+  engineProcesses: EngineProcess[]
   executions: Execution[]
 }
 
@@ -188,6 +197,7 @@
     stops: [],
     unplannedExits: [],
     orders: [],
+    engineProcesses: [],
     executions: []
   }
 }
