Look sooner at endpoints that are about to change

Cause: three looks in a row, each once a second: the agent's probe, the gateways' exchange and the placement's plan, and the exchange again until the loaded model shows.

Now, for ten seconds after an endpoint has begun to change: an agent asks it every 200 ms, gateways exchange with its agent every 250 ms (within their allowance for changing agents, 20 a second, as before), and the holder plans every 250 ms. The first exchange after an order comes at the next tick. An endpoint that stays away is asked once a second after that.

--- a/packages/anvilarch-daemon/src/agent/options.ts
+++ b/packages/anvilarch-daemon/src/agent/options.ts
@@ -6,6 +6,10 @@
   tickMs: number
   /** Period of the one tick that asks endpoints for their state. */
   probeIntervalMs: number
+  /** The period while an endpoint is about to come up or to have its model. */
+  changingProbeIntervalMs: number
+  /** An endpoint that goes on changing is asked no longer than this at the shorter period. */
+  changingMs: number
   /** An attempt that nobody reads is stopped after this long. A dropped connection alone stops nothing. */
   readerGraceMs: number
   /** Largest output frame. */
@@ -34,6 +38,8 @@
 export const DEFAULT_AGENT_OPTIONS: AgentOptions = {
   tickMs: 100,
   probeIntervalMs: 1000,
+  changingProbeIntervalMs: 200,
+  changingMs: 10_000,
   readerGraceMs: 10_000,
   maxFrameBytes: 64 * 1024,
   maxRetainedBytes: 64 * 1024 * 1024,
--- a/packages/anvilarch-daemon/src/agent/orders.ts
+++ b/packages/anvilarch-daemon/src/agent/orders.ts
@@ -39,9 +39,10 @@
  * @param context - shared parts of the daemon
  * @param tasks - the endpoints by name
  * @param answerMs - an order that takes longer goes on after it was answered as started
+ * @param onSettled - called when an endpoint was asked again after an order
  * @returns the orders of this agent
  */
-export function createOrders (context: DaemonContext, tasks: Map<string, EndpointTask>, answerMs: number): Orders {
+export function createOrders (context: DaemonContext, tasks: Map<string, EndpointTask>, answerMs: number, onSettled: () => void): Orders {
   let fencing = INITIAL_FENCING
   let floorRead: Promise<void> | undefined
   const chains = new Map<string, { last: Promise<unknown>, waiting: number }>()
@@ -118,7 +119,7 @@
       const result = await action(task, request)
       if (result.outcome !== 'refused') noteLastLoad(request.endpoint, afterOrder(lastLoads.get(request.endpoint), request, task.health.incarnation()))
       endedOrders.set(request.endpoint, { orderId: request.orderId, probesBefore: task.health.probesSent() })
-      task.health.probe().catch(error => { context.logger.warn('an endpoint was not probed after an order', { endpoint: request.endpoint, error: String(error) }) })
+      task.health.probe().then(onSettled, error => { context.logger.warn('an endpoint was not probed after an order', { endpoint: request.endpoint, error: String(error) }) })
       return result
     })
     return outcome ?? { outcome: 'refused', reason: 'endpoint_failed' }
--- a/packages/anvilarch-daemon/src/agent/startAgent.ts
+++ b/packages/anvilarch-daemon/src/agent/startAgent.ts
@@ -7,6 +7,7 @@
 import { createAgentService, endpointStates } from './agentService'
 import { createAttemptRegistry, type AttemptRegistry } from './attemptRegistry'
 import { HEARTBEAT_SHARE } from './attemptReader'
+import { createChangingProbes } from './changingProbes'
 import { createEndpointTask, type EndpointTask } from './endpointTask'
 import { createFramePump } from './framePump'
 import { type AgentOptions, DEFAULT_AGENT_OPTIONS } from './options'
@@ -34,6 +35,10 @@
   let drainStarted: { atMs: number, done: Promise<void>, handedBack: boolean } | undefined
   const isDraining = (): boolean => drainStarted !== undefined
 
+  const stopped = new AbortController()
+  // Each open session listens to it until the session ends; beyond ten, Node.js would warn of a leak.
+  setMaxListeners(0, stopped.signal)
+
   const suspects = createAgentSuspects(clock)
   const registry: AttemptRegistry = createAttemptRegistry({
     context,
@@ -49,7 +54,7 @@
   for (const endpoint of settings.agent.endpoints) {
     tasks.set(endpoint.name, createEndpointTask(context, endpoint, { onStarted: registry.noteStarted, onEnded: registry.noteEnded }))
   }
-  const orders = createOrders(context, tasks, options.orderAnswerMs)
+  const orders = createOrders(context, tasks, options.orderAnswerMs, () => { probeChanging() })
 
   const runWorkTick = (afterPause: boolean): boolean => {
     const nowMs = clock.nowMs()
@@ -65,6 +70,8 @@
     return registry.live() > 0 || pump.size() > 0
   }
   const workTick = createTick(clock, options.tickMs, runWorkTick)
+  const changingTick = createChangingProbes(context, tasks, options)
+  const probeChanging = (): void => { if (!stopped.signal.aborted) changingTick.start() }
 
   const probeAll = async (): Promise<void> => {
     await Promise.all([...tasks.values()].map(async task => { await task.refresh() }))
@@ -74,7 +81,7 @@
     // Retentions end, and the batch limit grows, also while no work is in progress.
     runWorkTick(afterPause)
     if (!afterPause) server.ping(clock.nowMs())
-    probeAll().catch(error => { context.logger.error('probe failed', { error: String(error) }) })
+    probeAll().then(probeChanging, error => { context.logger.error('probe failed', { error: String(error) }) })
     return true
   })
 
@@ -99,13 +106,11 @@
     start: probeAll,
     stop: async () => {
       slowTick.stop()
+      changingTick.stop()
       workTick.stop()
       await Promise.all([...tasks.values()].map(async task => { await task.close() }))
     }
   })
-  const stopped = new AbortController()
-  // Each open session listens to it until the session ends; beyond ten, Node.js would warn of a leak.
-  setMaxListeners(0, stopped.signal)
   const service = createAgentService({
     context,
     registry,
--- a/packages/anvilarch-daemon/src/membership/__fixtures__/fakeAgents.ts
+++ b/packages/anvilarch-daemon/src/membership/__fixtures__/fakeAgents.ts
@@ -18,6 +18,8 @@
   hash: string
   /** Models of its one model endpoint; none when it fronts no endpoint. */
   models?: Array<{ model: string, version: string, state: string }>
+  /** Of its endpoint; ready by default. */
+  health?: string
   /** `dead` refuses connections, `silent` never answers. */
   fault: 'none' | 'dead' | 'silent'
   /** Fingerprints that its exchanges name. */
@@ -83,7 +85,7 @@
     exchange: async (request: ExchangeRequest, { timeoutMs }: { timeoutMs: number }) => await answer(address, timeoutMs, agent => {
       agent.exchanges.push(request)
       return {
-        agent: `agent-${address}`, agentIncarnation: agent.incarnation, host: 'h', failureDomain: 'bole-hall', region: 'addis', configurationVersion: BigInt(agent.version), state: agent.state, endpoints: agent.models === undefined ? [] : [{ endpoint: 'engine', kind: 'model', service: '', health: 'ready', models: agent.models }], operationsAddress: 'o', suspects: agent.suspects ?? []
+        agent: `agent-${address}`, agentIncarnation: agent.incarnation, host: 'h', failureDomain: 'bole-hall', region: 'addis', configurationVersion: BigInt(agent.version), state: agent.state, endpoints: agent.models === undefined ? [] : [{ endpoint: 'engine', kind: 'model', service: '', health: agent.health ?? 'ready', models: agent.models }], operationsAddress: 'o', suspects: agent.suspects ?? []
       }
     }),
     pushConfiguration: async (offered: { version: bigint, hash: string, documentJson: string }, { timeoutMs }: { timeoutMs: number }) => await answer(address, timeoutMs, agent => {
--- a/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
+++ b/packages/anvilarch-daemon/src/membership/__tests__/startMembership.test.ts
@@ -95,6 +95,25 @@
     expect((countExchanges(fleet) - after) / 100).toBeLessThanOrEqual(4)
   })
 
+  // Guards against this: an engine that is back after a crash stands idle for seconds, since gateways ask for it too late.
+  it.each([{ health: 'crashed' }, { models: [{ model: 'm', version: '1', state: 'loading' }] }])('learns within half a second that an endpoint has changed, but asks no agent so often for ever (%j)', async change => {
+    const fleet = await startFleet(2)
+    const [agent] = fleet.agents
+    agent.models = []
+    await fleet.clock.advanceAsync(5000)
+    Object.assign(agent, change)
+    await fleet.clock.advanceAsync(3000)
+    agent.exchanges = []
+    Object.assign(agent, { health: 'ready', models: [{ model: 'm', version: '1', state: 'ready' }] })
+    await fleet.clock.advanceAsync(500)
+    expect(fleet.directory.get(`agent-${agent.address}`)?.endpoints).toMatchObject([{ health: 'ready', models: [{ state: 'ready' }] }])
+    Object.assign(agent, change)
+    await fleet.clock.advanceAsync(20_000)
+    agent.exchanges = []
+    await fleet.clock.advanceAsync(20_000)
+    expect(agent.exchanges.length).toBeLessThanOrEqual(21)
+  })
+
   it('asks an agent that is heard through replies less often, and shows the load that they carry', async () => {
     const fleet = await startFleet(2)
     fleet.agents[0].models = []
--- a/packages/anvilarch-daemon/src/membership/exchangeSchedule.ts
+++ b/packages/anvilarch-daemon/src/membership/exchangeSchedule.ts
@@ -5,15 +5,19 @@
  * agents would spend the whole processor share of a gateway on asking. Agents whose answer somebody waits for are asked
  * soon; all others share a small allowance, since replies to requests tell what matters of those that have work.
  */
-import type { MemberRecord } from './memberRecord'
+import { isChanging, type MemberRecord } from './memberRecord'
 
 /** Why an agent is asked. */
 export type ExchangeReason = 'unknown' | 'changing' | 'routine'
 
 /** Options of the schedule. */
 export interface ScheduleOptions {
-  /** Time between two exchanges with an agent in a small fleet, or with one whose state is changing. */
+  /** Time between two exchanges with an agent in a small fleet, or with one whose state has been changing for long. */
   intervalMs: number
+  /** Time between two exchanges with an agent whose state has begun to change. */
+  changingIntervalMs: number
+  /** An agent whose state goes on changing is asked no longer than this at the shorter interval. */
+  changingMs: number
   /** Time between two looks at the schedule. */
   tickMs: number
   /** Exchanges a second that this gateway does at most, by their reason. */
@@ -28,6 +32,8 @@
 
 /** Defaults of the schedule. */
 export const DEFAULT_OPTIONS: Omit<ScheduleOptions, 'intervalMs'> = {
+  changingIntervalMs: 250,
+  changingMs: 10_000,
   tickMs: 250,
   maxPerSecond: { unknown: 100, changing: 20, routine: 4 },
   maxConcurrent: 32,
@@ -44,6 +50,8 @@
 }
 
 const MS_PER_SECOND = 1000
+/** How long after an order its effect is looked for. */
+const EXPECT_MS = 10_000
 /** Largest exponent of the back-off for agents that do not answer. */
 const MAX_DOUBLINGS = 4
 
@@ -74,16 +82,17 @@
     return { record, reason: 'changing', dueMs: askedMs + Math.min(backedOffMs, stretchedMs) }
   }
   if (!record.answers) return { record, reason: 'unknown', dueMs: askedMs + options.tickMs }
-  if (isChanging(record) || record.expectedMs > askedMs) return { record, reason: 'changing', dueMs: askedMs + options.intervalMs }
+  if (record.orderedMs >= askedMs || isChangingSoon(record, options)) return { record, reason: 'changing', dueMs: askedMs + options.changingIntervalMs }
+  if (isChanging(record) || askedMs < record.orderedMs + EXPECT_MS) return { record, reason: 'changing', dueMs: askedMs + options.intervalMs }
   if (isShort && hasModelEndpoint(record)) return { record, reason: 'changing', dueMs: askedMs + options.intervalMs }
   const heardDueMs = record.view.lastHeardMs + stretchedMs
   const latestDueMs = record.exchangedMs + stretchedMs * options.heardStretch
   return { record, reason: 'routine', dueMs: Math.min(heardDueMs, latestDueMs) }
 }
 
-/** Whether an endpoint is about to come up or to have loaded its model, which requests or orders wait for. */
-function isChanging (record: MemberRecord): boolean {
-  return record.view.endpoints.some(endpoint => endpoint.health !== 'ready' || endpoint.models.some(model => model.state === 'loading'))
+/** An endpoint that has crashed is back within seconds, or stays away for long. */
+function isChangingSoon (record: MemberRecord, options: ScheduleOptions): boolean {
+  return record.changingSinceMs !== undefined && record.askedMs - record.changingSinceMs < options.changingMs
 }
 
 function hasModelEndpoint (record: MemberRecord): boolean {
--- a/packages/anvilarch-daemon/src/membership/memberRecord.ts
+++ b/packages/anvilarch-daemon/src/membership/memberRecord.ts
@@ -34,8 +34,10 @@
   doubtedMs: number
   /** When endpoints were met that did not work, by name. */
   downMs: ReadonlyMap<string, number>
-  /** Until when an order is expected to show in what the agent reports. */
-  expectedMs: number
+  /** Since when an endpoint has been about to come up or to have its model. */
+  changingSinceMs: number | undefined
+  /** When an order was last sent to it. */
+  orderedMs: number
   /** Up to where the quarantined fingerprints were sent to this incarnation. */
   quarantineSequence: number
 }
@@ -75,7 +77,8 @@
     exchangedMs: Number.NEGATIVE_INFINITY,
     doubtedMs: Number.NEGATIVE_INFINITY,
     downMs: new Map(),
-    expectedMs: Number.NEGATIVE_INFINITY,
+    changingSinceMs: undefined,
+    orderedMs: Number.NEGATIVE_INFINITY,
     quarantineSequence: 0
   }
 }
@@ -114,7 +117,7 @@
   if (outdated) return settled
   const sameIncarnation = response.agentIncarnation === record.view.incarnation
   const downMs = stillDown(record, sameIncarnation)
-  return withState({
+  return withState(withChange({
     ...settled,
     answers: true,
     exchangedMs: nowMs,
@@ -122,7 +125,19 @@
     downMs,
     quarantineSequence: sameIncarnation ? record.quarantineSequence : 0,
     view: { ...record.view, ...described(response), lastHeardMs: nowMs, endpoints: withDown(response.endpoints, downMs) }
-  })
+  }, nowMs))
+}
+
+/**
+ * @param record - an agent
+ * @returns whether an endpoint is about to come up or to have its model, which requests or orders wait for
+ */
+export function isChanging (record: MemberRecord): boolean {
+  return record.view.endpoints.some(endpoint => endpoint.health !== 'ready' || endpoint.models.some(model => model.state === 'loading'))
+}
+
+function withChange (record: MemberRecord, nowMs: number): MemberRecord {
+  return { ...record, changingSinceMs: isChanging(record) ? record.changingSinceMs ?? nowMs : undefined }
 }
 
 function described (response: ExchangeResponse): Partial<AgentView> {
@@ -192,7 +207,7 @@
  */
 export function afterEndpointDown (record: MemberRecord, endpoint: string, nowMs: number): MemberRecord {
   const downMs = new Map(record.downMs).set(endpoint, nowMs)
-  return { ...record, downMs, view: { ...record.view, endpoints: withDown(record.view.endpoints, downMs) } }
+  return withChange({ ...record, downMs, view: { ...record.view, endpoints: withDown(record.view.endpoints, downMs) } }, nowMs)
 }
 
 /**
@@ -210,16 +225,13 @@
   if (endpoint !== undefined) endpoint.load = load
 }
 
-/** How long after an order the agent is asked more often. */
-const EXPECT_MS = 10_000
-
 /**
  * @param record - before
  * @param nowMs - when an order was sent to it
  * @returns the record, whose agent is asked soon
  */
 export function afterOrdered (record: MemberRecord, nowMs: number): MemberRecord {
-  return { ...record, expectedMs: nowMs + EXPECT_MS }
+  return { ...record, orderedMs: nowMs }
 }
 
 function withState (record: MemberRecord): MemberRecord {
--- a/packages/anvilarch-daemon/src/placement/__tests__/startPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/startPlacement.test.ts
@@ -94,6 +94,22 @@
     expect(rig.orders.length).toBeLessThanOrEqual(rig.engines.length)
   })
 
+  // Guards against this: an engine that is back after a crash stands idle until the next routine plan.
+  it('orders a load within half a second of the return of an endpoint', async () => {
+    const rig = await start(4, 4)
+    rig.lease.epoch = 4
+    await rig.clock.advanceAsync(DEFAULT_OPTIONS.settleMs + 1000)
+    finishLoads(rig.engines)
+    await rig.clock.advanceAsync(60_000)
+    rig.engines[0].health = 'crashed'
+    rig.engines[0].models = []
+    await rig.clock.advanceAsync(2000)
+    rig.orders.length = 0
+    rig.engines[0].health = 'ready'
+    await rig.clock.advanceAsync(500)
+    expect(rig.orders.map(order => order.action)).toEqual(['load'])
+  })
+
   // Guards against this: the same weights are loaded on two endpoints for one replica.
   it('counts an order whose reply was lost until the endpoint reports', async () => {
     const rig = await start(1)
--- a/packages/anvilarch-daemon/src/placement/planPlacement.ts
+++ b/packages/anvilarch-daemon/src/placement/planPlacement.ts
@@ -33,7 +33,9 @@
   const loading = slots.filter(isLoading).length
   const round: Round = { plans: servicePlans(document, slots), free: [], orders: [], loadsLeft: Math.max(0, maxLoads - loading) }
   releaseSurplus(round, slots)
-  round.free = slots.filter(slot => isFree(slot, round.plans))
+  const kept = new Set(round.plans.flatMap(plan => plan.kept))
+  // A slot is free when no service counts on it; one whose service has other weights now is free for that service.
+  round.free = slots.filter(slot => takesOrders(slot) && !kept.has(slot))
   fillMissing(round)
   unloadUnused(round)
   const loads = round.orders.filter(order => order.action === 'load').length
@@ -86,7 +88,9 @@
 }
 
 function leastUsedDomain (candidates: Slot[], taken: Slot[]): Slot {
-  const inDomain = (slot: Slot): number => taken.filter(other => other.failureDomain === slot.failureDomain).length
+  const takenIn = new Map<string, number>()
+  for (const { failureDomain } of taken) takenIn.set(failureDomain, (takenIn.get(failureDomain) ?? 0) + 1)
+  const inDomain = (slot: Slot): number => takenIn.get(slot.failureDomain) ?? 0
   return candidates.reduce((best, slot) => inDomain(slot) < inDomain(best) ? slot : best)
 }
 
@@ -122,11 +126,6 @@
   else round.orders.push({ agent, endpoint, action: 'unload', service: slot.service, model: model.model, version: model.version, adapters: [] })
 }
 
-/** A slot is free when no service counts on it; one whose service has other weights now is free for that service. */
-function isFree (slot: Slot, plans: ServicePlan[]): boolean {
-  return takesOrders(slot) && !plans.some(plan => plan.kept.includes(slot))
-}
-
 /** Gives each service in turn one slot, the one with the smallest share of its replicas first. */
 function fillMissing (round: Round): void {
   const busy = new Set(round.orders.map(order => `${order.agent}/${order.endpoint}`))
--- a/packages/anvilarch-daemon/src/placement/slots.ts
+++ b/packages/anvilarch-daemon/src/placement/slots.ts
@@ -68,6 +68,17 @@
   }
 }
 
+/**
+ * @param memory - of the holder
+ * @param nowMs - the time
+ * @param bounds - on being gone
+ * @returns whether an endpoint may need an order, or show the effect of one, at any moment
+ */
+export function isChanging (memory: SlotMemory, nowMs: number, bounds: Pick<GoneBounds, 'graceMs'>): boolean {
+  const sinceMs = [...memory.goneSinceMs.values(), ...[...memory.sent.values()].map(order => order.sentAtMs)]
+  return sinceMs.some(startMs => nowMs - startMs < bounds.graceMs)
+}
+
 /** Bounds of an order under way. */
 export interface OrderBounds {
   /** An order that shows no sign of having been taken is given up after this time. */
--- a/packages/anvilarch-daemon/src/placement/startPlacement.ts
+++ b/packages/anvilarch-daemon/src/placement/startPlacement.ts
@@ -6,7 +6,7 @@
 import type { MutableDirectory } from '../membership/agentDirectory'
 import type { AgentClients } from '../peers/types'
 import { planPlacement } from './planPlacement'
-import { afterObserved, EMPTY_MEMORY, type SlotMemory, slotKey, toSlots } from './slots'
+import { afterObserved, EMPTY_MEMORY, isChanging, type SlotMemory, slotKey, toSlots } from './slots'
 import type { PlannedOrder, SentOrder } from './types'
 
 /** What placement works with. */
@@ -19,6 +19,8 @@
 /** Options of `startPlacement`. */
 export interface PlacementOptions {
   intervalMs: number
+  /** The interval while an endpoint has just gone, or has an order that does not show yet. */
+  changingIntervalMs: number
   /** A new holder first learns what the agents have and what its predecessor ordered. */
   settleMs: number
   /** How long an endpoint may be gone before it is replaced. */
@@ -33,7 +35,7 @@
 
 /** Defaults of placement. */
 export const DEFAULT_OPTIONS: PlacementOptions = {
-  intervalMs: 1000, settleMs: 3000, graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, refusedPauseMs: 5000
+  intervalMs: 1000, changingIntervalMs: 250, settleMs: 3000, graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, refusedPauseMs: 5000
 }
 
 /** An agent that takes longer to take an order is asked again with a later plan. */
@@ -126,6 +128,11 @@
     }
   }
 
+  const pauseMs = (): number => {
+    const { memory } = tenure ?? { memory: EMPTY_MEMORY }
+    return isChanging(memory, clock.nowMs(), options) ? options.changingIntervalMs : options.intervalMs
+  }
+
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       try {
@@ -133,7 +140,7 @@
       } catch (error) {
         context.logger.error('a round of placement failed', { error: String(error) })
       }
-      await sleep(clock, options.intervalMs, stopping.signal)
+      await sleep(clock, pauseMs(), stopping.signal)
     }
   }
 
