Give an order again soon when its agent did not answer

The same as a lost load, elsewhere: an order that got no answer counted as under way for 60 s, also when it never arrived, as on a connection that has gone silent. Its endpoint then stands idle for that minute.

An order without an answer is given up after 10 s unless its effect shows or its model is loading. To repeat one that arrived all the same does no harm: a load that is there is answered as such. The endpoint stays paused for the 5 s after a failed order, and counts as loading until the 10 s are over.

Test: an order that never arrives is given again; failed before.

--- a/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
@@ -8,7 +8,7 @@
 
 const SEED = 20261202
 const DOMAINS = ['bole-hall', 'kirkos-hall', 'arada-hall']
-const BOUNDS = { graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000 }
+const BOUNDS = { graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, unansweredTimeoutMs: 10_000 }
 const STEP_MS = 1000
 
 /** A holder of the lease: its memory, and how many loads were under way at most. */
@@ -36,7 +36,7 @@
   for (const order of orders) {
     const engine = engines.find(found => found.name === order.agent) as SimulatedEngine
     const orderId = `${order.agent} at ${holder.nowMs}`
-    sent.set(slotKey(order.agent, order.endpoint), { ...order, orderId, agentIncarnation: engine.incarnation, sentAtMs: holder.nowMs })
+    sent.set(slotKey(order.agent, order.endpoint), { ...order, orderId, agentIncarnation: engine.incarnation, sentAtMs: holder.nowMs, isAnswered: takes(order) })
     if (!takes(order)) continue
     EFFECTS[order.action](engine, order)
     engine.settledOrder = orderId
--- a/packages/anvilarch-daemon/src/placement/__tests__/startPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/startPlacement.test.ts
@@ -15,16 +15,17 @@
   lease: { epoch: number | undefined }
   /** The highest epoch that the agents have seen. */
   fence: { token: number }
-  /** Called when the plan reads the directory. */
-  hooks: { onPlan: () => void, loses: (order: OrderRequest) => boolean }
+  /** Called when the plan reads the directory; which orders have their reply lost, and which never arrive. */
+  hooks: { onPlan: () => void, loses: (order: OrderRequest) => boolean, drops: (order: OrderRequest) => boolean }
 }
 
 async function start (replicas: number, maxLoads = 2): Promise<Rig> {
   const clock = createFakeClock()
   const engines = createEngines(4, ['bole-hall', 'kirkos-hall'])
-  const rig: Rig = { clock, engines, orders: [], lease: { epoch: undefined }, fence: { token: 0 }, hooks: { onPlan: () => {}, loses: () => false } }
+  const rig: Rig = { clock, engines, orders: [], lease: { epoch: undefined }, fence: { token: 0 }, hooks: { onPlan: () => {}, loses: () => false, drops: () => false } }
   const order = async (request: OrderRequest): Promise<unknown> => {
     rig.orders.push(request)
+    if (rig.hooks.drops(request)) throw new Error('the connection was lost')
     if (Number(request.fencingToken) < rig.fence.token) return { outcome: 'refused', reason: 'stale_fencing_token', fencingToken: BigInt(rig.fence.token) }
     rig.fence.token = Number(request.fencingToken)
     const engine = engines[Number(requestAgent)]
@@ -110,6 +111,20 @@
     expect(rig.orders.map(order => order.action)).toEqual(['load'])
   })
 
+  // Guards against this: an endpoint whose order was lost on its way stands idle for a minute.
+  it('gives an order again soon when it never arrived', async () => {
+    const rig = await start(1)
+    rig.hooks.drops = () => true
+    rig.lease.epoch = 4
+    await rig.clock.advanceAsync(DEFAULT_OPTIONS.settleMs + 1000)
+    expect(rig.orders.map(order => order.action)).toEqual(['load'])
+    rig.hooks.drops = () => false
+    await rig.clock.advanceAsync(DEFAULT_OPTIONS.graceMs + DEFAULT_OPTIONS.intervalMs)
+    expect(rig.orders.map(order => order.action)).toEqual(['load', 'load'])
+    await rig.clock.advanceAsync(60_000)
+    expect(rig.engines.filter(engine => engine.models.length > 0)).toHaveLength(1)
+  })
+
   // Guards against this: the same weights are loaded on two endpoints for one replica.
   it('counts an order whose reply was lost until the endpoint reports', async () => {
     const rig = await start(1)
--- a/packages/anvilarch-daemon/src/placement/slots.ts
+++ b/packages/anvilarch-daemon/src/placement/slots.ts
@@ -81,8 +81,10 @@
 
 /** Bounds of an order under way. */
 export interface OrderBounds {
-  /** An order that shows no sign of having been taken is given up after this time. */
+  /** An order that the agent has taken and that shows no effect is given up after this time. */
   orderTimeoutMs: number
+  /** The same for an order that the agent did not answer. */
+  unansweredTimeoutMs: number
 }
 
 /**
@@ -115,7 +117,8 @@
   const model = endpoint.models.find(found => found.model === order.model && found.version === order.version)
   if (EFFECTS[order.action](order, endpoint, model)) return false
   if (order.action === 'load' && model?.state === 'loading') return true
-  return !isOver(agent, endpoint, order) && nowMs - order.sentAtMs < bounds.orderTimeoutMs
+  const timeoutMs = order.isAnswered ? bounds.orderTimeoutMs : bounds.unansweredTimeoutMs
+  return !isOver(agent, endpoint, order) && nowMs - order.sentAtMs < timeoutMs
 }
 
 /** The process of the endpoint that took an order, or the agent with which it waited, may end before its effect shows. */
--- a/packages/anvilarch-daemon/src/placement/startPlacement.ts
+++ b/packages/anvilarch-daemon/src/placement/startPlacement.ts
@@ -27,15 +27,17 @@
   graceMs: number
   /** How long the loads of an endpoint that is gone still count. */
   loadHoldMs: number
-  /** An order that shows no sign of having been taken by then is given up. */
+  /** An order that an agent has taken and that shows no effect by then is given up. */
   orderTimeoutMs: number
+  /** The same for an order that the agent did not answer. To repeat one that it got all the same does no harm. */
+  unansweredTimeoutMs: number
   /** An endpoint that refused an order gets no other one for this long. */
   refusedPauseMs: number
 }
 
 /** Defaults of placement. */
 export const DEFAULT_OPTIONS: PlacementOptions = {
-  intervalMs: 1000, changingIntervalMs: 250, settleMs: 3000, graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, refusedPauseMs: 5000
+  intervalMs: 1000, changingIntervalMs: 250, settleMs: 3000, graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, unansweredTimeoutMs: 10_000, refusedPauseMs: 5000
 }
 
 /** An agent that takes longer to take an order is asked again with a later plan. */
@@ -100,18 +102,19 @@
     const agent = parts.directory.get(order.agent)
     if (agent === undefined) return
     const key = slotKey(order.agent, order.endpoint)
-    const sentOrder: SentOrder = { ...order, orderId: randomUUID(), agentIncarnation: agent.incarnation, sentAtMs: clock.nowMs() }
+    const sentOrder: SentOrder = { ...order, orderId: randomUUID(), agentIncarnation: agent.incarnation, sentAtMs: clock.nowMs(), isAnswered: false }
     held.memory = { ...held.memory, sent: new Map(held.memory.sent).set(key, sentOrder) }
     const outcome = await callAgent(agent.address, sentOrder, epoch)
     parts.directory.noteOrdered(order.agent)
     context.timeline.record('placement.order', { detail: { ...order, adapters: order.adapters.join(','), epoch, outcome } })
     context.logger.info('placement order', { agent: order.agent, endpoint: order.endpoint, action: order.action, service: order.service, model: order.model, outcome })
-    if (outcome === 'done' || outcome === 'started') return
+    const isTaken = outcome === 'done' || outcome === 'started'
     const sent = new Map(held.memory.sent)
+    if (isTaken) sent.set(key, { ...sentOrder, isAnswered: true })
     // Whether a call without an answer was carried out shows in what the endpoint reports; until then it counts as sent.
-    if (outcome !== 'no_answer') sent.delete(key)
+    else if (outcome !== 'no_answer') sent.delete(key)
     held.memory = { ...held.memory, sent }
-    held.pausedUntilMs.set(key, clock.nowMs() + options.refusedPauseMs)
+    if (!isTaken) held.pausedUntilMs.set(key, clock.nowMs() + options.refusedPauseMs)
   }
 
   const callAgent = async (address: string, order: SentOrder, epoch: number | undefined): Promise<string> => {
--- a/packages/anvilarch-daemon/src/placement/types.ts
+++ b/packages/anvilarch-daemon/src/placement/types.ts
@@ -24,6 +24,8 @@
   /** Process of the agent as it was known at the time of sending. */
   agentIncarnation: string
   sentAtMs: number
+  /** Whether the agent answered. Otherwise it may have the order, or may never get it. */
+  isAnswered: boolean
 }
 
 /** A model endpoint as the plan sees it. */
