Count the loss of an endpoint as no attempt of the items that it ran

Cause, found in the model of itemAttempts.test.ts after endpoints that are lost with their items were added to it: a run that ended because its endpoint went down counted as an attempt, so that a few losses and one answer of a failing engine used up all four. Shortest history: for 6.5 s one endpoint fails everything, one is lost with whatever it takes and one is away.

A loss says nothing of the item: an item that crashes endpoints is condemned by its fingerprint, within its runs. So a run that ends as `unavailable` after an agent took it counts as none; runs without an attempt stay bounded by sixteen. Runs whose answer is not whole count as before.

All tests of jobs: 63 passed.

--- a/packages/anvilarch-daemon/src/jobs/__tests__/itemAttempts.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/itemAttempts.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check'
-import { createFakeClock, createRandom, type FakeClock, type Random, sleep } from 'anvilarch-utils'
+import { AnvilarchError, createFakeClock, createRandom, type FakeClock, type Random, sleep } from 'anvilarch-utils'
 import type { RequestRunner, WorkRequest, WorkResult } from '../../attempts/types'
 import type { DaemonContext } from '../../context'
 import { createFakeRunner } from '../__fixtures__/fakeRunner'
@@ -8,8 +8,8 @@
 import { createPartItems, type PartItems } from '../partItems'
 import type { JobRow, PartRow } from '../rows'
 
-/** What an endpoint does with items: it runs them, answers 500, or takes none. */
-type Behaviour = 'works' | 'fails' | 'away'
+/** What an endpoint does with items: it runs them, answers 500, takes none, or is lost with each that it takes. */
+type Behaviour = 'works' | 'fails' | 'away' | 'lost'
 
 const ENDPOINTS = ['e1', 'e2', 'e3']
 const MAX_ATTEMPTS = 4
@@ -65,6 +65,7 @@
     const { messages: [{ content }] } = JSON.parse(Buffer.from(request.call.body).toString()) as { messages: Array<{ content: string }> }
     await sleep(this.clock, RUN_MS)
     if (target === undefined) return answered(503, [])
+    if (this.behaviour.get(target) === 'lost') return lost(target)
     this.runs.set(content, (this.runs.get(content) ?? 0) + 1)
     return answered(this.behaviour.get(target) === 'fails' || content.startsWith('FAIL') ? 500 : 200, [target])
   }
@@ -95,7 +96,12 @@
   return { outcome: 'completed', status, headers: {}, body: Buffer.from('{}'), attempts: 1, outputTokens: 0, takenBy }
 }
 
-const behaviour = fc.constantFrom<Behaviour>('works', 'away')
+function lost (target: string): WorkResult {
+  const error = new AnvilarchError('the endpoint went down', { code: 'unavailable', step: 'test', ran: 'unknown' })
+  return { outcome: 'failed', error, attempts: 1, takenBy: [target] }
+}
+
+const behaviour = fc.constantFrom<Behaviour>('works', 'away', 'lost')
 const phase = fc.record({
   failing: fc.constantFrom('e1', 'e1', 'e1', 'none'),
   others: fc.tuple(behaviour, behaviour),
@@ -125,6 +131,18 @@
     expect([...world.kinds.values()]).toEqual(['output'])
   })
 
+  // Guards against this: an item is listed as failed by one endpoint, since others were lost with it before.
+  it('takes the loss of an endpoint for no attempt of the items that it ran', async () => {
+    const world = new World(['a', 'b'], SEED)
+    world.set(['away', 'lost', 'away'])
+    for (let run = 1; run < MAX_ATTEMPTS; run++) expect(await world.pass(2_000)).toBe(false)
+    world.set(['fails', 'away', 'away'])
+    expect(await world.pass(20_000)).toBe(false)
+    world.set(['works', 'away', 'away'])
+    expect(await world.pass(60_000)).toBe(true)
+    expect([...world.kinds.values()]).toEqual(['output', 'output'])
+  })
+
   it('does the items that can be done, whatever the other endpoints do beside one that fails', async () => {
     const property = fc.asyncProperty(fc.array(phase, { minLength: 1, maxLength: 8 }), fc.nat({ max: 1_000 }), async (phases, seed) => {
       const world = new World(['a', 'FAIL b', 'c', 'd', 'FAIL e', 'f'], seed)
--- a/packages/anvilarch-daemon/src/jobs/itemAttempts.ts
+++ b/packages/anvilarch-daemon/src/jobs/itemAttempts.ts
@@ -14,12 +14,14 @@
   answeredBy: ReadonlySet<string>
 }
 
+/** How a run failed: its endpoint answered with a failure, was lost, or gave no whole answer. */
+export type FailureKind = 'answered' | 'lost' | 'incomplete'
+
 /** A run that failed. */
 export interface FailedRun {
   /** Keys of the endpoints whose agents took it, the last one last. */
   takenBy: readonly string[]
-  /** Whether the last one answered with a failure; otherwise it was lost or gave no whole answer. */
-  isAnswered: boolean
+  kind: FailureKind
 }
 
 /** What bounds the runs of an item. */
@@ -40,7 +42,8 @@
 
 /**
  * One endpoint that answers with failures says as much of itself as of the item, however often it is asked. So a run that
- * it fails again counts as no attempt while other endpoints of the service have not been heard.
+ * it fails again counts as no attempt while other endpoints of the service have not been heard. The loss of an endpoint
+ * says nothing of the items that it ran; one that crashes endpoints is quarantined.
  *
  * @param tries - before the run
  * @param run - that failed
@@ -49,19 +52,20 @@
  */
 export function afterFailedRun (tries: ItemTries, run: FailedRun, bounds: RunBounds): ItemTries {
   const answeredBy = withAnswer(tries.answeredBy, run)
-  const isRepeat = run.isAnswered && run.takenBy.length > 0 && answeredBy === tries.answeredBy && answeredBy.size < bounds.replicas
+  const isRepeat = run.kind === 'answered' && answeredBy === tries.answeredBy && answeredBy.size < bounds.replicas
+  const isAttempt = run.takenBy.length === 0 || !(isRepeat || run.kind === 'lost')
   return {
     runs: tries.runs + 1,
-    attempts: tries.attempts + (isRepeat ? 0 : 1),
+    attempts: tries.attempts + (isAttempt ? 1 : 0),
     deferrals: 0,
     failedAt: new Set([...tries.failedAt, ...run.takenBy]),
     answeredBy
   }
 }
 
-function withAnswer (known: ReadonlySet<string>, { takenBy, isAnswered }: FailedRun): ReadonlySet<string> {
+function withAnswer (known: ReadonlySet<string>, { takenBy, kind }: FailedRun): ReadonlySet<string> {
   const last = takenBy.at(-1)
-  return !isAnswered || last === undefined || known.has(last) ? known : new Set([...known, last])
+  return kind !== 'answered' || last === undefined || known.has(last) ? known : new Set([...known, last])
 }
 
 /**
--- a/packages/anvilarch-daemon/src/jobs/itemOutcome.ts
+++ b/packages/anvilarch-daemon/src/jobs/itemOutcome.ts
@@ -1,6 +1,7 @@
 /** Decides what the end of one run means for an item: a result, a further run, or only a wait. */
 import type { AnvilarchError, ErrorCode } from 'anvilarch-utils'
 import type { WorkResult } from '../attempts/types'
+import type { FailureKind } from './itemAttempts'
 
 /** What to do with an item. */
 export type ItemVerdict =
@@ -23,6 +24,9 @@
   'quarantined', 'bad_request', 'too_large', 'method_not_allowed', 'unauthorized'
 ])
 
+/** The endpoint or its agent could not be reached any more, or went silent. */
+const LOST_CODE: ErrorCode = 'unavailable'
+
 const STATUS_TOO_MANY_REQUESTS = 429
 const STATUS_UNAVAILABLE = 503
 
@@ -34,6 +38,15 @@
   return result.outcome === 'completed' ? judgeStatus(result.status, result.body) : judgeError(result.error)
 }
 
+/**
+ * @param verdict - of a run that failed
+ * @returns how it failed
+ */
+export function failureKind ({ statusCode, code }: Extract<ItemVerdict, { verdict: 'run_again' }>): FailureKind {
+  if (statusCode !== undefined) return 'answered'
+  return code === LOST_CODE ? 'lost' : 'incomplete'
+}
+
 function judgeStatus (statusCode: number, body: Uint8Array): ItemVerdict {
   if (statusCode >= 200 && statusCode < 300) return { verdict: 'answered', statusCode, body }
   const code = `status_${statusCode}`
--- a/packages/anvilarch-daemon/src/jobs/partItems.ts
+++ b/packages/anvilarch-daemon/src/jobs/partItems.ts
@@ -5,7 +5,7 @@
 import type { ChunkLines } from './chunkLines'
 import { afterFailedRun, areUsedUp, type FailedRun, type RunBounds } from './itemAttempts'
 import { type Item, type ItemError, type ItemResponse, type ItemResult, parseItemLine, resultLine } from './itemLine'
-import { type ItemVerdict, judgeResult } from './itemOutcome'
+import { failureKind, type ItemVerdict, judgeResult } from './itemOutcome'
 import { createItemQueue } from './itemQueue'
 import { type BatchTarget, batchTargetOf, itemRequest } from './itemRequest'
 import type { JobRow, PartRow } from './rows'
@@ -122,7 +122,7 @@
     },
     failed: ({ index, requestId }, verdict) => { finishFailed(index, requestId, verdict) },
     run_again: ({ index, requestId, service, takenBy }, verdict) => {
-      const mayRun = noteFailedRun(index, service, { takenBy, isAnswered: verdict.statusCode !== undefined })
+      const mayRun = noteFailedRun(index, service, { takenBy, kind: failureKind(verdict) })
       if (mayRun) backOff(index, queue.tries(index).runs - 1, RUN_BACKOFF_MS, MAX_RUN_BACKOFF_MS)
       else finishFailed(index, requestId, verdict)
     },
@@ -142,7 +142,7 @@
   const unknownModel = (index: number, model: string): void => {
     queue.take(index)
     const requestId = requestIdOf(index)
-    if (noteFailedRun(index, NO_SERVICE, { takenBy: [], isAnswered: false })) {
+    if (noteFailedRun(index, NO_SERVICE, { takenBy: [], kind: 'incomplete' })) {
       queue.defer(index, context.clock.nowMs() + UNKNOWN_MODEL_DELAY_MS)
       return
     }
