Say in a soak which daemons stood still

The soak reads the daemons' own count of pauses now, prints it, and names the daemons that stood still beside each call that was held to its deadline. No check or bound changes.

--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -131,6 +131,14 @@
     expect(found({ ...stopped, calls: [{ ...told, status: 502, code: 'outcome_unknown' }, other] })).toEqual(blamed)
   })
 
+  // Guards against this: a soak on a busy machine cannot tell a fault of the system from processes that got no time.
+  test('says which daemons stood still while a call was held to its deadline', () => {
+    const held = call({ told: 'failed', status: 504, code: 'deadline_exceeded', ran: 'unknown' })
+    const pauses = [{ daemon: 'gateway-1', processId: 7, atMs: held.endedAtMs + 100, count: 2 }, { daemon: 'gateway-2', processId: 8, atMs: held.sentAtMs - 1, count: 1 }]
+    const [{ examples }] = checkEvidence(evidence({ calls: [held], pauses })).filter(({ count }) => count > 0)
+    expect(examples).toEqual([expect.stringMatching(/; gateway-1 stood still \(2\)$/)])
+  })
+
   // Guards against this: a soak passes although an engine that crashed stands idle for a minute.
   test('expects an order to load for each process of an engine, unless its agent was away or the placement could not act', () => {
     const name = 'engines that came back and got no order to load in time'
--- a/packages/anvilarch-bench/src/soak/checker/callChecks.ts
+++ b/packages/anvilarch-bench/src/soak/checker/callChecks.ts
@@ -13,6 +13,9 @@
 /** Code of a call that its caller gave up on, some time after its deadline. */
 export const TIMED_OUT = 'TimeoutError'
 
+/** Pauses are read this much later at the most, as long as the daemon runs. */
+const PAUSE_READ_MS = 2000
+
 const DEADLINE_PASSED = 'deadline_exceeded'
 
 const GATEWAY_FAULTS: ReadonlySet<string> = new Set(['kill_gateway', 'kill_acceptor', 'outage_after_apply', 'pause_gateway'])
@@ -114,7 +117,13 @@
 /** A call that can't be done in time is to be refused at once; with the endpoints up, none should wait its time away. */
 function heldToDeadline (evidence: Evidence): Finding {
   const judged = evidence.calls.filter(call => call.idempotent && call.kind !== 'crashing' && !isDisturbed(call, evidence.faults, CRASHING_FAULT))
-  return { trials: judged.length, wrong: judged.filter(call => call.code === DEADLINE_PASSED).map(describeCall) }
+  return { trials: judged.length, wrong: judged.filter(call => call.code === DEADLINE_PASSED).map(call => describeCall(call) + describePauses(call, evidence)) }
+}
+
+/** A daemon that stands still answers nothing, whatever it was asked: without this, a busy machine looks like a fault of the system. */
+function describePauses (call: CallRecord, evidence: Evidence): string {
+  const during = evidence.pauses.filter(({ atMs }) => atMs >= call.sentAtMs && atMs <= call.endedAtMs + PAUSE_READ_MS)
+  return during.map(({ daemon, count }) => `; ${daemon} stood still (${count})`).join('')
 }
 
 /**
--- a/packages/anvilarch-bench/src/soak/run/report.ts
+++ b/packages/anvilarch-bench/src/soak/run/report.ts
@@ -13,7 +13,7 @@
  * @returns the report, as lines for a terminal
  */
 export function formatReport (evidence: Evidence, counts: readonly CheckCount[], selected: readonly string[]): string {
-  return [callTable(evidence), faultTable(evidence, selected), countTable(evidence, counts), ...examples(counts)].join('\n')
+  return [callTable(evidence), faultTable(evidence, selected), pauseLine(evidence), countTable(evidence, counts), ...examples(counts)].join('\n')
 }
 
 /**
@@ -51,6 +51,12 @@
   return table.toString()
 }
 
+function pauseLine (evidence: Evidence): string {
+  const daemons = [...groupBy(evidence.pauses, ({ daemon }) => daemon)]
+  const counts = daemons.map(([daemon, readings]) => `${daemon} ${readings.reduce((sum, { count }) => sum + count, 0)}`)
+  return `daemons that stood still while they listened, times: ${counts.length === 0 ? 'none' : counts.join(', ')}`
+}
+
 function countTable (evidence: Evidence, counts: readonly CheckCount[]): string {
   const table = createTable(['must be 0', 'count', 'trials', 'faults injected'])
   for (const { name, count, trials } of counts) table.push([name, count, trials, evidence.faults.length])
--- a/packages/anvilarch-bench/src/soak/run/watchDaemons.ts
+++ b/packages/anvilarch-bench/src/soak/run/watchDaemons.ts
@@ -26,6 +26,7 @@
 const READ_TIMEOUT_MS = 1500
 const VERSION_METRIC = 'anvilarch_configuration_version'
 const VIOLATION_METRIC = 'anvilarch_invariant_violations_total'
+const PAUSE_METRIC = 'anvilarch_own_pauses_total'
 
 /**
  * @param options - whose daemons, and where to record
@@ -62,6 +63,8 @@
 function record ({ clock, evidence, log }: WatchOptions, daemon: string, processId: number, samples: MetricSample[]): void {
   const atMs = clock.wallMs()
   evidence.versions.push({ daemon, processId, atMs, version: sumMetric(samples, VERSION_METRIC) })
+  const pauses = sumMetric(samples, PAUSE_METRIC) - pausesSoFar(evidence, processId)
+  if (pauses > 0) evidence.pauses.push({ daemon, processId, atMs, count: pauses })
   for (const { labels, value } of samples.filter(sample => sample.name === VIOLATION_METRIC && sample.value > 0)) {
     const known = evidence.violations.find(reading => reading.processId === processId && reading.name === labels.name)
     if (known === undefined) {
@@ -81,6 +84,10 @@
   await fleet.spawn(name).catch((error: Error) => { log(`${name} did not come up: ${error.message}`) })
 }
 
+function pausesSoFar (evidence: Evidence, processId: number): number {
+  return evidence.pauses.filter(reading => reading.processId === processId).reduce((sum, { count }) => sum + count, 0)
+}
+
 async function readSamples (operationsUrl: string, dispatcher: Agent): Promise<MetricSample[] | undefined> {
   try {
     const response = await dispatcher.request({ origin: operationsUrl, path: '/metrics', method: 'GET', signal: AbortSignal.timeout(READ_TIMEOUT_MS) })
--- a/packages/anvilarch-bench/src/soak/types.ts
+++ b/packages/anvilarch-bench/src/soak/types.ts
@@ -113,6 +113,14 @@
   count: number
 }
 
+/** Times that a daemon's process stood still while it listened to a peer, between two readings. */
+export interface PauseReading {
+  daemon: string
+  processId: number
+  atMs: number
+  count: number
+}
+
 /** One fault that was injected. */
 export interface FaultRecord {
   fault: string
@@ -175,6 +183,7 @@
   applies: ApplyRecord[]
   versions: VersionReading[]
   violations: ViolationReading[]
+  pauses: PauseReading[]
   faults: FaultRecord[]
   leaves: LeaveRecord[]
   stops: StopRecord[]
@@ -192,6 +201,7 @@
     applies: [],
     versions: [],
     violations: [],
+    pauses: [],
     faults: [],
     leaves: [],
     stops: [],
