--- a/packages/anvilarch-daemon/src/membership/exchangeSchedule.ts
+++ b/packages/anvilarch-daemon/src/membership/exchangeSchedule.ts
@@ -82,7 +82,7 @@
     return { record, reason: 'changing', dueMs: askedMs + Math.min(backedOffMs, stretchedMs) }
   }
   if (!record.answers) return { record, reason: 'unknown', dueMs: askedMs + options.tickMs }
-  if (record.orderedMs >= askedMs || isChangingSoon(record, options)) return { record, reason: 'changing', dueMs: askedMs + options.changingIntervalMs }
+  if (record.orderedMs >= askedMs || hasBegunToChange(record, options)) return { record, reason: 'changing', dueMs: askedMs + options.changingIntervalMs }
   if (isChanging(record) || askedMs < record.orderedMs + EXPECT_MS) return { record, reason: 'changing', dueMs: askedMs + options.intervalMs }
   if (isShort && hasModelEndpoint(record)) return { record, reason: 'changing', dueMs: askedMs + options.intervalMs }
   const heardDueMs = record.view.lastHeardMs + stretchedMs
@@ -91,7 +91,7 @@
 }
 
 /** An endpoint that has crashed is back within seconds, or stays away for long. */
-function isChangingSoon (record: MemberRecord, options: ScheduleOptions): boolean {
+function hasBegunToChange (record: MemberRecord, options: ScheduleOptions): boolean {
   return record.changingSinceMs !== undefined && record.askedMs - record.changingSinceMs < options.changingMs
 }
 
--- a/packages/anvilarch-daemon/src/placement/slots.ts
+++ b/packages/anvilarch-daemon/src/placement/slots.ts
@@ -74,7 +74,7 @@
  * @param bounds - on being gone
  * @returns whether an endpoint may need an order, or show the effect of one, at any moment
  */
-export function isChanging (memory: SlotMemory, nowMs: number, bounds: Pick<GoneBounds, 'graceMs'>): boolean {
+export function hasChangedLately (memory: SlotMemory, nowMs: number, bounds: Pick<GoneBounds, 'graceMs'>): boolean {
   const sinceMs = [...memory.goneSinceMs.values(), ...[...memory.sent.values()].map(order => order.sentAtMs)]
   return sinceMs.some(startMs => nowMs - startMs < bounds.graceMs)
 }
--- a/packages/anvilarch-daemon/src/placement/startPlacement.ts
+++ b/packages/anvilarch-daemon/src/placement/startPlacement.ts
@@ -6,7 +6,7 @@
 import type { MutableDirectory } from '../membership/agentDirectory'
 import type { AgentClients } from '../peers/types'
 import { planPlacement } from './planPlacement'
-import { afterObserved, EMPTY_MEMORY, isChanging, type SlotMemory, slotKey, toSlots } from './slots'
+import { afterObserved, EMPTY_MEMORY, hasChangedLately, type SlotMemory, slotKey, toSlots } from './slots'
 import type { PlannedOrder, SentOrder } from './types'
 
 /** What placement works with. */
@@ -133,7 +133,7 @@
 
   const pauseMs = (): number => {
     const { memory } = tenure ?? { memory: EMPTY_MEMORY }
-    return isChanging(memory, clock.nowMs(), options) ? options.changingIntervalMs : options.intervalMs
+    return hasChangedLately(memory, clock.nowMs(), options) ? options.changingIntervalMs : options.intervalMs
   }
 
   const run = async (): Promise<void> => {
