Ask an endpoint less that fails far more than the others

Cause: routing goes by load, and what fails at once leaves an endpoint idle, so that it drew more than its share: 300 and 198 of 300 choices in a model.

An endpoint with three failures of its own among its last ten answers, at least 30 % and more than three times the share of the other endpoints of its service, is avoided for 2 s, twice as long each further time, up to 30 s, until five answers in a row are well; half of a service's endpoints at most. It is held against the others since a request that fails wherever it runs is no fault of an endpoint. Weighed against counting a failure as work, and against a second run of each failed request: docs/design/0011.

--- a/packages/anvilarch-daemon/src/attempts/requestTask.ts
+++ b/packages/anvilarch-daemon/src/attempts/requestTask.ts
@@ -15,6 +15,9 @@
 
 type CommandHandlers = { [Kind in RequestCommand['kind']]: (command: Extract<RequestCommand, { kind: Kind }>) => void }
 
+const LEAST_SERVER_ERROR = 500
+const STATUS_UNAVAILABLE = 503
+
 const NOTHING_TO_AVOID: ReadonlySet<string> = new Set()
 
 /** The request as the outside sees it. */
@@ -73,6 +76,7 @@
     recorder.event(event, state)
     const before = state.attempt
     if (before !== undefined && 'stream' in event && event.stream === before.stream) ledger.event(event, before)
+    if (before !== undefined && isOwnFailure(event, before)) router.noteOutcome(before.target, true)
     const step = stepRequest(state, event, facts())
     state = step.state
     if (before !== undefined && before.attemptId !== state.attempt?.attemptId) router.noteEnded(before.target, request.workClass)
@@ -159,6 +163,7 @@
   }
 
   const takeHead = (status: number, headers: Headers): void => {
+    if (state.attempt !== undefined) router.noteOutcome(state.attempt.target, isEndpointFailure(status))
     const problem = collector.head(status, headers)
     if (problem === undefined || state.attempt === undefined) return
     const final = { outcome: 'endpoint_failed', totalBytes: 0, ran: 'ran', detail: problem, retryAfterMs: 0, outputTokens: 0, wasAlone: false } as const
@@ -231,6 +236,16 @@
   }
 }
 
+/** An endpoint that was down before the attempt got there has failed nothing. */
+function isOwnFailure (event: RequestEvent, attempt: AttemptState): boolean {
+  return event.kind === 'final' && event.stream === attempt.stream && event.final.outcome === 'endpoint_failed' && event.final.ran !== 'not_run'
+}
+
+/** An endpoint that has no room says nothing of whether it is well. */
+function isEndpointFailure (status: number): boolean {
+  return status >= LEAST_SERVER_ERROR && status !== STATUS_UNAVAILABLE
+}
+
 function noteTarget (parts: RunnerParts, target: Target, note: TargetNote): void {
   const { directory, router } = parts
   if (note === 'draining') directory.noteDraining(target.agent)
--- a/packages/anvilarch-daemon/src/metrics/types.ts
+++ b/packages/anvilarch-daemon/src/metrics/types.ts
@@ -10,6 +10,7 @@
   retries: Counter<'class' | 'reason'>
   resumptions: Counter<'class'>
   ownPauses: Counter
+  ejections: Counter<'endpoint'>
   preemptions: Counter<'endpoint'>
   queueDepth: Gauge<'class' | 'endpoint'>
   running: Gauge<'class' | 'endpoint'>
--- a/packages/anvilarch-daemon/src/routing/router.ts
+++ b/packages/anvilarch-daemon/src/routing/router.ts
@@ -3,8 +3,9 @@
 import type { AgentDirectory } from '../membership/types'
 import { type Candidates, candidatesByService } from './candidates'
 import { createLoadTable } from './loadTable'
+import { createOutlierTable } from './outliers'
 import { chooseTarget } from './policies'
-import type { Router, Target } from './types'
+import type { Router, RoutingInput, Target } from './types'
 
 /** The index of endpoints is built anew at least this often. */
 const MAX_INDEX_AGE_MS = 1_000
@@ -16,6 +17,11 @@
  */
 export function createRouter (context: DaemonContext, directory: AgentDirectory): Router {
   const loads = createLoadTable()
+  const outliers = createOutlierTable((endpoint, durationMs) => {
+    context.metrics.ejections.inc({ endpoint })
+    context.timeline.record('routing.ejected', { detail: { endpoint, durationMs } })
+    context.logger.warn('an endpoint fails far more than the others and is asked less', { endpoint, durationMs })
+  })
   let candidates: Candidates = new Map()
   let builtAtMs: number | undefined
   let turn = 0
@@ -36,6 +42,7 @@
       }
     }
     loads.retain(known)
+    outliers.retain(known)
   }
 
   const targetsOf = (service: string): readonly Target[] => {
@@ -47,25 +54,40 @@
     return candidates.get(service) ?? []
   }
 
-  return {
-    choose: input => chooseTarget(context.settings.gateway.routingPolicy, {
+  const ejectedOf = (targets: readonly Target[]): ReadonlySet<string> => outliers.ejected(targets.map(target => target.key), context.clock.nowMs())
+
+  const choose = (input: RoutingInput): Target | undefined => {
+    const targets = targetsOf(input.service)
+    const ejected = ejectedOf(targets)
+    return chooseTarget(context.settings.gateway.routingPolicy, {
       ...input,
-      targets: targetsOf(input.service),
+      avoid: ejected.size === 0 ? input.avoid : new Set([...input.avoid, ...ejected]),
+      targets,
       loadOf: target => loads.estimate(target.key, input.workClass),
       ownFailureDomain: context.settings.failureDomain,
       ownRegion: context.settings.region,
       turn: turn++,
       random: context.random.next
-    }),
+    })
+  }
+
+  return {
+    choose,
     noteSent: (target, workClass) => { loads.noteSent(target.key, workClass) },
     noteAnswered: (target, workClass) => { loads.noteAnswered(target.key, workClass) },
     noteEnded: (target, workClass) => { loads.noteEnded(target.key, workClass) },
+    noteOutcome: (target, isFailure) => { outliers.noteOutcome(target.key, isFailure, context.clock.nowMs()) },
     noteLoad: (target, load) => {
       loads.noteReport(target.key, load)
       directory.noteLoad(target.agent, load)
     },
     invalidate,
-    freeBatch: service => targetsOf(service)
-      .reduce((sum, target) => sum + Math.max(0, loads.estimate(target.key, 'batch').free ?? 0), 0)
+    freeBatch: service => {
+      const targets = targetsOf(service)
+      const ejected = ejectedOf(targets)
+      return targets
+        .filter(target => !ejected.has(target.key))
+        .reduce((sum, target) => sum + Math.max(0, loads.estimate(target.key, 'batch').free ?? 0), 0)
+    }
   }
 }
--- a/packages/anvilarch-daemon/src/routing/types.ts
+++ b/packages/anvilarch-daemon/src/routing/types.ts
@@ -59,6 +59,8 @@
   noteAnswered: (target: Target, workClass: WorkClass) => void
   /** The attempt is over for this gateway. */
   noteEnded: (target: Target, workClass: WorkClass) => void
+  /** An endpoint has answered an attempt, with a failure of its own or not. */
+  noteOutcome: (target: Target, isFailure: boolean) => void
   noteLoad: (target: Target, load: EndpointLoad) => void
   /** The view of the agents changed by something this gateway learned. */
   invalidate: () => void
