Take back the endpoint that was ejected first when another one begins to fail

Cause, from its log: engine-1 had failed for 25 s in three pieces and was ejected for 16 and 30 s more by two gateways when it was well again; then engine-3 began to fail. Of three endpoints one is ejected at most, so that the well one stayed out and the failing one was asked on.

What an endpoint does now says more than what another did when it was ejected: at the bound the one that was ejected first is taken back, on probation.

--- a/packages/anvilarch-daemon/src/routing/__tests__/outliers.test.ts
+++ b/packages/anvilarch-daemon/src/routing/__tests__/outliers.test.ts
@@ -77,6 +77,15 @@
     expect(table.ejected(KEYS, 6007).size).toBe(0)
   })
 
+  // Guards against this: an endpoint that begins to fail is asked on, since another one that is well by now is still ejected.
+  it('takes back the one that was ejected first when another one begins to fail', () => {
+    const table = soundTable()
+    fail(table, 'a/e', 3, 0)
+    expect([...table.ejected(KEYS, 1)]).toEqual(['a/e'])
+    fail(table, 'b/e', 5, 2)
+    expect([...table.ejected(KEYS, 3)]).toEqual(['b/e'])
+  })
+
   it('never ejects more than half of the endpoints of a service, nor its only one', () => {
     const four = ['a', 'b', 'c', 'd']
     const table = createOutlierTable(() => {})
--- a/packages/anvilarch-daemon/src/routing/outliers.ts
+++ b/packages/anvilarch-daemon/src/routing/outliers.ts
@@ -23,6 +23,7 @@
 interface OutcomeRecord {
   /** The latest outcomes, oldest first; true for a failure. */
   outcomes: boolean[]
+  ejectedAtMs: number
   ejectedUntilMs: number
   /** Ejections since the endpoint last proved itself. */
   ejections: number
@@ -55,7 +56,7 @@
   const recordOf = (key: string): OutcomeRecord => {
     let record = records.get(key)
     if (record === undefined) {
-      record = { outcomes: [], ejectedUntilMs: Number.NEGATIVE_INFINITY, ejections: 0 }
+      record = { outcomes: [], ejectedAtMs: Number.NEGATIVE_INFINITY, ejectedUntilMs: Number.NEGATIVE_INFINITY, ejections: 0 }
       records.set(key, record)
     }
     return record
@@ -64,12 +65,20 @@
   const eject = (key: string, nowMs: number): void => {
     const record = recordOf(key)
     const durationMs = Math.min(EJECTION_MS * 2 ** record.ejections, MAX_EJECTION_MS)
+    record.ejectedAtMs = nowMs
     record.ejectedUntilMs = nowMs + durationMs
     record.ejections++
     record.outcomes = []
     onEjected(key, durationMs)
   }
 
+  /** What an endpoint does now says more than what another one did when it was ejected. */
+  const takeBackOldest = (ejected: Set<string>, nowMs: number): void => {
+    const [oldest] = [...ejected].sort((left, right) => recordOf(left).ejectedAtMs - recordOf(right).ejectedAtMs)
+    recordOf(oldest).ejectedUntilMs = nowMs
+    ejected.delete(oldest)
+  }
+
   const isOutlier = (key: string, keys: readonly string[]): boolean => {
     const record = records.get(key)
     if (record === undefined) return false
@@ -95,10 +104,11 @@
     ejected: (keys, nowMs) => {
       if (records.size === 0) return NONE
       const most = Math.floor(keys.length * MAX_EJECTED_SHARE)
+      if (most === 0) return NONE
       const out = new Set(keys.filter(key => nowMs < (records.get(key)?.ejectedUntilMs ?? nowMs)))
       for (const key of keys) {
-        if (out.size >= most) break
         if (out.has(key) || !isOutlier(key, keys)) continue
+        if (out.size >= most) takeBackOldest(out, nowMs)
         eject(key, nowMs)
         out.add(key)
       }
