--- a/packages/anvilarch-daemon/src/routing/__tests__/routing.test.ts
+++ b/packages/anvilarch-daemon/src/routing/__tests__/routing.test.ts
@@ -153,4 +153,22 @@
     expect(new Set(choose())).toEqual(new Set(['b']))
     expect(router.freeBatch('writer')).toBe(4)
   })
+
+  // Guards against this: an engine that was started again gets no work, since its predecessor failed.
+  it('does not hold the failures of an endpoint against the process that follows it', () => {
+    const directory = createFakeDirectory([agent('a'), agent('b')])
+    const router = createRouter(createTestContext(), directory)
+    const choose = (): string[] => Array.from({ length: 20 }, () => router.choose({ service: 'writer', workClass: 'online', affinityKey: '', exclude: new Set(), avoid: new Set() })?.agent ?? '')
+    for (let answer = 0; answer < 3; answer++) {
+      router.noteOutcome(target('a'), true)
+      router.noteOutcome(target('b'), false)
+    }
+    expect(new Set(choose())).toEqual(new Set(['b']))
+    directory.noteEndpointDown('a', 'e')
+    router.invalidate()
+    expect(new Set(choose())).toEqual(new Set(['b']))
+    directory.views[0] = agent('a')
+    router.invalidate()
+    expect(new Set(choose())).toEqual(new Set(['a', 'b']))
+  })
 })
--- a/packages/anvilarch-daemon/src/routing/outliers.ts
+++ b/packages/anvilarch-daemon/src/routing/outliers.ts
@@ -16,7 +16,7 @@
    * @returns those that are to be asked only when no other may be
    */
   ejected: (keys: readonly string[], nowMs: number) => ReadonlySet<string>
-  /** Forgets endpoints that are gone. */
+  /** Forgets all endpoints but these. */
   retain: (keys: ReadonlySet<string>) => void
 }
 
--- a/packages/anvilarch-daemon/src/routing/router.ts
+++ b/packages/anvilarch-daemon/src/routing/router.ts
@@ -34,15 +34,18 @@
     const agents = directory.list()
     candidates = candidatesByService(agents, context.configuration.current()?.document)
     const known = new Set<string>()
+    const ready = new Set<string>()
     for (const agent of agents) {
       for (const endpoint of agent.endpoints) {
         const key = `${agent.name}/${endpoint.endpoint}`
         known.add(key)
+        if (endpoint.health === 'ready') ready.add(key)
         if (endpoint.load !== undefined) loads.noteReport(key, endpoint.load)
       }
     }
     loads.retain(known)
-    outliers.retain(known)
+    // What a process has failed is not held against the one that follows it.
+    outliers.retain(ready)
   }
 
   const targetsOf = (service: string): readonly Target[] => {
