--- a/packages/anvilarch-daemon/src/agent/__fixtures__/agentHarness.ts
+++ b/packages/anvilarch-daemon/src/agent/__fixtures__/agentHarness.ts
@@ -12,9 +12,6 @@
 import { startAgent } from '../startAgent'
 import type { AgentHandle } from '../types'
 
-/** How often the agent of a test asks its endpoints for their state. */
-export const PROBE_INTERVAL_MS = 200
-
 /** A service of each kind, as the documents of the examples have them. */
 export const TEST_DOCUMENT = {
   formatVersion: 1,
@@ -76,7 +73,7 @@
   }
   if (given.withoutDocument !== true) offerDocument(context, 1, TEST_DOCUMENT)
   const lifecycle = createLifecycleManager({ clock })
-  const agent = await startAgent(context, lifecycle, { tickMs: 20, probeIntervalMs: PROBE_INTERVAL_MS, drainLingerMs: 0, ...given.options })
+  const agent = await startAgent(context, lifecycle, { tickMs: 20, probeIntervalMs: 200, drainLingerMs: 0, ...given.options })
   const managers: Http2SessionManager[] = []
   const connect = (address = agent.address): Client<typeof AgentService> => {
     const manager = new Http2SessionManager(`http://${address}`)
--- a/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
@@ -1,6 +1,6 @@
 import { ROW_KEYS } from 'anvilarch-protocol'
 import { type EngineStandin, type EngineStandinOptions, startEngineStandin } from 'anvilarch-standins'
-import { type AgentHarness, type HarnessOptions, offerDocument, PROBE_INTERVAL_MS, readFrames, startAgentHarness, startMessage, TEST_DOCUMENT, until } from '../__fixtures__/agentHarness'
+import { type AgentHarness, type HarnessOptions, offerDocument, readFrames, startAgentHarness, startMessage, TEST_DOCUMENT, until } from '../__fixtures__/agentHarness'
 
 const ENGINE = { baseStepMs: 5, perSequenceMs: 0, prefillPerTokenMs: 0, perThousandContextTokensMs: 0 }
 
@@ -85,8 +85,12 @@
     const running = run('long', { body: chat(200) })
     await until(() => harness.events('long').includes('attempts.first_token'))
     expect(await order('unload', 6)).toMatchObject({ outcome: 'started' })
-    await new Promise(resolve => { setTimeout(resolve, 2 * PROBE_INTERVAL_MS) })
-    expect(settledOrder()).toBe('')
+    // The unload waits for the run, however many probes are answered meanwhile.
+    await until(() => {
+      const isOver = harness.events('long').includes('attempts.ended')
+      if (!isOver) expect(settledOrder()).toBe('')
+      return isOver
+    })
     await running
     await until(() => settledOrder() === 'unload-6')
     expect(harness.agent.state().endpoints[0].models).toEqual([])
