Pause an endpoint that loses its orders again and again

Found by reading the new handling of lost loads: an engine that takes each load and drops it was ordered to load two to four times a second, for ever, where it had been once a minute. The weight store is limited in its rate.

The first order after a loss goes out at once, which is what an engine needs that crashed right after its load. From the second loss in a row on the endpoint is paused for 5 s, doubled up to a minute; an order whose effect shows ends the count.

--- a/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
+++ b/packages/anvilarch-daemon/src/placement/__tests__/planPlacement.test.ts
@@ -8,7 +8,7 @@
 
 const SEED = 20261202
 const DOMAINS = ['bole-hall', 'kirkos-hall', 'arada-hall']
-const BOUNDS = { graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, unansweredTimeoutMs: 10_000 }
+const BOUNDS = { graceMs: 10_000, loadHoldMs: 60_000, orderTimeoutMs: 60_000, unansweredTimeoutMs: 10_000, refusedPauseMs: 5000 }
 const STEP_MS = 1000
 
 /** A holder of the lease: its memory, and how many loads were under way at most. */
@@ -121,6 +121,28 @@
     expect(holder.orders).toMatchObject([{ agent: engines[0].name, action: 'load' }])
   })
 
+  // Guards against this: an engine that drops each load is sent the same weights several times a second.
+  it('orders a load that is lost again and again ever less often, and at once after one that was not', () => {
+    const engines = createEngines(1, DOMAINS)
+    const document = documentOf({ writer: { replicas: 1 } }, 1)
+    const holder = newHolder()
+    const loadsOf = (steps: number): number => {
+      let loads = 0
+      for (let count = 0; count < steps; count++) {
+        step(holder, document, engines)
+        loads += holder.orders.length
+        restart(engines[0])
+      }
+      return loads
+    }
+    expect(loadsOf(2)).toBe(2)
+    expect(loadsOf(60)).toBeLessThanOrEqual(4)
+    expect(loadsOf(300)).toBeLessThanOrEqual(6)
+    settle(holder, document, engines, 70)
+    expect(serving(engines, 'writer')).toHaveLength(1)
+    expect(loadsOf(3)).toBe(2)
+  })
+
   it('counts the load of an endpoint that cannot be reached', () => {
     const engines = createEngines(2, DOMAINS)
     const document = documentOf({ writer: { replicas: 1 } }, 1)
--- a/packages/anvilarch-daemon/src/placement/slots.ts
+++ b/packages/anvilarch-daemon/src/placement/slots.ts
@@ -9,10 +9,19 @@
   goneSinceMs: ReadonlyMap<string, number>
   /** Orders under way, by slot key. */
   sent: ReadonlyMap<string, SentOrder>
+  /** Endpoints whose last orders left nothing behind, by slot key. */
+  lost: ReadonlyMap<string, LostOrders>
+}
+
+/** Orders to one endpoint that were lost one after another. */
+export interface LostOrders {
+  count: number
+  /** When the endpoint may get an order again. */
+  untilMs: number
 }
 
 /** Memory of a new holder. */
-export const EMPTY_MEMORY: SlotMemory = { goneSinceMs: new Map(), sent: new Map() }
+export const EMPTY_MEMORY: SlotMemory = { goneSinceMs: new Map(), sent: new Map(), lost: new Map() }
 
 /**
  * @param agent - name of the agent
@@ -53,13 +62,14 @@
   const usable = agent.state === 'serving' && endpoint.health === 'ready'
   const goneMs = nowMs - (memory.goneSinceMs.get(key) ?? nowMs)
   const sent = memory.sent.get(key)
+  const isPaused = nowMs < (memory.lost.get(key)?.untilMs ?? nowMs)
   const willServe = sent !== undefined && sent.action !== 'unload'
   return {
     key,
     agent: agent.name,
     endpoint: endpoint.endpoint,
     failureDomain: agent.failureDomain,
-    usable,
+    usable: usable && !isPaused,
     present: usable || (agent.state !== 'draining' && goneMs < bounds.graceMs),
     mayLoad: usable || goneMs < bounds.loadHoldMs,
     service: willServe ? sent.service : endpoint.service,
@@ -85,6 +95,8 @@
   orderTimeoutMs: number
   /** The same for an order that the agent did not answer. */
   unansweredTimeoutMs: number
+  /** Pause after the second order in a row that was lost; doubled with each further one, up to `orderTimeoutMs`. */
+  refusedPauseMs: number
 }
 
 /**
@@ -100,11 +112,27 @@
     agent.state === 'serving' && endpoint.health === 'ready'
   const gone = [...states].filter(([, state]) => !isUsable(state))
   const goneSinceMs = new Map(gone.map(([key]) => [key, memory.goneSinceMs.get(key) ?? nowMs]))
-  const sent = new Map([...memory.sent].filter(([key, order]) => {
+  const known = [...memory.sent].flatMap(([key, order]) => {
     const state = states.get(key)
-    return state !== undefined && isUnderWay(state, order, nowMs, bounds)
-  }))
-  return { goneSinceMs, sent }
+    return state === undefined ? [] : [{ key, order, progress: progressOf(state, order, nowMs, bounds) }]
+  })
+  const sent = new Map(known.filter(({ progress }) => progress === 'under_way').map(({ key, order }) => [key, order]))
+  const lost = new Map([...memory.lost].filter(([key]) => states.has(key)))
+  for (const { key, progress } of known) {
+    if (progress === 'done') lost.delete(key)
+    if (progress === 'lost') lost.set(key, afterLost(lost.get(key), nowMs, bounds))
+  }
+  return { goneSinceMs, sent, lost }
+}
+
+/**
+ * An engine that comes back from a crash is to have its model at once. One that drops each load would otherwise be sent the
+ * same weights several times a second.
+ */
+function afterLost (before: LostOrders | undefined, nowMs: number, bounds: OrderBounds): LostOrders {
+  const count = (before?.count ?? 0) + 1
+  const pauseMs = count === 1 ? 0 : Math.min(bounds.refusedPauseMs * 2 ** (count - 2), bounds.orderTimeoutMs)
+  return { count, untilMs: nowMs + pauseMs }
 }
 
 /** An endpoint of the fleet, with its agent. */
@@ -113,12 +141,15 @@
   endpoint: EndpointState
 }
 
-function isUnderWay ({ agent, endpoint }: FoundEndpoint, order: SentOrder, nowMs: number, bounds: OrderBounds): boolean {
+/** What became of an order, as far as the endpoint shows. */
+type OrderProgress = 'done' | 'under_way' | 'lost'
+
+function progressOf ({ agent, endpoint }: FoundEndpoint, order: SentOrder, nowMs: number, bounds: OrderBounds): OrderProgress {
   const model = endpoint.models.find(found => found.model === order.model && found.version === order.version)
-  if (EFFECTS[order.action](order, endpoint, model)) return false
-  if (order.action === 'load' && model?.state === 'loading') return true
+  if (EFFECTS[order.action](order, endpoint, model)) return 'done'
+  if (order.action === 'load' && model?.state === 'loading') return 'under_way'
   const timeoutMs = order.isAnswered ? bounds.orderTimeoutMs : bounds.unansweredTimeoutMs
-  return !isOver(agent, endpoint, order) && nowMs - order.sentAtMs < timeoutMs
+  return isOver(agent, endpoint, order) || nowMs - order.sentAtMs >= timeoutMs ? 'lost' : 'under_way'
 }
 
 /** The process of the endpoint that took an order, or the agent with which it waited, may end before its effect shows. */
