Log when the feed of a table is lost and when it is back

A failed call of a feed left no line, so that logs could not tell a feed that waits for an answer that never comes from one that is answered late or refused for the rate. Two lines an outage and table: how long the first call without an answer and the first one with one were open, how many calls failed, and for how long the copy was without news.

--- a/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
@@ -78,4 +78,34 @@
     await clock.advanceAsync(1000)
     expect(listed[0].map(row => row.version)).toEqual([2, 2])
   })
+
+  it('logs a feed that is lost and regained in two lines', async () => {
+    const clock = createFakeClock()
+    let failing = false
+    const store = {
+      readRows: async () => Ok({ rows: [], version: 1 }),
+      readFeed: async () => {
+        await new Promise<void>(resolve => clock.after(1000, resolve))
+        return failing ? Err({ reason: 'timeout' }) : Ok({ outcome: 'changes', changes: [], version: 1 })
+      }
+    } as unknown as MetadataStore
+    const lines: Array<{ event: string, failedCalls?: number }> = []
+    const note = (event: string, fields: object): void => { lines.push({ event, ...fields }) }
+    const log = { ...SILENT_LOGGER, info: note, warn: note } as unknown as EventLog
+    const listener = { onListing: () => {}, onChange: () => {} }
+    const controller = new AbortController()
+    followTable({ store, clock, random: createRandom(1), log, table: 't', partitions: ['p0'], listener, signal: controller.signal })
+      .catch(error => { throw error })
+    await clock.advanceAsync(1500)
+    failing = true
+    await clock.advanceAsync(4000)
+    failing = false
+    await clock.advanceAsync(3000)
+    controller.abort()
+    expect(lines).toEqual([
+      { event: 'feed lost', table: 't', reason: 'timeout', openMs: 1000 },
+      expect.objectContaining({ event: 'feed answers again', table: 't', openMs: 1000 })
+    ])
+    expect(lines[1].failedCalls).toBeGreaterThan(2)
+  })
 })
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -60,8 +60,11 @@
   let version: number | undefined
   let retryMs = FEED_RETRY_MS
   const listing = createListing(options)
+  const feed = watchFeed(options)
   while (!options.signal.aborted) {
+    const sentAtMs = options.clock.nowMs()
     const next = version === undefined ? await listing.run() : await readChanges(options, version)
+    if (version !== undefined) feed.onOutcome(next, sentAtMs)
     if (next.outcome === 'failed') {
       retryMs = Math.min(longestRetryMs(next.reason), retryMs)
       await pause(options, retryMs)
@@ -77,6 +80,31 @@
 
 type Step = { outcome: 'changed', version: number | undefined } | { outcome: 'failed', reason: string }
 
+/** Logs when a feed is lost and when it is back. */
+interface FeedWatch {
+  onOutcome: (step: Step, sentAtMs: number) => void
+}
+
+function watchFeed ({ clock, log, table }: Pick<FollowOptions, 'clock' | 'log' | 'table'>): FeedWatch {
+  let failedCalls = 0
+  let lostSinceMs = 0
+  return {
+    onOutcome: (step, sentAtMs) => {
+      if (step.outcome === 'failed') {
+        failedCalls++
+        if (failedCalls > 1) return
+        lostSinceMs = sentAtMs
+        log.warn('feed lost', { table, reason: step.reason, openMs: Math.round(clock.nowMs() - sentAtMs) })
+        return
+      }
+      if (failedCalls === 0) return
+      const nowMs = clock.nowMs()
+      log.info('feed answers again', { table, failedCalls, afterMs: Math.round(nowMs - lostSinceMs), openMs: Math.round(nowMs - sentAtMs) })
+      failedCalls = 0
+    }
+  }
+}
+
 function longestRetryMs (reason: string): number {
   return reason === OVER_RATE_REASON ? OVER_RATE_MAX_RETRY_MS : FEED_MAX_RETRY_MS
 }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -32,6 +32,8 @@
   'store rejects a transaction': { status: number, body: string }
   'table listed': { table: string, rowCount: number, version: number }
   'table listing failed': { table: string, reason: string }
+  'feed lost': { table: string, reason: string, openMs: number }
+  'feed answers again': { table: string, failedCalls: number, afterMs: number, openMs: number }
   'feed history lost, listing again': { table: string, version: number }
   'row cannot be used': { table: string, key: string, field: string, reason: string }
 
--- a/packages/anvilarch/src/explain/surroundings.ts
+++ b/packages/anvilarch/src/explain/surroundings.ts
@@ -7,7 +7,7 @@
 /** Events that tell of a process or an endpoint rather than of one request. */
 const STATE_EVENTS: ReadonlySet<string> = new Set([
   'started', 'stopping', 'gateway stopped', 'runner stopped', 'stop cut short', 'configuration in force', 'endpoint listed',
-  'endpoint removed from the list', 'store does not serve this host', 'store answers again', 'table listing failed',
+  'endpoint removed from the list', 'store does not serve this host', 'store answers again', 'feed lost', 'feed answers again', 'table listing failed',
   'feed history lost, listing again', 'uncaught exception', 'unhandled rejection', 'runner step failed'
 ])
 
--- a/packages/anvilarch/src/report/buildReport.ts
+++ b/packages/anvilarch/src/report/buildReport.ts
@@ -9,7 +9,7 @@
 const MOMENTS: ReadonlySet<string> = new Set([
   'started', 'stopping', 'gateway stopped', 'runner stopped', 'stop cut short', 'stop waits for requests', 'configuration in force',
   'endpoint listed', 'endpoint removed from the list', 'endpoint entry not usable', 'engine started anew', 'store does not serve this host',
-  'store answers again', 'table listing failed', 'feed history lost, listing again', 'request in progress at a crash',
+  'store answers again', 'feed lost', 'feed answers again', 'table listing failed', 'feed history lost, listing again', 'request in progress at a crash',
   'uncaught exception', 'unhandled rejection', 'runner step failed', 'background task failed'
 ])
 
