Give a feed up in time for the bound on contact after an outage

What callers saw: requests to a new route refused with 404 by gateways that reached the store again for three seconds, 2.7 s after the version with the route was acknowledged.

Cause: a call of the feed that an outage swallowed was waited for 3.5 s (2 s of waiting and 1.5 s for the answer), and a pause of up to 0.52 s followed, whatever the deployment's bounds. A host counts as out of contact for contact-ms after the end of an outage, 3 s on the smaller deployments: for up to a second it was in contact and knew no change.

Evidence: the incident's record (docs/incidents) has the last answers at 17.54 s, and calls at 17.6, 21.2 and 24.9 s lie exactly where seven gateways get the version within 0.35 s of each other, at 28.5 s; the outage ended at 25.0 s.

--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -8,6 +8,7 @@
 import { MEMBER_TABLE } from '../jobs/jobRows'
 import { createWorkTable, type WorkTable } from '../jobs/workTable'
 import type { StoredRow } from '../store/types'
+import { feedWaitMs } from '../store/feedWait'
 import { followListing, type FollowOptions, followTable } from '../store/tableFollower'
 import { registerStateMetrics } from '../telemetry/stateMetrics'
 import type { RoleContext } from './types'
@@ -60,9 +61,10 @@
   const work = createWorkTable()
   const controller = new AbortController()
   const tableAnsweredAtMs = new Map<string, number>()
+  const waitMs = feedWaitMs({ contactMs: context.settings.contactMs, callTimeoutMs: store.callTimeoutMs })
   const follow = (table: FollowedTable): void => {
     const onAnswer = (): void => { tableAnsweredAtMs.set(table.table, clock.nowMs()) }
-    runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, signal: controller.signal, onAnswer, ...table }))
+    runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, waitMs, signal: controller.signal, onAnswer, ...table }))
   }
 
   const takeConfiguration = async (row: StoredRow): Promise<void> => {
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -21,6 +21,8 @@
   peerPort: number
   /** How long after SIGTERM the process may live. */
   stopGraceMs: number
+  /** How long after the end of an outage or a cut this host counts as out of contact: then it has to know what the store holds. */
+  contactMs: number
   maxRowBytes: number
   /** How long results of a job are promised, from its submission on. */
   retentionMs: number
--- a/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
@@ -44,7 +44,7 @@
     const controller = new AbortController()
     for (let daemon = 0; daemon < 600; daemon++) {
       const listener = { onListing: (rows: StoredRow[]) => { listed.push(rows) }, onChange: () => {} }
-      followTable({ store, clock, random: createRandom(daemon), log: SILENT_LOGGER as EventLog, table: 't', partitions: PARTITIONS, listener, signal: controller.signal })
+      followTable({ store, clock, random: createRandom(daemon), log: SILENT_LOGGER as EventLog, table: 't', partitions: PARTITIONS, listener, waitMs: 2000, signal: controller.signal })
         .catch(error => { throw error })
     }
     for (let passedMs = 0; passedMs < 6000; passedMs += 100) await clock.advanceAsync(100)
@@ -69,7 +69,7 @@
     const listed: StoredRow[][] = []
     refuse = true
     const listener = { onListing: (rows: StoredRow[]) => { listed.push(rows) }, onChange: () => {} }
-    followTable({ store, clock, random: createRandom(1), log: SILENT_LOGGER as EventLog, table: 't', partitions: ['p0', 'p1'], listener, signal: new AbortController().signal })
+    followTable({ store, clock, random: createRandom(1), log: SILENT_LOGGER as EventLog, table: 't', partitions: ['p0', 'p1'], listener, waitMs: 2000, signal: new AbortController().signal })
       .catch(error => { throw error })
     await clock.advanceAsync(9000)
     version = 2
@@ -94,7 +94,7 @@
     const log = { ...SILENT_LOGGER, info: note, warn: note } as unknown as EventLog
     const listener = { onListing: () => {}, onChange: () => {} }
     const controller = new AbortController()
-    followTable({ store, clock, random: createRandom(1), log, table: 't', partitions: ['p0'], listener, signal: controller.signal })
+    followTable({ store, clock, random: createRandom(1), log, table: 't', partitions: ['p0'], listener, waitMs: 2000, signal: controller.signal })
       .catch(error => { throw error })
     await clock.advanceAsync(1500)
     failing = true
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -24,15 +24,11 @@
   onAnswer?: () => void
   /** Asked after each call that brought changes: how long further ones are gathered; `FEED_INTERVAL_MS` by default. */
   intervalMs?: () => number
+  /** How long one call of the feed asks the store to wait. */
+  waitMs: number
   signal: AbortSignal
 }
 
-/**
- * How long one call of the feed waits. Silence of the store is noticed after this and the call's own timeout: 3.5 s in all,
- * within the 5 s that a connection may have been silent before a new configuration has to be in force.
- */
-export const FEED_WAIT_MS = 2000
-
 /** Changes are gathered for this long between two calls, unless the owner names another time. */
 export const FEED_INTERVAL_MS = 60
 
@@ -67,7 +63,9 @@
     if (version !== undefined) feed.onOutcome(next, sentAtMs)
     if (next.outcome === 'failed') {
       retryMs = Math.min(longestRetryMs(next.reason), retryMs)
-      await pause(options, retryMs)
+      // A call that was waited for has spread the tries already.
+      const openMs = options.clock.nowMs() - sentAtMs
+      await pause(options, Math.max(FEED_RETRY_MS, retryMs - openMs))
       retryMs *= 2
       continue
     }
@@ -154,7 +152,7 @@
 }
 
 async function readChanges (options: FollowOptions, version: number): Promise<Step> {
-  const read = await options.store.readFeed(options.table, version, FEED_WAIT_MS)
+  const read = await options.store.readFeed(options.table, version, options.waitMs)
   if (read.err) return { outcome: 'failed', reason: read.val.reason }
   if (read.val.outcome === 'history_lost') {
     options.log.info('feed history lost, listing again', { table: options.table, version })
@@ -168,7 +166,7 @@
 const FIRST_LISTING_INTERVAL_MS = 100
 
 /** Options of `followListing`. */
-export interface ListingOptions extends Omit<FollowOptions, 'intervalMs'> {
+export interface ListingOptions extends Omit<FollowOptions, 'intervalMs' | 'waitMs'> {
   /** Asked after each listing: time until the next one. */
   intervalMs: () => number
 }
@@ -195,6 +193,6 @@
   }
 }
 
-async function pause (options: FollowOptions, delayMs: number): Promise<void> {
+async function pause (options: Pick<FollowOptions, 'clock' | 'random' | 'signal'>, delayMs: number): Promise<void> {
   await sleep(options.clock, options.random.jitter(delayMs, PAUSE_JITTER), options.signal)
 }
--- a/packages/anvilarch-serving/src/store/types.ts
+++ b/packages/anvilarch-serving/src/store/types.ts
@@ -81,6 +81,8 @@
 
 /** The client of the store. */
 export interface MetadataStore {
+  /** How long a call about rows is waited for, beyond the time for which it asks the store to wait. */
+  readonly callTimeoutMs: number
   commit: (transaction: Transaction) => Promise<TransactionOutcome>
   readRows: (range: RowRange) => Promise<Result<RowsRead, StoreFailure>>
   readFeed: (table: string, afterVersion: number, waitMs: number) => Promise<Result<FeedRead, StoreFailure>>
