Ask for changes again as soon as the store is back after a silence

Cause: a call of a feed that the outage swallowed has the longest timeout of all calls, and nothing but that timeout ended it, although other calls had shown both the silence and its end.

Why this works: calls that ask the store to wait are given up when a call sent after them is answered and one before it got no answer; the follower asks again at once. A call that times out late, but was sent before one that was answered, counts as no silence, so that the calls of an outage that time out one after another do not end good ones.

--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -121,6 +121,63 @@
   })
 })
 
+describe('calls that wait at the store', () => {
+  /** Answers after a time, or not at all, unless the call is given up. */
+  const answerAfter = (answersAfterMs: number | undefined): StoreTransport => call => new Promise(resolve => {
+    clock.after(call.timeoutMs, () => resolve(SILENT))
+    call.signal?.addEventListener('abort', () => resolve({ outcome: 'no_answer', reason: 'given_up' }))
+    if (answersAfterMs !== undefined) clock.after(answersAfterMs, () => resolve(DONE))
+  })
+  const WAITING: StoreCall = { ...CALL, timeoutMs: 3500, waits: true }
+
+  it('are given up when the store is back after a silence, and do not count as another one', async () => {
+    const store = { answersAfterMs: undefined as number | undefined }
+    const relayed = createRelayedTransport({
+      clock, log: SILENT_LOGGER, random: createRandom(1), direct: call => answerAfter(store.answersAfterMs)(call), peers: () => [], through: () => answerAfter(undefined)
+    })
+    const lost = relayed.call(CALL)
+    await clock.advanceAsync(900)
+    const waiting = relayed.call(WAITING)
+    await clock.advanceAsync(200)
+    expect(await lost).toEqual(SILENT)
+    store.answersAfterMs = 4
+    const answered = relayed.call(CALL)
+    await clock.advanceAsync(10)
+    expect(await answered).toEqual(DONE)
+    expect(await waiting).toEqual({ outcome: 'no_answer', reason: 'given_up' })
+    expect(relayed.contact.lastFailureMs).toBe(11_000)
+  })
+
+  // Guards against this: a daemon whose waiting call was given up on the way through a peer asks no peer for seconds.
+  it('leave the way through peers open when they are given up there', async () => {
+    const store = { answersAfterMs: undefined as number | undefined }
+    let throughPeers = 0
+    const relayed = createRelayedTransport({
+      clock,
+      log: SILENT_LOGGER,
+      random: createRandom(1),
+      direct: call => answerAfter(store.answersAfterMs)(call),
+      peers: () => ['10.0.0.2:1'],
+      through: () => call => {
+        throughPeers++
+        return answerAfter(undefined)(call)
+      }
+    })
+    const first = [relayed.call(CALL), relayed.call(CALL)]
+    await clock.advanceAsync(1000)
+    await Promise.all(first)
+    const probe = relayed.call(CALL)
+    const waiting = relayed.call(WAITING)
+    store.answersAfterMs = 4
+    await clock.advanceAsync(1000)
+    await probe
+    const answered = relayed.call(CALL)
+    await clock.advanceAsync(10)
+    await answered
+    expect([await waiting, throughPeers]).toEqual([{ outcome: 'no_answer', reason: 'given_up' }, 1])
+  })
+})
+
 /** @returns what becomes of half of an answer that ends with its connection */
 async function unframedAnswer (status: number): Promise<StoreAnswer> {
   const server = createServer((_request, response) => {
@@ -166,4 +223,21 @@
   it('takes a refusal for one whatever its body', async () => {
     expect(await unframedAnswer(503)).toMatchObject({ outcome: 'answered', status: 503 })
   })
+
+  it('closes the connection of a call that is given up', async () => {
+    const controller = new AbortController()
+    const server = createServer()
+    const closed = new Promise<void>(resolve => {
+      server.once('request', request => {
+        request.socket.once('close', () => resolve())
+        controller.abort()
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const call = { ...CALL, signal: controller.signal }
+    const answer = await createDirectTransport(`127.0.0.1:${(server.address() as AddressInfo).port}`, createSystemClock())(call)
+    await closed
+    expect(answer).toEqual({ outcome: 'no_answer', reason: 'given_up' })
+    server.close()
+  })
 })
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -3,6 +3,7 @@
 import { startExchange } from '../endpoints/exchange'
 import { createPool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
+import { createWaitingCalls } from './waitingCalls'
 
 /** One call to the store, encoded. */
 export interface StoreCall {
@@ -14,6 +15,10 @@
   headers: string[]
   body: Buffer | undefined
   timeoutMs: number
+  /** Whether the store is asked to wait with its answer. */
+  waits?: boolean
+  /** Gives the call up; its answer is then `no_answer`. */
+  signal?: AbortSignal
 }
 
 /**
@@ -34,6 +39,9 @@
 /** Calls in progress at once; feeds hold one each. */
 const MAX_CONNECTIONS = 64
 
+/** Reason of a call that its sender has given up. */
+const GIVEN_UP_REASON = 'given_up'
+
 /** Nothing was done; what the body says is not read. */
 const BUSY_STATUS = new Set([429, 503])
 
@@ -50,8 +58,13 @@
     let readLate = false
     const settle = (answer: StoreAnswer): void => {
       timeout.cancel()
+      call.signal?.removeEventListener('abort', onAbort)
       resolve(answer)
     }
+    const onAbort = (): void => {
+      exchange.abort()
+      settle({ outcome: 'no_answer', reason: GIVEN_UP_REASON })
+    }
     const exchange = startExchange(pool, call, {
       onHead: (answered, headers) => {
         status = answered
@@ -72,6 +85,7 @@
       },
       onOwnPause: () => { readLate = true }
     })
+    call.signal?.addEventListener('abort', onAbort, { once: true })
   })
 }
 
@@ -136,6 +150,7 @@
   let lastProbeMs = -Infinity
   let relayAgainMs = -Infinity
   let relayBackoffMs = RELAY_BACKOFF_MS
+  const waiting = createWaitingCalls(clock)
 
   const note = (answer: StoreAnswer): boolean => {
     const nowMs = clock.nowMs()
@@ -163,6 +178,7 @@
       const peer = options.random.pick(peers)
       peers.splice(peers.indexOf(peer), 1)
       answer = await options.through(peer)(call)
+      if (call.signal?.aborted === true) return answer
       if (answer.outcome === 'answered' && !BUSY_STATUS.has(answer.status)) {
         contact.lastSuccessMs = clock.nowMs()
         relayBackoffMs = RELAY_BACKOFF_MS
@@ -176,19 +192,31 @@
     return answer
   }
 
-  const call = async (storeCall: StoreCall): Promise<StoreAnswer> => {
+  const callNow = async (storeCall: StoreCall): Promise<StoreAnswer> => {
     const turnedAway = failures >= TURNED_AWAY_FAILURES
     if (turnedAway && clock.nowMs() - lastProbeMs < PROBE_INTERVAL_MS) {
       const relayed = await relay(storeCall)
       if (relayed !== undefined) return relayed
     }
-    lastProbeMs = clock.nowMs()
+    const sentAtMs = clock.nowMs()
+    lastProbeMs = sentAtMs
     const answer = await options.direct(storeCall)
+    if (storeCall.signal?.aborted === true) return answer
+    if (answer.outcome === 'answered') waiting.onAnswer(sentAtMs)
+    else if (answer.outcome === 'no_answer') waiting.onSilence(sentAtMs)
     if (note(answer)) return answer
     // A call without an answer may have been done; doing it again through a peer is left to the caller.
     if (answer.outcome === 'no_answer') return answer
     return await relay(storeCall) ?? answer
   }
+
+  const call = async (storeCall: StoreCall): Promise<StoreAnswer> => {
+    if (storeCall.waits !== true) return await callNow(storeCall)
+    const { signal, end } = waiting.begin()
+    const answer = await callNow({ ...storeCall, signal })
+    end()
+    return answer
+  }
   return { call, contact }
 }
 
