Keep the time of a call to the store over all its tries

What callers could see: a daemon that cannot connect to the store, and whose first peers are down, knows of no change for its connect timeout, one or two timeouts of peers and then the whole timeout of the call through the last peer: some 5 s where 2.5 s are meant, though it counts as in contact 3 s after the disturbance.

Cause: each try of a call got the timeout of the whole call.

--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -121,6 +121,26 @@
   })
 })
 
+describe('the time of a call', () => {
+  // Guards against this: a daemon knows of no change for several timeouts in a row, though it counts as in contact.
+  it.each([['reach nobody', undefined], ['are silent', SILENT]])('is kept over all its tries when the store cannot be reached and peers %s', async (_title, last) => {
+    const notDone: StoreAnswer = { outcome: 'not_done', reason: 'UND_ERR_CONNECT_TIMEOUT' }
+    const answer = (given: StoreAnswer, afterMs: number): Promise<StoreAnswer> => new Promise(resolve => { clock.after(afterMs, () => resolve(given)) })
+    let tries = 0
+    const through: StoreTransport = call => {
+      tries++
+      return tries < 3 ? answer(notDone, Math.min(700, call.timeoutMs)) : answer(last ?? notDone, call.timeoutMs)
+    }
+    const relayed = createRelayedTransport({
+      clock, log: SILENT_LOGGER, random: createRandom(1), direct: () => answer(notDone, 700), peers: () => ['10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1'], through: () => through
+    })
+    let endedMs: number | undefined
+    relayed.call({ ...CALL, timeoutMs: 2500 }).then(() => { endedMs = clock.nowMs() }).catch(error => { throw error })
+    await clock.advanceAsync(10_000)
+    expect(endedMs).toBeLessThanOrEqual(10_000 + 2500)
+  })
+})
+
 describe('calls that wait at the store', () => {
   /** Answers after a time, or not at all, unless the call is given up. */
   const answerAfter = (answersAfterMs: number | undefined): StoreTransport => call => new Promise(resolve => {
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -127,6 +127,9 @@
  */
 const RELAY_TRIES = 3
 
+/** A try with less time than this brings no answer through a peer. */
+const MIN_TRY_MS = 50
+
 /** After a call through peers has failed as well, the store is probably away for all; peers are left alone for this long. */
 const RELAY_BACKOFF_MS = 250
 
@@ -169,15 +172,17 @@
     return false
   }
 
-  /** Asks one peer after another, as long as the answers show that nothing was done. */
-  const relay = async (call: StoreCall): Promise<StoreAnswer | undefined> => {
+  /** Asks one peer after another, as long as the answers show that nothing was done and the time of the call is not over. */
+  const relay = async (call: StoreCall, untilMs: number): Promise<StoreAnswer | undefined> => {
     if (clock.nowMs() < relayAgainMs) return undefined
     const peers = [...options.peers()]
     let answer: StoreAnswer | undefined
     for (let tries = 0; tries < RELAY_TRIES && peers.length > 0; tries++) {
+      const timeoutMs = untilMs - clock.nowMs()
+      if (timeoutMs < MIN_TRY_MS) break
       const peer = options.random.pick(peers)
       peers.splice(peers.indexOf(peer), 1)
-      answer = await options.through(peer)(call)
+      answer = await options.through(peer)({ ...call, timeoutMs })
       if (call.signal?.aborted === true) return answer
       if (answer.outcome === 'answered' && !BUSY_STATUS.has(answer.status)) {
         contact.lastSuccessMs = clock.nowMs()
@@ -193,21 +198,22 @@
   }
 
   const callNow = async (storeCall: StoreCall): Promise<StoreAnswer> => {
+    const untilMs = clock.nowMs() + storeCall.timeoutMs
     const turnedAway = failures >= TURNED_AWAY_FAILURES
     if (turnedAway && clock.nowMs() - lastProbeMs < PROBE_INTERVAL_MS) {
-      const relayed = await relay(storeCall)
+      const relayed = await relay(storeCall, untilMs)
       if (relayed !== undefined) return relayed
     }
     const sentAtMs = clock.nowMs()
     lastProbeMs = sentAtMs
-    const answer = await options.direct(storeCall)
+    const answer = await options.direct({ ...storeCall, timeoutMs: untilMs - sentAtMs })
     if (storeCall.signal?.aborted === true) return answer
     if (answer.outcome === 'answered') waiting.onAnswer(sentAtMs)
     else if (answer.outcome === 'no_answer') waiting.onSilence(sentAtMs)
     if (note(answer)) return answer
     // A call without an answer may have been done; doing it again through a peer is left to the caller.
     if (answer.outcome === 'no_answer') return answer
-    return await relay(storeCall) ?? answer
+    return await relay(storeCall, untilMs) ?? answer
   }
 
   const call = async (storeCall: StoreCall): Promise<StoreAnswer> => {
