Answer 404 only where the store has confirmed that there is no newer configuration

What callers saw: a request to a route that had been added was refused with 404 by a gateway whose copy of the configuration was 10.4 s old, though it reached the store for other calls. Clients do not send again after 404.

Cause: 404 was answered from the copy, however old it was.

Why this works: while the feed of the configuration is overdue, a gateway asks the store before it refuses a request for want of a route, at most once a second and for 0.4 s at most, as it does for unknown keys; without an answer it says 503, which is true (not run) and lets the client try another gateway. The refusal is logged, within the budget of lines, with the version that it was decided by: it left no line before.

--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -8,7 +8,7 @@
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { JobCalls } from '../jobs/jobCalls'
 import type { Configuration, Route } from '../model/types'
-import { type ClosingNotice, sendOwnAnswer } from '../requests/clientAnswer'
+import { type ClosingNotice, type OwnAnswer, sendOwnAnswer } from '../requests/clientAnswer'
 import { forwardRequest } from '../requests/forwardRequest'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { readBody } from '../requests/readBody'
@@ -24,6 +24,18 @@
 /** How often a waiting client's request looks for the configuration. */
 const START_POLL_MS = 10
 
+/** A gateway that cannot reach the store may reach it again soon, and another one may reach it now. */
+const UNCONFIRMED_RETRY_AFTER_MS = 300
+
+const NO_ROUTE: OwnAnswer = { status: 404, code: 'no_route', message: 'no route matches this host and path' }
+
+const ROUTE_NOT_CONFIRMED: OwnAnswer = {
+  status: 503,
+  code: 'route_not_confirmed',
+  message: 'no route that is known here matches this host and path, and the store does not say whether there is a new one',
+  retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS
+}
+
 /** A call of a client, and what answers it. */
 export interface ClientCall {
   request: IncomingMessage
@@ -37,6 +49,8 @@
   callers: CallerCheck
   /** @returns whether too little is known of keys that were taken away */
   isConfigurationStale: () => boolean
+  /** @returns whether there may be a version of the configuration of which this gateway has not heard */
+  mayMissVersions: () => boolean
   notice: ClosingNotice
 }
 
@@ -63,11 +77,13 @@
     rejectClient(call, 431, 'head_too_large', `the head of the request exceeds ${configuration.limits.maxHeaderBytes} bytes`)
     return
   }
-  const route = matchRoute(configuration, request.headers.host ?? '', request.url ?? '/')
-  if (route === undefined) {
-    sendOwnAnswer(response, { status: 404, code: 'no_route', message: 'no route matches this host and path' }, notice)
+  const found = await findRoute(call, configuration)
+  if (found.route === undefined) {
+    logNoRoute(call, found.refusal)
+    sendOwnAnswer(response, found.refusal, notice)
     return
   }
+  const { route } = found
   const metadata = forward.wire.decodeRequest(request.headers)
   const timeoutMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
   const read = await readBody(request, { maxBytes: configuration.limits.maxBodyBytes, timeoutMs }, forward.clock)
@@ -84,7 +100,32 @@
     await call.jobs.submit({ request, response, route, caller, body: read.body, metadata, arrivedAtMs })
     return
   }
-  forwardRequest(forward, { request, response, body: read.body, metadata, route, caller, configurationVersion: configuration.version, arrivedAtMs })
+  forwardRequest(forward, { request, response, body: read.body, metadata, route, caller, configurationVersion: found.configurationVersion, arrivedAtMs })
+}
+
+type FoundRoute = { route: Route, configurationVersion: number } | { route: undefined, refusal: OwnAnswer }
+
+/** Clients do not come back after 404: it is answered only by a gateway that knows all versions. */
+async function findRoute (call: ClientCall, configuration: Configuration): Promise<FoundRoute> {
+  const { request } = call
+  const findIn = (searched: Configuration): FoundRoute | undefined => {
+    const route = matchRoute(searched, request.headers.host ?? '', request.url ?? '/')
+    return route && { route, configurationVersion: searched.version }
+  }
+  const found = findIn(configuration)
+  if (found !== undefined) return found
+  const isConfirmed = !call.mayMissVersions() || await call.callers.confirm()
+  return findIn(call.configuration.current() ?? configuration) ?? { route: undefined, refusal: isConfirmed ? NO_ROUTE : ROUTE_NOT_CONFIRMED }
+}
+
+/** Any client can ask for what is not there, as often as it likes. */
+function logNoRoute ({ request, forward, configuration }: ClientCall, refusal: OwnAnswer): void {
+  if (!forward.lines.take()) {
+    forward.metrics.logLinesLeftOut.inc()
+    return
+  }
+  const { requestId } = forward.wire.decodeRequest(request.headers)
+  forward.log.info('no route', { requestId, status: refusal.status, configurationVersion: configuration.current()?.version })
 }
 
 /** @returns whose the call is; undefined when it has been refused */
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -24,6 +24,8 @@
   refreshConfiguration: () => Promise<boolean>
   /** @returns local time of the last answer about a followed table; undefined before the first */
   answeredAtMs: (table: string) => number | undefined
+  /** @returns whether a followed table may have changes of which this process has not heard: its feed is overdue */
+  mayMissChanges: (table: string) => boolean
   /** Ends the following. */
   close: () => void
 }
@@ -37,6 +39,9 @@
 /** Each endpoint's heartbeat is a change. An endpoint that drains must be left alone within 2 s, so that gathering them is no harm. */
 const ENDPOINT_FEED_INTERVAL_MS = 250
 
+/** The answer of a feed comes this much after the end of its wait at most while the store and its links are well. */
+const OVERDUE_MS = 500
+
 /** Options of `followPlatform`. */
 export interface FollowPlatformOptions {
   /** Asked after each listing of the daemons: time until the next one. */
@@ -130,6 +135,7 @@
     follow,
     refreshConfiguration,
     answeredAtMs: table => tableAnsweredAtMs.get(table),
+    mayMissChanges: table => clock.nowMs() - (tableAnsweredAtMs.get(table) ?? -Infinity) > waitMs + OVERDUE_MS,
     close: () => controller.abort()
   }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -158,6 +158,7 @@
         endpoints: view.endpoints,
         callers: accounts.callers,
         isConfigurationStale: accounts.isConfigurationStale,
+        mayMissVersions: () => view.mayMissChanges(wire.operator.configurationTable),
         notice
       })
         .catch(error => {
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -41,6 +41,7 @@
   'request ended': RequestEndFields
   'request refused': RefusalFields
   'request over the limit of its account': { requestId: string, account: string | undefined, granter: string, retryAfterMs: number }
+  'no route': { requestId: string | undefined, status: number, configurationVersion: number | undefined }
   'endpoint chosen': EndpointChoiceFields
   'answer begun': { requestId: string, endpoint: string, status: number, afterMs: number }
   /** This process stood still when it should have listened to an endpoint, which is therefore not judged yet. */
