Open new connections to the store once one of them has gone silent

What callers could see: after connections have gone silent without a reset, a daemon loses a call on each kept connection in turn; two calls of a feed in a row are 5 s without news where 3 s are allowed.

Cause: a call that timed out closed its own connection, and the next one took another kept one of the same age.

Why this works: calls after a timeout open their own connections; those that are in progress on the old ones may still be answered, and each tells its own end.

silentConnections.test.ts, five kept connections: two calls lost before (one of the five calls opened a new one by chance), one now.

--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,7 +1,7 @@
 /** Carries calls to the metadata store, directly or through a peer daemon that the store still serves. */
 import { type Clock, createSilenceWatch, isFramed, type Random } from 'anvilarch-utils'
 import { startExchange } from '../endpoints/exchange'
-import { createPool } from '../endpoints/httpPool'
+import { createPool, type Pool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
 import { createWaitingCalls } from './waitingCalls'
 
@@ -51,8 +51,20 @@
  * @returns a transport straight to that address
  */
 export function createDirectTransport (address: string, clock: Clock): StoreTransport {
-  const pool = createPool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  const openPool = (): Pool =>
+    createPool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  let currentPool = openPool()
+
+  /** Connections of one age go silent together. Calls in progress there may still be answered. */
+  const replacePool = (silent: Pool): void => {
+    if (silent !== currentPool) return
+    currentPool = openPool()
+    // Each of its calls tells its own end.
+    silent.close(() => {})
+  }
+
   return call => new Promise(resolve => {
+    const pool = currentPool
     const chunks: Buffer[] = []
     let status = 0
     let readLate = false
@@ -81,6 +93,7 @@
       boundMs: call.timeoutMs,
       onSilence: () => {
         exchange.abort()
+        replacePool(pool)
         settle({ outcome: 'no_answer', reason: 'timeout' })
       },
       onOwnPause: () => { readLate = true }
