Rank the runners of an item without hashing their names for each item

The work grows with the square of the fleet, and comes up to 25 times a second.

Why this works: each runner and each job is hashed once in a choice, and the numbers are combined by a few integer steps. The ranking is another one, as good as the old one (the tests of spreading pass unchanged); agents of two versions may choose the same item more often, which a claim settles.

--- a/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemChoice.test.ts
@@ -1,3 +1,4 @@
+import hashes from 'murmurhash'
 import { newJob } from '../../jobs/jobRecord'
 import type { ClaimRecord, JobRecord, MemberRecord } from '../../jobs/types'
 import { chooseItems, type ItemChoiceInput, urgency } from '../itemChoice'
@@ -104,6 +105,15 @@
     expect(new Set(RUNNERS.flatMap(runner => chosenBy(runner, RUNNERS))).size).toBeGreaterThan(75)
   })
 
+  // Guards against this: at a fleet of 65 runners each choice costs milliseconds, 25 times a second at each of them.
+  it('hash each runner and each job once in a choice', () => {
+    const hash = jest.spyOn(hashes, 'v3')
+    const runners = Array.from({ length: 65 }, (_, index) => `side-${index}`)
+    expect(chosenBy('side-3', runners)).toHaveLength(5)
+    expect(hash.mock.calls.length).toBeLessThanOrEqual(runners.length + jobs.length)
+    hash.mockRestore()
+  })
+
   it('choose among the most urgent ones only', () => {
     const chosen = chooseItems(input({ jobs }, { runner: 'runner1', runners: RUNNERS.slice(0, 4) }), 5)
     // Four runners with five slots each take the twenty most urgent items, of the first two jobs.
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -1,5 +1,6 @@
 /** Chooses the next items of a runner. */
 import { v3 as murmurhash } from 'murmurhash'
+import { mixHashes } from 'anvilarch-utils'
 import { isClosed, openItems } from '../jobs/jobRecord'
 import type { ClaimRecord, JobRecord, MemberRecord } from '../jobs/types'
 import type { WorkTable } from '../jobs/workTable'
@@ -120,20 +121,27 @@
  * not matter.
  */
 function spread (candidates: readonly Candidate[], input: ItemChoiceInput): Candidate[] {
-  const ranked = candidates.map((candidate, index) => ({ candidate, index, rank: rankOf(input, candidate) }))
+  const own = murmurhash(input.runner)
+  const others = input.runners.filter(name => name !== input.runner).map(name => murmurhash(name))
+  const jobs = new Map<string, number>()
+  const hashOf = ({ job: { jobId }, item }: Candidate): number => {
+    const job = jobs.get(jobId) ?? murmurhash(jobId)
+    jobs.set(jobId, job)
+    return mixHashes(job, item)
+  }
+  const ranked = candidates.map((candidate, index) => ({ candidate, index, rank: rankOf(own, others, hashOf(candidate)) }))
   return ranked.sort((a, b) => a.rank - b.rank || a.index - b.index).map(entry => entry.candidate)
 }
 
 /** Runners beyond this place are as good as any: the first three have nearly always had an item. */
 const LAST_RANK = 3
 
-/** How many other runners come before this one for an item; each item ranks them in another order. */
-function rankOf ({ runner, runners }: ItemChoiceInput, candidate: Candidate): number {
-  const itemSeed = murmurhash(candidate.job.jobId, candidate.item)
-  const own = murmurhash(runner, itemSeed)
+/** How many other runners come before this one for an item; each item ranks them in another order. All are given by hashes. */
+function rankOf (own: number, others: readonly number[], item: number): number {
+  const ownWeight = mixHashes(own, item)
   let rank = 0
-  for (const other of runners) {
-    if (other !== runner && murmurhash(other, itemSeed) > own) rank++
+  for (const other of others) {
+    if (mixHashes(other, item) > ownWeight) rank++
     if (rank === LAST_RANK) break
   }
   return rank
