--- a/deploy/days/outageDays.mjs
+++ b/deploy/days/outageDays.mjs
@@ -14,6 +14,7 @@
 const SHORTEST_S = 0.6
 const LENGTH_SPREAD_S = 4.4
 const CHANGE_COUNT = 10
+const SKIPPED_DRAWS = 10
 
 /** Calls to the store that get no answer, of all hosts or of some. */
 const OUTAGES = [
@@ -37,6 +38,8 @@
 /** @returns the outage of a day and the changes around its end */
 function dayOf (seed) {
   const random = createRandom(seed)
+  // The first numbers of neighbouring seeds lie close together.
+  for (let skipped = 0; skipped < SKIPPED_DRAWS; skipped++) random.next()
   const at = FIRST_START_S + random.next() * START_SPREAD_S
   const lengthS = SHORTEST_S + random.next() * LENGTH_SPREAD_S
   const endS = at + lengthS
