--- a/packages/anvilarch-bench/src/model/fleetModel.ts
+++ b/packages/anvilarch-bench/src/model/fleetModel.ts
@@ -91,7 +91,7 @@
 
 function createEndpoint (index: number, slots: number): Endpoint {
   const id = `e${index}`
-  return { id, startId: id, bornAtMs: undefined, service: 's', address: `10.0.${index >> 8}.${index & 255}:80`, failureDomain: `d${index % 4}`, slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+  return { id, startId: id, bornAtMs: undefined, service: 's', address: `10.0.${index >> 8}.${index & 255}:80`, failureDomain: `d${index % 4}`, softwareVersion: 'v1', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
 
 function requestRateAt (options: FleetModelOptions, nowMs: number): number {
--- a/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -3,7 +3,7 @@
 import type { EndpointLoad } from '../loadTable'
 
 function endpoint (id: string, change: Partial<Endpoint> = {}): Endpoint {
-  return { id, startId: id, bornAtMs: undefined, service: 's', address: id, failureDomain: 'b', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1, ...change }
+  return { id, startId: id, bornAtMs: undefined, service: 's', address: id, failureDomain: 'b', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1, ...change }
 }
 
 function choose (candidates: Endpoint[], loads: Record<string, Partial<EndpointLoad>>, change: Partial<ChoiceInput> = {}): string | undefined {
--- a/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
@@ -3,7 +3,7 @@
 import { createEndpointTable, type EndpointTable } from '../endpointTable'
 import { EXPIRED_RETENTION_MS, LAST_RESORT_MS, MIN_EXPIRY_OUTAGE_MS } from '../entryStatus'
 
-const ENDPOINT: Endpoint = { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+const ENDPOINT: Endpoint = { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 's', address: '10.0.0.1:80', failureDomain: 'a', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 
 let clock: FakeClock
 let lastFailureMs: number | undefined
--- a/packages/anvilarch-serving/src/endpoints/__tests__/loadProber.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/loadProber.test.ts
@@ -5,7 +5,7 @@
 import type { PeerAddress } from '../peerSocket'
 
 const ENDPOINTS: Endpoint[] = ['e1', 'e2', 'e3'].map((id, index) => ({
-  id, startId: id, bornAtMs: undefined, service: 's', address: `10.0.0.${index}:80`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1
+  id, startId: id, bornAtMs: undefined, service: 's', address: `10.0.0.${index}:80`, failureDomain: 'a', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1
 }))
 
 let clock: FakeClock
--- a/packages/anvilarch-serving/src/endpoints/__tests__/probeTargets.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/probeTargets.test.ts
@@ -4,7 +4,7 @@
 import { MAX_CONNECTED_PROBES, INITIAL_PROBES, MAX_FRESH_AGE_MS, ADDITIONAL_PROBES, type ProbeTargetInput, probeTargets } from '../probeTargets'
 
 const ENDPOINTS: Endpoint[] = Array.from({ length: 40 }, (_, index) => ({
-  id: `e${index}`, startId: `e${index}`, bornAtMs: undefined, service: 's', address: 'a', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1
+  id: `e${index}`, startId: `e${index}`, bornAtMs: undefined, service: 's', address: 'a', failureDomain: 'a', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1
 }))
 
 function input (loads: Record<string, Partial<EndpointLoad>>, change: Partial<ProbeTargetInput> = {}): ProbeTargetInput {
--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -93,7 +93,7 @@
     if (restarted) evict(endpoint.id, existing)
     const previous = restarted ? undefined : existing
     if (previous === undefined || previous.endpoint.state !== endpoint.state || previous.unlisted) {
-      log.info('endpoint listed', { endpoint: endpoint.startId, service: endpoint.service, address: endpoint.address, state: endpoint.state, restarted })
+      log.info('endpoint listed', { endpoint: endpoint.startId, service: endpoint.service, softwareVersion: endpoint.softwareVersion, address: endpoint.address, state: endpoint.state, restarted })
     }
     entries.set(endpoint.id, {
       endpoint,
--- a/packages/anvilarch-serving/src/model/types.ts
+++ b/packages/anvilarch-serving/src/model/types.ts
@@ -92,6 +92,8 @@
   /** IP and port. */
   address: string
   failureDomain: string
+  /** Version of the endpoint's software, not of its weights. Versions have no order. */
+  softwareVersion: string
   slots: number
   state: EndpointState
   /** Remaining time for which the endpoint is slow after its start. */
@@ -127,6 +129,8 @@
   deadlineMs: number | undefined
   /** Last event that the client has received. */
   lastEventId: number | undefined
+  /** Id of the client attempt that received the first event of the stream that this request resumes. */
+  resumesRequestId: string | undefined
   /** Prompt prefixes, outermost first; the last one belongs to the request or its session. */
   promptPrefixes: string[]
   promptTokens: number
--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -120,7 +120,7 @@
 export const EVENT_STREAM_HEADERS = [...SIGNED_HEADERS, 'content-type', 'text/event-stream', 'transfer-encoding', 'chunked']
 
 function endpointNamed (id: string): Endpoint {
-  return { id, bornAtMs: undefined, startId: id, service: 's', address: `${id}:1`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+  return { id, bornAtMs: undefined, startId: id, service: 's', address: `${id}:1`, failureDomain: 'a', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
 
 /**
@@ -271,7 +271,7 @@
     request: { method: 'GET', url: '/', headers: {}, rawHeaders: [] } as unknown as IncomingMessage,
     response: response as unknown as ServerResponse,
     body: Buffer.alloc(0),
-    metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: options.lastEventId, promptPrefixes: [], promptTokens: 1, maxOutputTokens: 1 },
+    metadata: { requestId: REQUEST_ID, deadlineMs: timeoutMs, lastEventId: options.lastEventId, resumesRequestId: undefined, promptPrefixes: [], promptTokens: 1, maxOutputTokens: 1 },
     route,
     caller: { caller: 'unchecked' },
     configurationVersion: 1,
--- a/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
@@ -2,7 +2,7 @@
 import type { EndpointLoad } from '../../endpoints/loadTable'
 import { checkOverload, type OverloadInput } from '../overload'
 
-const ENDPOINTS: Endpoint[] = ['e1', 'e2'].map(id => ({ id, startId: id, bornAtMs: undefined, service: 's', address: 'a', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }))
+const ENDPOINTS: Endpoint[] = ['e1', 'e2'].map(id => ({ id, startId: id, bornAtMs: undefined, service: 's', address: 'a', failureDomain: 'a', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }))
 
 function input (online: number, change: Partial<OverloadInput> = {}): OverloadInput {
   const load: EndpointLoad = { online, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
--- a/packages/anvilarch-serving/src/requests/attemptLog.ts
+++ b/packages/anvilarch-serving/src/requests/attemptLog.ts
@@ -28,6 +28,7 @@
       state.requestLog.note('endpoint chosen', {
         requestId,
         endpoint: endpoint.startId,
+        softwareVersion: endpoint.softwareVersion,
         online: load.online,
         batchRunning: load.batchRunning,
         slots: endpoint.slots,
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -116,6 +116,7 @@
     refusedSendCount: 0,
     lastEventId: metadata.lastEventId,
     responseStarted: false,
+    softwareVersion: undefined,
     firstEventAtMs: undefined,
     eventCount: 0,
     firstEventId: undefined,
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -90,6 +90,8 @@
   lastEventId: number | undefined
   /** Whether the head of the response has been sent to the client. */
   responseStarted: boolean
+  /** Software version of the endpoint whose head has been sent to the client. */
+  softwareVersion: string | undefined
   firstEventAtMs: number | undefined
   /** Number of forwarded events that have an id. */
   eventCount: number
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -178,6 +178,7 @@
     attemptLog.responseStarted(endpoint, head.status)
     if (state.responseStarted) return
     state.responseStarted = true
+    state.softwareVersion = endpoint.softwareVersion
     if (parts.drainState.isDraining()) response.setHeader('Connection', 'close')
     response.writeHead(head.status, head.rawHeaders)
     response.flushHeaders()
@@ -232,6 +233,14 @@
     return state.lastEventId === metadata.lastEventId ? 'again' : 'resumed'
   }
 
+  /** Counts a send that continues a stream, by who resumes it and whether the software version is that of its beginning. */
+  const countResumption = ({ softwareVersion }: Endpoint): void => {
+    if (state.lastEventId === undefined) return
+    const began = state.softwareVersion
+    const version = began === undefined ? 'unknown' : began === softwareVersion ? 'same' : 'other'
+    metrics.streamResumptions.inc({ by: state.responseStarted ? 'gateway' : 'client', version })
+  }
+
   const timeOut = (): void => {
     if (state.responseStarted) end.abortConnection('timeout')
     else steps.time_out('timeout')
@@ -269,6 +278,7 @@
     attemptLog.chosen(endpoint)
     state.tried.add(endpoint.startId)
     metrics.sends.inc({ kind: route.kind, send: sendKind() })
+    countResumption(endpoint)
     state.sendCount++
     sentAtMs = clock.nowMs()
     loads.onSent(endpoint.startId)
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -164,7 +164,7 @@
     name, role: 'agent', incarnation: `life${incarnation}`, peerAddress: '', failureDomain: '', aliveUntilMs: alive ? NEVER_MS : clock.nowMs()
   })
   const endpoint = (): Endpoint => ({
-    id: name, startId: `${name}@${engine.bornAtMs()}`, bornAtMs: engine.bornAtMs(), service: 'models', address: name, failureDomain: 'a', slots: SLOTS, state: ready ? 'ready' : 'draining', coldLeftMs: 0, listedVersion: 1
+    id: name, startId: `${name}@${engine.bornAtMs()}`, bornAtMs: engine.bornAtMs(), service: 'models', address: name, failureDomain: 'a', softwareVersion: 'v1', slots: SLOTS, state: ready ? 'ready' : 'draining', coldLeftMs: 0, listedVersion: 1
   })
   const start = (): BatchRunner => {
     incarnation++
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -135,5 +135,5 @@
 }
 
 function endpointWith (slots: number): Endpoint {
-  return { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 'models', address: ENDPOINT_ADDRESS, failureDomain: 'a', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+  return { id: 'e1', startId: 'e1', bornAtMs: undefined, service: 'models', address: ENDPOINT_ADDRESS, failureDomain: 'a', softwareVersion: 'v1', slots, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
--- a/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
@@ -7,7 +7,7 @@
 let view: EngineView
 
 function endpoint (bornAtMs: number | undefined): Endpoint {
-  return { id: 'e1', startId: startIdOf('e1', bornAtMs), bornAtMs, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
+  return { id: 'e1', startId: startIdOf('e1', bornAtMs), bornAtMs, service: 's', address: '10.0.0.1:80', failureDomain: 'a', softwareVersion: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, listedVersion: 1 }
 }
 
 beforeEach(() => {
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -17,7 +17,7 @@
   'configuration in force': { version: number, routeCount: number, accountCount: number, keyCount: number }
   'key in two accounts': { version: number, accounts: string }
   'caller refused': { requestId: string, reason: string, configurationVersion: number | undefined }
-  'endpoint listed': { endpoint: string, service: string, address: string, state: string, restarted: boolean }
+  'endpoint listed': { endpoint: string, service: string, softwareVersion: string, address: string, state: string, restarted: boolean }
   'endpoint entry not usable': { endpoint: string, field: string, reason: string, replacedGood: boolean }
   'engine started anew': { endpoint: string, bornAtMs: number }
   'endpoint removed from the list': { endpoint: string, service: string, held: boolean }
@@ -98,6 +98,10 @@
   /** Number of forwarded events with an id, and the id of the first one. */
   eventCount?: number
   firstEventId?: number
+  /** Software version of the endpoint that sent the first of these events. */
+  softwareVersion?: string
+  /** The client attempt whose stream this request resumes, as named by the client. */
+  resumesRequestId?: string
   /** How the response ended for a client that has received its head. */
   answerEnd?: AnswerEnd
   /** Time from the arrival of the request to the first event of a stream. */
@@ -136,6 +140,7 @@
 type EndpointChoiceFields = {
   requestId: string
   endpoint: string
+  softwareVersion: string
   /** Number of requests at the endpoint that cannot be preempted, as far as known to this process. */
   online: number
   batchRunning: number
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -14,6 +14,7 @@
   longestGapSeconds: Histogram
   endpointWaitSeconds: Histogram<'kind'>
   sends: Counter<'kind' | 'send'>
+  streamResumptions: Counter<'by' | 'version'>
   refusals: Counter<'kind' | 'reason'>
   callerRefusals: Counter<'reason'>
   attemptFailures: Counter<'kind' | 'reason'>
@@ -40,6 +41,7 @@
     longestGapSeconds: new Histogram({ name: 'anvilarch_longest_gap_seconds', help: 'Longest time between two events of a stream as they are handed on, one value a stream', buckets: LATENCY_BUCKETS_SECONDS, registers }),
     endpointWaitSeconds: new Histogram({ name: 'anvilarch_endpoint_wait_seconds', help: 'From a send to the first event or the whole answer: queue and work', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers }),
     sends: new Counter({ name: 'anvilarch_sends_total', help: 'Sends to endpoints: first, again, or resumed after an event', labelNames: ['kind', 'send'], registers }),
+    streamResumptions: new Counter({ name: 'anvilarch_stream_resumptions_total', help: 'Sends that continue a stream, by who resumes it, and whether the software version is the one that began it', labelNames: ['by', 'version'], registers }),
     refusals: new Counter({ name: 'anvilarch_refusals_total', help: 'Requests refused by this process by reason', labelNames: ['kind', 'reason'], registers }),
     callerRefusals: new Counter({ name: 'anvilarch_caller_refusals_total', help: 'Calls whose key is not known, or not known for certain, by reason', labelNames: ['reason'], registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
