--- a/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
@@ -6,6 +6,7 @@
 import type { Endpoint } from '../../model/types'
 import type { MetadataStore, StoredRow } from '../../store/types'
 import type { EventLog } from '../../telemetry/events'
+import { createStoreOrigins } from './storeOrigins'
 import { createKnownVersions } from '../knownVersions'
 import { createStreamOrigins, type StreamOrigins } from '../streamOrigins'
 import { createVersionHistory, type VersionHistory } from '../versionHistory'
@@ -42,6 +43,9 @@
   stop: () => void
 }
 
+/** Where gateways keep origins: at other gateways, or in the store. */
+export type OriginKeeping = 'peers' | 'store'
+
 /** The fleet. */
 export interface OriginFleet {
   clock: FakeClock
@@ -57,6 +61,8 @@
   /** @returns a version at which the gateway may begin a stream; undefined if it knows no endpoint */
   versionForNewStream: (gateway: FleetGateway) => string | undefined
   advance: (durationMs: number) => Promise<void>
+  /** Datagrams and store calls so far. */
+  costs: { datagrams: number, storeWrites: number, storeReads: number }
 }
 
 function endpointOf (softwareVersion: string): Endpoint {
@@ -67,9 +73,10 @@
  * @param seed - seed of the run
  * @param gatewayCount - number of gateways
  * @param lossShare - share of datagrams that are lost
+ * @param keeping - where gateways keep origins
  * @returns a fleet that has listed one endpoint of version v1
  */
-export function createOriginFleet (seed: number, gatewayCount: number, lossShare: number): OriginFleet {
+export function createOriginFleet (seed: number, gatewayCount: number, lossShare: number, keeping: OriginKeeping = 'peers'): OriginFleet {
   const clock = createFakeClock(1000)
   const random = createRandom(seed)
   const listed = new Set<string>(['v1'])
@@ -77,7 +84,10 @@
   const gateways: FleetGateway[] = []
   const ports = new Map<string, number>()
 
+  const costs = { datagrams: 0, storeWrites: 0, storeReads: 0 }
+
   const deliver = (message: PeerMessage, from: PeerAddress, to: PeerAddress): void => {
+    costs.datagrams++
     if (random.next() < lossShare) return
     clock.after(1, () => {
       const receiver = gateways.find(gateway => gateway.alive && gateway.address.port === to.port)
@@ -113,12 +123,19 @@
     })
     return {
       storeNowMs: () => clock.nowMs(),
-      readRows: async () => await respond(() => Ok({ rows: [...rows.values()], version: 1 }), Err({ reason: 'cut' })),
-      commit: async ({ puts }) => await respond(() => {
-        for (const put of puts) rows.set(put.key, { ...put, version: 1 })
-        return { outcome: 'committed', version: 1 }
-      }, { outcome: 'refused', reason: 'cut' })
-    } as unknown as MetadataStore
+      readRows: async ({ table, from, to }) => {
+        costs.storeReads++
+        const isInRange = ({ key }: StoredRow): boolean => (from === undefined || key >= from) && (to === undefined || key < to)
+        return await respond(() => Ok({ rows: [...rows.values()].filter(row => row.table === table && isInRange(row)), version: 1 }), Err({ reason: 'cut' }))
+      },
+      commit: async ({ puts }) => {
+        costs.storeWrites++
+        return await respond(() => {
+          for (const put of puts) rows.set(`${put.table}/${put.key}`, { ...put, version: 1 })
+          return { outcome: 'committed', version: 1 }
+        }, { outcome: 'refused', reason: 'cut' })
+      }
+    } as Partial<MetadataStore> as MetadataStore
   }
 
   const start = (name: string): FleetGateway => {
@@ -154,12 +171,14 @@
       followedSinceMs: undefined,
       calmSinceMs: clock.nowMs(),
       stop: () => controller.abort(),
-      origins: createStreamOrigins({
-        ...shared,
-        versions,
-        send: (message, to) => { if (gateway.alive) deliver(message, address, to) },
-        gateways: () => [...ports].filter(([other]) => other !== name).map(([other, otherPort]) => ({ name: other, address: { ip: '10.0.0.1', port: otherPort } }))
-      })
+      origins: keeping === 'store'
+        ? createStoreOrigins({ ...shared, store, versions })
+        : createStreamOrigins({
+          ...shared,
+          versions,
+          send: (message, to) => { if (gateway.alive) deliver(message, address, to) },
+          gateways: () => [...ports].filter(([other]) => other !== name).map(([other, otherPort]) => ({ name: other, address: { ip: '10.0.0.1', port: otherPort } }))
+        })
     }
     gateways.push(gateway)
     followList(gateway)
@@ -191,6 +210,7 @@
       const choices = settled.length > 0 ? settled : known
       return choices.length === 0 ? undefined : random.pick(choices)
     },
-    advance: async durationMs => await clock.advanceAsync(durationMs)
+    advance: async durationMs => await clock.advanceAsync(durationMs),
+    costs
   }
 }
--- a/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
+++ b/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
@@ -1,10 +1,13 @@
 /** Guards against streams that a gateway continues at another software version than the one that began them, over generated faults. */
 import { sleep } from 'anvilarch-utils'
-import { createOriginFleet, type FleetGateway, type OriginFleet, RETENTION_MS, SERVICE } from '../__fixtures__/originFleet'
+import { createOriginFleet, type FleetGateway, type OriginFleet, type OriginKeeping, RETENTION_MS, SERVICE } from '../__fixtures__/originFleet'
 
 const RUNS = Number(process.env.ORIGIN_HISTORIES ?? 30)
 const FIRST_SEED = Number(process.env.ORIGIN_HISTORIES_SEED ?? 4301)
 
+/** Where origins are kept; set for comparisons. */
+const KEEPING = (process.env.ORIGIN_KEEPING ?? 'peers') as OriginKeeping
+
 const VERSIONS = ['v1', 'v2', 'v3']
 const STEP_MS = 50
 const STEPS = 400
@@ -12,6 +15,9 @@
 /** Streams end after this long unless they break. */
 const STREAM_MS = 1500
 
+/** Share of datagrams that are lost. */
+const DATAGRAM_LOSS = 0.02
+
 /** Clients resume a broken stream after at most this long. */
 const MAX_RESUME_DELAY_MS = 400
 
@@ -26,6 +32,10 @@
 }
 
 interface Tally {
+  streams: number
+  datagrams: number
+  storeWrites: number
+  storeReads: number
   mixed: string[]
   resumedInTouch: number
   wentOnInTouch: number
@@ -89,8 +99,8 @@
 }
 
 async function run (seed: number): Promise<Tally> {
-  const fleet = createOriginFleet(seed, gatewayCountOf(seed), 0.02)
-  const tally: Tally = { mixed: [], resumedInTouch: 0, wentOnInTouch: 0 }
+  const fleet = createOriginFleet(seed, gatewayCountOf(seed), DATAGRAM_LOSS, KEEPING)
+  const tally: Tally = { streams: 2 * STEPS, datagrams: 0, storeWrites: 0, storeReads: 0, mixed: [], resumedInTouch: 0, wentOnInTouch: 0 }
   const resuming: Array<Promise<void>> = []
   let open: OpenStream[] = []
   await fleet.advance(RETENTION_MS / 2)
@@ -109,7 +119,7 @@
   await fleet.advance(RETENTION_MS)
   await Promise.all(resuming)
   for (const gateway of fleet.gateways) gateway.stop()
-  return tally
+  return { ...tally, ...fleet.costs }
 }
 
 /** @returns the number of gateways of a run */
@@ -119,12 +129,11 @@
 
 describe('streams that clients resume while versions and gateways come and go', () => {
   it('go on at the version that began them, or are refused', async () => {
-    const total: Tally = { mixed: [], resumedInTouch: 0, wentOnInTouch: 0 }
+    const total: Tally = { streams: 0, datagrams: 0, storeWrites: 0, storeReads: 0, mixed: [], resumedInTouch: 0, wentOnInTouch: 0 }
     for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
       const tally = await run(seed)
       total.mixed.push(...tally.mixed.map(text => `seed ${seed}, ${text}`))
-      total.resumedInTouch += tally.resumedInTouch
-      total.wentOnInTouch += tally.wentOnInTouch
+      for (const count of ['streams', 'datagrams', 'storeWrites', 'storeReads', 'resumedInTouch', 'wentOnInTouch'] as const) total[count] += tally[count]
     }
     if (process.env.ORIGIN_HISTORIES !== undefined) process.stdout.write(`${JSON.stringify(total)}\n`)
     expect(total.mixed).toEqual([])
