Log the shared prompt parts of a failed attempt

Cause: the logs of second1 don't show what the requests that crash engines have in common. Change: `attempt failed` has the parts of the prompt that other requests share. No decision changes.

--- a/packages/anvilarch-serving/src/requests/attemptLog.ts
+++ b/packages/anvilarch-serving/src/requests/attemptLog.ts
@@ -44,7 +44,7 @@
     },
     failed: (endpoint, failure, reason) => {
       state.requestLog.flush()
-      parts.log.info('attempt failed', { requestId, endpoint: endpoint.startId, failure, reason, lastEventId: state.lastEventId, remainingMs: remainingMs() })
+      parts.log.info('attempt failed', { requestId, endpoint: endpoint.startId, failure, reason, sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1).join(), lastEventId: state.lastEventId, remainingMs: remainingMs() })
     },
     processPaused: (endpoint, lateMs) => {
       state.requestLog.note('own pause noticed', { requestId, endpoint: endpoint.startId, lateMs: Math.round(lateMs) })
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -48,7 +48,7 @@
   'stream not resumed': { requestId: string, resumesRequestId: string | undefined, reason: 'origin_unknown' | 'service_not_routed' }
   /** This process was paused while it should have read from an endpoint, so the endpoint does not count as failed yet. */
   'own pause noticed': { requestId: string, endpoint: string, lateMs: number }
-  'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, lastEventId: number | undefined, remainingMs: number }
+  'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, sharedPrefixes: string, lastEventId: number | undefined, remainingMs: number }
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
 
