Quarantine prompt parts that crash endpoints

Cause: a request was recognized by its method, host, path and body. Requests of which no two are alike share only a prompt part, so that none was quarantined before its own third crash; and gateways resumed them at further engines. Change: each shared part of a prompt has a record of its own beside the request's, in the same rows. A part is quarantined when it was in progress at the crashes of three starts, with at least two requests, unless the gateway has lately seen endpoints complete more requests with it than crashed: parts that sound requests share were in progress at the same crashes. A request that has lost its endpoint is not sent to another one once a part of it was at two crashes. A quarantined part is tried by one request of the whole fleet after 5 s, 20 s, 80 s and so on, claimed in its row, and cleared for all when an endpoint completes it.

--- a/packages/anvilarch-serving/src/crashes/crashMonitor.ts
+++ b/packages/anvilarch-serving/src/crashes/crashMonitor.ts
@@ -1,31 +1,85 @@
-/** Detects requests that crash endpoints and decides which requests may still be sent. */
+/** Detects requests and prompt parts that crash endpoints and decides which requests may still be sent. */
+import { runInBackground } from 'anvilarch-utils'
+import type { EventLog } from '../telemetry/events'
 import type { RequestIdentity } from './fingerprint'
 import { fingerprintOf } from './fingerprint'
-import type { SuspectRecord, SuspectTable } from './suspectTable'
+import type { SharedSuspects } from './shareSuspects'
+import type { LostRequest, SuspectRecord, SuspectTable } from './suspectTable'
+
+/**
+ * Whether a request may be sent to an endpoint. `trial_due`: one of its prompt parts is quarantined, but one request is to show
+ * whether it still crashes endpoints.
+ */
+export type Admission = 'admitted' | 'quarantined' | 'trial_due'
 
 /** Monitors requests and endpoints for crashes. */
 export interface CrashMonitor {
-  /** @returns whether the request may be sent to an endpoint; false after it has been in progress at three crashes */
-  mayRun: (request: RequestIdentity) => boolean
+  admit: (request: RequestIdentity) => Admission
+  /** Claims the trial of a request. @returns whether this gateway may send it; no other gateway may then */
+  claimTrial: (request: RequestIdentity) => Promise<boolean>
+  /** @returns whether a request that has lost its endpoint may be sent to another one */
+  mayRunAgain: (request: RequestIdentity) => boolean
   /** Records that the connection was lost while the request was in progress. */
   onConnectionLost: (request: RequestIdentity, startId: string) => void
   /** Records that the endpoint has presumably crashed. */
   onEndpointLost: (startId: string) => void
+  /** Records that a single endpoint has run the request from its start to its end. */
+  onCompleted: (request: RequestIdentity) => void
+}
+
+/** Time from the last crash to the first trial of a quarantined part. */
+const FIRST_TRIAL_AFTER_MS = 5000
+
+/** Each trial is this many times later than the one before, since a crash costs all requests at an endpoint. */
+const TRIAL_DELAY_FACTOR = 4
+
+/**
+ * @param record - record of a quarantined part
+ * @returns store time of its next trial, in milliseconds
+ */
+export function nextTrialAtMs ({ lastCrashAtMs, trials = 0 }: SuspectRecord): number {
+  return lastCrashAtMs + FIRST_TRIAL_AFTER_MS * TRIAL_DELAY_FACTOR ** trials
+}
+
+/** Options of `createCrashMonitor`. */
+export interface CrashMonitorOptions {
+  log: EventLog
+  suspects: SuspectTable
+  /** Exchange with other gateways. */
+  shared: Pick<SharedSuspects, 'publish' | 'claimTrial' | 'clear'>
+  storeNowMs: () => number | undefined
 }
 
 /**
- * @param suspects - requests that were in progress at crashes
- * @param publish - shares new records with other gateways
+ * @param options - suspects and their exchange
  * @returns the monitor
  */
-export function createCrashMonitor (suspects: SuspectTable, publish: (records: readonly SuspectRecord[]) => void): CrashMonitor {
+export function createCrashMonitor ({ log, suspects, shared, storeNowMs }: CrashMonitorOptions): CrashMonitor {
   const publishNew = (records: readonly SuspectRecord[]): void => {
-    if (records.length > 0) publish(records)
+    if (records.length > 0) shared.publish(records)
   }
+  const lostRequestOf = (request: RequestIdentity): LostRequest => ({ fingerprint: fingerprintOf(request), sharedParts: request.sharedParts })
+  // Usually there is no suspect, so requests need not be hashed.
+  const isQuarantined = (request: RequestIdentity): boolean => !suspects.isEmpty() && suspects.isQuarantined(fingerprintOf(request))
+
   return {
-    // Usually there is no suspect, so requests need not be hashed.
-    mayRun: request => suspects.isEmpty() || !suspects.isQuarantined(fingerprintOf(request)),
-    onConnectionLost: (request, startId) => publishNew(suspects.onConnectionLost(fingerprintOf(request), startId)),
-    onEndpointLost: startId => publishNew(suspects.onEndpointLost(startId))
+    admit: request => {
+      if (suspects.isEmpty()) return 'admitted'
+      if (isQuarantined(request)) return 'quarantined'
+      const parts = suspects.quarantinedParts(request.sharedParts)
+      if (parts.length === 0) return 'admitted'
+      const nowMs = storeNowMs()
+      return nowMs !== undefined && parts.every(record => nowMs >= nextTrialAtMs(record)) ? 'trial_due' : 'quarantined'
+    },
+    claimTrial: async request => {
+      const claimed = await Promise.all(suspects.quarantinedParts(request.sharedParts).map(shared.claimTrial))
+      return claimed.every(Boolean)
+    },
+    mayRunAgain: request => !isQuarantined(request) && !suspects.hasSuspectPart(request.sharedParts),
+    onConnectionLost: (request, startId) => publishNew(suspects.onConnectionLost(lostRequestOf(request), startId)),
+    onEndpointLost: startId => publishNew(suspects.onEndpointLost(startId)),
+    onCompleted: ({ sharedParts }) => {
+      for (const record of suspects.onCompleted(sharedParts)) runInBackground(log, 'clear a suspect', () => shared.clear(record))
+    }
   }
 }
--- a/packages/anvilarch-serving/src/crashes/fingerprint.ts
+++ b/packages/anvilarch-serving/src/crashes/fingerprint.ts
@@ -7,6 +7,8 @@
   host: string
   path: string
   body: Buffer
+  /** Prompt parts that other requests share, outermost first. */
+  sharedParts: readonly string[]
 }
 
 /**
@@ -19,3 +21,8 @@
     .update(request.body)
     .digest('base64url')
 }
+
+/** @returns key of the record about a prompt part; no fingerprint of a request has this form */
+export function partKeyOf (part: string): string {
+  return `part:${part}`
+}
--- a/packages/anvilarch-serving/src/crashes/shareSuspects.ts
+++ b/packages/anvilarch-serving/src/crashes/shareSuspects.ts
@@ -20,6 +20,10 @@
   listener: TableListener
   /** Writes records of this gateway. A record that cannot be written remains local to this gateway. */
   publish: (records: readonly SuspectRecord[]) => void
+  /** Counts a trial of a quarantined part in its row. @returns whether no other gateway has claimed this trial */
+  claimTrial: (record: SuspectRecord) => Promise<boolean>
+  /** Removes the row of a part that has turned out to be sound. */
+  clear: (record: SuspectRecord) => Promise<void>
 }
 
 /**
@@ -56,7 +60,29 @@
     log.warn('suspects not shared', { recordCount: pending.length })
   }
 
+  const claimTrial = async (record: SuspectRecord): Promise<boolean> => {
+    const claimed = { ...record, trials: (record.trials ?? 0) + 1 }
+    const outcome = await store.commit({
+      conditions: [{ ...suspectKey(record.fingerprint), version: versions.get(record.fingerprint) ?? 0 }],
+      puts: [{ ...suspectKey(record.fingerprint), value: Buffer.from(JSON.stringify(claimed)) }],
+      removes: []
+    })
+    if (outcome.outcome === 'conflict') outcome.rows.forEach(mergeRow)
+    if (outcome.outcome !== 'committed') return false
+    versions.set(record.fingerprint, outcome.version)
+    suspects.merge(claimed)
+    log.warn('quarantined part tried again', { part: record.fingerprint, trials: claimed.trials })
+    return true
+  }
+
+  const clear = async (record: SuspectRecord): Promise<void> => {
+    const outcome = await store.commit({ conditions: [], puts: [], removes: [suspectKey(record.fingerprint)] })
+    log.info('quarantined part cleared', { part: record.fingerprint, shared: outcome.outcome === 'committed' })
+  }
+
   return {
+    claimTrial,
+    clear,
     listener: {
       onListing: rows => {
         versions.clear()
--- a/packages/anvilarch-serving/src/crashes/suspectTable.ts
+++ b/packages/anvilarch-serving/src/crashes/suspectTable.ts
@@ -4,19 +4,36 @@
  * Protects against a request whose processing crashes the endpoint: its caller sends it again, to any gateway, and each time an
  * endpoint and all requests in progress there are lost. The symptom is that endpoints restart one after another, each with the
  * same request in progress. A suspect may run until it has been in progress at the crashes of three starts of endpoints.
+ *
+ * The cause may also be a prompt part that many requests share. Each part has a record of its own. A part is blamed only if several
+ * requests with it were in progress at crashes, and endpoints have lately completed fewer requests with it than they have crashed:
+ * sound parts were in progress at the same crashes.
  */
 import type { Clock } from 'anvilarch-utils'
+import { createCompletionCounts } from './completionCounts'
+import { partKeyOf } from './fingerprint'
 
-/** Crashes at which a request was in progress. */
+/** Crashes at which a request, or requests with a prompt part, were in progress. */
 export interface SuspectRecord {
+  /** Fingerprint of the request, or key of the prompt part. */
   fingerprint: string
-  /** Start ids of the endpoints that crashed while the request was in progress there. */
+  /** Start ids of the endpoints that crashed meanwhile. */
   crashedStarts: string[]
   /** Store time of the last crash, in milliseconds. */
   lastCrashAtMs: number
+  /** Of a prompt part: fingerprints of the requests with it. */
+  requests?: string[]
+  /** Of a prompt part: number of requests that were let through since it was quarantined. */
+  trials?: number
+}
+
+/** A request in progress when its connection was lost. */
+export interface LostRequest {
+  fingerprint: string
+  sharedParts: readonly string[]
 }
 
-/** Requests that were in progress at crashes. */
+/** Requests and prompt parts that were in progress at crashes. */
 export interface SuspectTable {
   /**
    * Records that the connection to an endpoint was lost while the request was in progress there. This alone is no crash, since
@@ -24,14 +41,20 @@
    *
    * @returns new records, if the endpoint is already known to be lost
    */
-  onConnectionLost: (fingerprint: string, startId: string) => SuspectRecord[]
+  onConnectionLost: (request: LostRequest, startId: string) => SuspectRecord[]
   /** Records that the endpoint refuses connections, was replaced or cannot be reached by its agent. @returns new records */
   onEndpointLost: (startId: string) => SuspectRecord[]
+  /** Records that an endpoint has run a request with these prompt parts to its end. @returns quarantined parts that are thereby cleared */
+  onCompleted: (sharedParts: readonly string[]) => SuspectRecord[]
   /** Merges a record of another gateway. @returns the record merged with the local one */
   merge: (record: SuspectRecord) => SuspectRecord
   remove: (fingerprint: string) => void
   /** @returns whether the request may not be sent to any endpoint */
   isQuarantined: (fingerprint: string) => boolean
+  /** @returns records of the parts because of which requests may not be sent to any endpoint */
+  quarantinedParts: (sharedParts: readonly string[]) => SuspectRecord[]
+  /** @returns whether a part was in progress at several crashes and is not known to be sound */
+  hasSuspectPart: (sharedParts: readonly string[]) => boolean
   /** @returns whether there are no suspects, so that no lookup is needed */
   isEmpty: () => boolean
   records: () => SuspectRecord[]
@@ -43,6 +66,15 @@
  */
 export const QUARANTINE_CRASH_COUNT = 3
 
+/** Requests with a part that must have been in progress at crashes: one unlucky request alone does not quarantine its parts. */
+const MIN_PART_REQUESTS = 2
+
+/** Crashes after which a part is suspect, so that a request with it that has lost its endpoint is not sent to another one. */
+const SUSPECT_PART_CRASH_COUNT = 2
+
+/** Crashes that a record lists. A sound part with more completions than this is never blamed. */
+const MAX_LISTED_CRASHES = 8
+
 /** A lost connection and a lost endpoint are attributed to the same crash within this time. A restart is listed after at most one heartbeat of 1.2 s. */
 export const CRASH_CORRELATION_MS = 2500
 
@@ -53,7 +85,7 @@
 export const MAX_SUSPECTS = 2000
 
 interface LostConnection {
-  fingerprint: string
+  request: LostRequest
   lostAtMs: number
 }
 
@@ -66,6 +98,7 @@
   const records = new Map<string, SuspectRecord>()
   const lostConnections = new Map<string, LostConnection[]>()
   const endpointLostAtMs = new Map<string, number>()
+  const completions = createCompletionCounts(clock)
 
   const evictUncorrelated = (nowMs: number): void => {
     for (const [startId, connections] of lostConnections) {
@@ -80,9 +113,11 @@
     const known = records.get(record.fingerprint)
     const merged: SuspectRecord = {
       fingerprint: record.fingerprint,
-      crashedStarts: [...new Set([...known?.crashedStarts ?? [], ...record.crashedStarts])].slice(0, QUARANTINE_CRASH_COUNT),
+      crashedStarts: union(known?.crashedStarts, record.crashedStarts, MAX_LISTED_CRASHES),
       lastCrashAtMs: Math.max(known?.lastCrashAtMs ?? 0, record.lastCrashAtMs)
     }
+    if (record.requests !== undefined) merged.requests = union(known?.requests, record.requests, MIN_PART_REQUESTS)
+    if (record.trials !== undefined || known?.trials !== undefined) merged.trials = Math.max(known?.trials ?? 0, record.trials ?? 0)
     records.delete(record.fingerprint)
     records.set(record.fingerprint, merged)
     const oldest = records.keys().next().value
@@ -90,17 +125,46 @@
     return merged
   }
 
-  const recordCrash = (fingerprint: string, startId: string): SuspectRecord[] => {
-    if (records.get(fingerprint)?.crashedStarts.includes(startId) === true) return []
-    return [merge({ fingerprint, crashedStarts: [startId], lastCrashAtMs: storeNowMs() ?? 0 })]
+  const isNew = (fingerprint: string, startId: string): boolean => {
+    const crashedStarts = records.get(fingerprint)?.crashedStarts ?? []
+    return !crashedStarts.includes(startId) && crashedStarts.length < MAX_LISTED_CRASHES
+  }
+
+  const recordCrash = ({ fingerprint, sharedParts }: LostRequest, startId: string): SuspectRecord[] => {
+    const crash = { crashedStarts: [startId], lastCrashAtMs: storeNowMs() ?? 0 }
+    const requestRecords = isNew(fingerprint, startId) ? [merge({ fingerprint, ...crash })] : []
+    const blamed = sharedParts.filter(part => !isSound(part) && isNewForPart(part, fingerprint, startId))
+    return [...requestRecords, ...blamed.map(part => merge({ fingerprint: partKeyOf(part), ...crash, requests: [fingerprint] }))]
+  }
+
+  /** A second request at the same crash is new information about a part as long as one request is listed. */
+  const isNewForPart = (part: string, requestFingerprint: string, startId: string): boolean => {
+    const requests = records.get(partKeyOf(part))?.requests ?? []
+    return isNew(partKeyOf(part), startId) || (requests.length < MIN_PART_REQUESTS && !requests.includes(requestFingerprint))
+  }
+
+  /** @returns whether endpoints have lately completed more requests with the part than have crashed with one */
+  const isSound = (part: string): boolean => {
+    const completed = completions.count(part)
+    return completed > 0 && completed > (records.get(partKeyOf(part))?.crashedStarts.length ?? 0)
+  }
+
+  const partRecord = (part: string, crashCount: number): SuspectRecord | undefined => {
+    const record = records.get(partKeyOf(part))
+    return record !== undefined && record.crashedStarts.length >= crashCount && !isSound(part) ? record : undefined
+  }
+
+  const quarantinedPart = (part: string): SuspectRecord | undefined => {
+    const record = partRecord(part, QUARANTINE_CRASH_COUNT)
+    return (record?.requests?.length ?? 0) >= MIN_PART_REQUESTS ? record : undefined
   }
 
   return {
-    onConnectionLost: (fingerprint, startId) => {
+    onConnectionLost: (request, startId) => {
       const nowMs = clock.nowMs()
       evictUncorrelated(nowMs)
-      if (endpointLostAtMs.has(startId)) return recordCrash(fingerprint, startId)
-      lostConnections.set(startId, [...lostConnections.get(startId) ?? [], { fingerprint, lostAtMs: nowMs }])
+      if (endpointLostAtMs.has(startId)) return recordCrash(request, startId)
+      lostConnections.set(startId, [...lostConnections.get(startId) ?? [], { request, lostAtMs: nowMs }])
       return []
     },
     onEndpointLost: startId => {
@@ -109,12 +173,30 @@
       endpointLostAtMs.set(startId, nowMs)
       const connections = lostConnections.get(startId) ?? []
       lostConnections.delete(startId)
-      return connections.flatMap(connection => recordCrash(connection.fingerprint, startId))
+      return connections.flatMap(connection => recordCrash(connection.request, startId))
+    },
+    onCompleted: sharedParts => {
+      const cleared: SuspectRecord[] = []
+      for (const part of sharedParts) {
+        const record = records.size === 0 ? undefined : quarantinedPart(part)
+        if (record !== undefined) {
+          records.delete(record.fingerprint)
+          cleared.push(record)
+        }
+        completions.add(part)
+      }
+      return cleared
     },
     merge,
     remove: fingerprint => { records.delete(fingerprint) },
     isQuarantined: fingerprint => (records.get(fingerprint)?.crashedStarts.length ?? 0) >= QUARANTINE_CRASH_COUNT,
+    quarantinedParts: sharedParts => sharedParts.flatMap(part => quarantinedPart(part) ?? []),
+    hasSuspectPart: sharedParts => sharedParts.some(part => partRecord(part, SUSPECT_PART_CRASH_COUNT) !== undefined),
     isEmpty: () => records.size === 0,
     records: () => [...records.values()]
   }
 }
+
+function union (known: readonly string[] = [], added: readonly string[], limit: number): string[] {
+  return [...new Set([...known, ...added])].slice(0, limit)
+}
--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -257,7 +257,14 @@
     },
     drainState: { isDraining: () => false },
     holdTimes: createHoldTimes(),
-    crashes: { mayRun: () => !isQuarantined, onConnectionLost: () => {}, onEndpointLost: () => {} },
+    crashes: {
+      admit: () => isQuarantined ? 'quarantined' : 'admitted',
+      claimTrial: async () => false,
+      mayRunAgain: () => !isQuarantined,
+      onConnectionLost: () => {},
+      onEndpointLost: () => {},
+      onCompleted: () => {}
+    },
     streamOrigins: { resolve: async () => ({ resolution: 'single', versions: new Map([['s', 'v1']]) }), onStarted: () => {}, onEnded: () => {}, onMessage: () => {} },
     limits: {
       acquire: async () => options.granted === false
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -48,11 +48,13 @@
     end.clientDisconnected()
   })
 
-  if (!parts.crashes.mayRun(requestIdentityOf(client))) {
+  const admission = parts.crashes.admit(requestIdentityOf(client))
+  if (admission === 'quarantined') {
     end.respond(QUARANTINED_RESPONSE)
     return
   }
   const prepare = async (): Promise<GatewayResponse | undefined> => {
+    if (admission === 'trial_due' && !await parts.crashes.claimTrial(requestIdentityOf(client))) return QUARANTINED_RESPONSE
     const refusal = resumesStream(client) ? await bindStream(parts, client, state) : undefined
     if (refusal === undefined) await attempts.prepare()
     return refusal
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -60,8 +60,8 @@
 }
 
 /** @returns the properties by which the request is recognized when its caller sends it again */
-export function requestIdentityOf ({ request, body }: ClientRequest): RequestIdentity {
-  return { method: request.method ?? '', host: request.headers.host ?? '', path: request.url ?? '', body }
+export function requestIdentityOf ({ request, body, metadata }: ClientRequest): RequestIdentity {
+  return { method: request.method ?? '', host: request.headers.host ?? '', path: request.url ?? '', body, sharedParts: metadata.promptPrefixes.slice(0, -1) }
 }
 
 /**
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -82,7 +82,7 @@
   const stepAfter = (failure: AttemptFailure, attemptsThatMayHaveRun = state.attemptsThatMayHaveRun): NextStep => nextStep(route, failure, {
     attemptsThatMayHaveRun,
     responseStarted: state.responseStarted,
-    hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRun(requestIdentityOf(client)),
+    hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client)),
     remainingMs: remainingMs()
   })
 
@@ -153,6 +153,8 @@
   const onSuccess = (endpoint: Endpoint): void => {
     releaseRunning()
     loads.onSuccess(endpoint.startId)
+    // Several endpoints may complete a stream together, although each of them crashes.
+    if (state.attemptsThatMayHaveRun === 0 && metadata.lastEventId === undefined) parts.crashes.onCompleted(requestIdentityOf(client))
     // The request waits in the queue until its first event and holds the slot from then on.
     if (state.service !== undefined && state.firstEventAtMs !== undefined) {
       parts.holdTimes.onCompleted(state.service, clock.nowMs() - state.firstEventAtMs)
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -65,7 +65,7 @@
   const pools = createConnectionPools({ limitOf })
   const suspects = createSuspectTable(clock, context.store.storeNowMs)
   const shared = shareSuspects(context, suspects)
-  const crashes = createCrashMonitor(suspects, shared.publish)
+  const crashes = createCrashMonitor({ log, suspects, shared, storeNowMs: context.store.storeNowMs })
   view.follow({ table: SUSPECT_TABLE, partitions: DEFAULT_PARTITIONS, listener: shared.listener })
   const onReport = (report: LoadReport): void => {
     // Reports about a start that is not listed yet are repeated. A stored one would leak if the start is never listed.
