Forward streams without a length or chunks, and confirm their end

Cause: a response whose end can't be told from a lost connection was rejected at its head, streams too. Change: where a stream may be resumed, its events are forwarded. An end within an event is a broken connection; at any other end the stream is resumed after its last event, and an endpoint that has no further event confirms it. Such an end does not count against the endpoint. Streams that may not be resumed and plain answers are rejected as before, since nothing can confirm them.

--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -60,14 +60,17 @@
 /** Reasons of refusals in logs and metrics. */
 export type RefusalReason = 'other_incarnation' | 'too_many_calls' | 'full' | 'malformed'
 
+/** Reason of an attempt whose events have ended without a sign that they are complete. */
+const UNCONFIRMED_END_REASON = 'end_not_confirmed'
+
 /** Reasons for which the same endpoint may still accept other requests. */
-const TRANSIENT_REASONS: ReadonlySet<string> = new Set<RefusalReason>(['too_many_calls', 'full', 'malformed'])
+const TRANSIENT_REASONS: ReadonlySet<string> = new Set<RefusalReason | typeof UNCONFIRMED_END_REASON>(['too_many_calls', 'full', 'malformed', UNCONFIRMED_END_REASON])
 
 /**
  * @param reason - reason of a failed attempt
- * @returns whether the refusal does not indicate a fault of the endpoint; an endpoint that has been replaced refuses every request
+ * @returns whether the failure does not indicate a fault of the endpoint; an endpoint that has been replaced refuses every request
  */
-export function isTransientRefusal (reason: string): boolean {
+export function isTransientFailure (reason: string): boolean {
   return TRANSIENT_REASONS.has(reason)
 }
 
@@ -102,7 +105,7 @@
  * @returns the attempt
  */
 export function startAttempt (options: AttemptOptions): Attempt {
-  let head: { status: number, rawHeaders: string[], metadata: ResponseMetadata, events: boolean } | undefined
+  let head: { status: number, rawHeaders: string[], metadata: ResponseMetadata, events: boolean, framed: boolean } | undefined
   let lastEventId = options.afterEventId
   /** Whether the client has at least one event. A stream that resumes after the last event has no further events. */
   let hasEvent = (options.afterEventId ?? 0) > 0
@@ -137,13 +140,15 @@
       return
     }
     const events = options.streams && status === 200 && isEventStream(headers)
-    head = { status, rawHeaders: responseHeaders(rawHeaders, headers), metadata, events }
+    const framed = isHeadRequest || isFramed(status, name => headers.get(name))
+    head = { status, rawHeaders: responseHeaders(rawHeaders, headers), metadata, events, framed }
     if (refusalOf(status, metadata) !== undefined) return
     if (!metadata.signed || metadata.requestId === undefined) {
       fail('may_have_run', 'unsigned_answer')
       return
     }
-    if (!isHeadRequest && !isFramed(status, name => headers.get(name))) {
+    // The end of a stream that may be resumed is confirmed by another endpoint.
+    if (!framed && !(events && options.resumable)) {
       fail('may_have_run', 'unframed_answer')
       return
     }
@@ -209,6 +214,11 @@
       fail('may_have_run', 'no_events')
       return
     }
+    // The events may be cut here: only the endpoint that resumes the stream shows whether there are more.
+    if (head.events && !head.framed) {
+      fail('may_have_run', UNCONFIRMED_END_REASON)
+      return
+    }
     // These statuses tell the client that the request has not run, which the endpoint has not stated.
     if (head.status === 503 || head.status === 429 || head.status === 408) {
       fail('may_have_run', 'refusal_without_proof')
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -8,7 +8,7 @@
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
 import { unauthorizedResponse } from './clientResponse'
-import { type Attempt, type EndpointResponse, isBrokenConnection, isConnectionRefused, isTransientRefusal, startAttempt } from './runAttempt'
+import { type Attempt, type EndpointResponse, isBrokenConnection, isConnectionRefused, isTransientFailure, startAttempt } from './runAttempt'
 
 /** Attempts of one request. */
 export interface Attempts {
@@ -111,7 +111,7 @@
     releaseRunning()
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
     else state.refusedSendCount++
-    if (!isTransientRefusal(reason)) loads.onFailure(endpoint.startId)
+    if (!isTransientFailure(reason)) loads.onFailure(endpoint.startId)
     if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
     if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint.startId)
     metrics.attemptFailures.inc({ kind: route.kind, reason: metricReason })
