Close a flood of new connections unread while the gateway is late

Callers saw: no case yet. Cause: a gateway accepts and reads every connection. One that gets those of all its peers reads more requests than it can serve in time. Change: a timer, set only while connections come, shows how late the process is. While it is more than 150 ms late, connections beyond twice the usual rate (average of 30 s) are closed unread; anvilarch_connections_closed_unread_total counts them. A process in its first 15 s, one at its usual rate and one in time close none. Evidence: connectionAdmission.test.ts and clientServer.test.ts (a flood at a late process, which failed to be bounded before there was an admission).

--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -1,9 +1,11 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
-import { createSystemClock, abortResponse, SILENT_LOGGER } from 'anvilarch-utils'
+import { createFakeClock, createSystemClock, abortResponse, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
+import { createServingMetrics } from '../../telemetry/metrics'
 import { type ClientServer, createClientServer } from '../clientServer'
+import { EXCESS_FACTOR, MAX_LATENESS_MS, MIN_USUAL_PER_SECOND, USUAL_SECONDS } from '../connectionAdmission'
 
 let clients: ClientServer
 let handled: Array<{ path: string, response: ServerResponse }>
@@ -16,7 +18,7 @@
     handled.push({ path: url, response })
     onHandled(url, response)
   }
-  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), onRequest })
+  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), onRequest })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 })
 
@@ -111,3 +113,34 @@
     expect(handled.map(({ path }) => path)).toEqual(['/1'])
   })
 })
+
+describe('a flood of new connections', () => {
+  // Guards against a gateway that reads the requests of most clients of a zone and answers them late.
+  it('is closed with the requests unread while the process is late', async () => {
+    const clock = createFakeClock()
+    let requestCount = 0
+    const metrics = createServingMetrics()
+    const flooded = createClientServer({
+      log: SILENT_LOGGER as EventLog,
+      clock,
+      metrics,
+      onRequest: (_request, response) => {
+        requestCount++
+        response.end()
+      }
+    })
+    await new Promise<void>(resolve => flooded.server.listen(0, '127.0.0.1', resolve))
+    const { port } = flooded.server.address() as AddressInfo
+    const request = async (): Promise<boolean> => await fetch(`http://127.0.0.1:${port}/`, { headers: { connection: 'close' } }).then(response => response.ok, () => false)
+    clock.advance(USUAL_SECONDS * 1000)
+    await request()
+    clock.stall(2 * MAX_LATENESS_MS)
+    clock.advance(0)
+    const served = await Promise.all(Array.from({ length: 30 }, request))
+    flooded.close()
+    const limit = EXCESS_FACTOR * MIN_USUAL_PER_SECOND
+    expect(served.filter(Boolean)).toHaveLength(limit - 1)
+    expect(requestCount).toBe(limit)
+    expect((await metrics.connectionsClosedUnread.get()).values[0].value).toBe(30 - limit + 1)
+  })
+})
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,9 +1,11 @@
 /** HTTP server for clients: limits the size and duration of request heads and rejects bytes that do not form a request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { type Clock, abortResponse } from 'anvilarch-utils'
+import { type Clock, abortResponse, type Timer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
+import type { ServingMetrics } from '../telemetry/metrics'
+import { createConnectionAdmission } from './connectionAdmission'
 
 /** HTTP server for clients. */
 export interface ClientServer {
@@ -28,6 +30,7 @@
 export interface ClientServerOptions {
   log: EventLog
   clock: Clock
+  metrics: Pick<ServingMetrics, 'connectionsClosedUnread'>
   /** `arrivedAtMs`: local time at which the head was received. A pipelined request may be passed on much later. */
   onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void
 }
@@ -70,6 +73,7 @@
   const responsesOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
   // Node.js closes the connection when the client half-closes it. An HTTP/1.0 client would take that as the end of a complete response.
   server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(cutUnfinishedResponse)) })
+  closeExcessConnections(server, options)
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     const { status, reason } = PARSER_ERROR_RESPONSES.get(error.code ?? '') ?? MALFORMED
     const unfinishedResponses = responsesOn(socket)
@@ -97,6 +101,30 @@
   }
 }
 
+/** Time of the timer that shows whether this process is late. */
+const LATENESS_TIMER_MS = 20
+
+/** Closes new connections, with their requests unread, while this process is late because far more than usual come to it. */
+function closeExcessConnections (server: Server, { clock, metrics }: Pick<ClientServerOptions, 'clock' | 'metrics'>): void {
+  const admission = createConnectionAdmission(clock)
+  let timer: Timer | undefined
+  // There is a timer only while connections come.
+  const measureLateness = (): void => {
+    const dueAtMs = clock.nowMs() + LATENESS_TIMER_MS
+    timer ??= clock.after(LATENESS_TIMER_MS, () => {
+      timer = undefined
+      admission.onTimerLateness(clock.nowMs() - dueAtMs)
+    })
+  }
+  server.prependListener('connection', (socket: Socket) => {
+    measureLateness()
+    if (admission.admit()) return
+    metrics.connectionsClosedUnread.inc()
+    socket.destroy()
+  })
+  server.on('close', () => timer?.cancel())
+}
+
 function cutUnfinishedResponse (response: ServerResponse): void {
   if (!response.writableEnded) abortResponse(response)
 }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -156,6 +156,7 @@
   const clients = createClientServer({
     log,
     clock,
+    metrics: context.metrics,
     onRequest: (request, response, arrivedAtMs) => {
       handleClient({
         request,
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -17,6 +17,7 @@
   streamResumptions: Counter<'by' | 'version'>
   refusals: Counter<'kind' | 'reason'>
   callerRefusals: Counter<'reason'>
+  connectionsClosedUnread: Counter
   attemptFailures: Counter<'kind' | 'reason'>
   processPauses: Counter
   storeCalls: Counter<'call' | 'result'>
@@ -44,6 +45,7 @@
     streamResumptions: new Counter({ name: 'anvilarch_stream_resumptions_total', help: 'Sends that continue a stream, by who resumes it, and whether the software version is the one that began it', labelNames: ['by', 'version'], registers }),
     refusals: new Counter({ name: 'anvilarch_refusals_total', help: 'Requests refused by this process by reason', labelNames: ['kind', 'reason'], registers }),
     callerRefusals: new Counter({ name: 'anvilarch_caller_refusals_total', help: 'Calls whose key is not known, or not known for certain, by reason', labelNames: ['reason'], registers }),
+    connectionsClosedUnread: new Counter({ name: 'anvilarch_connections_closed_unread_total', help: 'New connections of clients that were closed before their request was read, because far more than usual came to this process', registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
     processPauses: new Counter({ name: 'anvilarch_own_pauses_total', help: 'Times that this process stood still when it should have listened to an endpoint, and so did not judge it', registers }),
     storeCalls: new Counter({ name: 'anvilarch_store_calls_total', help: 'Calls to the metadata store by result', labelNames: ['call', 'result'], registers }),
