Forget the crashes of a prompt part when an endpoint completes a request with it

Callers saw: no case; found by reading. A sound part whose crashes a gateway that had just started had published would be refused after a lull in which its completions had become too old to outweigh the record, which stays for ten minutes. Cause: a completion cleared only parts that were quarantined at that gateway at that moment. Change: each completion removes the record of its parts, and the row of those with two crashes or more. Evidence: suspectTable.test.ts, which failed before.

--- a/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
@@ -114,6 +114,15 @@
     expect(quarantined('sound')).toEqual([])
   })
 
+  // Guards against a sound part that is refused after a lull, when its completions are long past and its crashes are not.
+  it('has its crashes forgotten by a completion, also while it is known to be sound', () => {
+    for (let index = 0; index < 9; index++) table.onCompleted(['shared'])
+    table.merge({ fingerprint: 'part:shared', crashedStarts: ['e1', 'e2', 'e3'], lastCrashAtMs: 5, requests: ['r1', 'r2'] })
+    expect(table.onCompleted(['shared']).map(record => record.fingerprint)).toEqual(['part:shared'])
+    clock.advance(2 * COUNT_PERIOD_MS + 1)
+    expect(quarantined('shared')).toEqual([])
+  })
+
   it('is quarantined by the crashes that several gateways have seen together', () => {
     crashWith('r1', 'e1', 'bad')
     table.merge({ fingerprint: 'part:bad', crashedStarts: ['e2', 'e3'], lastCrashAtMs: 5, requests: ['r2'] })
--- a/packages/anvilarch-serving/src/crashes/crashMonitor.ts
+++ b/packages/anvilarch-serving/src/crashes/crashMonitor.ts
@@ -23,7 +23,7 @@
   onConnectionLost: (request: RequestIdentity, startId: string) => void
   /** Records that the endpoint has presumably crashed. */
   onEndpointLost: (startId: string) => void
-  /** Records that a single endpoint has run the request from its start to its end. */
+  /** Records that a single endpoint has run the request from its start to its end, so that its parts are sound. */
   onCompleted: (request: RequestIdentity) => void
 }
 
--- a/packages/anvilarch-serving/src/crashes/shareSuspects.ts
+++ b/packages/anvilarch-serving/src/crashes/shareSuspects.ts
@@ -77,7 +77,7 @@
 
   const clear = async (record: SuspectRecord): Promise<void> => {
     const outcome = await store.commit({ conditions: [], puts: [], removes: [suspectKey(record.fingerprint)] })
-    log.info('quarantined part cleared', { part: record.fingerprint, shared: outcome.outcome === 'committed' })
+    log.info('suspect part cleared', { part: record.fingerprint, shared: outcome.outcome === 'committed' })
   }
 
   return {
--- a/packages/anvilarch-serving/src/crashes/suspectTable.ts
+++ b/packages/anvilarch-serving/src/crashes/suspectTable.ts
@@ -44,7 +44,7 @@
   onConnectionLost: (request: LostRequest, startId: string) => SuspectRecord[]
   /** Records that the endpoint refuses connections, was replaced or cannot be reached by its agent. @returns new records */
   onEndpointLost: (startId: string) => SuspectRecord[]
-  /** Records that an endpoint has run a request with these prompt parts to its end. @returns quarantined parts that are thereby cleared */
+  /** Records that an endpoint has run a request with these prompt parts to its end. @returns records that other gateways must remove too */
   onCompleted: (sharedParts: readonly string[]) => SuspectRecord[]
   /** Merges a record of another gateway. @returns the record merged with the local one */
   merge: (record: SuspectRecord) => SuspectRecord
@@ -178,12 +178,11 @@
     onCompleted: sharedParts => {
       const cleared: SuspectRecord[] = []
       for (const part of sharedParts) {
-        const record = records.size === 0 ? undefined : quarantinedPart(part)
-        if (record !== undefined) {
-          records.delete(record.fingerprint)
-          cleared.push(record)
-        }
         completions.add(part)
+        const record = records.size === 0 ? undefined : records.get(partKeyOf(part))
+        if (record === undefined) continue
+        records.delete(record.fingerprint)
+        if (record.crashedStarts.length >= SUSPECT_PART_CRASH_COUNT) cleared.push(record)
       }
       return cleared
     },
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -25,7 +25,7 @@
   'request in progress at a crash': { fingerprint: string, crashCount: number, endpoint: string }
   /** One request with a quarantined prompt part is let through, to see whether the part still crashes endpoints. */
   'quarantined part tried again': { part: string, trials: number }
-  'quarantined part cleared': { part: string, shared: boolean }
+  'suspect part cleared': { part: string, shared: boolean }
   'suspects not shared': { recordCount: number }
 
   // The store.
