Tell sound prompt parts from crashing ones also where few completions are known

Callers saw: no case yet. Cause: a part was sound only if the gateway had seen more completions than the whole fleet had listed crashes, of which each takes several sound requests; the first part was blamed beside a part that nothing had ever completed; and requests with two quarantined parts used up the trials of both. Change: of the parts of a request at a crash, those with the fewest completions are blamed; a completion outweighs four crashes; requests with several quarantined parts are not tried, since a crash would not show which of them is the cause. Ruled out: no blame in the first 3 s of a process.

--- a/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
@@ -61,6 +61,14 @@
     expect(claims).toHaveLength(1)
   })
 
+  // Guards against trials that show nothing and use up those of a sound part.
+  it('are not tried while two of their parts are quarantined', () => {
+    for (const index of [4, 5, 6]) crash(index, 'other')
+    clock.advance(5000)
+    expect(monitor.admit(requestWith('new text', 'bad', 'other'))).toBe('quarantined')
+    expect(monitor.admit(requestWith('new text', 'other'))).toBe('trial_due')
+  })
+
   it('are admitted again once an endpoint has completed one', () => {
     monitor.onCompleted(requestWith('new text', 'bad'))
     expect(cleared).toEqual(['part:bad'])
--- a/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
@@ -101,6 +101,12 @@
     expect(quarantined('shared', 'bad')).toEqual(['part:bad'])
   })
 
+  it('is not blamed beside a part that has been completed less', () => {
+    table.onCompleted(['shared'])
+    for (const index of [1, 2, 3]) crashWith(`r${index}`, `e${index}`, 'shared', 'bad')
+    expect(quarantined('shared', 'bad')).toEqual(['part:bad'])
+  })
+
   it('is no longer taken for sound once its completions are long past', () => {
     for (let index = 0; index < 4; index++) table.onCompleted(['bad'])
     clock.advance(2 * COUNT_PERIOD_MS + 1)
--- a/packages/anvilarch-serving/src/crashes/crashMonitor.ts
+++ b/packages/anvilarch-serving/src/crashes/crashMonitor.ts
@@ -68,12 +68,13 @@
       if (isQuarantined(request)) return 'quarantined'
       const parts = suspects.quarantinedParts(request.sharedParts)
       if (parts.length === 0) return 'admitted'
-      const nowMs = storeNowMs()
-      return nowMs !== undefined && parts.every(record => nowMs >= nextTrialAtMs(record)) ? 'trial_due' : 'quarantined'
+      // With several quarantined parts, a crash would not show which of them is the cause.
+      const [part] = parts
+      return parts.length === 1 && (storeNowMs() ?? -Infinity) >= nextTrialAtMs(part) ? 'trial_due' : 'quarantined'
     },
     claimTrial: async request => {
-      const claimed = await Promise.all(suspects.quarantinedParts(request.sharedParts).map(shared.claimTrial))
-      return claimed.every(Boolean)
+      const [part] = suspects.quarantinedParts(request.sharedParts)
+      return part === undefined || await shared.claimTrial(part)
     },
     mayRunAgain: request => !isQuarantined(request) && !suspects.hasSuspectPart(request.sharedParts),
     onConnectionLost: (request, startId) => publishNew(suspects.onConnectionLost(lostRequestOf(request), startId)),
--- a/packages/anvilarch-serving/src/crashes/suspectTable.ts
+++ b/packages/anvilarch-serving/src/crashes/suspectTable.ts
@@ -5,9 +5,9 @@
  * endpoint and all requests in progress there are lost. The symptom is that endpoints restart one after another, each with the
  * same request in progress. A suspect may run until it has been in progress at the crashes of three starts of endpoints.
  *
- * The cause may also be a prompt part that many requests share. Each part has a record of its own. A part is blamed only if several
- * requests with it were in progress at crashes, and endpoints have lately completed fewer requests with it than they have crashed:
- * sound parts were in progress at the same crashes.
+ * The cause may also be a prompt part that many requests share. Each part has a record of its own. Sound parts are in progress at the
+ * same crashes, so of the parts of a request only those are blamed that have been completed least, and a part is quarantined only if
+ * several requests with it were in progress and the requests with it that endpoints have lately completed do not outweigh the crashes.
  */
 import type { Clock } from 'anvilarch-utils'
 import { createCompletionCounts } from './completionCounts'
@@ -72,9 +72,12 @@
 /** Crashes after which a part is suspect, so that a request with it that has lost its endpoint is not sent to another one. */
 const SUSPECT_PART_CRASH_COUNT = 2
 
-/** Crashes that a record lists. A sound part with more completions than this is never blamed. */
+/** Crashes that a record lists. */
 const MAX_LISTED_CRASHES = 8
 
+/** Crashes that one completion outweighs: sound parts are in progress at more crashes than they cause, since a crash takes all requests at an endpoint. */
+const CRASHES_PER_COMPLETION = 4
+
 /** A lost connection and a lost endpoint are attributed to the same crash within this time. A restart is listed after at most one heartbeat of 1.2 s. */
 export const CRASH_CORRELATION_MS = 2500
 
@@ -133,8 +136,13 @@
   const recordCrash = ({ fingerprint, sharedParts }: LostRequest, startId: string): SuspectRecord[] => {
     const crash = { crashedStarts: [startId], lastCrashAtMs: storeNowMs() ?? 0 }
     const requestRecords = isNew(fingerprint, startId) ? [merge({ fingerprint, ...crash })] : []
-    const blamed = sharedParts.filter(part => !isSound(part) && isNewForPart(part, fingerprint, startId))
-    return [...requestRecords, ...blamed.map(part => merge({ fingerprint: partKeyOf(part), ...crash, requests: [fingerprint] }))]
+    const newlyBlamed = blamedParts(sharedParts).filter(part => isNewForPart(part, fingerprint, startId))
+    return [...requestRecords, ...newlyBlamed.map(part => merge({ fingerprint: partKeyOf(part), ...crash, requests: [fingerprint] }))]
+  }
+
+  const blamedParts = (sharedParts: readonly string[]): string[] => {
+    const fewest = Math.min(...sharedParts.map(completions.count))
+    return sharedParts.filter(part => completions.count(part) === fewest && !isSound(part))
   }
 
   /** A second request at the same crash is new information about a part as long as one request is listed. */
@@ -143,10 +151,10 @@
     return isNew(partKeyOf(part), startId) || (requests.length < MIN_PART_REQUESTS && !requests.includes(requestFingerprint))
   }
 
-  /** @returns whether endpoints have lately completed more requests with the part than have crashed with one */
+  /** @returns whether the requests with the part that endpoints have lately completed outweigh the crashes */
   const isSound = (part: string): boolean => {
-    const completed = completions.count(part)
-    return completed > 0 && completed > (records.get(partKeyOf(part))?.crashedStarts.length ?? 0)
+    const crashCount = records.get(partKeyOf(part))?.crashedStarts.length ?? 0
+    return CRASHES_PER_COMPLETION * completions.count(part) > crashCount
   }
 
   const partRecord = (part: string, crashCount: number): SuspectRecord | undefined => {
