Share records of crashes whose row another gateway has removed

Callers saw: no case; found by reading. Since a completion removes the row of a part, a gateway that did not have the removal yet would have its next record rejected five times. Cause: the response to a conflict lacks a row that no longer exists, so that its old version stayed in the next condition. Change: versions of rows that a conflict does not list are forgotten. Evidence: the tests of crashes pass; no test of its own.

--- a/packages/anvilarch-serving/src/crashes/shareSuspects.ts
+++ b/packages/anvilarch-serving/src/crashes/shareSuspects.ts
@@ -54,6 +54,8 @@
         return
       }
       if (outcome.outcome !== 'conflict') break
+      // A row that another gateway has removed is missing in the response.
+      for (const record of pending) versions.delete(record.fingerprint)
       outcome.rows.forEach(mergeRow)
       pending = pending.map(record => suspects.merge(record))
     }
@@ -77,6 +79,7 @@
 
   const clear = async (record: SuspectRecord): Promise<void> => {
     const outcome = await store.commit({ conditions: [], puts: [], removes: [suspectKey(record.fingerprint)] })
+    versions.delete(record.fingerprint)
     log.info('suspect part cleared', { part: record.fingerprint, shared: outcome.outcome === 'committed' })
   }
 
