Hash long or unusual ids of prompt parts in the keys of records

Callers saw: no case; found by reading. The store takes keys of up to 200 bytes and rejects the whole transaction, in which records of other requests are too; the ids come from clients. Change: ids of more than 64 characters, or with other characters than letters, digits, dots, dashes and underscores, are hashed. Evidence: the tests of crashes pass.

--- a/packages/anvilarch-serving/src/crashes/fingerprint.ts
+++ b/packages/anvilarch-serving/src/crashes/fingerprint.ts
@@ -22,7 +22,11 @@
     .digest('base64url')
 }
 
+/** Longest part id that is used as it is; the store limits the length of keys, and clients may send any text. */
+const MAX_PLAIN_PART_LENGTH = 64
+
 /** @returns key of the record about a prompt part; no fingerprint of a request has this form */
 export function partKeyOf (part: string): string {
-  return `part:${part}`
+  const isPlain = part.length <= MAX_PLAIN_PART_LENGTH && /^[\w.-]*$/.test(part)
+  return `part:${isPlain ? part : createHash('sha1').update(part).digest('base64url')}`
 }
