Resend a request that no endpoint has run, although a part of it was in progress at crashes

Callers saw: no case; found by reading. A request that a full endpoint had refused was answered 503 instead of going to another one when one of its prompt parts had been in progress at two crashes, which happens to sound parts. Cause: the check against resends after a crash did not ask whether anything had run. Change: without an attempt that may have run, only a quarantine stops a further send. Evidence: crashMonitor.test.ts, which failed before.

--- a/packages/anvilarch-serving/src/crashes/__fixtures__/crashFleet.ts
+++ b/packages/anvilarch-serving/src/crashes/__fixtures__/crashFleet.ts
@@ -138,7 +138,7 @@
     for (const run of lost) {
       if (!run.gateway.alive) continue
       run.gateway.monitor.onConnectionLost(run.identity, startId)
-      if (run.attempt < MAX_ATTEMPTS && run.gateway.monitor.mayRunAgain(run.identity)) place({ ...run, attempt: run.attempt + 1 })
+      if (run.attempt < MAX_ATTEMPTS && run.gateway.monitor.mayRunAgain(run.identity, true)) place({ ...run, attempt: run.attempt + 1 })
     }
     for (const gateway of gateways) clock.after(random.between(1, MAX_DETECTION_MS), () => gateway.monitor.onEndpointLost(startId))
     clock.after(DOWN_MS, () => engines.push({ startId: `${startId}+${startCount++}`, runs: new Set() }))
--- a/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
@@ -79,9 +79,17 @@
 describe('a request that has lost its endpoint', () => {
   it('is not sent to another one after two crashes with one of its parts', () => {
     crash(1, 'bad')
-    expect(monitor.mayRunAgain(requestWith('text 1', 'bad'))).toBe(true)
+    expect(monitor.mayRunAgain(requestWith('text 1', 'bad'), true)).toBe(true)
     crash(2, 'bad')
-    expect(monitor.mayRunAgain(requestWith('text 2', 'bad'))).toBe(false)
-    expect(monitor.mayRunAgain(requestWith('text 2', 'sound'))).toBe(true)
+    expect(monitor.mayRunAgain(requestWith('text 2', 'bad'), true)).toBe(false)
+    expect(monitor.mayRunAgain(requestWith('text 2', 'sound'), true)).toBe(true)
+  })
+
+  // Guards against the refusal of a request that a full endpoint has not run, because a part of it was in progress at two crashes.
+  it('is sent to another one if none has run it, unless its part is quarantined', () => {
+    for (const index of [1, 2]) crash(index, 'part')
+    expect(monitor.mayRunAgain(requestWith('text 2', 'part'), false)).toBe(true)
+    crash(3, 'part')
+    expect(monitor.mayRunAgain(requestWith('text 3', 'part'), false)).toBe(false)
   })
 })
--- a/packages/anvilarch-serving/src/crashes/crashMonitor.ts
+++ b/packages/anvilarch-serving/src/crashes/crashMonitor.ts
@@ -17,8 +17,8 @@
   admit: (request: RequestIdentity) => Admission
   /** Claims the trial of a request. @returns whether this gateway may send it; no other gateway may then */
   claimTrial: (request: RequestIdentity) => Promise<boolean>
-  /** @returns whether a request that has lost its endpoint may be sent to another one */
-  mayRunAgain: (request: RequestIdentity) => boolean
+  /** @returns whether a request may be sent to another endpoint; `mayHaveRun`: whether one of those before may have run it */
+  mayRunAgain: (request: RequestIdentity, mayHaveRun: boolean) => boolean
   /** Records that the connection was lost while the request was in progress. */
   onConnectionLost: (request: RequestIdentity, startId: string) => void
   /** Records that the endpoint has presumably crashed. */
@@ -76,7 +76,11 @@
       const [part] = suspects.quarantinedParts(request.sharedParts)
       return part === undefined || await shared.claimTrial(part)
     },
-    mayRunAgain: request => !isQuarantined(request) && !suspects.hasSuspectPart(request.sharedParts),
+    mayRunAgain: (request, mayHaveRun) => {
+      if (suspects.isEmpty()) return true
+      if (isQuarantined(request) || suspects.quarantinedParts(request.sharedParts).length > 0) return false
+      return !mayHaveRun || !suspects.hasSuspectPart(request.sharedParts)
+    },
     onConnectionLost: (request, startId) => publishNew(suspects.onConnectionLost(lostRequestOf(request), startId)),
     onEndpointLost: startId => publishNew(suspects.onEndpointLost(startId)),
     onCompleted: ({ sharedParts }) => {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -82,7 +82,7 @@
   const stepAfter = (failure: AttemptFailure, attemptsThatMayHaveRun = state.attemptsThatMayHaveRun): NextStep => nextStep(route, failure, {
     attemptsThatMayHaveRun,
     responseStarted: state.responseStarted,
-    hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client)),
+    hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client), attemptsThatMayHaveRun > 0),
     remainingMs: remainingMs()
   })
 
