--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -154,8 +154,8 @@
     const isAllowed = ({ endpoint }: Entry): boolean => endpoint.service === service && (softwareVersion === undefined || endpoint.softwareVersion === softwareVersion)
     const allowed = [...entries.values()].filter(entry => isAllowed(entry) && isValid(entry))
     const ready = allowed.filter(entry => acceptsRequests(entry, nowMs))
-    const settled = softwareVersion === undefined && versions.settlesInMs(service) > 0 ? ready.filter(({ endpoint }) => versions.isSettled(service, endpoint.softwareVersion)) : ready
-    const chosen = [settled, ready].find(choice => choice.length > 0) ?? allowed.filter(entry => isLastResort(entry, nowMs))
+    const preferred = softwareVersion === undefined ? ready.filter(({ endpoint }) => versions.isSettled(service, endpoint.softwareVersion)) : ready
+    const chosen = [preferred, ready].find(choice => choice.length > 0) ?? allowed.filter(entry => isLastResort(entry, nowMs))
     return chosen.map(entry => entry.endpoint)
   }
 
--- a/packages/anvilarch-serving/src/endpoints/peerMessages.ts
+++ b/packages/anvilarch-serving/src/endpoints/peerMessages.ts
@@ -1,6 +1,7 @@
 /**
  * Datagrams between daemons: load reports about the engine of an agent, usage reports, permits within the limits of accounts
- * that gateways grant each other, and origins of streams that gateways keep for each other. Losses are tolerated: a later datagram makes up for a lost one.
+ * that gateways grant each other, and origins of streams that gateways keep for each other. Losses are tolerated: a later
+ * datagram makes up for a lost one, or another gateway responds.
  */
 import type { Granter } from '../accounts/limits/limitBounds'
 import type { StreamOrigin } from '../streams/types'
