Count the time of a suspension into the age of a copy

Callers saw: no case; found by reading. A host that was suspended for seconds would take its list of endpoints for fresh until the next response of the store, and a stream that its client resumes there could go on at a version that came meanwhile; a route that was added meanwhile could get 404. Cause: ages were taken from the monotonic clock, which stops while a host is suspended. Change: the age of a followed table is the larger of its ages by the monotonic and by the wall clock. A wall clock that is set ahead makes a copy look old until the next response, which costs a read at most; one that is set back changes nothing.

--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -28,6 +28,8 @@
   follow: (table: FollowedTable) => void
   /** Reads the configuration from the store and applies it. @returns whether the store responded */
   refreshConfiguration: () => Promise<boolean>
+  /** @returns time since the last response about a followed table, with the time for which this host was suspended; `Infinity` before the first */
+  answerAgeMs: (table: string) => number
   /** @returns local time of the last response about a followed table; undefined before the first */
   answeredAtMs: (table: string) => number | undefined
   /** @returns local time since which a table has been followed without a gap; undefined before the first response */
@@ -82,12 +84,19 @@
   const tableAnsweredAtMs = new Map<string, number>()
   const waitMs = feedWaitMs({ contactMs: context.settings.contactMs, callTimeoutMs: store.callTimeoutMs })
   const tableFollowedSinceMs = new Map<string, number>()
-  const isFeedOverdue = (table: string): boolean => clock.nowMs() - (tableAnsweredAtMs.get(table) ?? -Infinity) > waitMs + OVERDUE_MS
+  const tableAnsweredAtWallMs = new Map<string, number>()
+  // The monotonic clock stops while the host is suspended; the wall clock does not, but may be set back.
+  const answerAgeMs = (table: string): number => Math.max(
+    clock.nowMs() - (tableAnsweredAtMs.get(table) ?? -Infinity),
+    clock.wallMs() - (tableAnsweredAtWallMs.get(table) ?? -Infinity)
+  )
+  const isFeedOverdue = (table: string): boolean => answerAgeMs(table) > waitMs + OVERDUE_MS
   const follow = (table: FollowedTable): void => {
     const onResponse = (): void => {
       // The feed names rows that were written and removed in a gap, but no longer has their content.
       if (isFeedOverdue(table.table)) tableFollowedSinceMs.set(table.table, clock.nowMs())
       tableAnsweredAtMs.set(table.table, clock.nowMs())
+      tableAnsweredAtWallMs.set(table.table, clock.wallMs())
     }
     runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, waitMs, signal: controller.signal, onResponse, ...table }))
   }
@@ -156,6 +165,7 @@
     work,
     follow,
     refreshConfiguration,
+    answerAgeMs,
     answeredAtMs: table => tableAnsweredAtMs.get(table),
     followedSinceMs: table => tableFollowedSinceMs.get(table),
     isFeedOverdue,
--- a/packages/anvilarch-serving/src/roles/gatewayStreams.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayStreams.ts
@@ -58,7 +58,7 @@
     history,
     rows,
     retentionMs,
-    listedAsOfMs: () => view.answeredAtMs(table),
+    listAgeMs: () => view.answerAgeMs(table),
     followedSinceMs: () => view.followedSinceMs(table),
     isFeedOverdue: () => view.isFeedOverdue(table),
     readList
--- a/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
@@ -151,7 +151,7 @@
     const versions = createKnownVersions({
       ...shared,
       rows: shareVersions({ ...shared, store, log, writes: () => true, signal: controller.signal }),
-      listedAsOfMs: () => gateway.answeredAtMs,
+      listAgeMs: () => clock.nowMs() - gateway.answeredAtMs,
       followedSinceMs: () => gateway.followedSinceMs,
       isFeedOverdue: () => clock.nowMs() - gateway.answeredAtMs > OVERDUE_MS,
       readList: async () => {
--- a/packages/anvilarch-serving/src/streams/knownVersions.ts
+++ b/packages/anvilarch-serving/src/streams/knownVersions.ts
@@ -21,8 +21,8 @@
   history: VersionHistory
   rows: VersionRows
   retentionMs: () => number
-  /** @returns local time as of which the list of endpoints is complete; undefined before the first listing */
-  listedAsOfMs: () => number | undefined
+  /** @returns time since the list of endpoints was complete, in milliseconds; `Infinity` before the first listing */
+  listAgeMs: () => number
   /** @returns local time since which the list has been followed without a gap; undefined before the first listing */
   followedSinceMs: () => number | undefined
   /** @returns whether the feed of the list is overdue */
@@ -42,7 +42,7 @@
 
   const hasSeveral = (service: string): boolean => history.recent(service).length > 1
 
-  const isListFresh = (): boolean => clock.nowMs() - (options.listedAsOfMs() ?? -Infinity) <= MAX_FRESH_LIST_AGE_MS
+  const isListFresh = (): boolean => options.listAgeMs() <= MAX_FRESH_LIST_AGE_MS
 
   /** Versions that were listed before a start or a gap are only in the rows of the store, until they no longer matter. */
   const isHistoryComplete = (): boolean => {
