--- a/packages/anvilarch-serving/src/requests/bindStream.ts
+++ b/packages/anvilarch-serving/src/requests/bindStream.ts
@@ -1,20 +1,25 @@
 /** Binds the request of a stream to the endpoints that may continue it. */
 import type { Endpoint } from '../model/types'
 import type { StreamOrigin } from '../streams/types'
+import type { EventFields } from '../telemetry/events'
 import type { GatewayResponse } from './clientResponse'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 
-/** The client may begin the stream anew without `Retry-After`: waiting does not bring the record back. */
-const ORIGIN_UNKNOWN_RESPONSE: GatewayResponse = {
-  status: 503,
-  code: 'origin_unknown',
-  message: 'it is not known which software version began this stream, and another one cannot continue it'
-}
+/** Why a stream that the client resumes is refused. */
+type Refusal = EventFields['stream not resumed']['reason']
 
-const SERVICE_NOT_ROUTED_RESPONSE: GatewayResponse = {
-  status: 503,
-  code: 'service_not_routed',
-  message: 'the route no longer leads to the service that began this stream, and another one cannot continue it'
+/** The client may begin the stream anew at once, so there is no `Retry-After`: waiting does not bring a record back. */
+const REFUSALS: Record<Refusal, GatewayResponse> = {
+  origin_unknown: {
+    status: 503,
+    code: 'origin_unknown',
+    message: 'it is not known which software version began this stream, and another one cannot continue it'
+  },
+  service_not_routed: {
+    status: 503,
+    code: 'service_not_routed',
+    message: 'the route no longer leads to the service that began this stream, and another one cannot continue it'
+  }
 }
 
 /** @returns whether the client resumes a stream of which it has events */
@@ -40,19 +45,21 @@
   const { route, metadata } = client
   const services = route.targets.filter(target => target.weight > 0).map(target => target.service)
   const result = await parts.streamOrigins.resolve(metadata.resumesRequestId, services)
-  const origin = result.resolution === 'bound' ? result.origin : result.resolution === 'single' ? singleOrigin(state.service, result.versions) : undefined
-  if (origin !== undefined && services.includes(origin.service)) {
-    state.service = origin.service
-    state.origin = origin
+  if (result.resolution === 'single') {
+    state.origin = singleOrigin(state.service, result.versions)
+    return undefined
+  }
+  if (result.resolution === 'bound' && services.includes(result.origin.service)) {
+    state.service = result.origin.service
+    state.origin = result.origin
     return undefined
   }
-  // Without endpoints there is no version either, and the request is refused for that.
-  if (result.resolution === 'single') return undefined
-  const reason = result.resolution === 'unknown' ? 'origin_unknown' : 'service_not_routed'
+  const reason: Refusal = result.resolution === 'unknown' ? 'origin_unknown' : 'service_not_routed'
   parts.log.info('stream not resumed', { requestId: metadata.requestId, resumesRequestId: metadata.resumesRequestId, reason })
-  return result.resolution === 'unknown' ? ORIGIN_UNKNOWN_RESPONSE : SERVICE_NOT_ROUTED_RESPONSE
+  return REFUSALS[reason]
 }
 
+/** @returns the origin of a stream of a service that has had one version; undefined if the service has no endpoints */
 function singleOrigin (service: string | undefined, versions: ReadonlyMap<string, string>): StreamOrigin | undefined {
   const softwareVersion = service === undefined ? undefined : versions.get(service)
   return service === undefined || softwareVersion === undefined ? undefined : { service, softwareVersion }
--- a/packages/anvilarch-serving/src/streams/__fixtures__/storeOrigins.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/storeOrigins.ts
@@ -38,8 +38,8 @@
     resolve: async (requestId, services) => {
       const recorded = requestId === undefined ? undefined : table.find(requestId)
       if (recorded !== undefined) return { resolution: 'bound', origin: recorded }
-      const single = await versions.single(services)
-      if (single !== undefined) return { resolution: 'single', versions: single }
+      const singleVersions = await versions.singleVersions(services)
+      if (singleVersions !== undefined) return { resolution: 'single', versions: singleVersions }
       const read = requestId === undefined ? undefined : await store.readRows({ table: ORIGIN_TABLE, partition: '', from: requestId, to: `${requestId}\u0001` })
       const row = read?.ok === true ? read.val.rows.find(candidate => candidate.key === requestId) : undefined
       return row === undefined ? { resolution: 'unknown' } : { resolution: 'bound', origin: JSON.parse(row.value.toString()) as StreamOrigin }
--- a/packages/anvilarch-serving/src/streams/knownVersions.ts
+++ b/packages/anvilarch-serving/src/streams/knownVersions.ts
@@ -12,7 +12,7 @@
    *
    * @returns the version of each service that has endpoints; undefined unless it is certain that each service has had one only
    */
-  single: (services: readonly string[]) => Promise<ReadonlyMap<string, string> | undefined>
+  singleVersions: (services: readonly string[]) => Promise<ReadonlyMap<string, string> | undefined>
 }
 
 /** Options of `createKnownVersions`. */
@@ -65,7 +65,7 @@
 
   return {
     mayBeSeveral: service => hasSeveral(service) || options.isFeedOverdue(),
-    single: async services => {
+    singleVersions: async services => {
       if (services.some(hasSeveral) || !await refresh() || services.some(hasSeveral)) return undefined
       return new Map(services.flatMap(service => history.recent(service).map(version => [service, version])))
     }
--- a/packages/anvilarch-serving/src/streams/streamOrigins.ts
+++ b/packages/anvilarch-serving/src/streams/streamOrigins.ts
@@ -76,8 +76,8 @@
     resolve: async (requestId, services) => {
       const recorded = requestId === undefined ? undefined : table.find(requestId)
       if (recorded !== undefined) return { resolution: 'bound', origin: recorded }
-      const single = await versions.single(services)
-      if (single !== undefined) return { resolution: 'single', versions: single }
+      const singleVersions = await versions.singleVersions(services)
+      if (singleVersions !== undefined) return { resolution: 'single', versions: singleVersions }
       const found = requestId === undefined ? undefined : await queries.find(requestId)
       return found === undefined ? { resolution: 'unknown' } : { resolution: 'bound', origin: found }
     },
