--- a/packages/anvilarch-serving/src/requests/bindStream.ts
+++ b/packages/anvilarch-serving/src/requests/bindStream.ts
@@ -8,7 +8,7 @@
 /** Why a stream that the client resumes is refused. */
 type Refusal = EventFields['stream not resumed']['reason']
 
-/** The client may begin the stream anew at once, so there is no `Retry-After`: waiting does not bring a record back. */
+/** Responses without `Retry-After`: a later retry would not succeed either, and the client can restart the stream at once. */
 const REFUSALS: Record<Refusal, GatewayResponse> = {
   origin_unknown: {
     status: 503,
