Repeat the calls of a job's acceptance through a peer while the store is silent

Cause: a gateway whose packets to the store are dropped waits for the timeouts of its calls (1.5 and 2.5 s), and refuses a job after 1.5 s that its peers could store. Ruled out: refusing at once (docs/design/0009), since a gateway cannot tell its own loss of the store from an outage for all.

Change: calls that may be executed twice (reads, conditional transactions, objects written once) are also sent through up to two peers after a sixth of the route's latency objective without a response. A call that was silent over any way and answered over none is unknown, as before.

--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -1,6 +1,7 @@
 /** Accepts a job: the whole job is stored before the client is notified. */
 import { sleep } from 'anvilarch-utils'
 import type { Route } from '../model/types'
+import { withRepeats } from '../store/withRepeats'
 import { createJobRecord } from './jobRecord'
 import { decodeRecord, JOB_TABLE, jobKey, encodeRecord, submissionObject } from './jobRows'
 import { type JobParts, readJob } from './jobStore'
@@ -30,6 +31,12 @@
 /** Pause between attempts while the store refuses calls. */
 const RETRY_PAUSE_MS = 120
 
+/** A call that is silent for this fraction of the latency objective is repeated through a peer: an acceptance takes up to four calls in a row. */
+const REPEAT_FRACTION = 1 / 6
+
+/** The store stores an object within 25 ms, so an earlier repeat would only add load. */
+const MIN_REPEAT_AFTER_MS = 50
+
 /**
  * @param parts - store and local cache of the jobs
  * @param route - the route of the submission
@@ -39,8 +46,11 @@
  */
 export async function acceptJob (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
   if (parts.work.job(submission.jobId) !== undefined) return 'accepted'
-  const prepared = await withDeadline(parts, untilMs, prepare(parts, route, submission, untilMs))
-  if (prepared === 'ready') return await createJob(parts, route, submission, untilMs)
+  // Every write of an acceptance is conditional, so a call that is executed twice changes nothing the second time.
+  const repeatAfterMs = Math.max(MIN_REPEAT_AFTER_MS, REPEAT_FRACTION * route.latencyObjectiveMs)
+  const repeating = { ...parts, store: withRepeats(parts.store, repeatAfterMs) }
+  const prepared = await withDeadline(parts, untilMs, prepare(repeating, route, submission, untilMs))
+  if (prepared === 'ready') return await createJob(repeating, route, submission, untilMs)
   return prepared ?? 'refused'
 }
 
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -4,6 +4,7 @@
 import { createPool, type Pool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
 import { createLongPolls } from './longPolls'
+import { MIN_TRY_MS, sendOverWays, type StoreWay } from './sendOverWays'
 
 /** An encoded call to the store. */
 export interface StoreCall {
@@ -17,6 +18,8 @@
   timeoutMs: number
   /** Whether the store may delay its response. */
   isLongPoll?: boolean
+  /** After this long without a response the call is also sent through a peer. Set only for calls that may be executed twice. */
+  repeatAfterMs?: number
   /** Aborts the call. Its outcome is then `no_answer`. */
   signal?: AbortSignal
 }
@@ -142,8 +145,8 @@
  */
 const RELAY_TRIES = 3
 
-/** A relayed call gets no response in less time than this. */
-const MIN_TRY_MS = 50
+/** Number of peers through which a repeatable call may be sent. The first one may have lost the store as well. */
+const REPEAT_PEERS = 2
 
 /** Pause of relaying after a relayed call has failed as well, since the store is probably unreachable for all hosts. */
 const RELAY_BACKOFF_MS = 250
@@ -170,21 +173,19 @@
   let relayBackoffMs = RELAY_BACKOFF_MS
   const longPolls = createLongPolls(clock)
 
-  const recordOutcome = (response: StoreResponse): boolean => {
+  const recordOutcome = (response: StoreResponse): void => {
     const nowMs = clock.nowMs()
-    const succeeded = response.outcome === 'answered' && !BUSY_STATUS.has(response.status)
-    if (succeeded) {
+    if (isServed(response)) {
       if (consecutiveFailures >= RELAY_FAILURE_THRESHOLD) log.info('store answers again', { afterMs: Math.round(nowMs - failingSinceMs) })
       consecutiveFailures = 0
       contact.lastSuccessMs = nowMs
-      return true
+      return
     }
     consecutiveFailures++
     contact.lastFailureMs = nowMs
     if (consecutiveFailures === 1) failingSinceMs = nowMs
     contact.lastOutageMs = nowMs - failingSinceMs
     if (consecutiveFailures === RELAY_FAILURE_THRESHOLD) log.warn('store does not serve this host', { reason: reasonOf(response) })
-    return false
   }
 
   /** Tries one peer after another while the responses prove that the call was not executed and its timeout has not passed. */
@@ -199,7 +200,7 @@
       peers.splice(peers.indexOf(peer), 1)
       response = await options.createPeerTransport(peer)({ ...call, timeoutMs })
       if (call.signal?.aborted === true) return response
-      if (response.outcome === 'answered' && !BUSY_STATUS.has(response.status)) {
+      if (isServed(response)) {
         contact.lastSuccessMs = clock.nowMs()
         relayBackoffMs = RELAY_BACKOFF_MS
         return response
@@ -207,25 +208,68 @@
       if (response.outcome === 'no_answer') break
     }
     if (response === undefined) return undefined
+    pauseRelaying()
+    return response
+  }
+
+  const pauseRelaying = (): void => {
     relayPausedUntilMs = clock.nowMs() + options.random.jitter(relayBackoffMs, RELAY_JITTER)
     relayBackoffMs = Math.min(MAX_RELAY_BACKOFF_MS, relayBackoffMs * 2)
+  }
+
+  const sendDirect = async (storeCall: StoreCall, timeoutMs: number): Promise<StoreResponse> => {
+    const sentAtMs = clock.nowMs()
+    lastProbeMs = sentAtMs
+    const response = await options.direct({ ...storeCall, timeoutMs })
+    if (storeCall.signal?.aborted === true) return response
+    if (response.outcome === 'answered') longPolls.onResponse(sentAtMs)
+    else if (response.outcome === 'no_answer') longPolls.onNoAnswer(sentAtMs)
+    recordOutcome(response)
+    return response
+  }
+
+  /** Counts a direct call as failed before its timeout: a peer has already got a response to the same call. */
+  const recordSilence = (): void => {
+    if (consecutiveFailures >= RELAY_FAILURE_THRESHOLD) return
+    if (consecutiveFailures === 0) failingSinceMs = clock.nowMs()
+    consecutiveFailures = RELAY_FAILURE_THRESHOLD
+    contact.lastFailureMs = clock.nowMs()
+    log.warn('store does not serve this host', { reason: 'silent' })
+  }
+
+  const callRepeatable = async (storeCall: StoreCall, repeatAfterMs: number, deadlineMs: number, directFirst: boolean): Promise<StoreResponse> => {
+    let isDirectPending = false
+    const direct: StoreWay = async timeoutMs => {
+      isDirectPending = true
+      const response = await sendDirect(storeCall, timeoutMs)
+      isDirectPending = false
+      return response
+    }
+    const throughPeer = (peer: string): StoreWay => async timeoutMs => {
+      const response = await options.createPeerTransport(peer)({ ...storeCall, timeoutMs })
+      if (!isServed(response)) return response
+      contact.lastSuccessMs = clock.nowMs()
+      relayBackoffMs = RELAY_BACKOFF_MS
+      if (isDirectPending) recordSilence()
+      return response
+    }
+    const peers = clock.nowMs() < relayPausedUntilMs ? [] : pickPeers(options, REPEAT_PEERS).map(throughPeer)
+    const ways = directFirst ? [direct, ...peers] : [...peers, direct]
+    const { response, usedWays } = await sendOverWays({ clock, ways, repeatAfterMs, deadlineMs, isConclusive: isServed })
+    if (usedWays > 1 && !isServed(response)) pauseRelaying()
     return response
   }
 
   const callNow = async (storeCall: StoreCall): Promise<StoreResponse> => {
     const deadlineMs = clock.nowMs() + storeCall.timeoutMs
-    const isRelaying = consecutiveFailures >= RELAY_FAILURE_THRESHOLD
-    if (isRelaying && clock.nowMs() - lastProbeMs < PROBE_INTERVAL_MS) {
+    const isRelaying = consecutiveFailures >= RELAY_FAILURE_THRESHOLD && clock.nowMs() - lastProbeMs < PROBE_INTERVAL_MS
+    if (storeCall.repeatAfterMs !== undefined) return await callRepeatable(storeCall, storeCall.repeatAfterMs, deadlineMs, !isRelaying)
+    if (isRelaying) {
       const relayed = await relay(storeCall, deadlineMs)
       if (relayed !== undefined) return relayed
     }
-    const sentAtMs = clock.nowMs()
-    lastProbeMs = sentAtMs
-    const response = await options.direct({ ...storeCall, timeoutMs: deadlineMs - sentAtMs })
-    if (storeCall.signal?.aborted === true) return response
-    if (response.outcome === 'answered') longPolls.onResponse(sentAtMs)
-    else if (response.outcome === 'no_answer') longPolls.onNoAnswer(sentAtMs)
-    if (recordOutcome(response)) return response
+    const response = await sendDirect(storeCall, deadlineMs - clock.nowMs())
+    if (storeCall.signal?.aborted === true || isServed(response)) return response
     // A call without a response may have been executed. Whether to repeat it through a peer is up to the caller.
     if (response.outcome === 'no_answer') return response
     return await relay(storeCall, deadlineMs) ?? response
@@ -241,6 +285,22 @@
   return { call, contact }
 }
 
+/** @returns whether the store has executed the call, or has refused it for what it contains */
+function isServed (response: StoreResponse): boolean {
+  return response.outcome === 'answered' && !BUSY_STATUS.has(response.status)
+}
+
+function pickPeers (options: Pick<RelayOptions, 'peers' | 'random'>, count: number): string[] {
+  const remaining = [...options.peers()]
+  const picked: string[] = []
+  while (picked.length < count && remaining.length > 0) {
+    const peer = options.random.pick(remaining)
+    remaining.splice(remaining.indexOf(peer), 1)
+    picked.push(peer)
+  }
+  return picked
+}
+
 function reasonOf (response: StoreResponse): string {
   return response.outcome === 'answered' ? `status ${response.status}` : response.reason
 }
--- a/packages/anvilarch-serving/src/store/types.ts
+++ b/packages/anvilarch-serving/src/store/types.ts
@@ -79,15 +79,21 @@
   to?: string
 }
 
+/** Options of a call. */
+export interface StoreCallOptions {
+  /** After this long without a response the call is also sent through a peer. Set only for calls that may be executed twice. */
+  repeatAfterMs?: number
+}
+
 /** Client of the metadata store. */
 export interface MetadataStore {
   /** Timeout of a call about rows, in milliseconds, beyond the wait that the call requests. */
   readonly callTimeoutMs: number
-  commit: (transaction: Transaction) => Promise<TransactionOutcome>
-  readRows: (range: RowRange) => Promise<Result<RowsRead, StoreFailure>>
+  commit: (transaction: Transaction, options?: StoreCallOptions) => Promise<TransactionOutcome>
+  readRows: (range: RowRange, options?: StoreCallOptions) => Promise<Result<RowsRead, StoreFailure>>
   readFeed: (table: string, afterVersion: number, waitMs: number) => Promise<Result<FeedRead, StoreFailure>>
   /** Writes an object unless it already exists. */
-  writeObject: (name: string, bytes: Buffer) => Promise<ObjectWriteOutcome>
+  writeObject: (name: string, bytes: Buffer, options?: StoreCallOptions) => Promise<ObjectWriteOutcome>
   /** @returns the bytes; undefined if the object does not exist */
   readObject: (name: string) => Promise<Result<Buffer | undefined, StoreFailure>>
   removeObject: (name: string) => Promise<boolean>
--- /dev/null
+++ b/packages/anvilarch-serving/src/store/withRepeats.ts
@@ -0,0 +1,19 @@
+/** A client of the store whose calls are repeated through a peer when the store is silent. */
+import type { MetadataStore } from './types'
+
+/**
+ * For work whose calls may be executed twice: reads, transactions under conditions, and objects that are written only once.
+ *
+ * @param store - client of the store
+ * @param repeatAfterMs - a call is repeated after this long without a response
+ * @returns the same client, with repeats
+ */
+export function withRepeats (store: MetadataStore, repeatAfterMs: number): MetadataStore {
+  const options = { repeatAfterMs }
+  return {
+    ...store,
+    commit: transaction => store.commit(transaction, options),
+    readRows: range => store.readRows(range, options),
+    writeObject: (name, bytes) => store.writeObject(name, bytes, options)
+  }
+}
