Place requests by the pace of endpoints

Cause: a gateway counts requests, so that a free slot of a slow engine gets as much work as one of a quick engine.

Change: agents measure the pace from the runs that their engine reports, and tell it with the load; placement and the estimated wait use it.

--- a/packages/anvilarch-bench/src/experiments/logCost.ts
+++ b/packages/anvilarch-bench/src/experiments/logCost.ts
@@ -86,7 +86,7 @@
   if (detail === 'everything') requestLog.flush()
   const logsDetails = detail === 'by_outcome' || detail === 'everything'
   if (logsDetails && !refused) {
-    requestLog.note('endpoint chosen', { requestId, endpoint: 'i-25e40e7ffa', softwareVersion: 'v1.2', online: 5, batchRunning: 2, slots: 8, suspected: false, candidateCount: 6, loadAgeMs: 1, remainingMs: 4983, afterMs: 2 })
+    requestLog.note('endpoint chosen', { requestId, endpoint: 'i-25e40e7ffa', softwareVersion: 'v1.2', online: 5, batchRunning: 2, slots: 8, suspected: false, eventIntervalMs: 18, candidateCount: 6, loadAgeMs: 1, remainingMs: 4983, afterMs: 2 })
     requestLog.note('answer begun', { requestId, endpoint: 'i-25e40e7ffa', status: 200, afterMs: 31 })
   }
   if (logsDetails && failed) {
--- a/packages/anvilarch-bench/src/model/modelGateway.ts
+++ b/packages/anvilarch-bench/src/model/modelGateway.ts
@@ -58,7 +58,7 @@
     const engine = endpoint === undefined ? undefined : engineById.get(endpoint.id)
     if (endpoint === undefined || engine === undefined || message.message !== 'load_probe') return
     clock.after(LINK_DELAY_MS, () => {
-      const report = { startId: endpoint.startId, online: engine.online(), batchRunning: engine.batchRunning(), reachable: true }
+      const report = { startId: endpoint.startId, online: engine.online(), batchRunning: engine.batchRunning(), reachable: true, eventIntervalMs: undefined }
       clock.after(LINK_DELAY_MS, () => prober.onResponse({ message: 'load_response', correlationId: message.correlationId, report }, to))
     })
   }
@@ -116,7 +116,7 @@
     counts,
     onArrival: () => {
       const arrivedAtMs = clock.nowMs()
-      const request = { service: 's', sharedPrefixes: [`p${random.between(1, PREFIXES)}`], excluded: new Set<string>() }
+      const request = { service: 's', sharedPrefixes: [`p${random.between(1, PREFIXES)}`], gapObjectiveMs: 0, excluded: new Set<string>() }
       placement.prepare(request).then(() => {
         const endpoint = placement.choose(request)
         if (endpoint !== undefined) sendRequest(endpoint, arrivedAtMs)
--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -2,11 +2,13 @@
  * Chooses the endpoint of a request. Pure.
  *
  * Designed for bursts, when nearly all slots are taken: a request that queues behind others misses its objective although
- * another endpoint has a free slot.
+ * another endpoint has a free slot. Where endpoints differ in pace, a request at a slow one counts as more load, so that a
+ * free slot there is used when the quick ones have less room.
  */
 import { v3 as murmurhash } from 'murmurhash'
 import type { Endpoint } from '../model/types'
 import type { EndpointLoad } from './loadTable'
+import { endangersGapObjective, paceFactor, typicalIntervalMs } from './pace'
 import { isFresh } from './probeTargets'
 
 /** Input of the choice. */
@@ -17,6 +19,8 @@
   isResponsive: (endpoint: Endpoint) => boolean
   /** Prompt prefixes that other requests share, outermost first. */
   sharedPrefixes: readonly string[]
+  /** Longest pause between two events that counts as on time; 0 if the request has no such objective. */
+  gapObjectiveMs: number
   ownFailureDomain: string
   /** Gateways that send to the same endpoints. */
   gatewayCount: number
@@ -66,12 +70,13 @@
 export function chooseEndpoint (input: ChoiceInput): Endpoint | undefined {
   const pool = unsuspectedCandidates(comparableCandidates(input), input)
   const preferred = preferredEndpoint(pool, input.sharedPrefixes)
+  const typicalMs = typicalIntervalMs(pool.map(input.loadOf))
   let best: Endpoint | undefined
   let bestScore = Infinity
   const offset = Math.floor(input.random() * pool.length)
   for (let index = 0; index < pool.length; index++) {
     const candidate = pool[(index + offset) % pool.length]
-    const score = scoreOf(candidate, input, preferred)
+    const score = scoreOf(candidate, input, preferred, typicalMs)
     if (score >= bestScore) continue
     best = candidate
     bestScore = score
@@ -94,13 +99,17 @@
   return others.length > 0 ? others : candidates
 }
 
-function scoreOf (candidate: Endpoint, input: ChoiceInput, preferred: Endpoint | undefined): number {
+function scoreOf (candidate: Endpoint, input: ChoiceInput, preferred: Endpoint | undefined, typicalMs: number | undefined): number {
   const { weights } = input
   const load = input.loadOf(candidate)
   const slots = Math.max(1, candidate.slots)
   const online = onlineAt(load, input)
-  let score = online + weights.batchItem * load.batchRunning
-  if (online >= slots) score += online - slots + 1
+  const factor = paceFactor(load, typicalMs)
+  // The work that is done when the request has ended, less that of the request alone at a typical endpoint.
+  let score = (online + 1) * factor - 1 + weights.batchItem * load.batchRunning
+  if (online >= slots) score += (online - slots + 1) * factor
+  // As full endpoints, those that would make the stream late are used only if there is no free slot elsewhere.
+  if (endangersGapObjective(load, input.gapObjectiveMs)) score += slots
   if (candidate === preferred) score -= weights.cachedPrefix
   if (isReported(load) && input.hasIdleConnection(candidate)) score -= weights.idleConnection
   if (candidate.failureDomain === input.ownFailureDomain) score -= weights.sameDomain
--- a/packages/anvilarch-serving/src/endpoints/loadTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/loadTable.ts
@@ -13,6 +13,8 @@
   suspected: boolean
   /** Age of the agent's last report; `Infinity` if there is none or it has expired. */
   ageMs: number
+  /** Time between two events of a run at the endpoint; undefined if it is not known. */
+  eventIntervalMs: number | undefined
 }
 
 /** Loads by the start of an endpoint. */
@@ -40,7 +42,7 @@
 export const MAX_SUSPECT_MS = 4000
 
 /** Load of an endpoint that has no entry, because nothing was recorded yet or the entry was removed. */
-const UNKNOWN_LOAD: EndpointLoad = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: Infinity }
+const UNKNOWN_LOAD: EndpointLoad = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: Infinity, eventIntervalMs: undefined }
 
 interface Entry {
   report?: LoadReport
@@ -108,14 +110,15 @@
       const { report, ownInProgress } = entry
       const ageMs = nowMs - entry.reportedAtMs
       if (report === undefined || ageMs > REPORT_MAX_AGE_MS) {
-        return { online: ownInProgress, batchRunning: 0, ownInProgress, suspected: nowMs < entry.suspectedUntilMs, ageMs: Infinity }
+        return { online: ownInProgress, batchRunning: 0, ownInProgress, suspected: nowMs < entry.suspectedUntilMs, ageMs: Infinity, eventIntervalMs: undefined }
       }
       return {
         online: Math.max(0, report.online + entry.sentAtMs.length - entry.endedAtMs.length),
         batchRunning: report.batchRunning,
         ownInProgress,
         suspected: nowMs < entry.suspectedUntilMs || !report.reachable,
-        ageMs
+        ageMs,
+        eventIntervalMs: report.eventIntervalMs
       }
     },
     remove: startId => { entries.delete(startId) }
--- a/packages/anvilarch-serving/src/endpoints/peerMessages.ts
+++ b/packages/anvilarch-serving/src/endpoints/peerMessages.ts
@@ -32,6 +32,8 @@
   batchRunning: number
   /** Whether the engine responds to its agent. */
   reachable: boolean
+  /** Time between two events of a run at this engine, in whole ms; undefined if it is not known. */
+  eventIntervalMs: number | undefined
 }
 
 /** Report of a gateway to an agent: the gateway's requests in progress at the engine. */
@@ -103,7 +105,7 @@
 type WireMessage =
   | ['q', number]
   | ['a', number]
-  | ['a', number, string, number, number, boolean]
+  | ['a', number, string, number, number, boolean, number]
   | ['u', string, number]
   | ['p', number, string, GranterCode, number, number, number, number]
   | ['g', number, number, number, number, number]
@@ -113,6 +115,9 @@
   | ['t', number]
   | ['t', number, string, string]
 
+/** Stands for an interval that is not known. */
+const UNKNOWN_INTERVAL = 0
+
 type GranterCode = 0 | 1
 
 const GRANTERS = ['home', 'deputy'] as const
@@ -130,7 +135,7 @@
       return ['q', message.correlationId]
     case 'load_response': {
       const { correlationId, report } = message
-      return report === undefined ? ['a', correlationId] : ['a', correlationId, report.startId, report.online, report.batchRunning, report.reachable]
+      return report === undefined ? ['a', correlationId] : ['a', correlationId, report.startId, report.online, report.batchRunning, report.reachable, report.eventIntervalMs ?? UNKNOWN_INTERVAL]
     }
     case 'usage_report':
       return ['u', message.startId, message.inProgress]
@@ -164,16 +169,17 @@
 
 type Decoder = (fields: readonly unknown[]) => PeerMessage | undefined
 
+/** Fields with a default are missing in messages of daemons of an older version. */
 const DECODERS: ReadonlyMap<string, Decoder> = new Map<string, Decoder>([
   ['q', ([correlationId]) => isCount(correlationId) ? { message: 'load_probe', correlationId } : undefined],
-  ['a', ([correlationId, startId, online, batchRunning, reachable]) => {
+  ['a', ([correlationId, startId, online, batchRunning, reachable, intervalMs = UNKNOWN_INTERVAL]) => {
     if (!isCount(correlationId)) return undefined
     if (startId === undefined) return { message: 'load_response', correlationId, report: undefined }
-    if (typeof startId !== 'string' || !isCount(online) || !isCount(batchRunning) || typeof reachable !== 'boolean') return undefined
-    return { message: 'load_response', correlationId, report: { startId, online, batchRunning, reachable } }
+    if (typeof startId !== 'string' || !isCount(online) || !isCount(batchRunning) || typeof reachable !== 'boolean' || !isCount(intervalMs)) return undefined
+    const eventIntervalMs = intervalMs === UNKNOWN_INTERVAL ? undefined : intervalMs
+    return { message: 'load_response', correlationId, report: { startId, online, batchRunning, reachable, eventIntervalMs } }
   }],
   ['u', ([startId, inProgress]) => typeof startId === 'string' && isCount(inProgress) ? { message: 'usage_report', startId, inProgress } : undefined],
-  // Daemons of an older version send no fields after the configuration version.
   ['p', ([correlationId, accountName, code, wanted, configurationVersion, returning = 0, deniedUnasked = 0]) => {
     if (!isCount(correlationId) || typeof accountName !== 'string' || !isGranterCode(code) || !isCount(configurationVersion)) return undefined
     if (!isCount(wanted) || !isCount(returning) || returning > wanted || !isCount(deniedUnasked)) return undefined
--- a/packages/anvilarch-serving/src/endpoints/placement.ts
+++ b/packages/anvilarch-serving/src/endpoints/placement.ts
@@ -13,6 +13,8 @@
   softwareVersion?: string
   /** Prompt prefixes that other requests share, outermost first. */
   sharedPrefixes: readonly string[]
+  /** Longest pause between two events that counts as on time; 0 if the request has no such objective. */
+  gapObjectiveMs: number
   /** `startId` of endpoints that have been tried. */
   excluded: ReadonlySet<string>
 }
@@ -76,6 +78,7 @@
       loadOf,
       isResponsive: prober.isResponsive,
       sharedPrefixes: criteria.sharedPrefixes,
+      gapObjectiveMs: criteria.gapObjectiveMs,
       ownFailureDomain: options.ownFailureDomain,
       gatewayCount: options.gatewayCount(),
       hasIdleConnection,
--- a/packages/anvilarch-serving/src/requests/attemptLog.ts
+++ b/packages/anvilarch-serving/src/requests/attemptLog.ts
@@ -33,6 +33,7 @@
         batchRunning: load.batchRunning,
         slots: endpoint.slots,
         suspected: load.suspected,
+        eventIntervalMs: load.eventIntervalMs,
         candidateCount: state.service === undefined ? 0 : parts.placement.count(placementCriteria(client, state, state.service)),
         loadAgeMs: Number.isFinite(load.ageMs) ? Math.round(load.ageMs) : undefined,
         remainingMs: remainingMs(),
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -71,7 +71,13 @@
  * @returns the criteria for the choice of an endpoint
  */
 export function placementCriteria (client: ClientRequest, state: RequestState, service: string): PlacementCriteria {
-  return { service, softwareVersion: state.origin?.softwareVersion, sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1), excluded: state.tried }
+  return {
+    service,
+    softwareVersion: state.origin?.softwareVersion,
+    sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1),
+    gapObjectiveMs: client.route.gapObjectiveMs,
+    excluded: state.tried
+  }
 }
 
 /** Progress of a request. */
--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -7,6 +7,7 @@
  */
 import type { Endpoint } from '../model/types'
 import type { EndpointLoad } from '../endpoints/loadTable'
+import { paceFactor, typicalIntervalMs } from '../endpoints/pace'
 import { isFirstAttempt, latestReturnMs } from './callerReturn'
 
 /** Inputs of the decision. */
@@ -61,10 +62,15 @@
   return { refused: true, reason, waitMs, retryAfterMs: latestReturnMs(input) }
 }
 
-/** @returns the shortest wait among the endpoints. Waiting requests get a slot one after another, each after the hold time divided by the slots. */
+/**
+ * @returns the shortest wait among the endpoints. Waiting requests get a slot one after another, each after the hold time divided
+ *   by the slots; requests hold slots of slow endpoints for longer
+ */
 function shortestWaitMs (input: OverloadInput, holdMs: number): number {
   const loads = input.candidates.map(candidate => ({ load: input.loadOf(candidate), slots: Math.max(1, candidate.slots) }))
   const trusted = loads.filter(({ load }) => !load.suspected)
-  const waits = (trusted.length > 0 ? trusted : loads).map(({ load, slots }) => Math.max(0, load.online - slots + 1) * holdMs / slots)
+  const usable = trusted.length > 0 ? trusted : loads
+  const typicalMs = typicalIntervalMs(usable.map(({ load }) => load))
+  const waits = usable.map(({ load, slots }) => Math.max(0, load.online - slots + 1) * paceFactor(load, typicalMs) * holdMs / slots)
   return Math.min(...waits)
 }
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -8,6 +8,7 @@
 import { CLAIM_TABLE, JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
 import { JOB_PARTITIONS } from '../jobs/partitions'
 import { startBatchRunner } from '../runner/batchRunner'
+import { createPaceMeter } from '../runner/paceMeter'
 import { createRunTimeEstimator } from '../runner/runTimeEstimator'
 import { followPlatform } from './followPlatform'
 import type { EngineReport, EngineWire, RoleContext, RunningRole } from './types'
@@ -78,7 +79,8 @@
     retentionMs: settings.retentionMs,
     membersListedAtMs: () => view.answeredAtMs(MEMBER_TABLE),
     readReport: () => readReport(pool, context.wire.engine, clock),
-    runTimeEstimator
+    runTimeEstimator,
+    paceMeter: createPaceMeter()
   })
   othersHoldClaims = runner.othersHoldClaims
   hasUnfilledSlots = runner.hasUnfilledSlots
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -67,10 +67,19 @@
   encodePage: (page: ResultPage) => unknown
 }
 
+/** A request that an engine runs. */
+export interface EngineRun {
+  requestId: string
+  /** Events that it has produced. */
+  events: number
+}
+
 /** Status report of an engine. */
 export interface EngineReport {
   running: number
   waiting: number
+  /** Empty if the engine does not list its runs. */
+  runs: EngineRun[]
   /** Start time that the engine reports, in Unix milliseconds; undefined if it reports none. */
   bornAtMs: number | undefined
 }
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -11,6 +11,7 @@
 import type { MetadataStore } from '../../store/types'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type BatchRunner, startBatchRunner } from '../batchRunner'
+import { createPaceMeter } from '../paceMeter'
 import { createRunTimeEstimator } from '../runTimeEstimator'
 import { CONFIGURATION, WIRE } from './jobRoute'
 import { type CallOutcome, createMemoryStore, type MemoryStore } from './memoryStore'
@@ -188,8 +189,9 @@
       service: 'models',
       retentionMs: 900_000,
       membersListedAtMs: () => clock.nowMs(),
-      readReport: async () => ({ running: engine.running() + online, waiting: 0, bornAtMs: engine.bornAtMs() }),
-      runTimeEstimator: createRunTimeEstimator()
+      readReport: async () => ({ running: engine.running() + online, waiting: 0, runs: [], bornAtMs: engine.bornAtMs() }),
+      runTimeEstimator: createRunTimeEstimator(),
+      paceMeter: createPaceMeter()
     })
   }
   const agent: FleetAgent = {
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -11,6 +11,7 @@
 import type { MetadataStore } from '../../store/types'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type BatchRunner, startBatchRunner } from '../batchRunner'
+import { createPaceMeter } from '../paceMeter'
 import { createRunTimeEstimator } from '../runTimeEstimator'
 import { CONFIGURATION, WIRE } from './jobRoute'
 
@@ -127,8 +128,9 @@
     service: 'models',
     retentionMs: 900_000,
     membersListedAtMs: () => clock.nowMs(),
-    readReport: async () => ({ running: runningItems().length + online.running, waiting: online.waiting, bornAtMs: undefined }),
-    runTimeEstimator: createRunTimeEstimator()
+    readReport: async () => ({ running: runningItems().length + online.running, waiting: online.waiting, runs: [], bornAtMs: undefined }),
+    runTimeEstimator: createRunTimeEstimator(),
+    paceMeter: createPaceMeter()
   })
   const reportUsage = (inProgress: number): void => runner.onUsageReport('gateway', 'e1', inProgress)
   return { clock, runner, runs, released, online, reportUsage, runningItems }
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -72,13 +72,14 @@
   const { clock, log } = parts
   const controller = new AbortController()
   const claimedItems = createClaimedItems(clock, parts.metrics)
-  const { runTimeEstimator } = parts
+  const { runTimeEstimator, paceMeter } = parts
   const engineBackoff = createStartBackoff(clock)
   const engine = createEngineView({
     log,
     listed: () => parts.endpoints.atAddress(parts.engineAddress),
     onRestart: () => {
       runTimeEstimator.onEngineRestart()
+      paceMeter.onRestart()
       engineBackoff.reset()
       claimedItems.all().forEach(entry => entry.backoff.reset())
     }
@@ -89,6 +90,11 @@
     ...parts, engine, claimedItems, engineBackoff, submissions: createResultReader(parts.store), stopping: controller.signal, onSlotFreed: pollSchedule.request
   })
   let reachable = false
+  /** In whole ms, and at least 1. */
+  const eventIntervalMs = (): number | undefined => {
+    const intervalMs = paceMeter.eventIntervalMs(clock.nowMs())
+    return intervalMs === undefined ? undefined : Math.max(1, Math.round(intervalMs))
+  }
   /** Whether an item may need a slot that becomes free. */
   const hasWork = (): boolean => claimedItems.all().length > 0 || hasOpenJobs(parts.work)
 
@@ -139,6 +145,7 @@
     claimMaintenance.dropLostItems()
     reachable = report !== undefined
     if (report !== undefined && endpoint !== undefined) {
+      paceMeter.onReport(report.runs, reportRequestedAtMs)
       onlineUsage.onPoll(endpoint.startId, Math.max(0, report.running + report.waiting - claimedItems.inState('running').length))
       slotScheduler.onPoll(report, endpoint, reportRequestedAtMs)
     }
@@ -179,13 +186,14 @@
         online: onlineUsage.online(),
         batchRunning: claimedItems.inState('running').length,
         batchPaused: claimedItems.inState('paused').length,
-        reachable
+        reachable,
+        eventIntervalMs: eventIntervalMs()
       }
     },
     load: () => {
       const endpoint = engine.current()
       if (endpoint === undefined) return undefined
-      return { startId: endpoint.startId, online: onlineUsage.online(), batchRunning: claimedItems.inState('running').length, reachable }
+      return { startId: endpoint.startId, online: onlineUsage.online(), batchRunning: claimedItems.inState('running').length, reachable, eventIntervalMs: eventIntervalMs() }
     },
     hasUnfilledSlots: slotScheduler.hasUnfilledSlots,
     othersHoldClaims: () => othersHoldClaims(parts.work, parts.runner),
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -8,6 +8,7 @@
 import type { ClaimedItems } from './claimedItems'
 import type { ItemChoiceInput } from './itemChoice'
 import type { ItemLifecycle } from './itemLifecycle'
+import type { PaceMeter } from './paceMeter'
 import type { RunTimeEstimator } from './runTimeEstimator'
 import type { StartBackoff } from './startBackoff'
 
@@ -29,6 +30,7 @@
   membersListedAtMs: () => number | undefined
   readReport: () => Promise<EngineReport | undefined>
   runTimeEstimator: RunTimeEstimator
+  paceMeter: PaceMeter
 }
 
 /** State shared by the parts of one runner. */
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -153,6 +153,8 @@
   batchRunning: number
   slots: number
   suspected: boolean
+  /** Time between two events of a run there; undefined if it is not known. */
+  eventIntervalMs: number | undefined
   /** Number of candidate endpoints. */
   candidateCount: number
   /** Age of the load report; undefined if the agent has not reported. */
@@ -187,6 +189,8 @@
   /** Number of claimed items that are not running. */
   batchPaused: number
   reachable: boolean
+  /** Time between two events of a run; undefined while there are too few runs to measure it. */
+  eventIntervalMs: number | undefined
 }
 
 /** Message of an event. */
