--- a/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
@@ -47,6 +47,7 @@
     expect(double).toBeLessThan(within)
     expect(sixfold).toBeLessThan(double)
     expect(sixfold).toBeGreaterThanOrEqual(ENDPOINTS[0].slots)
+    expect(checkOverload(input(9, { shareOfUse: () => 0.1, holdMs: 400 }))).toMatchObject({ refused: true, reason: 'above_share' })
   })
 
   it('does not refuse a request a second time for a long wait', () => {
--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -37,8 +37,11 @@
 /** A refusal and the estimated wait that caused it. */
 export interface Refusal {
   refused: true
-  /** `wait_too_long`: the request would miss its latency objective. `no_time`: it would miss its deadline. */
-  reason: 'wait_too_long' | 'no_time'
+  /**
+   * `wait_too_long`: the request would miss its latency objective. `above_share`: it would wait although its account uses more than
+   * its share. `no_time`: it would miss its deadline.
+   */
+  reason: 'wait_too_long' | 'above_share' | 'no_time'
   waitMs: number
   /** Share of the caller's account as a fraction of its use. */
   shareOfUse: number
@@ -66,9 +69,11 @@
   const shareOfUse = waitMs === 0 ? 1 : input.shareOfUse(input.slotCount() * MS_PER_SECOND / input.holdMs)
   const refusal = (reason: Refusal['reason']): Refusal => ({ refused: true, reason, waitMs, shareOfUse, retryAfterMs: latestReturnMs(input) })
   if (waitMs > input.remainingMs) return refusal('no_time')
-  const allowedMs = QUEUE_FRACTION * PRIORITY_RANK_FACTOR ** input.priorityRank * shareOfUse * input.latencyObjectiveMs
   // A caller that has been refused before is not refused a second time for a long wait.
-  return isFirstAttempt(input) && waitMs > allowedMs ? refusal('wait_too_long') : { refused: false }
+  if (!isFirstAttempt(input)) return { refused: false }
+  const allowedMs = QUEUE_FRACTION * PRIORITY_RANK_FACTOR ** input.priorityRank * input.latencyObjectiveMs
+  if (waitMs > allowedMs) return refusal('wait_too_long')
+  return waitMs > shareOfUse * allowedMs ? refusal('above_share') : { refused: false }
 }
 
 /**
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -52,6 +52,8 @@
 /** A heartbeat is valid for 6 s and renewed every 2 s: a listing of daemons that is older than this may show a live one as failed. */
 const MEMBERS_MAX_AGE_MS = 3500
 
+const MS_PER_SECOND = 1000
+
 /** Interval between two checks of jobs for expired items. */
 const EXPIRY_INTERVAL_MS = 2000
 
@@ -146,6 +148,7 @@
     reachable = report !== undefined
     if (report !== undefined && endpoint !== undefined) {
       paceMeter.onReport(report.runs, reportRequestedAtMs)
+      parts.metrics.eventIntervalSeconds.set((eventIntervalMs() ?? 0) / MS_PER_SECOND)
       onlineUsage.onPoll(endpoint.startId, Math.max(0, report.running + report.waiting - claimedItems.inState('running').length))
       slotScheduler.onPoll(report, endpoint, reportRequestedAtMs)
     }
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -25,6 +25,7 @@
   itemRuns: Counter<'outcome'>
   itemsInHand: Gauge
   configurationVersion: Gauge
+  eventIntervalSeconds: Gauge
   logLinesDropped: Counter
   logLinesLeftOut: Counter
 }
@@ -53,6 +54,7 @@
     itemRuns: new Counter({ name: 'anvilarch_item_runs_total', help: 'Runs of batch items by outcome', labelNames: ['outcome'], registers }),
     itemsInHand: new Gauge({ name: 'anvilarch_items_in_hand', help: 'Batch items that this process holds', registers }),
     configurationVersion: new Gauge({ name: 'anvilarch_configuration_version', help: 'Version of the configuration in force', registers }),
+    eventIntervalSeconds: new Gauge({ name: 'anvilarch_event_interval_seconds', help: 'Time between two events of a run at the engine of this agent; 0 while it is not known', registers }),
     logLinesDropped: new Counter({ name: 'anvilarch_log_lines_dropped_total', help: 'Log lines that a stalled reader has cost', registers }),
     logLinesLeftOut: new Counter({ name: 'anvilarch_log_lines_left_out_total', help: 'Lines of requests that went well, beyond the rate that is written', registers })
   }
--- a/packages/anvilarch/src/commands/storeShow.ts
+++ b/packages/anvilarch/src/commands/storeShow.ts
@@ -39,7 +39,7 @@
     '',
     formatTable(['endpoint', 'service', 'address', 'domain', 'state', 'slots'], endpoints.map(endpoint => [endpoint.id, endpoint.service, endpoint.address, endpoint.failureDomain, endpoint.state, endpoint.slots])),
     '',
-    formatTable(['daemon', 'role', 'address', 'alive'], members.map(member => [member.name, member.role, member.peerAddress, storeNowMs === undefined || member.aliveUntilMs > storeNowMs])),
+    formatTable(['daemon', 'role', 'address', 'alive', 'eventMs'], members.map(member => [member.name, member.role, member.peerAddress, storeNowMs === undefined || member.aliveUntilMs > storeNowMs, member.eventMs === undefined ? '' : Math.round(member.eventMs)])),
     '',
     formatTable(['job', 'state', 'items', 'completed', 'givenUp', 'dueInMs'], summaries.map(job => [job.jobId, job.state, job.itemCount, job.completed, job.givenUp, job.dueInMs]))
   ].join('\n')
