Do not count a free slot as room where the pace makes streams late

Cause: the estimated wait was 0 while a slow engine had a free slot that placement avoids, so that requests queued at full engines without bound.

Change: endpoints whose pace endangers the gap objective are left out of the estimate while there are others.

--- a/packages/anvilarch-serving/src/endpoints/__tests__/pace.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/pace.test.ts
@@ -62,6 +62,7 @@
       loadOf: ({ id }) => loads[Number(id.slice(1))],
       holdMs: 400,
       latencyObjectiveMs: 300,
+      gapObjectiveMs: GAP_OBJECTIVE_MS,
       remainingMs: 5000,
       routeTimeoutMs: 5000,
       priorityRank: 0,
--- a/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/overload.test.ts
@@ -7,7 +7,7 @@
 
 function input (online: number, change: Partial<OverloadInput> = {}): OverloadInput {
   const load: EndpointLoad = { online, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
-  return { candidates: ENDPOINTS, loadOf: () => load, holdMs: 700, latencyObjectiveMs: 300, remainingMs: 5000, routeTimeoutMs: 5000, priorityRank: 0, shareOfUse: () => 1, slotCount: () => 16, random: () => 0, ...change }
+  return { candidates: ENDPOINTS, loadOf: () => load, holdMs: 700, latencyObjectiveMs: 300, gapObjectiveMs: 250, remainingMs: 5000, routeTimeoutMs: 5000, priorityRank: 0, shareOfUse: () => 1, slotCount: () => 16, random: () => 0, ...change }
 }
 
 describe('checkOverload', () => {
@@ -70,6 +70,17 @@
     expect(checkOverload(input(0, { loadOf: ({ id }) => loads[id] })).refused).toBe(true)
   })
 
+  // Guards against streams that are kept for a slow endpoint and end late, or not before their deadline.
+  it('does not count a free slot of an endpoint whose pace makes streams late', () => {
+    const loads: Record<string, EndpointLoad> = {
+      e1: { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0, eventIntervalMs: 200 },
+      e2: { online: 12, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0, eventIntervalMs: 20 }
+    }
+    expect(checkOverload(input(0, { loadOf: ({ id }) => loads[id] })).refused).toBe(true)
+    loads.e2 = { ...loads.e2, online: 8 }
+    expect(checkOverload(input(0, { loadOf: ({ id }) => loads[id] })).refused).toBe(false)
+  })
+
   // Guards against every request of a burst beyond the capacity being late although most of them could be on time.
   it('keeps more requests of a burst on time than a queue without refusals', () => {
     const served = (refuses: boolean): number => playBurst(refuses).filter(waitMs => waitMs <= 300).length
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -160,6 +160,7 @@
     loadOf: parts.placement.loadOf,
     holdMs: parts.holdTimes.holdMs(state.service),
     latencyObjectiveMs: route.latencyObjectiveMs,
+    gapObjectiveMs: route.gapObjectiveMs,
     remainingMs: state.deadlineAtMs - parts.clock.nowMs(),
     routeTimeoutMs: route.timeoutMs,
     priorityRank: caller.caller === 'account' ? caller.account.priorityRank : 0,
--- a/packages/anvilarch-serving/src/requests/overload.ts
+++ b/packages/anvilarch-serving/src/requests/overload.ts
@@ -7,7 +7,7 @@
  */
 import type { Endpoint } from '../model/types'
 import type { EndpointLoad } from '../endpoints/loadTable'
-import { paceFactor, typicalIntervalMs } from '../endpoints/pace'
+import { endangersGapObjective, paceFactor, typicalIntervalMs } from '../endpoints/pace'
 import { isFirstAttempt, latestReturnMs } from './callerReturn'
 
 /** Inputs of the decision. */
@@ -17,6 +17,8 @@
   /** Mean time that a request holds a slot; undefined until there are enough samples. */
   holdMs: number | undefined
   latencyObjectiveMs: number
+  /** Longest pause between two events that counts as on time; 0 if there is no such objective. */
+  gapObjectiveMs: number
   /** Time left until the deadline of the request. */
   remainingMs: number
   /** Longest time that clients of the route wait, from their first attempt. */
@@ -83,7 +85,10 @@
 function shortestWaitMs (input: OverloadInput, holdMs: number): number {
   const loads = input.candidates.map(candidate => ({ load: input.loadOf(candidate), slots: Math.max(1, candidate.slots) }))
   const trusted = loads.filter(({ load }) => !load.suspected)
-  const usable = trusted.length > 0 ? trusted : loads
+  const reachable = trusted.length > 0 ? trusted : loads
+  // A free slot that would make the stream late is no room, unless there is no other endpoint.
+  const quick = reachable.filter(({ load }) => !endangersGapObjective(load, input.gapObjectiveMs))
+  const usable = quick.length > 0 ? quick : reachable
   const typicalMs = typicalIntervalMs(usable.map(({ load }) => load))
   const waits = usable.map(({ load, slots }) => Math.max(0, load.online - slots + 1) * paceFactor(load, typicalMs) * holdMs / slots)
   return Math.min(...waits)
