--- a/packages/anvilarch-serving/src/endpoints/__tests__/pace.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/pace.test.ts
@@ -47,11 +47,24 @@
     expect(choose([slow, load({ online: 3, eventIntervalMs: 20 })])).toBe('e0')
   })
 
+  // Guards against a queue at the quickest endpoint while others have free slots.
+  it('prefers any free slot that keeps streams on time to a queue', () => {
+    fc.assert(fc.property(fc.nat(7), fc.integer({ min: 8, max: 20 }), fc.integer({ min: 5, max: 120 }), fc.integer({ min: 5, max: 120 }), (free, full, freeMs, fullMs) => {
+      expect(choose([load({ online: full, eventIntervalMs: fullMs }), load({ online: free, eventIntervalMs: freeMs })], { sharedPrefixes: [] })).toBe('e1')
+    }), { seed: 1 })
+  })
+
+  it('makes a queue at a quick endpoint count as shorter', () => {
+    expect(choose([load({ online: 9, eventIntervalMs: 40 }), load({ online: 10, eventIntervalMs: 10 }), load({ online: 12, eventIntervalMs: 40 })])).toBe('e1')
+  })
+
   // Guards against streams that are late for a pause, at an endpoint that is five times slower than the others.
   it('keeps streams away from an endpoint that endangers their gap objective while others have a free slot', () => {
     const slow = load({ eventIntervalMs: 150 })
     expect(choose([slow, load({ online: 7, eventIntervalMs: 130 }), load({ online: 7, eventIntervalMs: 30 })])).toBe('e2')
     expect(choose([slow, load({ online: 7 })])).toBe('e1')
+    // Where three requests wait, a stream would be late as well.
+    expect(choose([slow, load({ online: 11 })])).toBe('e0')
     expect(choose([slow, load({ online: 7 })], { gapObjectiveMs: 0 })).toBe('e0')
   })
 
--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -2,8 +2,8 @@
  * Chooses the endpoint of a request. Pure.
  *
  * Designed for bursts, when nearly all slots are taken: a request that queues behind others misses its objective although
- * another endpoint has a free slot. Where endpoints differ in pace, a request at a slow one counts as more load, so that a
- * free slot there is used when the quick ones have less room.
+ * another endpoint has a free slot. Where endpoints differ in pace, the quick ones are filled first and their queues are shorter,
+ * but a free slot still goes before a queue.
  */
 import { v3 as murmurhash } from 'murmurhash'
 import type { Endpoint } from '../model/types'
@@ -104,12 +104,10 @@
   const load = input.loadOf(candidate)
   const slots = Math.max(1, candidate.slots)
   const online = onlineAt(load, input)
-  const factor = paceFactor(load, typicalMs)
-  // The work that is done when the request has ended, less that of the request alone at a typical endpoint.
-  let score = (online + 1) * factor - 1 + weights.batchItem * load.batchRunning
-  if (online >= slots) score += (online - slots + 1) * factor
-  // As full endpoints, those that would make the stream late are used only if there is no free slot elsewhere.
-  if (endangersGapObjective(load, input.gapObjectiveMs)) score += slots
+  let score = weights.batchItem * load.batchRunning
+  if (endangersGapObjective(load, input.gapObjectiveMs)) score += slots + queueScore(GAP_RISK_WAITING) + online
+  else if (online < slots) score += occupancyScore(online, slots, paceFactor(load, typicalMs))
+  else score += slots + queueScore(online - slots) * paceFactor(load, typicalMs)
   if (candidate === preferred) score -= weights.cachedPrefix
   if (isReported(load) && input.hasIdleConnection(candidate)) score -= weights.idleConnection
   if (candidate.failureDomain === input.ownFailureDomain) score -= weights.sameDomain
@@ -117,6 +115,22 @@
   return score
 }
 
+/** An endpoint whose pace would make the stream late is used as one at which this many requests wait: there it would be late as well. */
+const GAP_RISK_WAITING = 2
+
+/** A free slot of a slow endpoint counts as at least this much less load than a queue. */
+const FREE_SLOT_ADVANTAGE = 0.5
+
+/** @returns the work until a request would end at an endpoint with a free slot, less that of the request alone at a typical one */
+function occupancyScore (online: number, slots: number, factor: number): number {
+  return factor === 1 ? online : Math.min(slots - FREE_SLOT_ADVANTAGE, (online + 1) * factor - 1)
+}
+
+/** @returns the score of a queue beyond the slots; a request that waits counts twice, as load and as the wait of the next one */
+function queueScore (waiting: number): number {
+  return 2 * waiting + 1
+}
+
 /**
  * Whether an agent has recently reported the load. Without reports, requests are only spread over the endpoints: an idle
  * connection gives no preference, as it would keep all requests at one endpoint.
