--- a/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/agentControl.test.ts
@@ -100,7 +100,8 @@
   })
 
   it('forwards the token to the engine, and the refusal of an engine that has seen a newer one', async () => {
-    await start({}, { preload: ['small:1'], checksFencing: true })
+    // The outcome is the engine's response, for which a busy machine takes longer than the harness waits.
+    await start({ options: { orderResponseTimeoutMs: 5000 } }, { preload: ['small:1'], checksFencing: true })
     await fetch(`${engine.url}/orders`, { method: 'POST', body: JSON.stringify({ action: 'load', model: 'other', version: '1', fencingToken: 50 }) })
     expect(await order('load', 10)).toMatchObject({ outcome: 'refused', reason: 'stale_fencing_token' })
     expect(await order('load', 51)).toMatchObject({ outcome: 'done' })
