Relay through the peer that has last reached the store

Cause: every third peer may have lost the store too; a call relayed through one fails after its timeout, and relaying pauses for up to 2 s.

Change: the peer whose last call was served is tried first, and is the only one that a repeated call uses while relaying is paused. The choice of peers and the types of calls have modules of their own.

--- a/packages/anvilarch-serving/src/peers/relayServer.ts
+++ b/packages/anvilarch-serving/src/peers/relayServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http'
 import type { Clock } from 'anvilarch-utils'
 import { readBody } from '../requests/readBody'
-import type { StoreTransport } from '../store/transport'
+import type { StoreTransport } from '../store/storeCall'
 import type { EventLog } from '../telemetry/events'
 
 /** Header with the timeout of a relayed call. */
--- a/packages/anvilarch-serving/src/store/__tests__/sendOverWays.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/sendOverWays.test.ts
@@ -1,6 +1,7 @@
 import { createFakeClock, createRandom, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import { sendOverWays, type StoreWay, type WaysResponse } from '../sendOverWays'
-import { createRelayedTransport, type RelayedTransport, type StoreCall, type StoreResponse, type StoreTransport } from '../transport'
+import type { StoreCall, StoreResponse, StoreTransport } from '../storeCall'
+import { createRelayedTransport, type RelayedTransport } from '../transport'
 
 const DONE: StoreResponse = { outcome: 'answered', status: 200, body: Buffer.alloc(0) }
 const BUSY: StoreResponse = { outcome: 'answered', status: 503, body: Buffer.alloc(0) }
@@ -81,6 +82,21 @@
     expect(await call()).toBe(105)
   })
 
+  // Guards against jobs that are late because every third peer has lost the store as well.
+  it('goes through the peer that has last reached the store, also while relaying is paused', async () => {
+    const reaching = new Set(['p3'])
+    const named = (name: string): StoreTransport => call => {
+      used.push(name)
+      return wayThat(reaching.has(name) ? DONE : BUSY, name === 'direct' ? SILENT : 5)(call.timeoutMs)
+    }
+    transport = createRelayedTransport({ clock, log: SILENT_LOGGER, random: createRandom(1), direct: named('direct'), peers: () => ['p1', 'p2', 'p3'], createPeerTransport: named })
+    while (used.at(-1) !== 'p3') await call()
+    used = []
+    await call()
+    await call()
+    expect(used.filter(name => name !== 'direct')).toEqual(['p3', 'p3'])
+  })
+
   it('goes to a peer first after that, and to the store again once it responds', async () => {
     await call()
     expect(await call()).toBe(5)
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -1,7 +1,8 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createFakeClock, createRandom, createSystemClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
-import { createDirectTransport, createRelayedTransport, type RelayedTransport, type StoreResponse, type StoreCall, type StoreTransport } from '../transport'
+import type { StoreResponse, StoreCall, StoreTransport } from '../storeCall'
+import { createDirectTransport, createRelayedTransport, type RelayedTransport } from '../transport'
 
 const CALL: StoreCall = { name: 'read', method: 'GET', path: '/', headers: [], body: undefined, timeoutMs: 1000 }
 const DONE: StoreResponse = { outcome: 'answered', status: 200, body: Buffer.alloc(0) }
--- a/packages/anvilarch-serving/src/store/__tests__/unresponsiveConnections.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/unresponsiveConnections.test.ts
@@ -1,7 +1,8 @@
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { createSystemClock } from 'anvilarch-utils'
-import { createDirectTransport, type StoreResponse, type StoreCall } from '../transport'
+import type { StoreResponse, StoreCall } from '../storeCall'
+import { createDirectTransport } from '../transport'
 
 const CALL: StoreCall = { name: 'read', method: 'GET', path: '/', headers: [], body: undefined, timeoutMs: 300 }
 const OPEN_CONNECTIONS = 5
--- a/packages/anvilarch-serving/src/store/sendOverWays.ts
+++ b/packages/anvilarch-serving/src/store/sendOverWays.ts
@@ -5,7 +5,7 @@
  * that is longer than the objective.
  */
 import type { Clock, Timer } from 'anvilarch-utils'
-import type { StoreResponse } from './transport'
+import type { StoreResponse } from './storeCall'
 
 /** A call through a peer gets no response in less time than this. */
 export const MIN_TRY_MS = 50
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -4,37 +4,9 @@
 import { createPool, type Pool } from '../endpoints/httpPool'
 import type { EventLog } from '../telemetry/events'
 import { createLongPolls } from './longPolls'
+import { createRelayPeers } from './relayPeers'
 import { MIN_TRY_MS, sendOverWays, type StoreWay } from './sendOverWays'
-
-/** An encoded call to the store. */
-export interface StoreCall {
-  /** Name of the call in metrics. */
-  name: string
-  method: string
-  path: string
-  /** Alternating names and values. */
-  headers: string[]
-  body: Buffer | undefined
-  timeoutMs: number
-  /** Whether the store may delay its response. */
-  isLongPoll?: boolean
-  /** After this long without a response the call is also sent through a peer. Set only for calls that may be executed twice. */
-  repeatAfterMs?: number
-  /** Aborts the call. Its outcome is then `no_answer`. */
-  signal?: AbortSignal
-}
-
-/**
- * Outcome of a call. `not_done`: the call did not reach the store. `no_answer`: the call may have been executed, or may be executed later.
- * `readAfterPause`: this process was paused while the response waited to be read, so times in the response are outdated.
- */
-export type StoreResponse =
-  | { outcome: 'answered', status: number, body: Buffer, readAfterPause?: boolean }
-  | { outcome: 'not_done', reason: string }
-  | { outcome: 'no_answer', reason: string }
-
-/** Sends a call to the store. */
-export type StoreTransport = (call: StoreCall) => Promise<StoreResponse>
+import { BUSY_STATUS, isServed, type StoreCall, type StoreResponse, type StoreTransport } from './storeCall'
 
 /** A connection attempt that takes longer is one whose packets are dropped. */
 const CONNECT_TIMEOUT_MS = 500
@@ -45,9 +17,6 @@
 /** Reason of a call that its sender has aborted. */
 const ABORTED_REASON = 'given_up'
 
-/** Statuses with which the store rejects a call without executing it. Their bodies are ignored. */
-const BUSY_STATUS = new Set([429, 503])
-
 /**
  * Creates a transport that connects directly to an address.
  *
@@ -148,14 +117,6 @@
 /** Number of peers through which a repeatable call may be sent. The first one may have lost the store as well. */
 const REPEAT_PEERS = 2
 
-/** Pause of relaying after a relayed call has failed as well, since the store is probably unreachable for all hosts. */
-const RELAY_BACKOFF_MS = 250
-
-/** Longest such pause after consecutive failures. A store over its rate limit gets three more calls for each one that is relayed. */
-const MAX_RELAY_BACKOFF_MS = 2000
-
-const RELAY_JITTER = 0.3
-
 /**
  * Creates a transport that falls back to relays. The store may reject some hosts and serve the others. Calls of a rejected daemon go through
  * a peer, so that its configuration and endpoints do not become too old and jobs of its clients are accepted.
@@ -169,9 +130,8 @@
   let consecutiveFailures = 0
   let failingSinceMs = 0
   let lastProbeMs = -Infinity
-  let relayPausedUntilMs = -Infinity
-  let relayBackoffMs = RELAY_BACKOFF_MS
   const longPolls = createLongPolls(clock)
+  const relays = createRelayPeers({ ...options, onServed: () => { contact.lastSuccessMs = clock.nowMs() } })
 
   const recordOutcome = (response: StoreResponse): void => {
     const nowMs = clock.nowMs()
@@ -190,33 +150,20 @@
 
   /** Tries one peer after another while the responses prove that the call was not executed and its timeout has not passed. */
   const relay = async (call: StoreCall, deadlineMs: number): Promise<StoreResponse | undefined> => {
-    if (clock.nowMs() < relayPausedUntilMs) return undefined
-    const peers = [...options.peers()]
+    if (relays.isPaused()) return undefined
     let response: StoreResponse | undefined
-    for (let tries = 0; tries < RELAY_TRIES && peers.length > 0; tries++) {
+    for (const peer of relays.pick(RELAY_TRIES)) {
       const timeoutMs = deadlineMs - clock.nowMs()
       if (timeoutMs < MIN_TRY_MS) break
-      const peer = options.random.pick(peers)
-      peers.splice(peers.indexOf(peer), 1)
-      response = await options.createPeerTransport(peer)({ ...call, timeoutMs })
-      if (call.signal?.aborted === true) return response
-      if (isServed(response)) {
-        contact.lastSuccessMs = clock.nowMs()
-        relayBackoffMs = RELAY_BACKOFF_MS
-        return response
-      }
+      response = await relays.send(peer, { ...call, timeoutMs })
+      if (call.signal?.aborted === true || isServed(response)) return response
       if (response.outcome === 'no_answer') break
     }
     if (response === undefined) return undefined
-    pauseRelaying()
+    relays.pause()
     return response
   }
 
-  const pauseRelaying = (): void => {
-    relayPausedUntilMs = clock.nowMs() + options.random.jitter(relayBackoffMs, RELAY_JITTER)
-    relayBackoffMs = Math.min(MAX_RELAY_BACKOFF_MS, relayBackoffMs * 2)
-  }
-
   const sendDirect = async (storeCall: StoreCall, timeoutMs: number): Promise<StoreResponse> => {
     const sentAtMs = clock.nowMs()
     lastProbeMs = sentAtMs
@@ -246,17 +193,14 @@
       return response
     }
     const throughPeer = (peer: string): StoreWay => async timeoutMs => {
-      const response = await options.createPeerTransport(peer)({ ...storeCall, timeoutMs })
-      if (!isServed(response)) return response
-      contact.lastSuccessMs = clock.nowMs()
-      relayBackoffMs = RELAY_BACKOFF_MS
-      if (isDirectPending) recordSilence()
+      const response = await relays.send(peer, { ...storeCall, timeoutMs })
+      if (isServed(response) && isDirectPending) recordSilence()
       return response
     }
-    const peers = clock.nowMs() < relayPausedUntilMs ? [] : pickPeers(options, REPEAT_PEERS).map(throughPeer)
-    const ways = directFirst ? [direct, ...peers] : [...peers, direct]
+    const peerWays = relays.pickForRepeat(REPEAT_PEERS).map(throughPeer)
+    const ways = directFirst ? [direct, ...peerWays] : [...peerWays, direct]
     const { response, usedWays } = await sendOverWays({ clock, ways, repeatAfterMs, deadlineMs, isConclusive: isServed })
-    if (usedWays > 1 && !isServed(response)) pauseRelaying()
+    if (usedWays > 1 && !isServed(response)) relays.pause()
     return response
   }
 
@@ -285,22 +229,6 @@
   return { call, contact }
 }
 
-/** @returns whether the store has executed the call, or has refused it for what it contains */
-function isServed (response: StoreResponse): boolean {
-  return response.outcome === 'answered' && !BUSY_STATUS.has(response.status)
-}
-
-function pickPeers (options: Pick<RelayOptions, 'peers' | 'random'>, count: number): string[] {
-  const remaining = [...options.peers()]
-  const picked: string[] = []
-  while (picked.length < count && remaining.length > 0) {
-    const peer = options.random.pick(remaining)
-    remaining.splice(remaining.indexOf(peer), 1)
-    picked.push(peer)
-  }
-  return picked
-}
-
 function reasonOf (response: StoreResponse): string {
   return response.outcome === 'answered' ? `status ${response.status}` : response.reason
 }
