--- a/packages/anvilarch-serving/src/endpoints/__tests__/pace.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/pace.test.ts
@@ -54,6 +54,12 @@
     }), { seed: 1 })
   })
 
+  // Guards against all gateways sending their requests to the few quickest endpoints, where they queue.
+  it('does not prefer an endpoint that is quicker than a typical one', () => {
+    const typical = load({ online: 2, eventIntervalMs: 40 })
+    expect(choose([load({ online: 3, eventIntervalMs: 15 }), typical, typical], { sharedPrefixes: [] })).not.toBe('e0')
+  })
+
   it('makes a queue at a quick endpoint count as shorter', () => {
     expect(choose([load({ online: 9, eventIntervalMs: 40 }), load({ online: 10, eventIntervalMs: 10 }), load({ online: 12, eventIntervalMs: 40 })])).toBe('e1')
   })
--- a/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
+++ b/packages/anvilarch-serving/src/endpoints/chooseEndpoint.ts
@@ -2,8 +2,8 @@
  * Chooses the endpoint of a request. Pure.
  *
  * Designed for bursts, when nearly all slots are taken: a request that queues behind others misses its objective although
- * another endpoint has a free slot. Where endpoints differ in pace, the quick ones are filled first and their queues are shorter,
- * but a free slot still goes before a queue.
+ * another endpoint has a free slot. Where endpoints differ in pace, a slow one gets a request when the others have less room, but
+ * a free slot still goes before a queue.
  */
 import { v3 as murmurhash } from 'murmurhash'
 import type { Endpoint } from '../model/types'
@@ -121,9 +121,13 @@
 /** A free slot of a slow endpoint counts as at least this much less load than a queue. */
 const FREE_SLOT_ADVANTAGE = 0.5
 
-/** @returns the work until a request would end at an endpoint with a free slot, less that of the request alone at a typical one */
+/**
+ * An endpoint that is quicker than a typical one is not preferred: all gateways would send it their requests at the same moment.
+ *
+ * @returns the work until a request would end at an endpoint with a free slot, less that of the request alone at a typical one
+ */
 function occupancyScore (online: number, slots: number, factor: number): number {
-  return factor === 1 ? online : Math.min(slots - FREE_SLOT_ADVANTAGE, (online + 1) * factor - 1)
+  return factor <= 1 ? online : Math.min(slots - FREE_SLOT_ADVANTAGE, (online + 1) * factor - 1)
 }
 
 /** @returns the score of a queue beyond the slots; a request that waits counts twice, as load and as the wait of the next one */
