--- a/packages/anvilarch-serving/src/accounts/__tests__/limits.test.ts
+++ b/packages/anvilarch-serving/src/accounts/__tests__/limits.test.ts
@@ -79,7 +79,7 @@
     clock: FakeClock
     limits: RateLimiter
     sent: PeerMessage[]
-    respond: (granted: number, retryAfterMs?: number, requestIndex?: number, turnIntervalMs?: number) => void
+    respond: (granted: number, retryAfterMs?: number, requestIndex?: number, turnIntervalMs?: number, usedPerSecond?: number) => void
   }
 
   function setUp (gatewayNames: readonly string[]): Setup {
@@ -90,8 +90,8 @@
     const meterGateways = gatewayNames.map(name => ({ name, peerAddress: `${OTHER.ip}:${OTHER.port}` }))
     const limits = createRateLimiter({ clock, log: SILENT_LOGGER as EventLog, ownName: 'own', meters, permitClient, meterGatewaysOf: () => meterGateways })
     const requests = (): Array<PeerMessage & { message: 'permit_request' }> => sent.filter(message => message.message === 'permit_request')
-    const respond = (granted: number, retryAfterMs = 0, index = requests().length - 1, turnIntervalMs = 0): void =>
-      permitClient.onResponse({ message: 'permit_response', correlationId: requests()[index].correlationId, granted, retryAfterMs, turnIntervalMs, usedPerSecond: 0, configurationVersion: 1 }, OTHER)
+    const respond = (granted: number, retryAfterMs = 0, index = requests().length - 1, turnIntervalMs = 0, usedPerSecond = 0): void =>
+      permitClient.onResponse({ message: 'permit_response', correlationId: requests()[index].correlationId, granted, retryAfterMs, turnIntervalMs, usedPerSecond, configurationVersion: 1 }, OTHER)
     return { clock, limits, sent, respond }
   }
 
@@ -180,6 +180,19 @@
     expect(clock.nowMs()).toBe(requestedAtMs)
   })
 
+  // Guards against an account that is refused for its share by a count of a part of its requests.
+  it('does not know the use of an account while its home is lost', async () => {
+    const { clock, limits, sent, respond } = setUp(['home', 'deputy'])
+    const acquiring = limits.acquire(CALLER)
+    await clock.advanceAsync(PERMIT_TIMEOUT_MS)
+    expect(sent.at(-1)).toMatchObject({ granter: 'deputy' })
+    respond(1, 0, undefined, 0, 70)
+    expect(await acquiring).toMatchObject({ granted: true, usedPerSecond: 0 })
+    const fromHome = limits.acquire(CALLER)
+    respond(1, 0, undefined, 0, 70)
+    expect(await fromHome).toMatchObject({ granted: true, usedPerSecond: 70 })
+  })
+
   // Guards against permits that stay unused because the response came after the timeout.
   it('refunds permits that arrive too late, and those of requests that have not run', async () => {
     const { clock, limits, sent, respond } = setUp(['home'])
