Switch shares of room off by default

Change: the setting share-room of the settings file switches it on. Without it no account has a share, and refusals go by wait and rank, as on.

--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -127,7 +127,8 @@
     streamOrigins,
     limits: accounts.limits,
     isStillAuthorized: caller => isStillAuthorized(view.configuration.current(), caller),
-    allLimitsPerSecond: () => view.configuration.current()?.accounts?.requestsPerSecond ?? 0,
+    // Without the sum of all limits no account has a share.
+    allLimitsPerSecond: () => settings.sharesRoom ? view.configuration.current()?.accounts?.requestsPerSecond ?? 0 : 0,
     traffic,
     logRateLimiter: createLogRateLimiter(clock, SUCCESS_LINES_PER_SECOND),
     random: () => context.random.next()
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -28,6 +28,8 @@
   retentionMs: number
   /** Permitted deviation from rate limits. */
   limitBounds: LimitBounds
+  /** Whether accounts above their share are refused first while room is short. */
+  sharesRoom: boolean
   /** Whether a gateway that has had no response from the store for `maxRevocationDelayMs` refuses callers with keys. */
   failsClosed: boolean
   /** Longest time for which a revoked key may still be accepted, in milliseconds. */
