Keep the scripts of review cases 1 and 2 inside the site's doses

They lost one replica of three, above the shares of 0.17 and 0.15, and case 1 sent jobs faster than the site's burst. Now it is one of six and one of seven, and six jobs in 3 s.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -11,9 +11,9 @@
 
 const HOST = 'registrars.example'
 const SERVICE = 'assistants'
-const JOB_COUNT = 12
+const JOB_COUNT = 6
 const ITEMS_PER_JOB = 10
-const AGENT_COUNT = 3
+const AGENT_COUNT = 6
 
 /** Of the writes, this share is performed and not answered, for this long (the site's `platform_lost`). */
 const LOST_SHARE = 0.35
@@ -97,7 +97,7 @@
     record.note('answers of the store begin to be lost', { share: LOST_SHARE, forMs: LOST_MS })
   }
   await Promise.all(jobs.map(async (job, index) => {
-    await sleep(index * 250)
+    await sleep(index * 500)
     await submit(front, HOST, job, record)
   }))
   await sleep(Math.max(0, startedAtMs + CRASH_AFTER_MS - performance.now()))
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -15,6 +15,9 @@
 const JOB_COUNT = 6
 const ITEMS_PER_JOB = 10
 
+/** Replicas of the service `assistants`. With the one of `auditors`, the lost one is a seventh of all. */
+const REVIEW_REPLICAS = 6
+
 /** Longer than `reuse-after-s`, and than the three heartbeats after which the entry of the lost replica is gone. */
 const REUSE_AFTER_MS = 6000
 
@@ -44,7 +47,7 @@
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, trouble, onEnd }) => {
-  const [storeIp, gatewayIp, ...sideIps] = await chooseIps(5)
+  const [storeIp, gatewayIp, ...sideIps] = await chooseIps(2 + REVIEW_REPLICAS + 1)
   const store = await startStore(storeIp)
   onEnd(store.close)
   store.put('op', 'config', CONFIGURATION)
@@ -68,9 +71,10 @@
     record.note('replica listed', { replica: id, service, address: replica.address })
     return replica
   }
-  const first = await replicaOf('i-review-1', REVIEWS, sideIps[0])
-  const second = await replicaOf('i-review-2', REVIEWS, sideIps[1])
-  const third = await replicaOf('i-audit-1', AUDITS, sideIps[2])
+  const reviewers = []
+  for (let index = 0; index < REVIEW_REPLICAS; index++) reviewers.push(await replicaOf(`i-review-${index + 1}`, REVIEWS, sideIps[index]))
+  const [first, ...others] = reviewers
+  const auditor = await replicaOf('i-audit-1', AUDITS, sideIps[REVIEW_REPLICAS])
 
   const peerPort = await freePort([gatewayIp, ...sideIps])
   const front = `${gatewayIp}:${await freePort([gatewayIp])}`
@@ -79,8 +83,8 @@
   onEnd(processes.endAll)
   processes.startGateway('frontend-1', gatewayIp, front.split(':')[1], ready.split(':')[1])
   const agent = processes.startAgent('side-1', sideIps[0], first.address, REVIEWS)
-  processes.startAgent('side-2', sideIps[1], second.address, REVIEWS)
-  processes.startAgent('side-3', sideIps[2], third.address, AUDITS)
+  others.forEach((replica, index) => processes.startAgent(`side-${index + 2}`, sideIps[index + 1], replica.address, REVIEWS))
+  processes.startAgent(`side-${REVIEW_REPLICAS + 1}`, sideIps[REVIEW_REPLICAS], auditor.address, AUDITS)
   await untilReady(ready)
   await sleep(2000)
 
