Report orphaned claims and jobs without a route

Agents now compare, once a second, the claims that name them with the items that they have in hand (`orphanedClaims`, a pure function): `orphaned claim found` and `anvilarch_orphaned_claims`. `anvilarch_jobs_without_route` counts the open jobs that match no batch route.

--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -156,7 +156,7 @@
     intervalMs: options.memberListingIntervalMs
   }))
   context.peers.setView({ work, endpoints })
-  registerStateMetrics(context.metrics.registry, { clock, work, tableAnsweredAtMs })
+  registerStateMetrics(context.metrics.registry, { clock, work, configuration: configuration.current, tableAnsweredAtMs })
   return {
     configuration,
     endpoints,
--- /dev/null
+++ b/packages/anvilarch-serving/src/routing/jobRoute.ts
@@ -0,0 +1,14 @@
+/** Selects the route of a job that has been accepted. */
+import type { JobRecord } from '../jobs/types'
+import type { Configuration, Route } from '../model/types'
+import { matchRoute } from './matchRoute'
+
+/**
+ * @param configuration - the current version
+ * @param job - an accepted job
+ * @returns the batch route that the job's submission would take now; undefined if there is none
+ */
+export function jobRoute (configuration: Configuration, job: Pick<JobRecord, 'host' | 'path'>): Route | undefined {
+  const route = matchRoute(configuration, job.host, job.path)
+  return route?.kind === 'batch' ? route : undefined
+}
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -57,6 +57,9 @@
 /** Interval between two checks of jobs for expired items. */
 const EXPIRY_INTERVAL_MS = 2000
 
+/** Interval between two comparisons of this runner's claims in the store with its items in hand. */
+const CLAIM_CHECK_INTERVAL_MS = 1000
+
 /** Interval between two checks for jobs past their retention. */
 const RETENTION_INTERVAL_MS = 10_000
 
@@ -168,6 +171,7 @@
     }
   }
   runInBackground(log, 'runner', () => repeat(() => pollSchedule.next(controller.signal), pollEngine))
+  runInBackground(log, 'claim check', () => repeat(() => sleep(clock, CLAIM_CHECK_INTERVAL_MS, controller.signal), claimMaintenance.checkOrphanedClaims))
   runInBackground(log, 'retention', () => repeat(() => sleep(clock, RETENTION_INTERVAL_MS, controller.signal), jobMaintenance.retire))
   runInBackground(log, 'expiry', () => repeat(() => sleep(clock, EXPIRY_INTERVAL_MS, controller.signal), jobMaintenance.expire))
 
--- a/packages/anvilarch-serving/src/runner/claimMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/claimMaintenance.ts
@@ -6,12 +6,15 @@
 import { type ClaimedItem, progressOf } from './claimedItems'
 import { isBetterElsewhere, hasTightDeadline } from './itemChoice'
 import type { ReleaseReason } from './itemLifecycle'
+import { orphanedClaims } from './orphanedClaims'
 import type { RunnerParts, RunnerState } from './types'
 
 /** Maintenance of claimed items, done after each poll of the engine. */
 export interface ClaimMaintenance {
   /** Drops items whose claim is lost, or whose job has ended or been removed. */
   dropLostItems: () => void
+  /** Reports claims in the store whose items this process does not have in hand. */
+  checkOrphanedClaims: () => Promise<void>
   sampleEventIntervals: () => void
   saveRunning: () => void
   /** Releases items that are paused for too long or better run elsewhere, and all running items when the endpoint is not ready. */
@@ -73,6 +76,11 @@
         claimedItems.drop(entry)
       }
     },
+    checkOrphanedClaims: async () => {
+      const orphaned = orphanedClaims(parts.work, parts, claimedItems.isClaimed)
+      parts.metrics.orphanedClaims.set(orphaned.length)
+      for (const { jobId, itemId } of orphaned) log.warn('orphaned claim found', { jobId, itemId })
+    },
     sampleEventIntervals: () => {
       const nowMs = clock.nowMs()
       for (const entry of claimedItems.inState('running')) {
--- a/packages/anvilarch-serving/src/runner/claimedItems.ts
+++ b/packages/anvilarch-serving/src/runner/claimedItems.ts
@@ -45,6 +45,7 @@
   drop: (entry: ClaimedItem) => void
   /** Leaves the item to other runners for the cooldown. */
   startCooldown: (entry: ClaimedItem) => void
+  isClaimed: (jobId: string, item: number) => boolean
   isClaimedOrCoolingDown: (jobId: string, item: number) => boolean
   all: () => ClaimedItem[]
   inState: (state: ClaimedItemState) => ClaimedItem[]
@@ -98,6 +99,7 @@
       removeExpiredCooldowns(nowMs)
       cooldownUntilMs.set(idOf(entry.jobId, entry.item), nowMs + COOLDOWN_MS)
     },
+    isClaimed: (jobId, item) => claimed.has(idOf(jobId, item)),
     isClaimedOrCoolingDown: (jobId, item) => {
       const id = idOf(jobId, item)
       return claimed.has(id) || (cooldownUntilMs.get(id) ?? -Infinity) > clock.nowMs()
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -70,6 +70,8 @@
   'item restarted': { jobId: string, itemId: string, lastEventId: number, softwareVersion: string, beganAtVersion: string | undefined }
   'item paused': { jobId: string, itemId: string, reason: string, lastEventId: number }
   'item released': { jobId: string, itemId: string, reason: string, saved: boolean, lastEventId: number }
+  /** The store has a claim of this process on an item that it does not have in hand. */
+  'orphaned claim found': { jobId: string, itemId: string }
   'item dropped': { jobId: string, itemId: string, reason: string }
   'item run ended': { jobId: string, itemId: string, end: string, reason: string | undefined, lastEventId: number, elapsedMs: number }
   'item settled': { jobId: string, itemId: string, end: string, outcome: string }
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -24,6 +24,7 @@
   jobCalls: Counter<'call' | 'outcome'>
   itemRuns: Counter<'outcome'>
   itemsInHand: Gauge
+  orphanedClaims: Gauge
   configurationVersion: Gauge
   eventIntervalSeconds: Gauge
   logLinesDropped: Counter
@@ -53,6 +54,7 @@
     jobCalls: new Counter({ name: 'anvilarch_job_calls_total', help: 'Calls about jobs by outcome', labelNames: ['call', 'outcome'], registers }),
     itemRuns: new Counter({ name: 'anvilarch_item_runs_total', help: 'Runs of batch items by outcome', labelNames: ['outcome'], registers }),
     itemsInHand: new Gauge({ name: 'anvilarch_items_in_hand', help: 'Batch items that this process holds', registers }),
+    orphanedClaims: new Gauge({ name: 'anvilarch_orphaned_claims', help: 'Claims of this process on batch items that it does not have in hand', registers }),
     configurationVersion: new Gauge({ name: 'anvilarch_configuration_version', help: 'Version of the configuration in force', registers }),
     eventIntervalSeconds: new Gauge({ name: 'anvilarch_event_interval_seconds', help: 'Time between two events of a run at the engine of this agent; 0 while it is not known', registers }),
     logLinesDropped: new Counter({ name: 'anvilarch_log_lines_dropped_total', help: 'Log lines that a stalled reader has cost', registers }),
--- a/packages/anvilarch-serving/src/telemetry/stateMetrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/stateMetrics.ts
@@ -3,12 +3,16 @@
 import type { Clock } from 'anvilarch-utils'
 import { Gauge, type Registry } from 'prom-client'
 import { isClosed, waitingTokens } from '../jobs/jobRecord'
+import type { JobRecord } from '../jobs/types'
 import type { WorkTable } from '../jobs/workTable'
+import type { Configuration } from '../model/types'
+import { jobRoute } from '../routing/jobRoute'
 
 /** Sources of the gauges. */
 export interface StateMetricsParts {
   clock: Clock
   work: Pick<WorkTable, 'jobs'>
+  configuration: () => Configuration | undefined
   /** Local time of the last response about each followed table. */
   tableAnsweredAtMs: ReadonlyMap<string, number>
 }
@@ -42,6 +46,10 @@
     }
   })
   gauge('anvilarch_open_jobs', 'Jobs that are neither finished nor ended', () => openJobs(parts.work).length)
+  gauge('anvilarch_jobs_without_route', 'Open jobs that match no batch route of the configuration in force, so that no runner may run their items', () => {
+    const configuration = parts.configuration()
+    return configuration === undefined ? 0 : openJobs(parts.work).filter(job => jobRoute(configuration, job) === undefined).length
+  })
   gauge('anvilarch_waiting_tokens', 'Tokens of items that wait or run, over all jobs', () =>
     openJobs(parts.work).reduce((sum, job) => sum + waitingTokens(job), 0))
   // Utilization is measured at no cost. Sampling the delay of the event loop would wake an idle process ten times a second.
@@ -53,8 +61,6 @@
   })
 }
 
-type Job = Parameters<typeof waitingTokens>[0]
-
-function openJobs (work: Pick<WorkTable, 'jobs'>): Job[] {
+function openJobs (work: Pick<WorkTable, 'jobs'>): JobRecord[] {
   return [...work.jobs()].map(entry => entry.record).filter(job => !isClosed(job))
 }
