Release claims that their holder does not have in hand

Cause: a claim that gets no answer may be in the store, at once or up to six seconds later. The agent drops the item; its row keeps all other runners away while the agent's heartbeat goes on, and the agent itself takes the item up again only when it next starts items, for which it needs an engine.

A repair where the answer is lost (a trial: read the claim back, release it) passes for lost answers and fails for late writes.

Change: once a second an agent compares the claims of its process with its items in hand and releases the others, under the versions of their rows. It starts from the rows, so it finds a claim however it was written.

--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -38,6 +38,8 @@
   /** Sets the number of online requests at the engine. */
   setOnline: (requests: number) => void
   setReady: (ready: boolean) => void
+  /** Ends the engine for good: it breaks all connections, responds to nothing and is no longer listed. */
+  loseEngine: () => void
   /** Sets a fault for all runs at the engine that overrides the script; undefined returns to the script. */
   setFault: (fault: RunFault | undefined) => void
   /** Pauses the process for this long; meanwhile it counts as failed in the store, and its engine keeps running. */
@@ -160,6 +162,7 @@
   let online = 0
   let ready = true
   let alive = true
+  let engineLost = false
   let lifetime = new AbortController()
   const writeMember = (): void => store.put(memberKey(name), {
     name, role: 'agent', incarnation: `life${incarnation}`, peerAddress: '', failureDomain: '', aliveUntilMs: alive ? NEVER_MS : clock.nowMs()
@@ -180,7 +183,7 @@
       runner: name,
       incarnation: `life${incarnation}`,
       maxRowBytes: MAX_ROW_BYTES,
-      endpoints: { atAddress: endpoint } as never,
+      endpoints: { atAddress: () => engineLost ? undefined : endpoint() } as never,
       configuration: () => CONFIGURATION,
       wire: WIRE,
       pool: engine.pool,
@@ -189,7 +192,7 @@
       service: 'models',
       retentionMs: 900_000,
       membersListedAtMs: () => clock.nowMs(),
-      readReport: async () => ({ running: engine.running() + online, waiting: 0, runs: [], bornAtMs: engine.bornAtMs() }),
+      readReport: async () => engineLost ? undefined : { running: engine.running() + online, waiting: 0, runs: [], bornAtMs: engine.bornAtMs() },
       runTimeEstimator: createRunTimeEstimator(),
       paceMeter: createPaceMeter()
     })
@@ -216,6 +219,10 @@
       agent.runner.onUsageReport('gateway', endpoint().startId, requests)
     },
     setReady: nowReady => { ready = nowReady },
+    loseEngine: () => {
+      engineLost = true
+      engine.restart()
+    },
     pauseProcess: durationMs => {
       clock.pause(durationMs)
       agent.setAlive(false)
--- a/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
@@ -1,7 +1,7 @@
 /**
  * Guards against completed texts that lack an event, contain one twice or join runs that do not fit, items listed twice or never,
  * positions that are rewritten, and items that keep running after their job has ended. In random histories, runners claim, run,
- * pause, save, release and take over items while engines send wrong responses, stop responding and restart; writes are refused,
+ * pause, save, release and take over items while engines send wrong responses, stop responding, restart and are lost for good; writes are refused,
  * lost or late; local copies of the work are outdated and listed again; and agents are replaced, stopped, paused and resumed, or
  * considered failed while they run. In some histories a client ends the job.
  */
@@ -16,6 +16,7 @@
   | { type: 'store', callOutcome: CallOutcome, ms: number }
   | { type: 'burst' | 'drain' | 'heartbeat_loss' | 'pause' | 'lose_history', agent: number, ms: number }
   | { type: 'replace' | 'stop' | 'restart', agent: number }
+  | { type: 'lose_engine' }
 
 const AGENTS = 3
 const SLOTS = 3
@@ -37,7 +38,8 @@
   { weight: 2, arbitrary: fc.record({ type: fc.constant('store' as const), callOutcome, ms }) },
   { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('burst' as const, 'drain' as const, 'heartbeat_loss' as const), agent, ms }) },
   { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('pause' as const, 'lose_history' as const), agent, ms: fc.integer({ min: 10, max: 9000 }) }) },
-  { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('replace' as const, 'stop' as const, 'restart' as const), agent }) }
+  { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('replace' as const, 'stop' as const, 'restart' as const), agent }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('lose_engine' as const) }) }
 )
 
 const fault: fc.Arbitrary<RunFault> = fc.oneof(
@@ -72,12 +74,16 @@
       fleet.setCallOutcome(step.callOutcome)
       fleet.clock.after(step.ms, () => fleet.setCallOutcome(undefined))
       break
+    case 'lose_engine':
+      // The other engines stay, since the items need one in the end.
+      fleet.agents[0].loseEngine()
+      break
     default:
       injectFault(fleet, step)
   }
 }
 
-function injectFault (fleet: RunnerFleet, step: Exclude<Step, { type: 'wait' | 'store' }>): void {
+function injectFault (fleet: RunnerFleet, step: Exclude<Step, { type: 'wait' | 'store' | 'lose_engine' }>): void {
   const target = fleet.agents[step.agent]
   const temporarily = (begin: () => void, end: () => void): void => {
     begin()
--- a/packages/anvilarch-serving/src/runner/__tests__/takeOver.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/takeOver.test.ts
@@ -1,4 +1,5 @@
 import { progressKey, submissionObject } from '../../jobs/jobRows'
+import type { CallOutcome } from '../__fixtures__/memoryStore'
 import { createRunnerFleet, type RunnerFleet } from '../__fixtures__/runnerFleet'
 
 const EVENT_COUNT = 40
@@ -32,6 +33,25 @@
   })
 })
 
+describe('an item whose claim got no response', () => {
+  // Guards against a claim in the store that its live holder, whose engine is gone, neither works on nor releases.
+  it.each<CallOutcome>(['unanswered', 'late'])('is run by another runner when the engine is lost meanwhile: %s', async outcome => {
+    fleet = createRunnerFleet(2, { eventCounts: [EVENT_COUNT], calls: [], runs: [] })
+    const [claimant, other] = fleet.agents
+    other.setOnline(3)
+    fleet.setCallOutcome(outcome)
+    await fleet.clock.advanceAsync(200)
+    claimant.loseEngine()
+    await fleet.clock.advanceAsync(800)
+    fleet.setCallOutcome(undefined)
+    // A late claim is written after 2.5 s.
+    await fleet.clock.advanceAsync(3000)
+    other.setOnline(0)
+    await fleet.clock.advanceAsync(15_000)
+    expect(await fleet.results()).toEqual([{ itemId: 'item0', outcome: 'completed', output: fleet.expectedText('item0') }])
+  })
+})
+
 describe('an item that is claimed', () => {
   // Guards against an item that never runs because a response once contained other bytes than the items of the job.
   it.each(['', '[{"id":"item0"', 'null'])('is run once the items of its job can be read, after %j', async bytes => {
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -171,7 +171,7 @@
     }
   }
   runInBackground(log, 'runner', () => repeat(() => pollSchedule.next(controller.signal), pollEngine))
-  runInBackground(log, 'claim check', () => repeat(() => sleep(clock, CLAIM_CHECK_INTERVAL_MS, controller.signal), claimMaintenance.checkOrphanedClaims))
+  runInBackground(log, 'orphaned claims', () => repeat(() => sleep(clock, CLAIM_CHECK_INTERVAL_MS, controller.signal), claimMaintenance.releaseOrphanedClaims))
   runInBackground(log, 'retention', () => repeat(() => sleep(clock, RETENTION_INTERVAL_MS, controller.signal), jobMaintenance.retire))
   runInBackground(log, 'expiry', () => repeat(() => sleep(clock, EXPIRY_INTERVAL_MS, controller.signal), jobMaintenance.expire))
 
--- a/packages/anvilarch-serving/src/runner/claimMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/claimMaintenance.ts
@@ -1,7 +1,7 @@
 /** Maintains the items that a runner has claimed: saves them, samples their event intervals, and releases those better run elsewhere. */
 import { runInBackground } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
-import { ownClaimVersion, saveProgress } from './claims'
+import { ownClaimVersion, releaseClaim, saveProgress } from './claims'
 import { medianEventIntervalMs } from './fleetEventInterval'
 import { type ClaimedItem, progressOf } from './claimedItems'
 import { isBetterElsewhere, hasTightDeadline } from './itemChoice'
@@ -13,8 +13,8 @@
 export interface ClaimMaintenance {
   /** Drops items whose claim is lost, or whose job has ended or been removed. */
   dropLostItems: () => void
-  /** Reports claims in the store whose items this process does not have in hand. */
-  checkOrphanedClaims: () => Promise<void>
+  /** Releases claims in the store whose items this process does not have in hand, so that any runner may run them. */
+  releaseOrphanedClaims: () => Promise<void>
   sampleEventIntervals: () => void
   saveRunning: () => void
   /** Releases items that are paused for too long or better run elsewhere, and all running items when the endpoint is not ready. */
@@ -76,10 +76,13 @@
         claimedItems.drop(entry)
       }
     },
-    checkOrphanedClaims: async () => {
+    releaseOrphanedClaims: async () => {
       const orphaned = orphanedClaims(parts.work, parts, claimedItems.isClaimed)
       parts.metrics.orphanedClaims.set(orphaned.length)
-      for (const { jobId, itemId } of orphaned) log.warn('orphaned claim found', { jobId, itemId })
+      await Promise.all(orphaned.map(async ({ jobId, item, itemId }) => {
+        const released = await releaseClaim(parts, jobId, item, undefined)
+        log.warn('orphaned claim found', { jobId, itemId, released })
+      }))
     },
     sampleEventIntervals: () => {
       const nowMs = clock.nowMs()
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -71,7 +71,7 @@
   'item paused': { jobId: string, itemId: string, reason: string, lastEventId: number }
   'item released': { jobId: string, itemId: string, reason: string, saved: boolean, lastEventId: number }
   /** The store has a claim of this process on an item that it does not have in hand. */
-  'orphaned claim found': { jobId: string, itemId: string }
+  'orphaned claim found': { jobId: string, itemId: string, released: boolean }
   'item dropped': { jobId: string, itemId: string, reason: string }
   'item run ended': { jobId: string, itemId: string, end: string, reason: string | undefined, lastEventId: number, elapsedMs: number }
   'item settled': { jobId: string, itemId: string, end: string, outcome: string }
