Give up expired items in one transaction, without a claim

A claim without an answer left a row that no process had in hand, and each item took two writes, one after another.

The items of an expired job that no live runner has claimed are listed in one transaction of up to 45, which depends on the rows of the job and of the claims. A write that gets no answer, or is performed late, lists the items or does nothing. `items given up` reports it.

Tests: givenUpItems.test.ts.

--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -23,6 +23,8 @@
   eventCounts: readonly number[]
   calls: CallOutcome[]
   runs: RunFault[]
+  /** Time until the job expires; longer than any test by default. */
+  expiryMs?: number
 }
 
 /** A runner and its local engine. */
@@ -95,7 +97,7 @@
   const items = script.eventCounts.map((_, index): JobItem => ({ id: `item${index}`, path: '/', headers: {}, body: Buffer.alloc(0), tokens: 100 }))
   const eventCount = (itemId: string): number => script.eventCounts[items.findIndex(item => item.id === itemId)]
   store.putObject(submissionObject(JOB_ID), encodeSubmission(items))
-  store.put(jobKey(JOB_ID), createJobRecord(items, { jobId: JOB_ID, account: undefined, host: 'h', path: '/jobs', nowMs: 0, dueMs: 600_000, expiryMs: 900_000, maxAttempts: 3 }))
+  store.put(jobKey(JOB_ID), createJobRecord(items, { jobId: JOB_ID, account: undefined, host: 'h', path: '/jobs', nowMs: 0, dueMs: 600_000, expiryMs: script.expiryMs ?? 900_000, maxAttempts: 3 }))
   const agents = Array.from({ length: agentCount }, (_, index) => {
     const process = createProcessClock(clock)
     let faultOfAllRuns: RunFault | undefined
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/__tests__/givenUpItems.test.ts
@@ -0,0 +1,51 @@
+import type { CallOutcome } from '../__fixtures__/memoryStore'
+import { createRunnerFleet, type RunnerFleet } from '../__fixtures__/runnerFleet'
+
+const SLOTS = 3
+const ITEM_COUNT = 60
+const EXPIRY_MS = 6000
+
+let fleet: RunnerFleet
+
+function outcomes (): Record<string, number> {
+  const { listed } = fleet.job()
+  expect(new Set(listed.map(entry => entry.item)).size).toBe(listed.length)
+  return { completed: listed.filter(entry => entry.outcome === 'completed').length, givenUp: listed.filter(entry => entry.outcome === 'dead_letter').length }
+}
+
+afterEach(() => fleet.close())
+
+describe('the items of an expired job', () => {
+  it('are given up while no engine has a free slot', async () => {
+    fleet = createRunnerFleet(2, { eventCounts: Array(ITEM_COUNT).fill(5), calls: [], runs: [], expiryMs: EXPIRY_MS })
+    fleet.agents.forEach(agent => agent.setOnline(SLOTS))
+    await fleet.clock.advanceAsync(EXPIRY_MS)
+    expect(outcomes()).toEqual({ completed: 0, givenUp: 0 })
+    await fleet.clock.advanceAsync(5000)
+    expect(outcomes()).toEqual({ completed: 0, givenUp: ITEM_COUNT })
+  })
+
+  it('are completed if they have begun to run', async () => {
+    fleet = createRunnerFleet(1, { eventCounts: Array(SLOTS + 1).fill(150), calls: [], runs: [], expiryMs: EXPIRY_MS })
+    await fleet.clock.advanceAsync(EXPIRY_MS)
+    const runningCount = fleet.agents[0].engine.running()
+    expect(runningCount).toBeGreaterThan(0)
+    await fleet.clock.advanceAsync(10_000)
+    expect(outcomes()).toEqual({ completed: runningCount, givenUp: SLOTS + 1 - runningCount })
+  })
+
+  // Guards against a claim made in order to give an item up, which stays in the store when it gets no answer.
+  it.each<CallOutcome>(['unanswered', 'late'])('leave no claim behind when the writes get no answer: %s', async outcome => {
+    fleet = createRunnerFleet(1, { eventCounts: [5], calls: [], runs: [], expiryMs: EXPIRY_MS })
+    const [agent] = fleet.agents
+    agent.setOnline(SLOTS)
+    await fleet.clock.advanceAsync(EXPIRY_MS)
+    fleet.setCallOutcome(outcome)
+    await fleet.clock.advanceAsync(3000)
+    const claimed = fleet.store.rows().filter(row => row.table === 'claims')
+    expect(claimed).toEqual([])
+    fleet.setCallOutcome(undefined)
+    await fleet.clock.advanceAsync(5000)
+    expect(outcomes()).toEqual({ completed: 0, givenUp: 1 })
+  })
+})
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -141,7 +141,7 @@
   const state: RunnerState = { claimedItems, lifecycle, engineBackoff, choiceInput }
   const slotScheduler = createSlotScheduler(parts, state)
   const claimMaintenance = createClaimMaintenance(parts, state)
-  const jobMaintenance = createJobMaintenance({ ...parts, choiceInput })
+  const jobMaintenance = createJobMaintenance({ ...parts, choiceInput, stopping: controller.signal })
 
   const pollEngine = async (): Promise<void> => {
     const reportRequestedAtMs = clock.nowMs()
--- a/packages/anvilarch-serving/src/runner/claims.ts
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -3,7 +3,7 @@
 import { countFailure, recordOutcome, openItems } from '../jobs/jobRecord'
 import { changeJob, type ChangeOutcome, type JobParts, updateFromConflict } from '../jobs/jobStore'
 import { OBJECT_MARK } from '../jobs/resultReader'
-import type { ClaimRecord, ItemOutcome } from '../jobs/types'
+import type { ClaimRecord, ItemOutcome, JobRecord } from '../jobs/types'
 import type { WorkTable } from '../jobs/workTable'
 import type { RowWrite } from '../store/types'
 
@@ -138,6 +138,31 @@
   return await changeOwnItem(parts, jobId, item, job => recordOutcome(job, item, outcome), stored)
 }
 
+/** A transaction holds at most 100 entries: two for the job, and up to two for each item. */
+const MAX_ITEMS_PER_GIVE_UP = 45
+
+/**
+ * Lists waiting items as dead letters, in one transaction and without a claim, so that no claim is left behind when it gets no answer.
+ * It depends on the rows of the claims, so that it lists no item that a runner has claimed meanwhile.
+ *
+ * @param parts - store and local cache
+ * @param jobId - id of the job
+ * @param waitingItems - selects the items to give up; called again after a conflict
+ * @returns how the change ended; `not_applicable` when there is no item to give up
+ */
+export async function giveUpItems (parts: ClaimParts, jobId: string, waitingItems: (job: JobRecord) => number[]): Promise<ChangeOutcome> {
+  return await changeJob(parts, jobId, job => {
+    const items = waitingItems(job).slice(0, MAX_ITEMS_PER_GIVE_UP)
+    if (items.length === 0) return undefined
+    const claims = items.map(item => ({ ...claimKey(jobId, item), version: parts.work.claim(jobId, item)?.version ?? 0 }))
+    return {
+      next: items.reduce((next, item) => recordOutcome(next, item, 'dead_letter') ?? next, job),
+      conditions: claims,
+      removes: claims.filter(claim => claim.version > 0).map(({ version, ...key }) => key)
+    }
+  }, parts.clock.nowMs() + CHANGE_TIMEOUT_MS)
+}
+
 /** Counts a failed attempt and removes the claim. */
 export async function failItem (parts: ClaimParts, jobId: string, item: number): Promise<ChangeOutcome> {
   return await changeOwnItem(parts, jobId, item, job => countFailure(job, item), undefined)
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -147,11 +147,19 @@
   return rank
 }
 
+/**
+ * @param job - a job
+ * @param input - claims and members
+ * @returns the open items of the job that no live runner has claimed, except those that this process has claimed or leaves to others
+ */
+export function waitingItems (job: JobRecord, input: ItemChoiceInput): number[] {
+  return openItems(job).filter(item => !input.isSkipped(job.jobId, item) && isFree(input, job.jobId, item))
+}
+
 function candidatesOf (job: JobRecord, input: ItemChoiceInput): Candidate[] {
   const candidates: Candidate[] = []
   const dueInMs = job.dueAtMs - input.storeNowMs
-  for (const item of openItems(job)) {
-    if (input.isSkipped(job.jobId, item) || !isFree(input, job.jobId, item)) continue
+  for (const item of waitingItems(job, input)) {
     const savedEventId = input.work.claim(job.jobId, item)?.record.savedEventId ?? 0
     const tokens = job.itemTokens[item]
     const remainingMs = input.remainingMs(tokens, savedEventId)
--- a/packages/anvilarch-serving/src/runner/jobMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/jobMaintenance.ts
@@ -4,8 +4,9 @@
 import { isPastRetention, removeJob } from '../jobs/retention'
 import type { JobRecord } from '../jobs/types'
 import type { EventLog } from '../telemetry/events'
-import { type ClaimParts, claimItem, finishItem } from './claims'
-import { chooseItems, type ItemChoiceInput, liveRunners } from './itemChoice'
+import type { ChangeOutcome } from '../jobs/jobStore'
+import { type ClaimParts, giveUpItems } from './claims'
+import { type ItemChoiceInput, liveRunners, waitingItems } from './itemChoice'
 
 /** Dependencies of job maintenance. */
 export interface JobMaintenanceParts extends ClaimParts {
@@ -13,6 +14,8 @@
   /** Guaranteed retention of results, counted from submission. */
   retentionMs: number
   choiceInput: (storeNowMs: number) => ItemChoiceInput
+  /** Aborted when no further item may be given up. */
+  stopping: AbortSignal
 }
 
 /** Periodic maintenance of jobs. */
@@ -32,11 +35,12 @@
   const jobsWhere = (predicate: (job: JobRecord) => boolean): JobRecord[] => [...work.jobs()].map(entry => entry.record).filter(predicate)
 
   const expireJob = async (job: JobRecord, storeNowMs: number): Promise<void> => {
-    const input = parts.choiceInput(storeNowMs)
-    const mayRun = (candidate: JobRecord): boolean => candidate.jobId === job.jobId && input.mayRun(candidate)
-    for (const candidate of chooseItems({ ...input, mayRun }, job.itemIds.length)) {
-      if (await claimItem(parts, job.jobId, candidate.item)) await finishItem(parts, job.jobId, candidate.item, 'dead_letter', '')
-    }
+    if (!parts.choiceInput(storeNowMs).mayRun(job)) return
+    const waiting = (current: JobRecord): number[] => waitingItems(current, parts.choiceInput(storeNowMs))
+    const waitingCount = waiting(job).length
+    let outcome: ChangeOutcome = 'applied'
+    while (outcome === 'applied' && !parts.stopping.aborted) outcome = await giveUpItems(parts, job.jobId, waiting)
+    if (waitingCount > 0) log.info('items given up', { jobId: job.jobId, reason: 'expired', waitingCount, outcome })
   }
 
   return {
