Run items only at the service that the engine lists

Cause: an agent looks its engine up by the address alone, and decided which jobs it may run by the service in its settings. An address outlives the service that uses it; nothing compared the two.

Change: the service comes from the entry that the store lists at the engine's address, which is what gateways route by. The setting `service` is no longer read. The job's route is selected among batch routes only.

A trial that compares the two services and runs nothing where they differ fails the second test: the engine gets no items of its own service.

--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -75,7 +75,6 @@
     pool,
     freshPool,
     engineAddress: agent.engineAddress,
-    service: agent.service,
     retentionMs: settings.retentionMs,
     membersListedAtMs: () => view.answeredAtMs(MEMBER_TABLE),
     readReport: () => readReport(pool, context.wire.engine, clock),
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -49,7 +49,6 @@
 /** The engine on the host of an agent. */
 export interface AgentSettings {
   engineAddress: string
-  service: string
 }
 
 /** Encoding of job calls in the adapter's protocol. */
--- a/packages/anvilarch-serving/src/routing/jobRoute.ts
+++ b/packages/anvilarch-serving/src/routing/jobRoute.ts
@@ -12,3 +12,13 @@
   const route = matchRoute(configuration, job.host, job.path)
   return route?.kind === 'batch' ? route : undefined
 }
+
+/**
+ * @param configuration - the current version
+ * @param job - an accepted job
+ * @param service - service of an endpoint, as the endpoint lists it
+ * @returns whether the job's route leads to that service
+ */
+export function isRoutedTo (configuration: Configuration, job: Pick<JobRecord, 'host' | 'path'>, service: string): boolean {
+  return jobRoute(configuration, job)?.targets.some(target => target.service === service && target.weight > 0) ?? false
+}
--- a/packages/anvilarch-serving/src/runner/__fixtures__/jobRoute.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/jobRoute.ts
@@ -2,10 +2,17 @@
 import type { Configuration, Route } from '../../model/types'
 import type { PlatformWire } from '../../roles/types'
 
-const ROUTE = { name: 'jobs', host: 'h', pathPrefix: '/jobs', kind: 'batch', targets: [{ service: 'models', weight: 1 }] } as unknown as Route
+/**
+ * @param service - service to which jobs are routed; undefined for a configuration without a route for jobs
+ * @returns a configuration
+ */
+export function configurationWith (service: string | undefined): Configuration {
+  const route = { name: 'jobs', host: 'h', pathPrefix: '/jobs', kind: 'batch', targets: [{ service, weight: 1 }] } as unknown as Route
+  return { version: 1, routes: service === undefined ? [] : [route], services: new Map() } as unknown as Configuration
+}
 
-/** The configuration in force. */
-export const CONFIGURATION = { version: 1, routes: [ROUTE], services: new Map() } as unknown as Configuration
+/** The configuration that routes jobs to the engines of a test. */
+export const CONFIGURATION = configurationWith('models')
 
 /** Wire format whose headers name the item and the event after which a run continues. */
 export const WIRE = {
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -7,13 +7,13 @@
 import { createResultReader, type JobResult } from '../../jobs/resultReader'
 import { encodeSubmission } from '../../jobs/submission'
 import type { JobItem, JobRecord } from '../../jobs/types'
-import type { Endpoint } from '../../model/types'
+import type { Configuration, Endpoint } from '../../model/types'
 import type { MetadataStore } from '../../store/types'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type BatchRunner, startBatchRunner } from '../batchRunner'
 import { createPaceMeter } from '../paceMeter'
 import { createRunTimeEstimator } from '../runTimeEstimator'
-import { CONFIGURATION, WIRE } from './jobRoute'
+import { CONFIGURATION, configurationWith, WIRE } from './jobRoute'
 import { type CallOutcome, createMemoryStore, type MemoryStore } from './memoryStore'
 import { createProcessClock, type ProcessClock } from './processClock'
 import { createScriptedEngine, type RunFault, type ScriptedEngine, wholeTextOf } from './scriptedEngine'
@@ -42,6 +42,8 @@
   setReady: (ready: boolean) => void
   /** Ends the engine for good: it breaks all connections, responds to nothing and is no longer listed. */
   loseEngine: () => void
+  /** Another endpoint uses the address of the engine from now on: it starts anew and lists itself under this service. */
+  reuseAddress: (service: string) => void
   /** Sets a fault for all runs at the engine that overrides the script; undefined returns to the script. */
   setFault: (fault: RunFault | undefined) => void
   /** Pauses the process for this long; meanwhile it counts as failed in the store, and its engine keeps running. */
@@ -56,6 +58,8 @@
   store: MemoryStore
   agents: FleetAgent[]
   job: () => JobRecord
+  /** Moves the route of the job to a service, or removes it. */
+  routeTo: (service: string | undefined) => void
   /** Ends the job as a client does. */
   endJob: () => void
   /** Sets an outcome for all calls of the store that overrides the script; undefined returns to the script. */
@@ -66,6 +70,8 @@
   expectedText: (itemId: string) => string
   /** Error statuses, 500 or 422, that engines sent in place of a stream, by item. */
   statuses: Map<string, number[]>
+  /** Runs that engines have begun, with the service of the engine. */
+  runs: Array<{ itemId: string, service: string }>
   close: () => void
 }
 
@@ -94,6 +100,8 @@
   let outcomeOfAllCalls: CallOutcome | undefined
   const store = createMemoryStore(clock, () => outcomeOfAllCalls ?? script.calls.shift() ?? 'done')
   const statuses = new Map<string, number[]>()
+  const runs: RunnerFleet['runs'] = []
+  let configuration = CONFIGURATION
   const items = script.eventCounts.map((_, index): JobItem => ({ id: `item${index}`, path: '/', headers: {}, body: Buffer.alloc(0), tokens: 100 }))
   const eventCount = (itemId: string): number => script.eventCounts[items.findIndex(item => item.id === itemId)]
   store.putObject(submissionObject(JOB_ID), encodeSubmission(items))
@@ -101,10 +109,13 @@
   const agents = Array.from({ length: agentCount }, (_, index) => {
     const process = createProcessClock(clock)
     let faultOfAllRuns: RunFault | undefined
+    const listing = { service: 'models' }
     return createAgent({
       clock: process,
       setFault: fault => { faultOfAllRuns = fault },
       store,
+      listing,
+      configuration: () => configuration,
       name: `agent${index}`,
       lagMs: LAGS_MS[index % LAGS_MS.length],
       engine: createScriptedEngine({
@@ -112,6 +123,7 @@
         toReader: process.whenRunning,
         eventIntervalMs: EVENT_INTERVAL_MS,
         eventCount,
+        onRun: itemId => runs.push({ itemId, service: listing.service }),
         nextFault: () => faultOfAllRuns ?? script.runs.shift() ?? { fault: 'none' },
         onStatus: (itemId, status) => statuses.set(itemId, [...statuses.get(itemId) ?? [], status])
       })
@@ -123,6 +135,7 @@
     store,
     agents,
     job,
+    routeTo: service => { configuration = configurationWith(service) },
     endJob: () => {
       const parts = { store: store.client, work: createJobCache(), clock, log: SILENT_LOGGER }
       changeJob(parts, JOB_ID, job => job.ended ? undefined : { next: endJob(job) }, clock.nowMs() + END_TIMEOUT_MS).catch(() => {})
@@ -136,6 +149,7 @@
     results: () => readResults(clock, store, job()),
     expectedText: itemId => wholeTextOf(itemId, eventCount(itemId)),
     statuses,
+    runs,
     close: () => agents.forEach(agent => agent.runner.halt())
   }
 }
@@ -155,10 +169,13 @@
   name: string
   lagMs: number
   engine: ScriptedEngine
+  /** The engine's entry in the list of endpoints. */
+  listing: { service: string }
+  configuration: () => Configuration
   setFault: FleetAgent['setFault']
 }
 
-function createAgent ({ clock, store, name, lagMs, engine, setFault }: AgentParts): FleetAgent {
+function createAgent ({ clock, store, name, lagMs, engine, listing, configuration, setFault }: AgentParts): FleetAgent {
   const { work, loseHistory } = store.replicate(clock, lagMs)
   let incarnation = 0
   let online = 0
@@ -170,7 +187,7 @@
     name, role: 'agent', incarnation: `life${incarnation}`, peerAddress: '', failureDomain: '', aliveUntilMs: alive ? NEVER_MS : clock.nowMs()
   })
   const endpoint = (): Endpoint => ({
-    id: name, startId: `${name}@${engine.bornAtMs()}`, bornAtMs: engine.bornAtMs(), service: 'models', address: name, failureDomain: 'a', softwareVersion: 'v1', slots: SLOTS, state: ready ? 'ready' : 'draining', coldLeftMs: 0, listedVersion: 1
+    id: name, startId: `${name}@${engine.bornAtMs()}`, bornAtMs: engine.bornAtMs(), service: listing.service, address: name, failureDomain: 'a', softwareVersion: 'v1', slots: SLOTS, state: ready ? 'ready' : 'draining', coldLeftMs: 0, listedVersion: 1
   })
   const start = (): BatchRunner => {
     incarnation++
@@ -186,12 +203,11 @@
       incarnation: `life${incarnation}`,
       maxRowBytes: MAX_ROW_BYTES,
       endpoints: { atAddress: () => engineLost ? undefined : endpoint() } as never,
-      configuration: () => CONFIGURATION,
+      configuration,
       wire: WIRE,
       pool: engine.pool,
       freshPool: engine.freshPool,
       engineAddress: name,
-      service: 'models',
       retentionMs: 900_000,
       membersListedAtMs: () => clock.nowMs(),
       readReport: async () => engineLost ? undefined : { running: engine.running() + online, waiting: 0, runs: [], bornAtMs: engine.bornAtMs() },
@@ -221,6 +237,10 @@
       agent.runner.onUsageReport('gateway', endpoint().startId, requests)
     },
     setReady: nowReady => { ready = nowReady },
+    reuseAddress: newService => {
+      listing.service = newService
+      engine.restart()
+    },
     loseEngine: () => {
       engineLost = true
       engine.restart()
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -125,7 +125,6 @@
     pool: { dispatch } as unknown as Pool,
     freshPool: { dispatch } as unknown as Pool,
     engineAddress: ENDPOINT_ADDRESS,
-    service: 'models',
     retentionMs: 900_000,
     membersListedAtMs: () => clock.nowMs(),
     readReport: async () => ({ running: runningItems().length + online.running, waiting: online.waiting, runs: [], bornAtMs: undefined }),
--- a/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
@@ -29,6 +29,7 @@
   clock: FakeClock
   eventIntervalMs: number
   eventCount: (itemId: string) => number
+  onRun: (itemId: string) => void
   /** Called once for each run. */
   nextFault: () => RunFault
   /** Delivers what the engine sends to the process that reads it. */
@@ -134,6 +135,7 @@
       answer(handler, itemId, FAILED_STATUS, '')
       return
     }
+    options.onRun(itemId)
     const fault = options.nextFault()
     if (fault.fault === 'status' || fault.fault === 'fail_twice') {
       const status = 'status' in fault ? fault.status : FAILED_STATUS
--- /dev/null
+++ b/packages/anvilarch-serving/src/runner/__tests__/routedItems.test.ts
@@ -0,0 +1,43 @@
+import { createRunnerFleet, type RunnerFleet } from '../__fixtures__/runnerFleet'
+
+const SLOTS = 3
+const ITEM_COUNT = 8
+const EVENT_COUNT = 30
+
+let fleet: RunnerFleet
+
+function createFleet (agentCount: number): RunnerFleet {
+  return createRunnerFleet(agentCount, { eventCounts: Array(ITEM_COUNT).fill(EVENT_COUNT), calls: [], runs: [] })
+}
+
+function runsAt (service: string): number {
+  return fleet.runs.filter(run => run.service === service).length
+}
+
+afterEach(() => fleet.close())
+
+describe('an engine whose address another service uses now', () => {
+  // Guards against items that run at a service to which no route of their job leads, because the agent was started for another service.
+  it('runs no items of the former service, and the other engines run them', async () => {
+    fleet = createFleet(2)
+    fleet.agents.forEach(agent => agent.setOnline(SLOTS))
+    await fleet.clock.advanceAsync(500)
+    fleet.agents[0].reuseAddress('audits')
+    fleet.agents.forEach(agent => agent.setOnline(0))
+    await fleet.clock.advanceAsync(20_000)
+    expect(runsAt('audits')).toBe(0)
+    expect(fleet.job().listed).toHaveLength(ITEM_COUNT)
+  })
+
+  it('runs the items that are routed to the service that it lists now', async () => {
+    fleet = createFleet(1)
+    fleet.agents[0].setOnline(SLOTS)
+    await fleet.clock.advanceAsync(500)
+    fleet.agents[0].reuseAddress('audits')
+    fleet.routeTo('audits')
+    fleet.agents[0].setOnline(0)
+    await fleet.clock.advanceAsync(20_000)
+    expect(runsAt('audits')).toBe(ITEM_COUNT)
+    expect(fleet.job().listed).toHaveLength(ITEM_COUNT)
+  })
+})
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -2,7 +2,7 @@
 import { runInBackground, sleep } from 'anvilarch-utils'
 import { createResultReader } from '../jobs/resultReader'
 import type { JobRecord } from '../jobs/types'
-import { matchRoute } from '../routing/matchRoute'
+import { isRoutedTo } from '../routing/jobRoute'
 import type { EventFields } from '../telemetry/events'
 import type { LoadReport } from '../endpoints/peerMessages'
 import { createEngineView } from './engineView'
@@ -103,10 +103,11 @@
   /** Whether an item may need a slot that becomes free. */
   const hasWork = (): boolean => claimedItems.all().length > 0 || hasOpenJobs(parts.work)
 
+  /** The service comes from the list of endpoints: the address of an engine that is gone may be used by another service. */
   const mayRun = (job: JobRecord): boolean => {
     const configuration = parts.configuration()
-    const route = configuration === undefined ? undefined : matchRoute(configuration, job.host, job.path)
-    return route?.targets.some(target => target.service === parts.service && target.weight > 0) ?? false
+    const endpoint = engine.current()
+    return configuration !== undefined && endpoint !== undefined && isRoutedTo(configuration, job, endpoint.service)
   }
 
   const priorityRank = (job: JobRecord): number => {
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -23,7 +23,6 @@
   /** Connections to the local engine, each used for one run only. */
   freshPool: Pool
   engineAddress: string
-  service: string
   /** Guaranteed retention of results, counted from submission. */
   retentionMs: number
   /** Local time of the last listing of daemons; undefined before the first one. */
