Check the route again before a paused item goes on

Cause: the route was looked at when an item is claimed and not when it goes on. The claim outlived the route that it rests on.

Change: `resume` and the choice among paused items ask `mayRun`; a paused item that is routed elsewhere is released at once (`not_routed`), so that the new service runs it. Runs in progress end as before.

--- a/packages/anvilarch-serving/src/runner/__tests__/routedItems.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/routedItems.test.ts
@@ -41,3 +41,22 @@
     expect(fleet.job().listed).toHaveLength(ITEM_COUNT)
   })
 })
+
+describe('a paused item', () => {
+  // Guards against items that go on at a service after a configuration has moved their route to another one.
+  it('goes on at the new service when its route moves', async () => {
+    fleet = createFleet(2)
+    const [former, next] = fleet.agents
+    next.reuseAddress('audits')
+    await fleet.clock.advanceAsync(1000)
+    former.setOnline(SLOTS)
+    await fleet.clock.advanceAsync(200)
+    const runsBefore = runsAt('models')
+    expect(runsBefore).toBeGreaterThan(0)
+    fleet.routeTo('audits')
+    former.setOnline(0)
+    await fleet.clock.advanceAsync(20_000)
+    expect(runsAt('models')).toBe(runsBefore)
+    expect((await fleet.results()).map(result => result.output).sort()).toEqual(fleet.job().itemIds.map(fleet.expectedText).sort())
+  })
+})
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -91,8 +91,15 @@
   })
   const pollSchedule = createPollSchedule({ clock, minPauseMs: MIN_POLL_INTERVAL_MS, maxPauseMs: () => hasWork() ? BUSY_POLL_INTERVAL_MS : IDLE_POLL_INTERVAL_MS })
   const onlineUsage = createOnlineUsage(clock)
+  /** The service comes from the list of endpoints: the address of an engine that is gone may be used by another service. */
+  const mayRun = (job: JobRecord): boolean => {
+    const configuration = parts.configuration()
+    const endpoint = engine.current()
+    return configuration !== undefined && endpoint !== undefined && isRoutedTo(configuration, job, endpoint.service)
+  }
+
   const lifecycle = createItemLifecycle({
-    ...parts, engine, claimedItems, engineBackoff, submissions: createResultReader(parts.store), stopping: controller.signal, onSlotFreed: pollSchedule.request
+    ...parts, mayRun, engine, claimedItems, engineBackoff, submissions: createResultReader(parts.store), stopping: controller.signal, onSlotFreed: pollSchedule.request
   })
   let reachable = false
   /** In whole ms, and at least 1. */
@@ -103,13 +110,6 @@
   /** Whether an item may need a slot that becomes free. */
   const hasWork = (): boolean => claimedItems.all().length > 0 || hasOpenJobs(parts.work)
 
-  /** The service comes from the list of endpoints: the address of an engine that is gone may be used by another service. */
-  const mayRun = (job: JobRecord): boolean => {
-    const configuration = parts.configuration()
-    const endpoint = engine.current()
-    return configuration !== undefined && endpoint !== undefined && isRoutedTo(configuration, job, endpoint.service)
-  }
-
   const priorityRank = (job: JobRecord): number => {
     const account = job.account === undefined ? undefined : parts.configuration()?.accounts?.byName(job.account)
     return account?.priorityRank ?? 0
@@ -139,7 +139,7 @@
     }
   }
 
-  const state: RunnerState = { claimedItems, lifecycle, engineBackoff, choiceInput }
+  const state: RunnerState = { claimedItems, lifecycle, engineBackoff, mayRun, choiceInput }
   const slotScheduler = createSlotScheduler(parts, state)
   const claimMaintenance = createClaimMaintenance(parts, state)
   const jobMaintenance = createJobMaintenance({ ...parts, choiceInput, stopping: controller.signal })
--- a/packages/anvilarch-serving/src/runner/claimMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/claimMaintenance.ts
@@ -17,7 +17,7 @@
   releaseOrphanedClaims: () => Promise<void>
   sampleEventIntervals: () => void
   saveRunning: () => void
-  /** Releases items that are paused for too long or better run elsewhere, and all running items when the endpoint is not ready. */
+  /** Releases items that are paused for too long, no longer routed to the engine's service, or better run elsewhere, and all running items when the endpoint is not ready. */
   releaseUnwanted: (endpoint: Endpoint | undefined) => void
 }
 
@@ -41,7 +41,7 @@
  * @param state - items of the runner
  * @returns the maintenance
  */
-export function createClaimMaintenance (parts: RunnerParts, state: Pick<RunnerState, 'claimedItems' | 'lifecycle'>): ClaimMaintenance {
+export function createClaimMaintenance (parts: RunnerParts, state: Pick<RunnerState, 'claimedItems' | 'lifecycle' | 'mayRun'>): ClaimMaintenance {
   const { clock, log, runTimeEstimator } = parts
   const { claimedItems, lifecycle } = state
 
@@ -62,6 +62,11 @@
     return hasTightDeadline(dueInMs, runTimeEstimator.remainingMs(entry.tokens, entry.text.lastEventId)) ? TIGHT_DEADLINE_MAX_PAUSE_MS : MAX_PAUSE_MS
   }
 
+  const isRoutedElsewhere = (entry: ClaimedItem): boolean => {
+    const job = parts.work.job(entry.jobId)?.record
+    return job !== undefined && !state.mayRun(job)
+  }
+
   const releaseAll = (entries: ClaimedItem[], reason: ReleaseReason): void => {
     for (const entry of entries) runInBackground(log, 'release item', () => lifecycle.release(entry, reason))
   }
@@ -107,6 +112,7 @@
     },
     releaseUnwanted: endpoint => {
       const nowMs = clock.nowMs()
+      if (endpoint !== undefined) releaseAll(claimedItems.inState('paused').filter(isRoutedElsewhere), 'not_routed')
       releaseAll(claimedItems.inState('paused').filter(entry => nowMs - entry.pausedAtMs > maxPauseMs(entry)), 'long_paused')
       if (endpoint?.state === 'ready') releaseAll(betterElsewhere(), 'better_elsewhere')
       else releaseAll(claimedItems.inState('running'), 'endpoint_not_ready')
--- a/packages/anvilarch-serving/src/runner/itemLifecycle.ts
+++ b/packages/anvilarch-serving/src/runner/itemLifecycle.ts
@@ -29,12 +29,14 @@
   engineBackoff: StartBackoff
   /** Aborted when no further run may start. */
   stopping: AbortSignal
+  /** Whether the configuration in force routes the job to the service of the local engine. */
+  mayRun: (job: JobRecord) => boolean
   /** Called when an item no longer occupies a slot of the engine. */
   onSlotFreed: () => void
 }
 
 /** Why an item is released before it has ended. */
-export type ReleaseReason = 'long_paused' | 'endpoint_not_ready' | 'better_elsewhere' | 'stopping'
+export type ReleaseReason = 'long_paused' | 'not_routed' | 'endpoint_not_ready' | 'better_elsewhere' | 'stopping'
 
 /** Operations on items. */
 export interface ItemLifecycle {
@@ -214,7 +216,7 @@
       return
     }
     const endpoint = parts.engine.current()
-    if (item === undefined || endpoint?.state !== 'ready' || !hasRecentStoreResponse(parts) || parts.stopping.aborted) {
+    if (item === undefined || endpoint?.state !== 'ready' || !parts.mayRun(job) || !hasRecentStoreResponse(parts) || parts.stopping.aborted) {
       entry.state = 'paused'
       return
     }
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -1,6 +1,7 @@
 /** Types shared by the parts of a batch runner. */
 import type { Pool } from '../endpoints/httpPool'
 import type { EndpointTable } from '../endpoints/endpointTable'
+import type { JobRecord } from '../jobs/types'
 import type { Configuration } from '../model/types'
 import type { EngineReport, PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
@@ -38,6 +39,8 @@
   lifecycle: ItemLifecycle
   /** Backoff for starts of any item at this engine. */
   engineBackoff: StartBackoff
+  /** Whether the configuration in force routes the job to the service of the local engine. */
+  mayRun: (job: JobRecord) => boolean
   /** @returns the input for choosing items */
   choiceInput: (storeNowMs: number) => ItemChoiceInput
 }
