Give up items of a removed route, and of any expired job

What callers saw: a job was accepted, the operator removed its route, and the items that waited were listed neither as completed nor as given up, not even after max-wait-s.

Cause: an accepted job rests on its route and outlived it. `mayRun` is false for a job without a route, so that no runner claims its items; the same `mayRun` guarded giving up. An expired job whose service has no agent lay for the same reason.

Change: when to give up is a pure decision (`givingUp.ts`): an expired job whatever its route, and a job that has matched no batch route for 4 s. Before the latter the configuration is read from the store, since a process that is a version behind does not have the route yet. One runner is responsible for a job; the others step in after 3 s.

--- a/packages/anvilarch-serving/src/jobs/jobRecord.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRecord.ts
@@ -92,6 +92,6 @@
 }
 
 /** @returns whether the items of the job have expired and may be given up */
-export function isExpired (job: JobRecord, storeNowMs: number): boolean {
+export function isExpired (job: Pick<JobRecord, 'expiresAtMs'>, storeNowMs: number): boolean {
   return storeNowMs > job.expiresAtMs
 }
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -71,6 +71,7 @@
     maxRowBytes: settings.maxRowBytes,
     endpoints: view.endpoints,
     configuration: view.configuration.current,
+    refreshConfiguration: view.refreshConfiguration,
     wire: context.wire,
     pool,
     freshPool,
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -60,6 +60,8 @@
   job: () => JobRecord
   /** Moves the route of the job to a service, or removes it. */
   routeTo: (service: string | undefined) => void
+  /** Sets what happens when a runner reads the configuration from the store; by default it is as new as the runner's copy. */
+  setRefresh: (refresh: () => Promise<boolean>) => void
   /** Ends the job as a client does. */
   endJob: () => void
   /** Sets an outcome for all calls of the store that overrides the script; undefined returns to the script. */
@@ -102,6 +104,7 @@
   const statuses = new Map<string, number[]>()
   const runs: RunnerFleet['runs'] = []
   let configuration = CONFIGURATION
+  let refresh = async (): Promise<boolean> => true
   const items = script.eventCounts.map((_, index): JobItem => ({ id: `item${index}`, path: '/', headers: {}, body: Buffer.alloc(0), tokens: 100 }))
   const eventCount = (itemId: string): number => script.eventCounts[items.findIndex(item => item.id === itemId)]
   store.putObject(submissionObject(JOB_ID), encodeSubmission(items))
@@ -116,6 +119,7 @@
       store,
       listing,
       configuration: () => configuration,
+      refreshConfiguration: () => refresh(),
       name: `agent${index}`,
       lagMs: LAGS_MS[index % LAGS_MS.length],
       engine: createScriptedEngine({
@@ -136,6 +140,7 @@
     agents,
     job,
     routeTo: service => { configuration = configurationWith(service) },
+    setRefresh: newRefresh => { refresh = newRefresh },
     endJob: () => {
       const parts = { store: store.client, work: createJobCache(), clock, log: SILENT_LOGGER }
       changeJob(parts, JOB_ID, job => job.ended ? undefined : { next: endJob(job) }, clock.nowMs() + END_TIMEOUT_MS).catch(() => {})
@@ -172,10 +177,11 @@
   /** The engine's entry in the list of endpoints. */
   listing: { service: string }
   configuration: () => Configuration
+  refreshConfiguration: () => Promise<boolean>
   setFault: FleetAgent['setFault']
 }
 
-function createAgent ({ clock, store, name, lagMs, engine, listing, configuration, setFault }: AgentParts): FleetAgent {
+function createAgent ({ clock, store, name, lagMs, engine, listing, configuration, refreshConfiguration, setFault }: AgentParts): FleetAgent {
   const { work, loseHistory } = store.replicate(clock, lagMs)
   let incarnation = 0
   let online = 0
@@ -204,6 +210,7 @@
       maxRowBytes: MAX_ROW_BYTES,
       endpoints: { atAddress: () => engineLost ? undefined : endpoint() } as never,
       configuration,
+      refreshConfiguration,
       wire: WIRE,
       pool: engine.pool,
       freshPool: engine.freshPool,
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -121,6 +121,7 @@
     maxRowBytes: 100_000,
     endpoints: { atAddress: () => endpointWith(slots) } as never,
     configuration: () => CONFIGURATION,
+    refreshConfiguration: async () => true,
     wire: WIRE,
     pool: { dispatch } as unknown as Pool,
     freshPool: { dispatch } as unknown as Pool,
--- a/packages/anvilarch-serving/src/runner/__tests__/givenUpItems.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/givenUpItems.test.ts
@@ -49,3 +49,50 @@
     expect(outcomes()).toEqual({ completed: 0, givenUp: 1 })
   })
 })
+
+describe('the items of a job whose route is removed', () => {
+  async function removeRoute (): Promise<number> {
+    fleet = createRunnerFleet(2, { eventCounts: Array(ITEM_COUNT).fill(30), calls: [], runs: [] })
+    await fleet.clock.advanceAsync(1000)
+    fleet.routeTo(undefined)
+    await fleet.clock.advanceAsync(1000)
+    return fleet.runs.length
+  }
+
+  // Guards against items that no runner may run and that no runner gives up, so that their client waits forever.
+  it('are completed if they run, and given up otherwise', async () => {
+    const runCount = await removeRoute()
+    await fleet.clock.advanceAsync(12_000)
+    expect(fleet.runs).toHaveLength(runCount)
+    expect(outcomes()).toEqual({ completed: runCount, givenUp: ITEM_COUNT - runCount })
+  })
+
+  it('are run if the route comes back within the grace period', async () => {
+    await removeRoute()
+    fleet.routeTo('models')
+    await fleet.clock.advanceAsync(120_000)
+    expect(outcomes()).toEqual({ completed: ITEM_COUNT, givenUp: 0 })
+  })
+
+  // Guards against a runner that has missed the version with the route, and gives up jobs that others run.
+  it.each<[string, boolean]>([['has the route in a newer version', true], ['does not answer', false]])('are not given up if the store %s', async (_name, answers) => {
+    const runCount = await removeRoute()
+    fleet.setRefresh(async () => {
+      if (answers) fleet.routeTo('models')
+      return answers
+    })
+    await fleet.clock.advanceAsync(12_000)
+    expect(outcomes().givenUp).toBe(0)
+    if (answers) expect(fleet.runs.length).toBeGreaterThan(runCount)
+  })
+
+  it.each<CallOutcome>(['unanswered', 'late', 'lost'])('are each listed once when writes get no answer: %s', async outcome => {
+    const runCount = await removeRoute()
+    fleet.setCallOutcome(outcome)
+    await fleet.clock.advanceAsync(8000)
+    fleet.setCallOutcome(undefined)
+    await fleet.clock.advanceAsync(12_000)
+    expect(fleet.runs).toHaveLength(runCount)
+    expect(outcomes()).toEqual({ completed: runCount, givenUp: ITEM_COUNT - runCount })
+  })
+})
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -54,8 +54,8 @@
 
 const MS_PER_SECOND = 1000
 
-/** Interval between two checks of jobs for expired items. */
-const EXPIRY_INTERVAL_MS = 2000
+/** Interval between two checks for jobs whose items are given up. */
+const GIVE_UP_INTERVAL_MS = 2000
 
 /** Interval between two comparisons of this runner's claims in the store with its items in hand. */
 const CLAIM_CHECK_INTERVAL_MS = 1000
@@ -174,7 +174,7 @@
   runInBackground(log, 'runner', () => repeat(() => pollSchedule.next(controller.signal), pollEngine))
   runInBackground(log, 'orphaned claims', () => repeat(() => sleep(clock, CLAIM_CHECK_INTERVAL_MS, controller.signal), claimMaintenance.releaseOrphanedClaims))
   runInBackground(log, 'retention', () => repeat(() => sleep(clock, RETENTION_INTERVAL_MS, controller.signal), jobMaintenance.retire))
-  runInBackground(log, 'expiry', () => repeat(() => sleep(clock, EXPIRY_INTERVAL_MS, controller.signal), jobMaintenance.expire))
+  runInBackground(log, 'give up', () => repeat(() => sleep(clock, GIVE_UP_INTERVAL_MS, controller.signal), jobMaintenance.giveUp))
 
   return {
     onUsageReport: (gateway, startId, inProgress) => {
--- a/packages/anvilarch-serving/src/runner/jobMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/jobMaintenance.ts
@@ -1,11 +1,13 @@
-/** Gives up expired items, and removes jobs past their retention. */
-import { v3 as murmurhash } from 'murmurhash'
-import { isClosed, isExpired } from '../jobs/jobRecord'
+/** Gives up items of jobs that have expired or lost their route, and removes jobs past their retention. */
+import { isClosed } from '../jobs/jobRecord'
+import type { ChangeOutcome } from '../jobs/jobStore'
 import { isPastRetention, removeJob } from '../jobs/retention'
 import type { JobRecord } from '../jobs/types'
+import type { Configuration } from '../model/types'
+import { jobRoute } from '../routing/jobRoute'
 import type { EventLog } from '../telemetry/events'
-import type { ChangeOutcome } from '../jobs/jobStore'
 import { type ClaimParts, giveUpItems } from './claims'
+import { createRouteTracker, giveUpReason, type GiveUpReason, responsibleRunner } from './givingUp'
 import { type ItemChoiceInput, liveRunners, waitingItems } from './itemChoice'
 
 /** Dependencies of job maintenance. */
@@ -13,6 +15,9 @@
   log: EventLog
   /** Guaranteed retention of results, counted from submission. */
   retentionMs: number
+  configuration: () => Configuration | undefined
+  /** Reads the configuration from the store and applies it. @returns whether the store responded */
+  refreshConfiguration: () => Promise<boolean>
   choiceInput: (storeNowMs: number) => ItemChoiceInput
   /** Aborted when no further item may be given up. */
   stopping: AbortSignal
@@ -20,8 +25,8 @@
 
 /** Periodic maintenance of jobs. */
 export interface JobMaintenance {
-  /** Gives up expired items that no runner has claimed. */
-  expire: () => Promise<void>
+  /** Gives up items that no runner has claimed, of jobs that have expired or lost their route. */
+  giveUp: () => Promise<void>
   /** Removes jobs past their retention. */
   retire: () => Promise<void>
 }
@@ -32,30 +37,45 @@
  */
 export function createJobMaintenance (parts: JobMaintenanceParts): JobMaintenance {
   const { work, store, log } = parts
+  const routeTracker = createRouteTracker(parts.clock)
   const jobsWhere = (predicate: (job: JobRecord) => boolean): JobRecord[] => [...work.jobs()].map(entry => entry.record).filter(predicate)
 
-  const expireJob = async (job: JobRecord, storeNowMs: number): Promise<void> => {
-    if (!parts.choiceInput(storeNowMs).mayRun(job)) return
+  /** A process that has missed a version would give up jobs of a route that was added with it. */
+  const isRouteRemoved = async (job: JobRecord): Promise<boolean> => {
+    if (!await parts.refreshConfiguration()) return false
+    const configuration = parts.configuration()
+    return configuration !== undefined && jobRoute(configuration, job) === undefined
+  }
+
+  const giveUpJob = async (job: JobRecord, reason: GiveUpReason, storeNowMs: number): Promise<void> => {
     const waiting = (current: JobRecord): number[] => waitingItems(current, parts.choiceInput(storeNowMs))
     const waitingCount = waiting(job).length
+    if (waitingCount === 0 || (reason === 'no_route' && !await isRouteRemoved(job))) return
     let outcome: ChangeOutcome = 'applied'
     while (outcome === 'applied' && !parts.stopping.aborted) outcome = await giveUpItems(parts, job.jobId, waiting)
-    if (waitingCount > 0) log.info('items given up', { jobId: job.jobId, reason: 'expired', waitingCount, outcome })
+    log.info('items given up', { jobId: job.jobId, reason, waitingCount, outcome })
   }
 
   return {
-    expire: async () => {
+    giveUp: async () => {
       const storeNowMs = store.storeNowMs()
+      const configuration = parts.configuration()
       if (storeNowMs === undefined) return
-      for (const job of jobsWhere(job => !isClosed(job) && isExpired(job, storeNowMs))) await expireJob(job, storeNowMs)
+      const open = jobsWhere(job => !isClosed(job))
+      if (configuration !== undefined) routeTracker.update(open, configuration)
+      const runners = liveRunners(work, storeNowMs)
+      for (const job of open) {
+        const isResponsible = responsibleRunner(runners, job.jobId) === parts.runner
+        const reason = giveUpReason(job, { storeNowMs, withoutRouteMs: routeTracker.withoutRouteMs(job.jobId), isResponsible })
+        if (reason !== undefined) await giveUpJob(job, reason, storeNowMs)
+      }
     },
     retire: async () => {
       const storeNowMs = store.storeNowMs()
       if (storeNowMs === undefined) return
       const runners = liveRunners(work, storeNowMs)
       for (const job of jobsWhere(job => isPastRetention(job, storeNowMs, parts.retentionMs))) {
-        // Each job is assigned to one runner by the hash of its id, so that not all runners try to remove it.
-        if (runners[murmurhash(job.jobId) % runners.length] === parts.runner) await removeJob(parts, job, log)
+        if (responsibleRunner(runners, job.jobId) === parts.runner) await removeJob(parts, job, log)
       }
     }
   }
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -18,6 +18,8 @@
   metrics: ServingMetrics
   endpoints: EndpointTable
   configuration: () => Configuration | undefined
+  /** Reads the configuration from the store and applies it. @returns whether the store responded */
+  refreshConfiguration: () => Promise<boolean>
   wire: PlatformWire
   /** Connections to the local engine. */
   pool: Pool
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -74,7 +74,7 @@
   'orphaned claim found': { jobId: string, itemId: string, released: boolean }
   'item dropped': { jobId: string, itemId: string, reason: string }
   'item run ended': { jobId: string, itemId: string, end: string, reason: string | undefined, lastEventId: number, elapsedMs: number }
-  'items given up': { jobId: string, reason: 'expired', waitingCount: number, outcome: string }
+  'items given up': { jobId: string, reason: 'expired' | 'no_route', waitingCount: number, outcome: string }
   'item settled': { jobId: string, itemId: string, end: string, outcome: string }
 
   // Traffic between daemons.
