Keep the reservations of waiting tokens in several rows

Cause: all reservations of an account were one row, of which the store takes 64 KB. A larger one is rejected, and the acceptance ends as refused.

Change: further reservations go to rows of their own, 250 each, in the same partition: they are read in one call, and each acceptance depends on the versions of all of them, so that two gateways still can't reserve the same tokens. Only rows that change are written.

Tests: acceptJob.test.ts, a full row: 5 of 5 jobs were refused below the limit before (the in-memory store rejects rows above 64 KB now); quota.test.ts, the pages of reservations.

--- a/packages/anvilarch-serving/src/jobs/__tests__/acceptJob.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/acceptJob.test.ts
@@ -1,15 +1,19 @@
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import type { Route } from '../../model/types'
-import { createMemoryStore, type MemoryStore } from '../../runner/__fixtures__/memoryStore'
+import { createMemoryStore, MAX_ROW_BYTES, type MemoryStore } from '../../runner/__fixtures__/memoryStore'
 import { type AcceptOutcome, acceptJob } from '../acceptJob'
 import { createJobCache } from '../jobCache'
 import { createJobRecord } from '../jobRecord'
 import { jobKey } from '../jobRows'
 import { changeJob, type JobParts } from '../jobStore'
-import { RESERVATION_GRACE_MS } from '../quota'
+import { pageKey, quotaKey, RESERVATION_GRACE_MS } from '../quota'
 
 const ROUTE = { name: 'jobs', waitingTokenLimit: 1000, jobDueMs: 1, jobExpiryMs: 1, maxAttempts: 3 } as unknown as Route
 
+/** Jobs whose reservations fill a row, with ids of this length. */
+const FULL_ROW_JOBS = 271
+const LONG_ID_LENGTH = 190
+
 /** More jobs than a gateway caches. */
 const MANY_JOBS = 1200
 
@@ -63,6 +67,21 @@
     expect(await accept(createGateway(), 'second', 600)).toBe('over_limit')
   })
 
+  // Guards against jobs that are refused below the limit because the reservations no longer fit into one row.
+  it('accepts jobs below the limit when the row of reservations is full', async () => {
+    const first = quotaKey(ROUTE.name, undefined)
+    const reservations = Array.from({ length: FULL_ROW_JOBS }, (_, index) => ({ jobId: `waiting-${String(index).padStart(LONG_ID_LENGTH, '0')}`, tokens: 0.5, reservedAtMs: clock.nowMs() }))
+    const rowBytes = JSON.stringify(reservations).length
+    expect(rowBytes).toBeLessThan(MAX_ROW_BYTES)
+    expect(rowBytes / FULL_ROW_JOBS * (FULL_ROW_JOBS + 1)).toBeGreaterThan(MAX_ROW_BYTES)
+    store.put(first, reservations)
+    const outcomes: AcceptOutcome[] = []
+    for (let index = 0; index < 5; index++) outcomes.push(await accept(createGateway(), `new-${String(index).padStart(LONG_ID_LENGTH, '0')}`, 170))
+    expect(outcomes).toEqual(Array(5).fill('accepted'))
+    expect(await accept(createGateway(), 'beyond', 100)).toBe('over_limit')
+    expect(JSON.parse(String(store.row(pageKey(first, 1))?.value))).toHaveLength(5)
+  })
+
   it('does not count a job that has ended', async () => {
     const gateway = createGateway()
     expect(await accept(gateway, 'first', 600)).toBe('accepted')
--- a/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
@@ -1,5 +1,5 @@
 import { createJobRecord } from '../jobRecord'
-import { planReservation, RESERVATION_GRACE_MS, type Reservation } from '../quota'
+import { arrangePages, decodePages, MAX_PAGE_RESERVATIONS, pageKey, planReservation, quotaKey, RESERVATION_GRACE_MS, type Reservation } from '../quota'
 import type { JobRecord } from '../types'
 
 function job (jobId: string, listedCount: number): JobRecord {
@@ -42,3 +42,26 @@
     expect(planReservation([WANTED], WANTED, 0, known()).plan).toBe('already_reserved')
   })
 })
+
+describe('the pages of reservations', () => {
+  const reservation = (jobId: string): Reservation => ({ ...EXISTING, jobId })
+  const full = Array.from({ length: MAX_PAGE_RESERVATIONS }, (_, index) => reservation(`full${index}`))
+
+  it('keep reservations where they are, and take a new one on the first page with room', () => {
+    const pages = [{ version: 5, reservations: full }, { version: 6, reservations: [reservation('a'), reservation('b')] }]
+    expect(arrangePages(pages, [...full, reservation('b'), WANTED])).toEqual([full, [reservation('b'), WANTED]])
+    expect(arrangePages(pages, [...full.slice(1), reservation('b'), WANTED])).toEqual([[...full.slice(1), WANTED], [reservation('b')]])
+  })
+
+  it('get a new page when all are full', () => {
+    expect(arrangePages([{ version: 5, reservations: full }], [...full, WANTED])).toEqual([full, [WANTED]])
+  })
+
+  it('are told apart from those of accounts whose names begin alike', () => {
+    const rowOf = (key: ReturnType<typeof quotaKey>, jobId: string): Parameters<typeof decodePages>[1][number] => ({ ...key, value: Buffer.from(JSON.stringify([reservation(jobId)])), version: 3 })
+    const own = quotaKey('r', 'ac')
+    const rows = [rowOf(own, 'own'), rowOf(pageKey(own, 1), 'own2'), rowOf(quotaKey('r', 'acme'), 'other'), rowOf(quotaKey('r', 'ac~2'), 'another')]
+    expect(decodePages(own, rows).map(page => page.reservations.map(entry => entry.jobId))).toEqual([['own'], ['own2']])
+    expect(decodePages(own, [])).toEqual([{ version: 0, reservations: [] }])
+  })
+})
--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -1,11 +1,12 @@
 /** Accepts a job: the whole job is stored before the client is notified. */
 import { sleep } from 'anvilarch-utils'
 import type { Route } from '../model/types'
+import type { RowKey, Transaction } from '../store/types'
 import { withRepeats } from '../store/withRepeats'
 import { createJobRecord } from './jobRecord'
 import { decodeRecord, JOB_TABLE, jobKey, encodeRecord, submissionObject } from './jobRows'
 import { type JobParts, readJob } from './jobStore'
-import { type JobLookup, planReservation, quotaKey, type Reservation, reservedTokens } from './quota'
+import { arrangePages, decodePages, type JobLookup, pageKey, pageRange, planReservation, quotaKey, type Reservation, type ReservationPage, reservedTokens } from './quota'
 import { encodeSubmission } from './submission'
 import type { JobItem, JobRecord } from './types'
 
@@ -25,7 +26,7 @@
  */
 export type AcceptOutcome = 'accepted' | 'over_limit' | 'refused' | 'unknown'
 
-/** Number of reservations at which finished jobs are looked up and removed; such a row has some 30 KB. */
+/** Number of reservations at which finished jobs are looked up and removed, so that the list does not grow with each job. */
 const MANY_RESERVATIONS = 300
 
 /** Pause between attempts while the store refuses calls. */
@@ -95,15 +96,15 @@
 
 async function reserveTokens (parts: JobParts, route: Route, submission: Submission, untilMs: number): Promise<AcceptOutcome> {
   if (route.waitingTokenLimit === 0) return 'accepted'
-  const key = quotaKey(route.name, submission.account)
+  const first = quotaKey(route.name, submission.account)
   const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0)
   for (;;) {
-    const read = await parts.store.readRows({ ...key, from: key.key, to: key.key + '\u0001' })
+    const read = await parts.store.readRows(pageRange(first))
     if (read.ok) {
-      const row = read.val.rows.find(candidate => candidate.key === key.key)
-      const current = row === undefined ? [] : JSON.parse(row.value.toString()) as Reservation[]
-      const wanted = { jobId: submission.jobId, tokens, reservedAtMs: parts.store.storeNowMs() ?? 0 }
-      // Reading the jobs is worthwhile only if the row seems full or has grown long: it shows which tokens are still waiting.
+      const pages = decodePages(first, read.val.rows)
+      const current = pages.flatMap(page => page.reservations)
+      const wanted = { jobId: submission.jobId, tokens, reservedAtMs: Math.round(parts.store.storeNowMs() ?? 0) }
+      // Reading the jobs is worthwhile only if the limit seems reached or the list has grown long: it shows which tokens are still waiting.
       const seemsFull = reservedTokens(current) + tokens > route.waitingTokenLimit || current.length >= MANY_RESERVATIONS
       const known = seemsFull ? await readJobs(parts, current) : { job: parts.work.job, isComplete: false }
       if (known === undefined) {
@@ -117,11 +118,7 @@
         parts.log.info('job over the limit of waiting tokens', { jobId: submission.jobId, tokens, waitingTokens: plan.waitingTokens, limitTokens: route.waitingTokenLimit })
         return 'over_limit'
       }
-      const outcome = await parts.store.commit({
-        conditions: [{ ...key, version: row?.version ?? 0 }],
-        puts: [{ ...key, value: Buffer.from(JSON.stringify(plan.reservations)) }],
-        removes: []
-      })
+      const outcome = await parts.store.commit(pageTransaction(first, pages, plan.reservations))
       if (outcome.outcome === 'committed') return 'accepted'
       if (outcome.outcome === 'conflict' && parts.clock.nowMs() < untilMs) continue
     }
@@ -130,6 +127,14 @@
   }
 }
 
+/** Writes the pages that change, under the versions of all pages. */
+function pageTransaction (first: RowKey, pages: readonly ReservationPage[], reservations: readonly Reservation[]): Transaction {
+  const next = arrangePages(pages, reservations)
+  const changed = next.map((page, index) => ({ ...pageKey(first, index), value: Buffer.from(JSON.stringify(page)) }))
+    .filter((_, index) => JSON.stringify(next[index]) !== JSON.stringify(pages[index]?.reservations))
+  return { conditions: next.map((_, index) => ({ ...pageKey(first, index), version: pages[index]?.version ?? 0 })), puts: changed, removes: [] }
+}
+
 /** Reads the jobs of reservations, which may be more than the local cache holds. @returns the jobs, or undefined if a read failed */
 async function readJobs (parts: JobParts, reservations: readonly Reservation[]): Promise<JobLookup | undefined> {
   const partitions = new Set(reservations.map(reservation => jobKey(reservation.jobId).partition))
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -1,11 +1,11 @@
 /**
  * Limits the waiting tokens of an account on a route, over all gateways.
  *
- * Each acceptance adds its job to the account's row under the version of that row, so two gateways cannot both reserve the
- * last free tokens.
+ * Each acceptance adds its job to one of the account's rows under the versions of all of them, so two gateways cannot both
+ * reserve the last free tokens.
  */
 import { v3 as murmurhash } from 'murmurhash'
-import type { RowKey } from '../store/types'
+import type { RowKey, RowRange, StoredRow } from '../store/types'
 import { waitingTokens } from './jobRecord'
 import { QUOTA_TABLE } from './jobRows'
 import type { JobRecord } from './types'
@@ -45,14 +45,82 @@
 /** A partition carries some hundred transactions per second. An account that floods a route delays one in this many others. */
 const ACCOUNT_PARTITIONS = 16
 
+/** Separates the number of a page from the key of the first one. In account names it is encoded. */
+const PAGE_SEPARATOR = '~'
+
+/** Most reservations of a page. The id of a job has up to 200 bytes, and a row holds 64 KB. */
+export const MAX_PAGE_RESERVATIONS = 250
+
+/** A row of reservations. An account with many open jobs has several, since the size of a row is limited. */
+export interface ReservationPage {
+  /** Version of the row; 0 if it does not exist. */
+  version: number
+  reservations: readonly Reservation[]
+}
+
 /**
  * @param routeName - name of the job's route
  * @param account - account of the job; undefined where all callers share one limit
- * @returns key of the row that holds the reservations
+ * @returns key of the row that holds the first page of reservations
  */
 export function quotaKey (routeName: string, account: string | undefined): RowKey {
   if (account === undefined) return { table: QUOTA_TABLE, partition: `quota-${routeName}`, key: 'waiting' }
-  return { table: QUOTA_TABLE, partition: `quota-${routeName}-${murmurhash(account) % ACCOUNT_PARTITIONS}`, key: `waiting.${account}` }
+  return { table: QUOTA_TABLE, partition: `quota-${routeName}-${murmurhash(account) % ACCOUNT_PARTITIONS}`, key: `waiting.${account.replaceAll(PAGE_SEPARATOR, '%7E')}` }
+}
+
+/**
+ * @param first - key of the first page
+ * @param page - index of a page
+ * @returns key of the row that holds the page
+ */
+export function pageKey (first: RowKey, page: number): RowKey {
+  return page === 0 ? first : { ...first, key: `${first.key}${PAGE_SEPARATOR}${page}` }
+}
+
+/**
+ * @param first - key of the first page
+ * @returns range of keys that contains all pages, and possibly pages of accounts whose names begin alike
+ */
+export function pageRange (first: RowKey): RowRange {
+  return { ...first, from: first.key, to: `${first.key}${PAGE_SEPARATOR}\uffff` }
+}
+
+/**
+ * @param first - key of the first page
+ * @param rows - rows of `pageRange`
+ * @returns the pages of the account; pages without a row are empty
+ */
+export function decodePages (first: RowKey, rows: readonly StoredRow[]): ReservationPage[] {
+  const byKey = new Map(rows.map(row => [row.key, row]))
+  const pages: ReservationPage[] = []
+  for (let row = byKey.get(first.key); pages.length === 0 || row !== undefined; row = byKey.get(pageKey(first, pages.length).key)) {
+    pages.push({ version: row?.version ?? 0, reservations: row === undefined ? [] : JSON.parse(row.value.toString()) as Reservation[] })
+  }
+  return pages
+}
+
+/**
+ * Distributes reservations over pages. Those that are on a page stay there; a new one takes the first page with room.
+ *
+ * @param pages - the pages as read
+ * @param reservations - the next list of reservations
+ * @returns the next pages; one more than before if all are full
+ */
+export function arrangePages (pages: readonly ReservationPage[], reservations: readonly Reservation[]): Reservation[][] {
+  const pageOf = new Map(pages.flatMap((page, index) => page.reservations.map(reservation => [reservation.jobId, index] as const)))
+  const next: Reservation[][] = pages.map(() => [])
+  const added: Reservation[] = []
+  for (const reservation of reservations) {
+    const index = pageOf.get(reservation.jobId)
+    if (index === undefined) added.push(reservation)
+    else next[index].push(reservation)
+  }
+  for (const reservation of added) {
+    const room = next.find(page => page.length < MAX_PAGE_RESERVATIONS)
+    if (room === undefined) next.push([reservation])
+    else room.push(reservation)
+  }
+  return next
 }
 
 /**
--- a/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
@@ -2,7 +2,8 @@
 import type { FakeClock } from 'anvilarch-utils'
 import { Err, Ok } from 'ts-results'
 import { createWorkTable, type WorkTable } from '../../jobs/workTable'
-import { CLAIM_TABLE, JOB_TABLE, MEMBER_TABLE, encodeRecord } from '../../jobs/jobRows'
+import { CLAIM_TABLE, JOB_TABLE, MEMBER_TABLE } from '../../jobs/jobRows'
+import type { Reservation } from '../../jobs/quota'
 import type { JobRecord, MemberRecord } from '../../jobs/types'
 import type { MetadataStore, RowChange, RowKey, StoredRow, Transaction, TransactionOutcome } from '../../store/types'
 import type { ProcessClock } from './processClock'
@@ -20,7 +21,7 @@
   row: (key: RowKey) => StoredRow | undefined
   object: (name: string) => Buffer | undefined
   putObject: (name: string, bytes: Buffer) => void
-  put: (key: RowKey, record: JobRecord | MemberRecord) => void
+  put: (key: RowKey, record: JobRecord | MemberRecord | Reservation[]) => void
   /** @returns a local copy of the work that receives each change after the lag */
   replicate: (process: Pick<ProcessClock, 'whenRunning'>, lagMs: number) => WorkReplica
 }
@@ -34,6 +35,9 @@
 
 const RESPONSE_DELAY_MS = 20
 
+/** Limit of the value of a row. */
+export const MAX_ROW_BYTES = 65_536
+
 /** Timeout of a call without a response. */
 const TIMEOUT_MS = 1000
 
@@ -76,6 +80,7 @@
   const commit = async (transaction: Transaction): Promise<TransactionOutcome> => {
     const callOutcome = nextOutcome()
     await after(RESPONSE_DELAY_MS)
+    if (transaction.puts.some(put => put.value.length > MAX_ROW_BYTES)) return { outcome: 'refused', reason: 'row too large' }
     if (callOutcome === 'done') {
       const outcome = apply(transaction)
       await after(RESPONSE_DELAY_MS)
@@ -88,8 +93,8 @@
     return { outcome: 'unknown', reason: 'timeout' }
   }
 
-  const put = (key: RowKey, record: JobRecord | MemberRecord): void => {
-    apply({ conditions: [], puts: [encodeRecord(key, record)], removes: [] })
+  const put: MemoryStore['put'] = (key, record) => {
+    apply({ conditions: [], puts: [{ ...key, value: Buffer.from(JSON.stringify(record)) }], removes: [] })
   }
 
   const client: MetadataStore = {
