Remove a job's row only once its submission is known to be removed

When the call got no answer, or was refused, the row that names the object was removed next, and the object stayed in the store, whose room is bounded.

Change: the row stays until the store has answered; the removal is tried again at the next check.

--- a/packages/anvilarch-serving/src/jobs/retention.ts
+++ b/packages/anvilarch-serving/src/jobs/retention.ts
@@ -42,7 +42,7 @@
   for (let from = 0; from < keys.length; from += MAX_REMOVES) {
     if (!await removeRows(parts, keys.slice(from, from + MAX_REMOVES))) return false
   }
-  await parts.store.removeObject(submissionObject(job.jobId))
+  if (!await parts.store.removeObject(submissionObject(job.jobId))) return false
   const removed = await removeRows(parts, [jobKey(job.jobId)])
   if (removed) log.info('job removed after its retention', { jobId: job.jobId })
   return removed
--- a/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
@@ -120,7 +120,12 @@
       await after(RESPONSE_DELAY_MS)
       return Ok(objects.get(name))
     },
-    removeObject: async name => objects.delete(name),
+    removeObject: async name => {
+      const callOutcome = nextOutcome()
+      await after(RESPONSE_DELAY_MS)
+      if (callOutcome === 'done' || callOutcome === 'unanswered') objects.delete(name)
+      return callOutcome === 'done'
+    },
     storeNowMs: () => clock.nowMs(),
     lastFailureMs: () => undefined,
     lastOutageMs: () => 0,
--- a/packages/anvilarch-serving/src/store/types.ts
+++ b/packages/anvilarch-serving/src/store/types.ts
@@ -96,6 +96,7 @@
   writeObject: (name: string, bytes: Buffer, options?: StoreCallOptions) => Promise<ObjectWriteOutcome>
   /** @returns the bytes; undefined if the object does not exist */
   readObject: (name: string) => Promise<Result<Buffer | undefined, StoreFailure>>
+  /** @returns whether the object is known not to exist any more */
   removeObject: (name: string) => Promise<boolean>
   /** @returns estimate of the store's monotonic clock, in milliseconds; undefined before its first response */
   storeNowMs: () => number | undefined
