Look the engine up once for a choice of items

Cause: since items run only at the service that the engine lists, each open job of a choice looked the engine up in the list of endpoints.

Change: the service is read once for all jobs of a choice.

--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -34,6 +34,8 @@
   /** Sends a usage report of a gateway: how many of its requests are in progress. */
   reportUsage: (inProgress: number) => void
   runningItems: () => EngineRun[]
+  /** Number of times that the engine has been looked up in the list of endpoints. */
+  lookupCount: () => number
 }
 
 /** Time between two events of a run. */
@@ -54,9 +56,10 @@
  * @param slots - slots of the engine
  * @param itemCount - items of the only job, each of which runs for longer than a test
  * @param dueMs - time until the job is due
+ * @param otherJobs - number of open jobs whose route leads elsewhere
  * @returns a started runner
  */
-export function createRunnerHarness (slots: number, itemCount: number, dueMs = 600_000): RunnerHarness {
+export function createRunnerHarness (slots: number, itemCount: number, dueMs = 600_000, otherJobs = 0): RunnerHarness {
   const clock = createFakeClock()
   const runs: EngineRun[] = []
   const released: number[] = []
@@ -66,6 +69,10 @@
   const job = createJobRecord(items, { jobId: 'job', host: 'h', path: '/jobs', nowMs: 0, dueMs, expiryMs: 900_000, maxAttempts: 3 })
   const work = createWorkTable()
   work.update({ ...encodeRecord(jobKey('job'), job), version: 1 })
+  for (let index = 0; index < otherJobs; index++) {
+    const jobId = `other${index}`
+    work.update({ ...encodeRecord(jobKey(jobId), { ...job, jobId, host: 'elsewhere' }), version: 1 })
+  }
   work.update({
     ...encodeRecord(memberKey(RUNNER), { name: RUNNER, role: 'agent', incarnation: INCARNATION, peerAddress: '', failureDomain: '', aliveUntilMs: Infinity }),
     version: 1
@@ -110,6 +117,12 @@
     return true
   }
 
+  let lookupCount = 0
+  const atAddress = (): Endpoint => {
+    lookupCount++
+    return endpointWith(slots)
+  }
+
   const runner = startBatchRunner({
     store,
     work,
@@ -119,7 +132,7 @@
     runner: RUNNER,
     incarnation: INCARNATION,
     maxRowBytes: 100_000,
-    endpoints: { atAddress: () => endpointWith(slots) } as never,
+    endpoints: { atAddress } as never,
     configuration: () => CONFIGURATION,
     refreshConfiguration: async () => true,
     wire: WIRE,
@@ -133,7 +146,7 @@
     paceMeter: createPaceMeter()
   })
   const reportUsage = (inProgress: number): void => runner.onUsageReport('gateway', 'e1', inProgress)
-  return { clock, runner, runs, released, online, reportUsage, runningItems }
+  return { clock, runner, runs, released, online, reportUsage, runningItems, lookupCount: () => lookupCount }
 }
 
 function endpointWith (slots: number): Endpoint {
--- a/packages/anvilarch-serving/src/runner/__tests__/batchRunner.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/batchRunner.test.ts
@@ -94,4 +94,15 @@
     await harness.clock.advanceAsync(1000)
     expect([...harness.released].sort()).toEqual([0, 1, 2])
   })
+
+  // Guards against processor time that grows with the number of open jobs at each choice of items.
+  it('looks up its engine equally often, however many jobs are open', async () => {
+    const lookupsWith = async (otherJobs: number): Promise<number> => {
+      harness = createRunnerHarness(SLOTS, 1, 600_000, otherJobs)
+      await harness.clock.advanceAsync(1000)
+      harness.runner.halt()
+      return harness.lookupCount()
+    }
+    expect(await lookupsWith(200)).toBe(await lookupsWith(0))
+  })
 })
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -91,13 +91,15 @@
   })
   const pollSchedule = createPollSchedule({ clock, minPauseMs: MIN_POLL_INTERVAL_MS, maxPauseMs: () => hasWork() ? BUSY_POLL_INTERVAL_MS : IDLE_POLL_INTERVAL_MS })
   const onlineUsage = createOnlineUsage(clock)
-  /** The service comes from the list of endpoints: the address of an engine that is gone may be used by another service. */
-  const mayRun = (job: JobRecord): boolean => {
+  /** Checks whether jobs are routed to the service of the engine, which comes from the list of endpoints: the address of an engine that is gone may be used by another service. */
+  const routedJobs = (): (job: JobRecord) => boolean => {
     const configuration = parts.configuration()
-    const endpoint = engine.current()
-    return configuration !== undefined && endpoint !== undefined && isRoutedTo(configuration, job, endpoint.service)
+    const service = engine.current()?.service
+    return job => configuration !== undefined && service !== undefined && isRoutedTo(configuration, job, service)
   }
 
+  const mayRun = (job: JobRecord): boolean => routedJobs()(job)
+
   const lifecycle = createItemLifecycle({
     ...parts, mayRun, engine, claimedItems, engineBackoff, submissions: createResultReader(parts.store), stopping: controller.signal, onSlotFreed: pollSchedule.request
   })
@@ -122,7 +124,7 @@
   }
 
   const choiceInput = (storeNowMs: number): ItemChoiceInput => {
-    // Computed once for all items of a choice.
+    // Computed once for all items of a choice, like the service of the engine in `routedJobs`.
     const fleetEventIntervalMs = medianEventIntervalMs(parts.work, storeNowMs)
     return {
       work: parts.work,
@@ -131,7 +133,7 @@
       runners: liveRunners(parts.work, storeNowMs),
       storeNowMs,
       heartbeatsTrusted: heartbeatsTrusted(),
-      mayRun,
+      mayRun: routedJobs(),
       priorityRank,
       remainingMs: runTimeEstimator.remainingMs,
       remainingElsewhereMs: (tokens, lastEventId) => runTimeEstimator.remainingMs(tokens, lastEventId, fleetEventIntervalMs),
