--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -91,14 +91,17 @@
   })
   const pollSchedule = createPollSchedule({ clock, minPauseMs: MIN_POLL_INTERVAL_MS, maxPauseMs: () => hasWork() ? BUSY_POLL_INTERVAL_MS : IDLE_POLL_INTERVAL_MS })
   const onlineUsage = createOnlineUsage(clock)
-  /** Checks whether jobs are routed to the service of the engine, which comes from the list of endpoints: the address of an engine that is gone may be used by another service. */
-  const routedJobs = (): (job: JobRecord) => boolean => {
+  /**
+   * Returns a check of whether a job is routed to the service of the engine. The service comes from the list of endpoints, since the
+   * address of an engine that is gone may be used by another service.
+   */
+  const currentRouting = (): (job: JobRecord) => boolean => {
     const configuration = parts.configuration()
     const service = engine.current()?.service
     return job => configuration !== undefined && service !== undefined && isRoutedTo(configuration, job, service)
   }
 
-  const mayRun = (job: JobRecord): boolean => routedJobs()(job)
+  const mayRun = (job: JobRecord): boolean => currentRouting()(job)
 
   const lifecycle = createItemLifecycle({
     ...parts, mayRun, engine, claimedItems, engineBackoff, submissions: createResultReader(parts.store), stopping: controller.signal, onSlotFreed: pollSchedule.request
@@ -124,7 +127,7 @@
   }
 
   const choiceInput = (storeNowMs: number): ItemChoiceInput => {
-    // Computed once for all items of a choice, like the service of the engine in `routedJobs`.
+    // Computed once for all items of a choice, like the service of the engine in `currentRouting`.
     const fleetEventIntervalMs = medianEventIntervalMs(parts.work, storeNowMs)
     return {
       work: parts.work,
@@ -133,7 +136,7 @@
       runners: liveRunners(parts.work, storeNowMs),
       storeNowMs,
       heartbeatsTrusted: heartbeatsTrusted(),
-      mayRun: routedJobs(),
+      mayRun: currentRouting(),
       priorityRank,
       remainingMs: runTimeEstimator.remainingMs,
       remainingElsewhereMs: (tokens, lastEventId) => runTimeEstimator.remainingMs(tokens, lastEventId, fleetEventIntervalMs),
