--- a/packages/anvilarch-serving/src/jobs/__tests__/retention.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/retention.test.ts
@@ -18,7 +18,7 @@
 })
 
 describe('removeJob', () => {
-  // Guards against an object that stays in the store for good, because the row of its job is gone.
+  // Guards against an object that is never removed because the row that names it has been removed first.
   it.each<CallOutcome>(['refused', 'lost', 'unanswered'])('keeps the row of the job until its submission is known to be removed: %s', async outcome => {
     const clock = createFakeClock()
     let objectOutcome: CallOutcome = 'done'
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -40,9 +40,9 @@
   /** Sets the number of online requests at the engine. */
   setOnline: (requests: number) => void
   setReady: (ready: boolean) => void
-  /** Ends the engine for good: it breaks all connections, responds to nothing and is no longer listed. */
+  /** Terminates the engine permanently: its connections break, it responds to nothing and its entry is removed. */
   loseEngine: () => void
-  /** Another endpoint uses the address of the engine from now on: it starts anew and lists itself under this service. */
+  /** Replaces the engine by an endpoint of another service at the same address. */
   reuseAddress: (service: string) => void
   /** Sets a fault for all runs at the engine that overrides the script; undefined returns to the script. */
   setFault: (fault: RunFault | undefined) => void
--- a/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
@@ -1,7 +1,7 @@
 /**
  * Guards against completed texts that lack an event, contain one twice or join runs that do not fit, items listed twice or never,
  * positions that are rewritten, and items that keep running after their job has ended. In random histories, runners claim, run,
- * pause, save, release and take over items while engines send wrong responses, stop responding, restart and are lost for good; writes are refused,
+ * pause, save, release and take over items while engines send wrong responses, stop responding, restart and terminate permanently; writes are refused,
  * lost or late; local copies of the work are outdated and listed again; and agents are replaced, stopped, paused and resumed, or
  * considered failed while they run. In some histories a client ends the job.
  */
@@ -75,7 +75,7 @@
       fleet.clock.after(step.ms, () => fleet.setCallOutcome(undefined))
       break
     case 'lose_engine':
-      // The other engines stay, since the items need one in the end.
+      // Only the first engine terminates, since the items need an engine to complete.
       fleet.agents[0].loseEngine()
       break
     default:
--- a/packages/anvilarch-serving/src/runner/claims.ts
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -138,8 +138,8 @@
   return await changeOwnItem(parts, jobId, item, job => recordOutcome(job, item, outcome), stored)
 }
 
-/** A transaction holds at most 100 entries: two for the job, and up to two for each item. */
-const MAX_ITEMS_PER_GIVE_UP = 45
+/** A transaction takes two entries for the job and up to two for each item, of the 100 that the store allows. */
+const MAX_ITEMS_PER_TRANSACTION = 45
 
 /**
  * Lists waiting items as dead letters, in one transaction and without a claim, so that no claim is left behind when it gets no answer.
@@ -152,7 +152,7 @@
  */
 export async function giveUpItems (parts: ClaimParts, jobId: string, waitingItems: (job: JobRecord) => number[]): Promise<ChangeOutcome> {
   return await changeJob(parts, jobId, job => {
-    const items = waitingItems(job).slice(0, MAX_ITEMS_PER_GIVE_UP)
+    const items = waitingItems(job).slice(0, MAX_ITEMS_PER_TRANSACTION)
     if (items.length === 0) return undefined
     const claims = items.map(item => ({ ...claimKey(jobId, item), version: parts.work.claim(jobId, item)?.version ?? 0 }))
     return {
