Read only the account's own rows of reservations

Found on reading again: the range that it reads runs from the account's first row to its last one, and the keys of all accounts whose names begin alike lie between them. An acceptance of `t` read the rows of every `t...` of its partition, up to 64 KB each.

Change: the first row is read alone, as before, and the further ones in a range of their own, only while the first is full. The list is laid out in order, so that a row is used only while all before it are full; this replaces the search for a row with room.

--- a/packages/anvilarch-serving/src/jobs/__tests__/acceptJob.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/acceptJob.test.ts
@@ -1,12 +1,12 @@
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import type { Route } from '../../model/types'
-import { createMemoryStore, MAX_ROW_BYTES, type MemoryStore } from '../../runner/__fixtures__/memoryStore'
+import { type CallOutcome, createMemoryStore, MAX_ROW_BYTES, type MemoryStore } from '../../runner/__fixtures__/memoryStore'
 import { type AcceptOutcome, acceptJob } from '../acceptJob'
 import { createJobCache } from '../jobCache'
 import { createJobRecord } from '../jobRecord'
 import { jobKey } from '../jobRows'
 import { changeJob, type JobParts } from '../jobStore'
-import { pageKey, quotaKey, RESERVATION_GRACE_MS } from '../quota'
+import { MAX_PAGE_RESERVATIONS, pageKey, quotaKey, RESERVATION_GRACE_MS } from '../quota'
 
 const ROUTE = { name: 'jobs', waitingTokenLimit: 1000, jobDueMs: 1, jobExpiryMs: 1, maxAttempts: 3 } as unknown as Route
 
@@ -79,7 +79,28 @@
     for (let index = 0; index < 5; index++) outcomes.push(await accept(createGateway(), `new-${String(index).padStart(LONG_ID_LENGTH, '0')}`, 170))
     expect(outcomes).toEqual(Array(5).fill('accepted'))
     expect(await accept(createGateway(), 'beyond', 100)).toBe('over_limit')
-    expect(JSON.parse(String(store.row(pageKey(first, 1))?.value))).toHaveLength(5)
+    const counts = [0, 1].map(page => (JSON.parse(String(store.row(pageKey(first, page))?.value)) as unknown[]).length)
+    expect(counts).toEqual([MAX_PAGE_RESERVATIONS, FULL_ROW_JOBS + 5 - MAX_PAGE_RESERVATIONS])
+  })
+
+  // Guards against more waiting tokens than the limit because a further page is not read.
+  it('counts reservations on all pages', async () => {
+    const first = quotaKey(ROUTE.name, undefined)
+    const reservations = Array.from({ length: MAX_PAGE_RESERVATIONS }, (_, index) => ({ jobId: `waiting-${index}`, tokens: 1, reservedAtMs: clock.nowMs() }))
+    store.put(first, reservations)
+    store.put(pageKey(first, 1), [{ jobId: 'large', tokens: 700, reservedAtMs: clock.nowMs() }])
+    expect(await accept(createGateway(), 'beyond', 100)).toBe('over_limit')
+    expect(await accept(createGateway(), 'fits', 50)).toBe('accepted')
+  })
+
+  it.each<CallOutcome>(['unanswered', 'late'])('counts a job once when the write of its reservation gets no answer: %s', async outcome => {
+    const outcomes: CallOutcome[] = ['done', 'done', 'done', outcome]
+    store = createMemoryStore(clock, () => outcomes.shift() ?? 'done')
+    expect(await accept(createGateway(), 'first', 600)).not.toBe('over_limit')
+    await clock.advanceAsync(5000)
+    expect(await accept(createGateway(), 'first', 600)).toBe('accepted')
+    expect(await accept(createGateway(), 'second', 400)).toBe('accepted')
+    expect(await accept(createGateway(), 'third', 1)).toBe('over_limit')
   })
 
   it('does not count a job that has ended', async () => {
--- a/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/quota.test.ts
@@ -1,5 +1,5 @@
 import { createJobRecord } from '../jobRecord'
-import { arrangePages, decodePages, MAX_PAGE_RESERVATIONS, pageKey, planReservation, quotaKey, RESERVATION_GRACE_MS, type Reservation } from '../quota'
+import { furtherPagesRange, MAX_PAGE_RESERVATIONS, pageKey, paginate, planReservation, quotaKey, RESERVATION_GRACE_MS, type Reservation } from '../quota'
 import type { JobRecord } from '../types'
 
 function job (jobId: string, listedCount: number): JobRecord {
@@ -44,24 +44,26 @@
 })
 
 describe('the pages of reservations', () => {
-  const reservation = (jobId: string): Reservation => ({ ...EXISTING, jobId })
-  const full = Array.from({ length: MAX_PAGE_RESERVATIONS }, (_, index) => reservation(`full${index}`))
+  const reservations = Array.from({ length: 2 * MAX_PAGE_RESERVATIONS + 1 }, (_, index) => ({ ...EXISTING, jobId: `job${index}` }))
 
-  it('keep reservations where they are, and take a new one on the first page with room', () => {
-    const pages = [{ version: 5, reservations: full }, { version: 6, reservations: [reservation('a'), reservation('b')] }]
-    expect(arrangePages(pages, [...full, reservation('b'), WANTED])).toEqual([full, [reservation('b'), WANTED]])
-    expect(arrangePages(pages, [...full.slice(1), reservation('b'), WANTED])).toEqual([[...full.slice(1), WANTED], [reservation('b')]])
+  it('are full but for the last one', () => {
+    const pages = paginate(reservations, 1)
+    expect(pages.map(page => page.length)).toEqual([MAX_PAGE_RESERVATIONS, MAX_PAGE_RESERVATIONS, 1])
+    expect(pages.flat()).toEqual(reservations)
   })
 
-  it('get a new page when all are full', () => {
-    expect(arrangePages([{ version: 5, reservations: full }], [...full, WANTED])).toEqual([full, [WANTED]])
+  it('are emptied when they are no longer needed', () => {
+    expect(paginate([EXISTING], 3)).toEqual([[EXISTING], [], []])
+    expect(paginate([], 1)).toEqual([[]])
   })
 
-  it('are told apart from those of accounts whose names begin alike', () => {
-    const rowOf = (key: ReturnType<typeof quotaKey>, jobId: string): Parameters<typeof decodePages>[1][number] => ({ ...key, value: Buffer.from(JSON.stringify([reservation(jobId)])), version: 3 })
-    const own = quotaKey('r', 'ac')
-    const rows = [rowOf(own, 'own'), rowOf(pageKey(own, 1), 'own2'), rowOf(quotaKey('r', 'acme'), 'other'), rowOf(quotaKey('r', 'ac~2'), 'another')]
-    expect(decodePages(own, rows).map(page => page.reservations.map(entry => entry.jobId))).toEqual([['own'], ['own2']])
-    expect(decodePages(own, [])).toEqual([{ version: 0, reservations: [] }])
+  // Guards against reservations that are missed, or counted for another account, because of the order of the keys.
+  it('have keys in a range of their own', () => {
+    const first = quotaKey('r', 'ac')
+    const { from, to } = furtherPagesRange(first)
+    const isIn = (key: string): boolean => key >= String(from) && key < String(to)
+    expect([1, 2, 10, 99].every(page => isIn(pageKey(first, page).key))).toBe(true)
+    expect(['ac', 'acme', 'ac~1', 'ac}', 'ad'].some(account => isIn(quotaKey('r', account).key))).toBe(false)
+    expect(isIn(pageKey(quotaKey('r', 'acme'), 1).key)).toBe(false)
   })
 })
--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -1,12 +1,13 @@
 /** Accepts a job: the whole job is stored before the client is notified. */
 import { sleep } from 'anvilarch-utils'
+import { Err, Ok, type Result } from 'ts-results'
 import type { Route } from '../model/types'
-import type { RowKey, Transaction } from '../store/types'
+import type { RowKey, StoreFailure, Transaction } from '../store/types'
 import { withRepeats } from '../store/withRepeats'
 import { createJobRecord } from './jobRecord'
 import { decodeRecord, JOB_TABLE, jobKey, encodeRecord, submissionObject } from './jobRows'
 import { type JobParts, readJob } from './jobStore'
-import { arrangePages, decodePages, type JobLookup, pageKey, pageRange, planReservation, quotaKey, type Reservation, type ReservationPage, reservedTokens } from './quota'
+import { decodePage, firstPageRange, furtherPagesRange, isFull, type JobLookup, pageKey, paginate, planReservation, quotaKey, type Reservation, type ReservationPage, reservedTokens } from './quota'
 import { encodeSubmission } from './submission'
 import type { JobItem, JobRecord } from './types'
 
@@ -99,9 +100,9 @@
   const first = quotaKey(route.name, submission.account)
   const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0)
   for (;;) {
-    const read = await parts.store.readRows(pageRange(first))
+    const read = await readPages(parts, first)
     if (read.ok) {
-      const pages = decodePages(first, read.val.rows)
+      const pages = read.val
       const current = pages.flatMap(page => page.reservations)
       const wanted = { jobId: submission.jobId, tokens, reservedAtMs: Math.round(parts.store.storeNowMs() ?? 0) }
       // Reading the jobs is worthwhile only if the limit seems reached or the list has grown long: it shows which tokens are still waiting.
@@ -127,9 +128,21 @@
   }
 }
 
+/** Most accounts have a single page, so the further ones are read only if it is full. */
+async function readPages (parts: JobParts, first: RowKey): Promise<Result<ReservationPage[], StoreFailure>> {
+  const read = await parts.store.readRows(firstPageRange(first))
+  if (read.err) return Err(read.val)
+  const pages = [decodePage(first, read.val.rows)]
+  if (!isFull(pages[0])) return Ok(pages)
+  const further = await parts.store.readRows(furtherPagesRange(first))
+  if (further.err) return Err(further.val)
+  for (let page = 1; page <= further.val.rows.length; page++) pages.push(decodePage(pageKey(first, page), further.val.rows))
+  return Ok(pages)
+}
+
 /** Writes the pages that change, under the versions of all pages. */
 function pageTransaction (first: RowKey, pages: readonly ReservationPage[], reservations: readonly Reservation[]): Transaction {
-  const next = arrangePages(pages, reservations)
+  const next = paginate(reservations, pages.length)
   const changed = next.map((page, index) => ({ ...pageKey(first, index), value: Buffer.from(JSON.stringify(page)) }))
     .filter((_, index) => JSON.stringify(next[index]) !== JSON.stringify(pages[index]?.reservations))
   return { conditions: next.map((_, index) => ({ ...pageKey(first, index), version: pages[index]?.version ?? 0 })), puts: changed, removes: [] }
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -48,10 +48,16 @@
 /** Separates the number of a page from the key of the first one. In account names it is encoded. */
 const PAGE_SEPARATOR = '~'
 
+/** Sorts after the number of any page. */
+const LAST_CHARACTER = '\uffff'
+
 /** Most reservations of a page. The id of a job has up to 200 bytes, and a row holds 64 KB. */
 export const MAX_PAGE_RESERVATIONS = 250
 
-/** A row of reservations. An account with many open jobs has several, since the size of a row is limited. */
+/**
+ * A row of reservations. An account with many open jobs has several, since the size of a row is limited. A page is only used
+ * while all pages before it are full.
+ */
 export interface ReservationPage {
   /** Version of the row; 0 if it does not exist. */
   version: number
@@ -79,48 +85,44 @@
 
 /**
  * @param first - key of the first page
- * @returns range of keys that contains all pages, and possibly pages of accounts whose names begin alike
+ * @returns range of keys that contains the first page alone
  */
-export function pageRange (first: RowKey): RowRange {
-  return { ...first, from: first.key, to: `${first.key}${PAGE_SEPARATOR}\uffff` }
+export function firstPageRange (first: RowKey): RowRange {
+  return { ...first, from: first.key, to: `${first.key}\u0001` }
 }
 
 /**
  * @param first - key of the first page
- * @param rows - rows of `pageRange`
- * @returns the pages of the account; pages without a row are empty
+ * @returns range of keys that contains all further pages
+ */
+export function furtherPagesRange (first: RowKey): RowRange {
+  return { ...first, from: first.key + PAGE_SEPARATOR, to: first.key + PAGE_SEPARATOR + LAST_CHARACTER }
+}
+
+/** @returns whether there may be further pages */
+export function isFull (page: ReservationPage): boolean {
+  return page.reservations.length >= MAX_PAGE_RESERVATIONS
+}
+
+/**
+ * @param key - key of a page
+ * @param rows - rows that were read
+ * @returns the page; empty if it has no row
  */
-export function decodePages (first: RowKey, rows: readonly StoredRow[]): ReservationPage[] {
-  const byKey = new Map(rows.map(row => [row.key, row]))
-  const pages: ReservationPage[] = []
-  for (let row = byKey.get(first.key); pages.length === 0 || row !== undefined; row = byKey.get(pageKey(first, pages.length).key)) {
-    pages.push({ version: row?.version ?? 0, reservations: row === undefined ? [] : JSON.parse(row.value.toString()) as Reservation[] })
-  }
-  return pages
+export function decodePage (key: RowKey, rows: readonly StoredRow[]): ReservationPage {
+  const row = rows.find(candidate => candidate.key === key.key)
+  return row === undefined ? { version: 0, reservations: [] } : { version: row.version, reservations: JSON.parse(row.value.toString()) as Reservation[] }
 }
 
 /**
- * Distributes reservations over pages. Those that are on a page stay there; a new one takes the first page with room.
- *
- * @param pages - the pages as read
- * @param reservations - the next list of reservations
- * @returns the next pages; one more than before if all are full
+ * @param reservations - reservations of all pages, in order
+ * @param pageCount - number of pages as read
+ * @returns the reservations of each page; pages that are no longer needed are empty
  */
-export function arrangePages (pages: readonly ReservationPage[], reservations: readonly Reservation[]): Reservation[][] {
-  const pageOf = new Map(pages.flatMap((page, index) => page.reservations.map(reservation => [reservation.jobId, index] as const)))
-  const next: Reservation[][] = pages.map(() => [])
-  const added: Reservation[] = []
-  for (const reservation of reservations) {
-    const index = pageOf.get(reservation.jobId)
-    if (index === undefined) added.push(reservation)
-    else next[index].push(reservation)
-  }
-  for (const reservation of added) {
-    const room = next.find(page => page.length < MAX_PAGE_RESERVATIONS)
-    if (room === undefined) next.push([reservation])
-    else room.push(reservation)
-  }
-  return next
+export function paginate (reservations: readonly Reservation[], pageCount: number): Reservation[][] {
+  const neededPages = Math.ceil(reservations.length / MAX_PAGE_RESERVATIONS)
+  return Array.from({ length: Math.max(1, pageCount, neededPages) }, (_, page) =>
+    reservations.slice(page * MAX_PAGE_RESERVATIONS, (page + 1) * MAX_PAGE_RESERVATIONS))
 }
 
 /**
