Tell operators that an engine serves another service, and confirm removed routes once for all jobs

Change: `engine serves another service` and `removed routes not confirmed`. The configuration is read once for each check and no longer for each job without a route. Whether a claimed item is still routed is asked in one place in place of two.

--- a/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/engineView.test.ts
@@ -44,4 +44,16 @@
     view.update({ running: 0, waiting: 0, bornAtMs: 1000 })
     expect(restarts).toBe(0)
   })
+
+  it('reports that another service uses the address of the engine', () => {
+    const warn = jest.fn()
+    view = createEngineView({ log: { ...SILENT_LOGGER, warn }, listed: () => listed, onRestart: () => {} })
+    view.update(undefined)
+    view.update(undefined)
+    expect(warn).not.toHaveBeenCalled()
+    listed = { ...endpoint(2000), service: 'other' }
+    view.update(undefined)
+    view.update(undefined)
+    expect(warn.mock.calls).toEqual([['engine serves another service', { endpoint: 'e1@2000', service: 'other', formerService: 's' }]])
+  })
 })
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -8,7 +8,7 @@
 import { createEngineView } from './engineView'
 import { medianEventIntervalMs } from './fleetEventInterval'
 import { createClaimMaintenance } from './claimMaintenance'
-import { createClaimedItems } from './claimedItems'
+import { type ClaimedItem, createClaimedItems } from './claimedItems'
 import type { ItemChoiceInput } from './itemChoice'
 import { createItemLifecycle } from './itemLifecycle'
 import { createPollSchedule } from './pollSchedule'
@@ -144,7 +144,12 @@
     }
   }
 
-  const state: RunnerState = { claimedItems, lifecycle, engineBackoff, mayRun, choiceInput }
+  const isRouted = (entry: ClaimedItem): boolean => {
+    const job = parts.work.job(entry.jobId)?.record
+    return job !== undefined && mayRun(job)
+  }
+
+  const state: RunnerState = { claimedItems, lifecycle, engineBackoff, isRouted, choiceInput }
   const slotScheduler = createSlotScheduler(parts, state)
   const claimMaintenance = createClaimMaintenance(parts, state)
   const jobMaintenance = createJobMaintenance({ ...parts, choiceInput, stopping: controller.signal })
--- a/packages/anvilarch-serving/src/runner/claimMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/claimMaintenance.ts
@@ -41,7 +41,7 @@
  * @param state - items of the runner
  * @returns the maintenance
  */
-export function createClaimMaintenance (parts: RunnerParts, state: Pick<RunnerState, 'claimedItems' | 'lifecycle' | 'mayRun'>): ClaimMaintenance {
+export function createClaimMaintenance (parts: RunnerParts, state: Pick<RunnerState, 'claimedItems' | 'lifecycle' | 'isRouted'>): ClaimMaintenance {
   const { clock, log, runTimeEstimator } = parts
   const { claimedItems, lifecycle } = state
 
@@ -62,11 +62,6 @@
     return hasTightDeadline(dueInMs, runTimeEstimator.remainingMs(entry.tokens, entry.text.lastEventId)) ? TIGHT_DEADLINE_MAX_PAUSE_MS : MAX_PAUSE_MS
   }
 
-  const isRoutedElsewhere = (entry: ClaimedItem): boolean => {
-    const job = parts.work.job(entry.jobId)?.record
-    return job !== undefined && !state.mayRun(job)
-  }
-
   const releaseAll = (entries: ClaimedItem[], reason: ReleaseReason): void => {
     for (const entry of entries) runInBackground(log, 'release item', () => lifecycle.release(entry, reason))
   }
@@ -112,7 +107,7 @@
     },
     releaseUnwanted: endpoint => {
       const nowMs = clock.nowMs()
-      if (endpoint !== undefined) releaseAll(claimedItems.inState('paused').filter(isRoutedElsewhere), 'not_routed')
+      if (endpoint !== undefined) releaseAll(claimedItems.inState('paused').filter(entry => !state.isRouted(entry)), 'not_routed')
       releaseAll(claimedItems.inState('paused').filter(entry => nowMs - entry.pausedAtMs > maxPauseMs(entry)), 'long_paused')
       if (endpoint?.state === 'ready') releaseAll(betterElsewhere(), 'better_elsewhere')
       else releaseAll(claimedItems.inState('running'), 'endpoint_not_ready')
--- a/packages/anvilarch-serving/src/runner/engineView.ts
+++ b/packages/anvilarch-serving/src/runner/engineView.ts
@@ -31,6 +31,7 @@
 export function createEngineView (options: EngineViewOptions): EngineView {
   let reportedBornAtMs: number | undefined
   let lastStartId: string | undefined
+  let lastService: string | undefined
 
   const current = (): Endpoint | undefined => {
     const listed = options.listed()
@@ -38,6 +39,13 @@
     return listed.bornAtMs === reportedBornAtMs ? listed : undefined
   }
 
+  const recordService = ({ startId, service }: Endpoint): void => {
+    if (lastService !== undefined && service !== lastService) {
+      options.log.warn('engine serves another service', { endpoint: startId, service, formerService: lastService })
+    }
+    lastService = service
+  }
+
   const recordStart = (startId: string, bornAtMs: number | undefined): void => {
     if (startId === lastStartId) return
     const first = lastStartId === undefined
@@ -51,7 +59,10 @@
     update: report => {
       if (report?.bornAtMs !== undefined) reportedBornAtMs = report.bornAtMs
       const listed = options.listed()
-      if (listed !== undefined) recordStart(startIdOf(listed.id, reportedBornAtMs ?? listed.bornAtMs), reportedBornAtMs ?? listed.bornAtMs)
+      if (listed !== undefined) {
+        recordService(listed)
+        recordStart(startIdOf(listed.id, reportedBornAtMs ?? listed.bornAtMs), reportedBornAtMs ?? listed.bornAtMs)
+      }
       return current()
     },
     current
--- a/packages/anvilarch-serving/src/runner/jobMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/jobMaintenance.ts
@@ -41,16 +41,20 @@
   const jobsWhere = (predicate: (job: JobRecord) => boolean): JobRecord[] => [...work.jobs()].map(entry => entry.record).filter(predicate)
 
   /** A process that has missed a version would give up jobs of a route that was added with it. */
-  const isRouteRemoved = async (job: JobRecord): Promise<boolean> => {
-    if (!await parts.refreshConfiguration()) return false
+  const withRemovedRoute = async (jobs: readonly JobRecord[]): Promise<readonly JobRecord[]> => {
+    if (jobs.length === 0) return []
+    if (!await parts.refreshConfiguration()) {
+      log.warn('removed routes not confirmed', { jobCount: jobs.length })
+      return []
+    }
     const configuration = parts.configuration()
-    return configuration !== undefined && jobRoute(configuration, job) === undefined
+    return configuration === undefined ? [] : jobs.filter(job => jobRoute(configuration, job) === undefined)
   }
 
   const giveUpJob = async (job: JobRecord, reason: GiveUpReason, storeNowMs: number): Promise<void> => {
     const waiting = (current: JobRecord): number[] => waitingItems(current, parts.choiceInput(storeNowMs))
     const waitingCount = waiting(job).length
-    if (waitingCount === 0 || (reason === 'no_route' && !await isRouteRemoved(job))) return
+    if (waitingCount === 0) return
     let outcome: ChangeOutcome = 'applied'
     while (outcome === 'applied' && !parts.stopping.aborted) outcome = await giveUpItems(parts, job.jobId, waiting)
     log.info('items given up', { jobId: job.jobId, reason, waitingCount, outcome })
@@ -64,11 +68,14 @@
       const open = jobsWhere(job => !isClosed(job))
       if (configuration !== undefined) routeTracker.update(open, configuration)
       const runners = liveRunners(work, storeNowMs)
-      for (const job of open) {
-        const isResponsible = responsibleRunner(runners, job.jobId) === parts.runner
-        const reason = giveUpReason(job, { storeNowMs, withoutRouteMs: routeTracker.withoutRouteMs(job.jobId), isResponsible })
-        if (reason !== undefined) await giveUpJob(job, reason, storeNowMs)
-      }
+      const reasonOf = (job: JobRecord): GiveUpReason | undefined => giveUpReason(job, {
+        storeNowMs,
+        withoutRouteMs: routeTracker.withoutRouteMs(job.jobId),
+        isResponsible: responsibleRunner(runners, job.jobId) === parts.runner
+      })
+      for (const job of open.filter(job => reasonOf(job) === 'expired')) await giveUpJob(job, 'expired', storeNowMs)
+      const withoutRoute = await withRemovedRoute(open.filter(job => reasonOf(job) === 'no_route'))
+      for (const job of withoutRoute) await giveUpJob(job, 'no_route', storeNowMs)
     },
     retire: async () => {
       const storeNowMs = store.storeNowMs()
--- a/packages/anvilarch-serving/src/runner/slotScheduler.ts
+++ b/packages/anvilarch-serving/src/runner/slotScheduler.ts
@@ -31,11 +31,6 @@
 
   const sortKeyOf = (entry: ClaimedItem, storeNowMs: number): number => itemSortKey(entry.dueAtMs - storeNowMs, remainingMsOf(entry))
 
-  const isRouted = (entry: ClaimedItem): boolean => {
-    const job = parts.work.job(entry.jobId)?.record
-    return job !== undefined && state.mayRun(job)
-  }
-
   let hasUnfilledSlots = false
   /** Time at which an item was last preempted for a request. */
   let lastPreemptionAtMs = -Infinity
@@ -43,7 +38,7 @@
   const startItems = (count: number, online: number): void => {
     const storeNowMs = parts.store.storeNowMs()
     if (storeNowMs === undefined || !engineBackoff.mayStart()) return
-    const resumable = claimedItems.inState('paused').filter(entry => entry.backoff.mayStart() && isRouted(entry))
+    const resumable = claimedItems.inState('paused').filter(entry => entry.backoff.mayStart() && state.isRouted(entry))
     const paused = resumable.map(entry => ({
       entry,
       sortKey: sortKeyOf(entry, storeNowMs),
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -1,12 +1,11 @@
 /** Types shared by the parts of a batch runner. */
 import type { Pool } from '../endpoints/httpPool'
 import type { EndpointTable } from '../endpoints/endpointTable'
-import type { JobRecord } from '../jobs/types'
 import type { Configuration } from '../model/types'
 import type { EngineReport, PlatformWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
 import type { ClaimParts } from './claims'
-import type { ClaimedItems } from './claimedItems'
+import type { ClaimedItem, ClaimedItems } from './claimedItems'
 import type { ItemChoiceInput } from './itemChoice'
 import type { ItemLifecycle } from './itemLifecycle'
 import type { PaceMeter } from './paceMeter'
@@ -41,8 +40,8 @@
   lifecycle: ItemLifecycle
   /** Backoff for starts of any item at this engine. */
   engineBackoff: StartBackoff
-  /** Whether the configuration in force routes the job to the service of the local engine. */
-  mayRun: (job: JobRecord) => boolean
+  /** @returns whether the configuration in force routes the item's job to the service of the local engine */
+  isRouted: (entry: ClaimedItem) => boolean
   /** @returns the input for choosing items */
   choiceInput: (storeNowMs: number) => ItemChoiceInput
 }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -19,6 +19,8 @@
   'caller refused': { requestId: string, reason: string, configurationVersion: number | undefined }
   'endpoint listed': { endpoint: string, service: string, softwareVersion: string, address: string, state: string, restarted: boolean }
   'endpoint entry not usable': { endpoint: string, field: string, reason: string, replacedGood: boolean }
+  /** The address of the local engine is used by another service than before. */
+  'engine serves another service': { endpoint: string, service: string, formerService: string }
   'engine started anew': { endpoint: string, bornAtMs: number }
   'endpoint removed from the list': { endpoint: string, service: string, held: boolean }
 
@@ -75,6 +77,8 @@
   'item dropped': { jobId: string, itemId: string, reason: string }
   'item run ended': { jobId: string, itemId: string, end: string, reason: string | undefined, lastEventId: number, elapsedMs: number }
   'items given up': { jobId: string, reason: 'expired' | 'no_route', waitingCount: number, outcome: string }
+  /** Jobs without a route are kept, since the store does not confirm the configuration. */
+  'removed routes not confirmed': { jobCount: number }
   'item settled': { jobId: string, itemId: string, end: string, outcome: string }
 
   // Traffic between daemons.
