--- a/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
@@ -22,6 +22,8 @@
   object: (name: string) => Buffer | undefined
   putObject: (name: string, bytes: Buffer) => void
   put: (key: RowKey, record: JobRecord | MemberRecord | Reservation[]) => void
+  /** Tables of the transactions that got no response, without repetition. */
+  unansweredTables: Set<string>
   /** @returns a local copy of the work that receives each change after the lag */
   replicate: (process: Pick<ProcessClock, 'whenRunning'>, lagMs: number) => WorkReplica
 }
@@ -54,6 +56,7 @@
   const objects = new Map<string, Buffer>()
   const subscribers: Array<(change: RowChange) => void> = []
   const changes: RowChange[] = []
+  const unansweredTables = new Set<string>()
   let version = 0
   const idOf = (key: RowKey): string => `${key.table}|${key.partition}|${key.key}`
   const rowOf = (key: RowKey): StoredRow | undefined => rows.get(idOf(key))
@@ -87,6 +90,7 @@
       return outcome
     }
     if (callOutcome === 'refused') return { outcome: 'refused', reason: 'busy' }
+    for (const row of [...transaction.puts, ...transaction.removes]) unansweredTables.add(row.table)
     if (callOutcome === 'unanswered') apply(transaction)
     if (callOutcome === 'late') clock.after(LATE_MS, () => { apply(transaction) })
     await after(TIMEOUT_MS)
@@ -168,7 +172,7 @@
     }
   }
 
-  return { client, rows: () => [...rows.values()], row: rowOf, object: name => objects.get(name), putObject: (name, bytes) => { objects.set(name, bytes) }, put, replicate }
+  return { client, unansweredTables, rows: () => [...rows.values()], row: rowOf, object: name => objects.get(name), putObject: (name, bytes) => { objects.set(name, bytes) }, put, replicate }
 }
 
 function versionOf (change: RowChange): number {
