--- a/packages/anvilarch-serving/src/jobs/__tests__/acceptJob.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/acceptJob.test.ts
@@ -93,6 +93,15 @@
     expect(await accept(createGateway(), 'fits', 50)).toBe('accepted')
   })
 
+  // Guards against two gateways that each reserve the last tokens on a further page.
+  it('is kept by two gateways at once when the first page is full', async () => {
+    const first = quotaKey(ROUTE.name, undefined)
+    store.put(first, Array.from({ length: MAX_PAGE_RESERVATIONS }, (_, index) => ({ jobId: `waiting-${index}`, tokens: 1, reservedAtMs: clock.nowMs() })))
+    store.put(pageKey(first, 1), [{ jobId: 'waiting', tokens: 50, reservedAtMs: clock.nowMs() }])
+    const outcomes = await Promise.all([accept(createGateway(), 'one', 400), accept(createGateway(), 'two', 400)])
+    expect(outcomes.sort()).toEqual(['accepted', 'over_limit'])
+  })
+
   it.each<CallOutcome>(['unanswered', 'late'])('counts a job once when the write of its reservation gets no answer: %s', async outcome => {
     const outcomes: CallOutcome[] = ['done', 'done', 'done', outcome]
     store = createMemoryStore(clock, () => outcomes.shift() ?? 'done')
--- a/packages/anvilarch-serving/src/runner/__tests__/routedItems.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/routedItems.test.ts
@@ -1,3 +1,4 @@
+import { CLAIM_TABLE } from '../../jobs/jobRows'
 import { createRunnerFleet, type RunnerFleet } from '../__fixtures__/runnerFleet'
 
 const SLOTS = 3
@@ -59,4 +60,31 @@
     expect(runsAt('models')).toBe(runsBefore)
     expect((await fleet.results()).map(result => result.output).sort()).toEqual(fleet.job().itemIds.map(fleet.expectedText).sort())
   })
+
+  // Guards against items that wait at the old service while the new one has room.
+  it('is released at once when its route moves', async () => {
+    fleet = createRunnerFleet(2, { eventCounts: [EVENT_COUNT, EVENT_COUNT], calls: [], runs: [] })
+    const [former, next] = fleet.agents
+    next.reuseAddress('audits')
+    await fleet.clock.advanceAsync(1000)
+    former.setOnline(SLOTS)
+    await fleet.clock.advanceAsync(200)
+    expect(runsAt('models')).toBe(2)
+    fleet.routeTo('audits')
+    await fleet.clock.advanceAsync(1200)
+    expect(runsAt('audits')).toBe(2)
+  })
+})
+
+describe('an item that is being claimed', () => {
+  // Guards against an item that begins at a service from which its route has moved during the claim.
+  it('does not begin when its route moves before the claim is answered', async () => {
+    fleet = createFleet(1)
+    const isClaimed = (): boolean => fleet.store.rows().some(row => row.table === CLAIM_TABLE)
+    while (!isClaimed()) await fleet.clock.advanceAsync(1)
+    expect(fleet.runs).toEqual([])
+    fleet.routeTo('audits')
+    await fleet.clock.advanceAsync(5000)
+    expect(fleet.runs).toEqual([])
+  })
 })
