--- a/packages/anvilarch-serving/src/runner/jobMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/jobMaintenance.ts
@@ -82,7 +82,8 @@
       if (storeNowMs === undefined) return
       const runners = liveRunners(work, storeNowMs)
       for (const job of jobsWhere(job => isPastRetention(job, storeNowMs, parts.retentionMs))) {
-        if (responsibleRunner(runners, job.jobId) === parts.runner) await removeJob(parts, job, log)
+        if (responsibleRunner(runners, job.jobId) !== parts.runner) continue
+        if (!await removeJob(parts, job, log)) log.warn('job not removed', { jobId: job.jobId })
       }
     }
   }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -64,6 +64,8 @@
   'job over the limit of waiting tokens': { jobId: string, tokens: number, waitingTokens: number, limitTokens: number }
   'job ended by its client': { jobId: string, account: string | undefined, outcome: string }
   'job removed after its retention': { jobId: string }
+  /** The removal is tried again, since the store has not confirmed all of it. */
+  'job not removed': { jobId: string }
   'items of a job cannot be read': { jobId: string, reason: string }
   'engine use': EngineUseFields
   'item claimed': { jobId: string, itemId: string, fromEventId: number, dueInMs: number, expectedMs: number }
