review: a request goes on to crash plain replicas in a quiet hour (BUDGET)

A crash counts only if the gateway that lost the connection finds the endpoint lost within 2.5 s by itself. With few other lookups none does, and the request is never held back.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/8/run.mjs
