--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
+# Writes record.txt in this folder; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." && exec node review/5/run.mjs
