--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -8,7 +8,9 @@
 
 const EVENTS = 45
 const INTERVAL_MS = 100
-const TERM_AFTER_MS = 700
+/** Time between the first requests of two clients. */
+const CLIENT_GAP_MS = 400
+const TERM_AFTER_MS = 300
 const GRACE_MS = 8000
 
 await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({ record, onClose, trouble }) => {
@@ -53,7 +55,11 @@
       if (counts) broken.push(id)
     }
   }
-  const conversations = clients.map((client, index) => converse(client, index))
+  const conversations = []
+  for (const [index, client] of clients.entries()) {
+    if (index > 0) await sleep(CLIENT_GAP_MS)
+    conversations.push(converse(client, index))
+  }
   await sleep(TERM_AFTER_MS)
   if (trouble) {
     termAtMs = performance.now()
