--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -7,11 +7,11 @@
 import { startReplica } from '../standins-2/replica.mjs'
 import { startStore } from '../standins-2/store.mjs'
 
-const GATEWAYS = 9
-const ADDED = 3
+const GATEWAYS = 12
+const ADDED = 2
 const ADD_GAP_MS = 1000
-const RATE_PER_S = 60
-const BURST = 60
+const RATE_PER_S = 20
+const BURST = 20
 const USUAL_PER_S = RATE_PER_S / 1.6
 const HOT_FACTOR = 7.5
 const HOT_MS = 6500
@@ -25,7 +25,7 @@
   const nextIp = await createAddresses()
   const store = await startStore(await nextIp())
   onClose(store.close)
-  // The meter of about one account in forty moves twice when three gateways are added; this is one of them.
+  // The meter of about one account in 180 moves twice when two gateways are added; this is one of them.
   const weightOf = (account, index) => murmurhash.v3(`${account}/gateway-${index}`)
   const homeOf = (account, count) => Array.from({ length: count }, (_, index) => weightOf(account, index)).reduce((home, weight, index, weights) => weight > weights[home] ? index : home, 0)
   const movesOf = account => Array.from({ length: ADDED }, (_, index) => GATEWAYS + index + 1).filter(count => homeOf(account, count) === count - 1).length
