Close kept connections after their last response while a gateway stops

Cause: the drain closed idle connections once, 2.6 s after the signal. A connection that was busy then stayed open after its response, since its head had been sent without Connection: close, and its next request was taken with too little of the grace period left.

--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -0,0 +1,153 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { type AddressInfo, connect, type Socket } from 'node:net'
+import * as fc from 'fast-check'
+import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import type { EventLog } from '../../telemetry/events'
+import { createServingMetrics } from '../../telemetry/metrics'
+import { type ClientServer, createClientServer } from '../clientServer'
+import { drainClients } from '../drainClients'
+
+const GRACE_MS = 8000
+
+/** Longer than the time for which a drain accepts requests, and shorter than the grace period. */
+const LATE_MS = 4000
+
+/** A request of this length that is sent while the drain still accepts requests ends within the grace period. */
+const MAX_WORK_MS = 4500
+
+interface Gateway {
+  clients: ClientServer
+  clock: FakeClock
+  /** Requests by path, in the order in which they were handled. */
+  handled: Map<string, ServerResponse>
+}
+
+interface KeptConnection {
+  socket: Socket
+  received: () => string
+  isClosed: () => boolean
+}
+
+async function startGateway (): Promise<Gateway> {
+  const clock = createFakeClock()
+  const handled = new Map<string, ServerResponse>()
+  const onRequest = ({ url = '' }: IncomingMessage, response: ServerResponse): void => { handled.set(url, response) }
+  const clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock, metrics: createServingMetrics(), onRequest })
+  await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
+  return { clients, clock, handled }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 400; tries++) {
+    if (condition()) return
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+  throw new Error('condition not met within 2 s')
+}
+
+function openConnection ({ clients }: Gateway): KeptConnection {
+  const socket = connect((clients.server.address() as AddressInfo).port, '127.0.0.1')
+  let text = ''
+  let closed = false
+  socket.on('data', data => { text += String(data) })
+  socket.on('close', () => { closed = true })
+  socket.on('error', () => {})
+  return { socket, received: () => text, isClosed: () => closed }
+}
+
+async function send ({ handled }: Gateway, { socket }: KeptConnection, path: string): Promise<ServerResponse> {
+  socket.write(`GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`)
+  await until(() => handled.has(path))
+  const response = handled.get(path) as ServerResponse
+  response.flushHeaders()
+  return response
+}
+
+function startDrain ({ clients, clock }: Gateway): { isDone: () => boolean } {
+  let done = false
+  drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, graceMs: GRACE_MS }).then(() => { done = true }, () => {})
+  return { isDone: () => done }
+}
+
+async function advance ({ clock }: Gateway, ms: number): Promise<void> {
+  clock.advance(ms)
+  await new Promise(resolve => setImmediate(resolve))
+}
+
+describe('a drain', () => {
+  let gateway: Gateway
+
+  beforeEach(async () => { gateway = await startGateway() })
+
+  afterEach(() => { gateway.clients.close() })
+
+  // Guards against requests that are taken late on kept connections and cut at the end of the grace period.
+  it('closes a connection after the response that was in progress and leaves its next request unread', async () => {
+    const kept = openConnection(gateway)
+    const other = openConnection(gateway)
+    const first = await send(gateway, kept, '/first')
+    await send(gateway, other, '/other')
+    startDrain(gateway)
+    await advance(gateway, LATE_MS)
+    first.end('whole')
+    await until(() => kept.received().includes('whole'))
+    kept.socket.write('GET /second HTTP/1.1\r\nHost: h\r\n\r\n')
+    await until(kept.isClosed)
+    expect(kept.received()).toMatch(/keep-alive[^]*whole\r\n0\r\n\r\n$/i)
+    expect([...gateway.handled.keys()]).toEqual(['/first', '/other'])
+    expect(other.isClosed()).toBe(false)
+  })
+
+  it('answers pipelined requests before it closes their connection', async () => {
+    const kept = openConnection(gateway)
+    const first = await send(gateway, kept, '/first')
+    kept.socket.write('GET /second HTTP/1.1\r\nHost: h\r\n\r\n')
+    await until(() => gateway.clients.unfinishedRequests().length === 2)
+    startDrain(gateway)
+    await advance(gateway, LATE_MS)
+    first.end('1')
+    await until(() => gateway.handled.has('/second'))
+    gateway.handled.get('/second')?.end('second response')
+    await until(kept.isClosed)
+    expect(kept.received()).toContain('second response')
+  })
+
+  it('closes a connection on which no request has come', async () => {
+    const unused = openConnection(gateway)
+    const busy = openConnection(gateway)
+    await send(gateway, busy, '/first')
+    startDrain(gateway)
+    await advance(gateway, LATE_MS)
+    await until(unused.isClosed)
+  })
+
+  it('ends every request that it takes with a complete response, whenever responses end and connections are used again', async () => {
+    const plan = fc.array(fc.record({ sentAtMs: fc.nat(6000), workMs: fc.nat(MAX_WORK_MS), pauseMs: fc.nat(1000) }), { minLength: 1, maxLength: 6 })
+    await fc.assert(fc.asyncProperty(plan, async connections => {
+      const other = await startGateway()
+      const opened = connections.map(timing => ({ ...timing, connection: openConnection(other), nextAtMs: timing.sentAtMs, endsAtMs: Infinity, count: 0 }))
+      const drainAtMs = 3000
+      let drain = { isDone: () => false }
+      for (let nowMs = 0; nowMs <= drainAtMs + GRACE_MS && !drain.isDone(); nowMs += 100) {
+        if (nowMs === drainAtMs) drain = startDrain(other)
+        for (const [index, entry] of opened.entries()) {
+          const path = `/${index}/${entry.count}`
+          if (nowMs >= entry.endsAtMs) {
+            other.handled.get(path)?.end('whole')
+            Object.assign(entry, { nextAtMs: nowMs + entry.pauseMs, endsAtMs: Infinity, count: entry.count + 1 })
+            await until(() => entry.connection.received().split('whole').length > entry.count)
+          } else if (nowMs >= entry.nextAtMs && !entry.connection.isClosed()) {
+            entry.connection.socket.write(`GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`)
+            await until(() => other.handled.has(path) || entry.connection.isClosed())
+            other.handled.get(path)?.flushHeaders()
+            Object.assign(entry, { nextAtMs: Infinity, endsAtMs: other.handled.has(path) ? nowMs + entry.workMs : Infinity })
+          }
+        }
+        await advance(other, 100)
+      }
+      const cut = opened.filter(entry => entry.endsAtMs !== Infinity)
+      other.clients.close()
+      expect(cut.map(({ count }) => count)).toEqual([])
+    }), { numRuns: 25, seed: 5 })
+  })
+})
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -14,6 +14,8 @@
   applyLimits: (limits: ClientLimits) => void
   /** @returns requests whose response is not complete */
   unfinishedRequests: () => UnfinishedRequest[]
+  /** Accepts no further connections and requests. Each connection is closed as soon as it has no unfinished response. */
+  finish: () => void
   /** Closes all connections. Unfinished responses are cut so that they do not look complete. */
   close: () => void
 }
@@ -30,7 +32,7 @@
 export interface ClientServerOptions {
   log: EventLog
   clock: Clock
-  metrics: Pick<ServingMetrics, 'connectionsClosedUnread'>
+  metrics: Pick<ServingMetrics, 'connectionsClosedUnread' | 'connectionsClosedByDrain'>
   /** `arrivedAtMs`: local time at which the head was received. A pipelined request may be passed on much later. */
   onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void
 }
@@ -63,14 +65,33 @@
  */
 export function createClientServer (options: ClientServerOptions): ClientServer {
   const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
+  const connections = new Set<Socket>()
+  let finishing = false
   const handleInOrder = createPipelineHandler(options.onRequest)
+  const responsesOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
+  const closeIfFinished = (socket: Socket): void => {
+    if (responsesOn(socket).length > 0 || !socket.writable) return
+    options.metrics.connectionsClosedByDrain.inc()
+    socket.end()
+  }
   const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
+    if (finishing && !request.socket.writable) {
+      // The client sent the request before it received the end of the connection, and may send it again to another gateway.
+      request.socket.destroy()
+      return
+    }
     const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
     inProgress.set(response, { socket: request.socket, unfinished })
-    response.on('close', () => inProgress.delete(response))
+    response.on('close', () => {
+      inProgress.delete(response)
+      if (finishing) closeIfFinished(request.socket)
+    })
     handleInOrder(request, response, unfinished.arrivedAtMs)
   })
-  const responsesOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
+  server.on('connection', (socket: Socket) => {
+    connections.add(socket)
+    socket.once('close', () => connections.delete(socket))
+  })
   // Node.js closes the connection when the client half-closes it. An HTTP/1.0 client would take that as the end of a complete response.
   server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(cutUnfinishedResponse)) })
   closeExcessConnections(server, options)
@@ -93,6 +114,11 @@
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
     unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
+    finish: () => {
+      finishing = true
+      server.close()
+      connections.forEach(closeIfFinished)
+    },
     close: () => {
       server.close()
       for (const response of inProgress.keys()) cutUnfinishedResponse(response)
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -30,8 +30,7 @@
 export async function drainClients ({ clients, log, clock, graceMs }: DrainParts): Promise<void> {
   const deadlineMs = clock.nowMs() + graceMs - STOP_MARGIN_MS
   await sleep(clock, DRAIN_ACCEPT_MS)
-  clients.server.close()
-  clients.server.closeIdleConnections()
+  clients.finish()
   logUnfinished(clients, log, clock)
   while (clients.unfinishedRequests().length > 0 && clock.nowMs() < deadlineMs) await sleep(clock, STOP_POLL_MS)
   log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests().length })
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -18,6 +18,7 @@
   refusals: Counter<'kind' | 'reason'>
   callerRefusals: Counter<'reason'>
   connectionsClosedUnread: Counter
+  connectionsClosedByDrain: Counter
   attemptFailures: Counter<'kind' | 'reason'>
   processPauses: Counter
   storeCalls: Counter<'call' | 'result'>
@@ -48,6 +49,7 @@
     refusals: new Counter({ name: 'anvilarch_refusals_total', help: 'Requests refused by this process by reason', labelNames: ['kind', 'reason'], registers }),
     callerRefusals: new Counter({ name: 'anvilarch_caller_refusals_total', help: 'Calls whose key is not known, or not known for certain, by reason', labelNames: ['reason'], registers }),
     connectionsClosedUnread: new Counter({ name: 'anvilarch_connections_closed_unread_total', help: 'New connections of clients that were closed before their request was read, because far more than usual came to this process', registers }),
+    connectionsClosedByDrain: new Counter({ name: 'anvilarch_connections_closed_by_drain_total', help: 'Connections of clients that were closed because this process stops, after their last response', registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
     processPauses: new Counter({ name: 'anvilarch_own_pauses_total', help: 'Times that this process stood still when it should have listened to an endpoint, and so did not judge it', registers }),
     storeCalls: new Counter({ name: 'anvilarch_store_calls_total', help: 'Calls to the metadata store by result', labelNames: ['call', 'result'], registers }),
