Keep the attempt at a silent endpoint until another one continues its request

Cause: after 300 ms without an event the attempt was aborted before another endpoint was asked. When that one refused, the response was cut.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -110,6 +110,10 @@
   granted?: boolean
   /** Called for each send. @returns whether the connection to the endpoint is made */
   onSend?: (request: SentRequest) => boolean
+  /** Called for each write to the client after it was made. */
+  onWrite?: () => void
+  /** Called before the gateway closes the connection of the client without a complete response. */
+  onCut?: () => void
 }
 
 const REQUEST_ID = 'r1'
@@ -194,6 +198,7 @@
       if (client.ended) client.writesAfterEnd++
       // Writes to a response that was cut, or to a disconnected client, are dropped.
       else if (response.destroyed === false) client.body += bytes.toString()
+      options.onWrite?.()
     },
     end: (bytes?: Buffer) => {
       if (client.ended) client.writesAfterEnd++
@@ -204,6 +209,7 @@
       clock.after(0, () => onClose())
     },
     destroy: () => {
+      options.onCut?.()
       client.destroyed = true
       client.endedAtMs ??= clock.nowMs()
       response.destroyed = true
--- a/packages/anvilarch-serving/src/requests/__tests__/processPause.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/processPause.test.ts
@@ -48,6 +48,8 @@
     expect(sent).toHaveLength(1)
     await clock.advanceAsync(1)
     expect(sent.map(({ endpoint, sentAtMs }) => [endpoint, sentAtMs])).toEqual([['e1', 0], ['e2', 300]])
+    expect(sent[0].aborted).toBe(false)
+    sent[1].event(2)
     expect(sent[0].aborted).toBe(true)
   })
 
--- a/packages/anvilarch-serving/src/requests/attemptLog.ts
+++ b/packages/anvilarch-serving/src/requests/attemptLog.ts
@@ -9,6 +9,8 @@
   chosen: (endpoint: Endpoint) => void
   responseStarted: (endpoint: Endpoint, status: number) => void
   failed: (endpoint: Endpoint, failure: AttemptFailure, reason: string) => void
+  /** The endpoint sends nothing, so that the request is also sent to another one. */
+  silent: (endpoint: Endpoint) => void
   processPaused: (endpoint: Endpoint, lateMs: number) => void
 }
 
@@ -47,6 +49,9 @@
       state.requestLog.flush()
       parts.log.info('attempt failed', { requestId, endpoint: endpoint.startId, failure, reason, sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1).join(), lastEventId: state.lastEventId, remainingMs: remainingMs() })
     },
+    silent: endpoint => {
+      state.requestLog.note('endpoint silent', { requestId, endpoint: endpoint.startId, lastEventId: state.lastEventId, afterMs: elapsedMs(clock, client.arrivedAtMs) })
+    },
     processPaused: (endpoint, lateMs) => {
       state.requestLog.note('own pause noticed', { requestId, endpoint: endpoint.startId, lateMs: Math.round(lateMs) })
     }
--- a/packages/anvilarch-serving/src/requests/retryDecision.ts
+++ b/packages/anvilarch-serving/src/requests/retryDecision.ts
@@ -14,6 +14,10 @@
 export interface RequestProgress {
   /** Attempts that may have run, the last one included. */
   attemptsThatMayHaveRun: number
+  /** Attempts that have neither ended nor been aborted. */
+  attemptsInProgress: number
+  /** Whether all of these have sent no event or response for the response timeout. */
+  allSilent: boolean
   /** Whether the head of the response has been sent to the client. */
   responseStarted: boolean
   /** Whether there is an endpoint that has not been tried. */
@@ -22,10 +26,10 @@
 }
 
 /**
- * Next step of a request. `refuse`: 503, the request has not run and never will. `fail`: 502, it may have run.
+ * Next step of a request. `wait`: another attempt is still in progress, which an endpoint's silence does not end. `refuse`: 503, the request has not run and never will. `fail`: 502, it may have run.
  * `time_out`: 504. `break_off`: close the connection, so that the response does not look complete.
  */
-export type NextStep = 'send_again' | 'refuse' | 'fail' | 'time_out' | 'break_off'
+export type NextStep = 'send_again' | 'wait' | 'refuse' | 'fail' | 'time_out' | 'break_off'
 
 /** With less remaining time than this, another send would only end in the endpoint's own timeout. */
 export const MIN_REMAINING_MS = 30
@@ -38,10 +42,13 @@
  */
 export function nextStep (route: Pick<Route, 'kind' | 'resumable' | 'maxAttempts'>, failure: AttemptFailure, progress: RequestProgress): NextStep {
   const mayHaveRun = progress.attemptsThatMayHaveRun > 0
+  const startedCount = progress.attemptsThatMayHaveRun + progress.attemptsInProgress
   const hasTimeLeft = progress.remainingMs > MIN_REMAINING_MS
-  const hasAttemptLeft = progress.attemptsThatMayHaveRun < route.maxAttempts
-  const retryable = !mayHaveRun || isRetryable(route)
-  if (hasTimeLeft && retryable && hasAttemptLeft && progress.hasUntriedEndpoint) return 'send_again'
+  const hasAttemptLeft = startedCount < route.maxAttempts
+  const retryable = startedCount === 0 || isRetryable(route)
+  const maySendBeside = progress.attemptsInProgress === 0 || progress.allSilent
+  if (hasTimeLeft && retryable && hasAttemptLeft && maySendBeside && progress.hasUntriedEndpoint) return 'send_again'
+  if (progress.attemptsInProgress > 0) return 'wait'
   if (progress.responseStarted) return 'break_off'
   if (!mayHaveRun) return 'refuse'
   return hasTimeLeft ? 'fail' : 'time_out'
@@ -67,7 +74,7 @@
 /**
  * @param route - kind and objectives
  * @param responseStarted - whether the head of the response has been sent to the client
- * @returns how long an endpoint may send no event or response before the request is sent to another one, if the route allows it
+ * @returns how long an endpoint may send no event or response before the request is also sent to another one, if the route allows it
  */
 export function responseTimeoutMs (route: Pick<Route, 'kind' | 'latencyObjectiveMs' | 'gapObjectiveMs'>, responseStarted: boolean): number {
   if (route.kind !== 'stream') return Math.max(MIN_RESPONSE_TIMEOUT_MS, LOOKUP_TIMEOUT_FACTOR * route.latencyObjectiveMs)
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -74,6 +74,11 @@
   return TRANSIENT_REASONS.has(reason)
 }
 
+/** @returns whether an attempt failed because the endpoint has no room for the request at the moment */
+export function isFull (reason: string): boolean {
+  return reason === 'full'
+}
+
 /** Error codes of connections that the other side has closed. */
 const CLOSED_CONNECTION_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'])
 
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -1,14 +1,15 @@
 /** Sends one request to endpoints, one after another, until one responds or no further send is allowed. */
 import { createInactivityTimeout, type InactivityTimeout } from 'anvilarch-utils'
-import { forwardedCallerOf } from '../accounts/types'
 import type { Endpoint } from '../model/types'
 import { createAttemptLog } from './attemptLog'
+import { attemptRequestOf } from './attemptRequest'
 import { countResumption, recordOrigin } from './bindStream'
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
 import { unauthorizedResponse } from './clientResponse'
-import { type Attempt, type EndpointResponse, isBrokenConnection, isConnectionRefused, isTransientFailure, startAttempt } from './runAttempt'
+import { type Attempt, type EndpointResponse, isBrokenConnection, isConnectionRefused, isFull, isTransientFailure, startAttempt } from './runAttempt'
+import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
 /** Attempts of one request. */
 export interface Attempts {
@@ -31,15 +32,12 @@
 /** Lowest status that endpoints use for failures of their own. */
 const FIRST_FAILURE_STATUS = 500
 
+/** Reason of an attempt that was aborted because another endpoint sent a response or an event while it sent none. */
+const SILENT_REASON = 'silent'
+
 /** Limit on the sends of one request, including those that endpoints refuse because they are full. */
 const MAX_SENDS = 6
 
-/** An attempt in progress and its endpoint. */
-interface Running {
-  endpoint: Endpoint
-  attempt: Attempt
-}
-
 /**
  * @param parts - endpoints, connections and wire
  * @param client - the request
@@ -51,12 +49,13 @@
   const { clock, loads, log, metrics } = parts
   const attemptLog = createAttemptLog(parts, client, state)
   const { route, response, metadata } = client
-  let running: Running | undefined
+  const running = createRunningAttempts(parts)
+  /** Endpoints that have stated that they are full. While an attempt is silent, they are asked again. */
+  const full = new Set<string>()
   let responseTimeout: InactivityTimeout | undefined
   let lastEventAtMs: number | undefined
-  /** Time of the send in progress; undefined after its first event or its response. */
-  let sentAtMs: number | undefined
   let stopped = false
+  let isResending = false
 
   const remainingMs = (): number => state.deadlineAtMs - clock.nowMs()
 
@@ -69,8 +68,17 @@
 
   /** Queries loads again before the next send: after an endpoint fails, its requests move to the others. */
   const resend = (): void => {
+    if (isResending) return
+    isResending = true
+    const eventId = state.lastEventId
     prepare()
-      .then(() => { if (!stopped) sendPrepared() })
+      .then(() => {
+        isResending = false
+        if (stopped || end.hasEnded()) return
+        // An attempt that was silent may have sent an event meanwhile.
+        if (running.count() > 0 && state.lastEventId !== eventId) restartResponseTimeout()
+        else sendPrepared()
+      })
       .catch(error => {
         log.error('request handling failed', { reason: (error as Error).message })
         end.abortConnection('internal_error')
@@ -79,38 +87,39 @@
 
   const maySendAgain = (): boolean => state.sendCount < MAX_SENDS && choose() !== undefined
 
-  const stepAfter = (failure: AttemptFailure, attemptsThatMayHaveRun = state.attemptsThatMayHaveRun): NextStep => nextStep(route, failure, {
-    attemptsThatMayHaveRun,
-    responseStarted: state.responseStarted,
-    hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client), attemptsThatMayHaveRun > 0),
-    remainingMs: remainingMs()
-  })
+  const stepAfter = (failure: AttemptFailure): NextStep => {
+    const attemptsInProgress = running.count()
+    return nextStep(route, failure, {
+      attemptsThatMayHaveRun: state.attemptsThatMayHaveRun,
+      attemptsInProgress,
+      allSilent: running.areAllSilent(),
+      responseStarted: state.responseStarted,
+      hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client), state.attemptsThatMayHaveRun + attemptsInProgress > 0),
+      remainingMs: remainingMs()
+    })
+  }
 
-  /** Stops counting the attempt in progress as load. @returns that attempt */
-  const releaseRunning = (): Running | undefined => {
-    const released = running
-    running = undefined
+  const cancelResponseTimeout = (): void => {
     responseTimeout?.cancel()
     responseTimeout = undefined
-    if (released !== undefined) {
-      loads.onEnded(released.endpoint.startId)
-      parts.usageReporter.onEnded(released.endpoint)
-    }
-    return released
   }
 
   const steps: Record<NextStep, (reason: string) => void> = {
     send_again: resend,
+    wait: () => restartResponseTimeout(),
     refuse: reason => end.respond({ status: 503, code: 'not_run', message: `no endpoint took the request (${reason})`, retryAfterMs: REFUSED_RETRY_AFTER_MS }),
     fail: reason => end.respond({ status: 502, code: 'endpoint_failed', message: `the endpoint gave no whole answer (${reason})` }),
     time_out: reason => end.respond({ status: 504, code: 'timeout', message: `no whole answer within ${state.timeoutMs} ms (${reason})` }),
     break_off: reason => end.abortConnection(reason)
   }
 
-  const onFailure = (endpoint: Endpoint, failure: AttemptFailure, reason: string, metricReason = reason): void => {
-    releaseRunning()
+  const onFailure = (entry: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => {
+    const { endpoint } = entry
+    if (!running.release(entry)) return
+    cancelResponseTimeout()
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
     else state.refusedSendCount++
+    if (isFull(reason)) full.add(endpoint.startId)
     if (!isTransientFailure(reason)) loads.onFailure(endpoint.startId)
     if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
     if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint.startId)
@@ -119,40 +128,62 @@
     steps[stepAfter(failure)](reason)
   }
 
-  const onResponseTimeout = (endpoint: Endpoint): void => {
+  const countAborted = ({ endpoint, mayHaveRun }: AbortedAttempt): void => {
+    if (mayHaveRun) state.attemptsThatMayHaveRun++
+    else state.refusedSendCount++
+    metrics.attemptFailures.inc({ kind: route.kind, reason: SILENT_REASON })
+    attemptLog.failed(endpoint, mayHaveRun ? 'may_have_run' : 'not_run', SILENT_REASON)
+  }
+
+  /** Attempts that have been sent go on: their endpoints may be sound, and the other one may refuse. */
+  const onResponseTimeout = (): void => {
     responseTimeout = undefined
-    if (running === undefined) return
-    // A request that still waits for a connection is not sent after it is aborted.
-    const failure = running.attempt.mayHaveRun() ? 'may_have_run' : 'not_run'
-    const attemptsAfterAbort = state.attemptsThatMayHaveRun + (failure === 'may_have_run' ? 1 : 0)
-    if (stepAfter(failure, attemptsAfterAbort) !== 'send_again') return
-    running.attempt.abort()
-    onFailure(endpoint, failure, 'silent')
+    if (running.count() === 0) return
+    for (const entry of running.all()) entry.isSilent = true
+    for (const startId of full) state.tried.delete(startId)
+    full.clear()
+    if (stepAfter('may_have_run') !== 'send_again') {
+      restartResponseTimeout()
+      return
+    }
+    for (const { endpoint } of running.all()) {
+      loads.onFailure(endpoint.startId)
+      attemptLog.silent(endpoint)
+    }
+    running.abort(running.unsent()).forEach(countAborted)
+    resend()
   }
 
-  const onProcessPause = (endpoint: Endpoint, lateMs: number): void => {
+  /** Ends all attempts but the one whose endpoint continues the response. */
+  const continueWith = (entry: RunningAttempt): void => {
+    if (running.count() > 1) running.abort(running.others(entry)).forEach(countAborted)
+  }
+
+  const onProcessPause = (lateMs: number): void => {
     metrics.processPauses.inc()
-    attemptLog.processPaused(endpoint, lateMs)
+    for (const { endpoint } of running.all()) attemptLog.processPaused(endpoint, lateMs)
   }
 
   /** Restarts the response timeout, which limits the time without an event or a response. Called at a send and at each event; only the first call sets a timer. */
-  const restartResponseTimeout = (endpoint: Endpoint): void => {
-    if (!isRetryable(route) || state.attemptsThatMayHaveRun + 1 >= route.maxAttempts) return
+  const restartResponseTimeout = (): void => {
+    if (!isRetryable(route) || state.attemptsThatMayHaveRun + running.count() >= route.maxAttempts) return
     const boundMs = responseTimeoutMs(route, state.responseStarted)
-    responseTimeout ??= createInactivityTimeout({ clock, timeoutMs: boundMs, onTimeout: () => onResponseTimeout(endpoint), onProcessPause: lateMs => onProcessPause(endpoint, lateMs) })
+    responseTimeout ??= createInactivityTimeout({ clock, timeoutMs: boundMs, onTimeout: onResponseTimeout, onProcessPause })
     responseTimeout.recordActivity()
     responseTimeout.setTimeoutMs(boundMs)
   }
 
   /** Handles the response of an endpoint that failed, or that sent a buffered response when a stream was to be resumed. */
-  const onFailedResponse = (endpoint: Endpoint, endpointResponse: EndpointResponse): void => {
-    if (!state.responseStarted) state.failedResponse = { endpointId: endpoint.startId, response: endpointResponse }
-    onFailure(endpoint, 'may_have_run', `status ${endpointResponse.status}`, 'endpoint_status')
+  const onFailedResponse = (entry: RunningAttempt, endpointResponse: EndpointResponse): void => {
+    if (!state.responseStarted) state.failedResponse = { endpointId: entry.endpoint.startId, response: endpointResponse }
+    onFailure(entry, 'may_have_run', `status ${endpointResponse.status}`, 'endpoint_status')
   }
 
-  const onSuccess = (endpoint: Endpoint): void => {
-    releaseRunning()
-    loads.onSuccess(endpoint.startId)
+  const onSuccess = (entry: RunningAttempt): void => {
+    continueWith(entry)
+    cancelResponseTimeout()
+    running.release(entry)
+    loads.onSuccess(entry.endpoint.startId)
     // Several endpoints may complete a stream together, although each of them crashes.
     if (state.attemptsThatMayHaveRun === 0 && metadata.lastEventId === undefined) parts.crashes.onCompleted(requestIdentityOf(client))
     // The request waits in the queue until its first event and holds the slot from then on.
@@ -161,74 +192,68 @@
     }
   }
 
-  const onResponse = (endpoint: Endpoint, endpointResponse: EndpointResponse): void => {
-    observeEndpointWait()
+  const onResponse = (entry: RunningAttempt, endpointResponse: EndpointResponse): void => {
+    observeEndpointWait(entry)
     if (state.responseStarted || endpointResponse.status >= FIRST_FAILURE_STATUS) {
-      onFailedResponse(endpoint, endpointResponse)
+      onFailedResponse(entry, endpointResponse)
       return
     }
-    onSuccess(endpoint)
-    end.respondFromEndpoint(endpoint.startId, endpointResponse)
+    onSuccess(entry)
+    end.respondFromEndpoint(entry.endpoint.startId, endpointResponse)
   }
 
-  const onStreamEnd = (endpoint: Endpoint): void => {
-    observeEndpointWait()
-    onSuccess(endpoint)
-    end.completeStream(endpoint.startId)
+  const onStreamEnd = (entry: RunningAttempt): void => {
+    observeEndpointWait(entry)
+    onSuccess(entry)
+    end.completeStream(entry.endpoint.startId)
   }
 
-  const onHead = (endpoint: Endpoint, head: { status: number, rawHeaders: string[] }): void => {
-    attemptLog.responseStarted(endpoint, head.status)
+  const onHead = (entry: RunningAttempt, head: { status: number, rawHeaders: string[] }): void => {
+    attemptLog.responseStarted(entry.endpoint, head.status)
     if (state.responseStarted) return
+    // The client gets the head and the first events from the same endpoint.
+    continueWith(entry)
     state.responseStarted = true
-    recordOrigin(parts, client, state, endpoint)
+    recordOrigin(parts, client, state, entry.endpoint)
     if (parts.drainState.isDraining()) response.setHeader('Connection', 'close')
     response.writeHead(head.status, head.rawHeaders)
     response.flushHeaders()
   }
 
-  const onEvent = (endpoint: Endpoint, bytes: Buffer, id: number | undefined): void => {
+  const onEvent = (entry: RunningAttempt, bytes: Buffer, id: number | undefined): void => {
     const nowMs = clock.nowMs()
+    entry.isSilent = false
+    continueWith(entry)
     state.firstEventAtMs ??= nowMs
     state.firstEventId ??= id
     if (id !== undefined) state.eventCount++
     if (state.lastEventId === metadata.lastEventId) metrics.firstEventSeconds.observe((nowMs - client.arrivedAtMs) / 1000)
     if (lastEventAtMs !== undefined) state.longestGapMs = Math.max(state.longestGapMs, nowMs - lastEventAtMs)
     lastEventAtMs = nowMs
-    observeEndpointWait()
+    observeEndpointWait(entry)
     state.lastEventId = id ?? state.lastEventId
     response.write(bytes)
-    restartResponseTimeout(endpoint)
+    restartResponseTimeout()
   }
 
-  const startAt = (endpoint: Endpoint): Attempt => startAttempt({
+  const startAt = (endpoint: Endpoint, entry: RunningAttempt): Attempt => startAttempt({
     pool: parts.pools.poolOf(endpoint),
     wire: parts.wire,
     requestId: metadata.requestId,
-    request: {
-      method: client.request.method ?? 'GET',
-      path: client.request.url ?? '/',
-      headers: parts.wire.encodeSend(client.request.rawHeaders, {
-        deadlineMs: Math.max(1, Math.floor(remainingMs())),
-        expectedEndpointId: endpoint.id,
-        lastEventId: state.lastEventId,
-        caller: forwardedCallerOf(client.caller)
-      }),
-      body: client.body.length > 0 ? client.body : undefined
-    },
+    request: attemptRequestOf(parts, client, state, endpoint),
     streams: route.kind === 'stream',
     afterEventId: state.lastEventId,
     resumable: route.resumable,
-    onHead: head => onHead(endpoint, head),
-    onEvent: (bytes, id) => onEvent(endpoint, bytes, id),
-    onStreamEnd: () => onStreamEnd(endpoint),
-    onResponse: endpointResponse => onResponse(endpoint, endpointResponse),
-    onFailure: (failure, reason) => onFailure(endpoint, failure, reason)
+    onHead: head => onHead(entry, head),
+    onEvent: (bytes, id) => onEvent(entry, bytes, id),
+    onStreamEnd: () => onStreamEnd(entry),
+    onResponse: endpointResponse => onResponse(entry, endpointResponse),
+    onFailure: (failure, reason) => onFailure(entry, failure, reason)
   })
 
-  const observeEndpointWait = (): void => {
-    if (sentAtMs !== undefined) metrics.endpointWaitSeconds.observe({ kind: route.kind }, (clock.nowMs() - sentAtMs) / 1000)
-    sentAtMs = undefined
+  const observeEndpointWait = (entry: RunningAttempt): void => {
+    if (entry.sentAtMs !== undefined) metrics.endpointWaitSeconds.observe({ kind: route.kind }, (clock.nowMs() - entry.sentAtMs) / 1000)
+    entry.sentAtMs = undefined
   }
 
   const sendKind = (): 'first' | 'again' | 'resumed' => {
@@ -236,6 +261,12 @@
     return state.lastEventId === metadata.lastEventId ? 'again' : 'resumed'
   }
 
+  const stop = (): void => {
+    stopped = true
+    cancelResponseTimeout()
+    running.abort(running.all())
+  }
+
   const timeOut = (): void => {
     if (state.responseStarted) end.abortConnection('timeout')
     else steps.time_out('timeout')
@@ -243,14 +274,15 @@
 
   /** Ends a request whose key was revoked while it waited. Attempts in progress are not aborted, but nothing new is sent. */
   const endForRevokedKey = (): void => {
-    if (state.responseStarted) end.abortConnection('key_taken_away')
+    if (running.count() > 0) steps.wait('key_taken_away')
+    else if (state.responseStarted) end.abortConnection('key_taken_away')
     else if (state.attemptsThatMayHaveRun > 0) steps.fail('key_taken_away')
     else end.respond(unauthorizedResponse(parts.wire.credentialScheme))
   }
 
   /** Ends a request without an untried endpoint: endpoints may be removed while the request waits for their loads. */
   const endWithoutEndpoint = (): void => {
-    if (state.attemptsThatMayHaveRun > 0) steps[stepAfter('may_have_run')]('no_endpoint')
+    if (state.attemptsThatMayHaveRun + running.count() > 0) steps[stepAfter('may_have_run')]('no_endpoint')
     else end.respond({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
   }
 
@@ -258,6 +290,7 @@
     // After a process pause the deadline timer may fire after the timer that leads here. An endpoint would then run a
     // request that its client no longer waits for.
     if (remainingMs() <= 0) {
+      stop()
       timeOut()
       return
     }
@@ -275,20 +308,14 @@
     metrics.sends.inc({ kind: route.kind, send: sendKind() })
     countResumption(parts, state, endpoint)
     state.sendCount++
-    sentAtMs = clock.nowMs()
-    loads.onSent(endpoint.startId)
-    parts.usageReporter.onSent(endpoint)
-    running = { endpoint, attempt: startAt(endpoint) }
-    restartResponseTimeout(endpoint)
+    running.add(endpoint, entry => startAt(endpoint, entry))
+    restartResponseTimeout()
   }
 
   return {
     prepare,
     sendPrepared,
-    stop: () => {
-      stopped = true
-      releaseRunning()?.attempt.abort()
-    },
+    stop,
     timeOut
   }
 }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -54,6 +54,8 @@
   /** A stream that the client resumes was refused, because it is not known what it is bound to or nothing may continue it. */
   'stream not resumed': { requestId: string, resumesRequestId: string | undefined, reason: 'origin_unknown' | 'service_not_routed' }
   /** This process was paused while it should have read from an endpoint, so the endpoint does not count as failed yet. */
+  /** The request is also sent to another endpoint; the first that sends an event continues it. */
+  'endpoint silent': { requestId: string, endpoint: string, lastEventId: number | undefined, afterMs: number }
   'own pause noticed': { requestId: string, endpoint: string, lateMs: number }
   'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, sharedPrefixes: string, lastEventId: number | undefined, remainingMs: number }
   'request handling failed': { reason: string }
