Find out by one connection whether an endpoint has crashed after a connection was lost

Cause: a crash counted only if the gateway that lost the connection learned of the endpoint's loss within 2.5 s. Nothing else used the endpoint before it was back, its entry ended later than that, and the end was told only at the next choice of an endpoint.

--- a/packages/anvilarch-serving/src/crashes/__fixtures__/crashFleet.ts
+++ b/packages/anvilarch-serving/src/crashes/__fixtures__/crashFleet.ts
@@ -1,6 +1,7 @@
 /** Gateways and engines on a fake clock; one prompt part crashes each engine that begins to write an answer on it. */
 import { createFakeClock, createRandom, type FakeClock, type Random, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
+import { createServingMetrics } from '../../telemetry/metrics'
 import { type CrashMonitor, createCrashMonitor } from '../crashMonitor'
 import type { RequestIdentity } from '../fingerprint'
 import { createSuspectTable, type SuspectRecord, type SuspectTable } from '../suspectTable'
@@ -10,6 +11,8 @@
   seed: number
   gateways: number
   engines: number
+  /** Whether other traffic and agents tell the gateways of each crash. In a quiet hour only the list of endpoints does, after some seconds. */
+  isQuiet?: boolean
 }
 
 /** A request with the crashing part that has reached an engine. */
@@ -27,6 +30,8 @@
   crashedAtMs: number[]
   /** Sends a request through a random gateway. @returns whether its first attempt has begun to write an answer */
   send: (parts: readonly string[], onBegun: () => void) => void
+  /** Sends a request that crashes each engine that begins to run it, with the same text each time, through a random gateway. */
+  sendCrashing: () => void
   /** Replaces a random gateway by one that has no records yet. */
   restartGateway: () => void
 }
@@ -42,6 +47,10 @@
 const RUN_MS = 300
 const DOWN_MS = 3000
 const MAX_DETECTION_MS = 400
+/** Time after a crash at which the entry of an engine is removed from the list. */
+const MIN_EXPIRY_MS = 2400
+const MAX_EXPIRY_MS = 3900
+const CRASHING_TEXT = 'the crashing request'
 const STORE_MS = 15
 const MAX_FEED_MS = 150
 const MAX_ATTEMPTS = 2
@@ -80,6 +89,7 @@
   const gateways: Gateway[] = []
   const crashingRuns: CrashingRun[] = []
   const crashedAtMs: number[] = []
+  const metrics = createServingMetrics()
   let requestCount = 0
   let startCount = 0
 
@@ -105,6 +115,9 @@
     const known = new Map(versions)
     for (const record of stored.records()) suspects.merge(record)
     const monitor = createCrashMonitor({
+      clock,
+      metrics,
+      connect: async startId => engines.some(engine => engine.startId === startId) ? 'connected' : 'refused',
       log: SILENT_LOGGER as EventLog,
       suspects,
       storeNowMs: clock.nowMs,
@@ -137,10 +150,11 @@
     engines.splice(engines.indexOf(engine), 1)
     for (const run of lost) {
       if (!run.gateway.alive) continue
-      run.gateway.monitor.onConnectionLost(run.identity, startId)
+      run.gateway.monitor.onConnectionLost(run.identity, { startId, address: startId })
       if (run.attempt < MAX_ATTEMPTS && run.gateway.monitor.mayRunAgain(run.identity, true)) place({ ...run, attempt: run.attempt + 1 })
     }
-    for (const gateway of gateways) clock.after(random.between(1, MAX_DETECTION_MS), () => gateway.monitor.onEndpointLost(startId))
+    const detectionMs = (): number => options.isQuiet === true ? random.between(MIN_EXPIRY_MS, MAX_EXPIRY_MS) : random.between(1, MAX_DETECTION_MS)
+    for (const gateway of gateways) clock.after(detectionMs(), () => gateway.monitor.onEndpointLost(startId))
     clock.after(DOWN_MS, () => engines.push({ startId: `${startId}+${startCount++}`, runs: new Set() }))
   }
 
@@ -148,7 +162,7 @@
     const free = engines.filter(engine => engine.runs.size < SLOTS)
     if (free.length === 0) return
     const engine = random.pick(free)
-    const isCrashing = run.identity.sharedParts.includes(CRASHING_PART)
+    const isCrashing = run.identity.sharedParts.includes(CRASHING_PART) || run.identity.body.toString() === CRASHING_TEXT
     if (isCrashing) crashingRuns.push({ atMs: clock.nowMs(), inTouch: clock.nowMs() - run.gateway.startedAtMs > CONTACT_MS })
     engine.runs.add(run)
     const ifRunning = (act: () => void) => () => { if (engines.includes(engine) && engine.runs.has(run)) act() }
@@ -169,6 +183,11 @@
     place(run)
   }
 
+  const send = (text: string, parts: readonly string[], onBegun: () => void): void => {
+    const identity = { method: 'POST', host: 'h', path: '/', body: Buffer.from(text), sharedParts: parts }
+    admitAndPlace({ identity, gateway: random.pick(gateways), attempt: 1, onBegun }).catch(() => {})
+  }
+
   for (let index = 0; index < options.gateways; index++) startGateway()
 
   return {
@@ -176,10 +195,8 @@
     random,
     crashingRuns,
     crashedAtMs,
-    send: (parts, onBegun) => {
-      const identity = { method: 'POST', host: 'h', path: '/', body: Buffer.from(`text ${requestCount++}`), sharedParts: parts }
-      admitAndPlace({ identity, gateway: random.pick(gateways), attempt: 1, onBegun }).catch(() => {})
-    },
+    send: (parts, onBegun) => send(`text ${requestCount++}`, parts, onBegun),
+    sendCrashing: () => send(CRASHING_TEXT, [], () => {}),
     restartGateway: () => {
       const [stopped] = gateways.splice(random.between(0, gateways.length - 1), 1)
       stopped.alive = false
--- a/packages/anvilarch-serving/src/crashes/__tests__/crashHistories.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/crashHistories.test.ts
@@ -65,3 +65,23 @@
     expect(violations).toEqual([])
   }, 180_000)
 })
+
+describe('a request that crashes engines, in a quiet hour', () => {
+  // Guards against crashes that no gateway attributes to the request, since nothing else uses the engines.
+  it('soon reaches no engine any more, however often it is sent', async () => {
+    const violations: string[] = []
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
+      const fleet = createCrashFleet({ seed, gateways: 2 + seed % 5, engines: 3 + seed % 4, isQuiet: true })
+      const intervalMs = fleet.random.pick([500, 1000, 2000, 4000])
+      for (let sent = 0; sent < 30; sent++) {
+        fleet.sendCrashing()
+        if (fleet.random.next() < 0.2) fleet.send([], () => {})
+        await fleet.clock.advanceAsync(intervalMs)
+      }
+      const thirdMs = fleet.crashedAtMs[2] ?? Infinity
+      const laterRuns = fleet.crashingRuns.filter(run => run.atMs > thirdMs + CONTACT_MS).length
+      if (laterRuns > MAX_LATER_RUNS) violations.push(`seed ${seed}: ${laterRuns} runs after the contact time, ${fleet.crashedAtMs.length} crashes`)
+    }
+    expect(violations).toEqual([])
+  })
+})
--- a/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
@@ -1,23 +1,31 @@
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
+import { createServingMetrics } from '../../telemetry/metrics'
 import { type CrashMonitor, createCrashMonitor } from '../crashMonitor'
 import type { RequestIdentity } from '../fingerprint'
-import { createSuspectTable, type SuspectRecord } from '../suspectTable'
+import { type ConnectResult, createLossProber, PROBE_DELAY_MS } from '../lossProber'
+import { createSuspectTable, CRASH_CORRELATION_MS, type SuspectRecord } from '../suspectTable'
 
 let clock: FakeClock
 let monitor: CrashMonitor
 let published: SuspectRecord[]
 let cleared: string[]
 let claims: SuspectRecord[]
+/** Results of connections to endpoints by address; no response from others. */
+let connectResults: Map<string, ConnectResult>
 
 beforeEach(() => {
   clock = createFakeClock(100_000)
   published = []
   cleared = []
   claims = []
+  connectResults = new Map()
   const suspects = createSuspectTable(clock, clock.nowMs)
   monitor = createCrashMonitor({
+    clock,
+    metrics: createServingMetrics(),
     log: SILENT_LOGGER as EventLog,
+    connect: async address => connectResults.get(address) ?? 'unknown',
     suspects,
     storeNowMs: clock.nowMs,
     shared: {
@@ -37,7 +45,7 @@
 }
 
 function crash (index: number, ...parts: string[]): void {
-  monitor.onConnectionLost(requestWith(`text ${index}`, ...parts), `e${index}`)
+  monitor.onConnectionLost(requestWith(`text ${index}`, ...parts), { startId: `e${index}`, address: `a${index}` })
   monitor.onEndpointLost(`e${index}`)
 }
 
@@ -93,3 +101,85 @@
     expect(monitor.mayRunAgain(requestWith('text 3', 'part'), false)).toBe(false)
   })
 })
+
+describe('a request whose connection was lost', () => {
+  const REQUEST = requestWith('text')
+
+  async function loseConnections (result: ConnectResult | undefined): Promise<void> {
+    for (const index of [1, 2, 3]) {
+      if (result !== undefined) connectResults.set(`a${index}`, result)
+      monitor.onConnectionLost(REQUEST, { startId: `e${index}`, address: `a${index}` })
+      await clock.advanceAsync(PROBE_DELAY_MS)
+    }
+  }
+
+  // Guards against a request that goes on to crash endpoints in a quiet hour, in which nothing else shows that they are gone.
+  it('is quarantined if its endpoints refuse connections afterwards', async () => {
+    await loseConnections('refused')
+    expect(monitor.admit(REQUEST)).toBe('quarantined')
+    expect(published.at(-1)?.crashedStarts).toEqual(['e1', 'e2', 'e3'])
+  })
+
+  it('is quarantined if the entries of its endpoints end after three heartbeats', async () => {
+    await loseConnections('unknown')
+    clock.advance(4000)
+    for (const index of [1, 2, 3]) monitor.onEndpointLost(`e${index}`)
+    expect(monitor.admit(REQUEST)).toBe('quarantined')
+  })
+
+  it('is not blamed if its endpoints still accept connections, even if they are lost later', async () => {
+    await loseConnections('connected')
+    clock.advance(1000)
+    for (const index of [1, 2, 3]) monitor.onEndpointLost(`e${index}`)
+    expect(monitor.admit(REQUEST)).toBe('admitted')
+    expect(published).toEqual([])
+  })
+
+  it('is not blamed for a loss of its endpoint that comes much later', async () => {
+    await loseConnections('unknown')
+    clock.advance(CRASH_CORRELATION_MS)
+    for (const index of [1, 2, 3]) monitor.onEndpointLost(`e${index}`)
+    expect(monitor.admit(REQUEST)).toBe('admitted')
+  })
+
+  // Guards against a lookup of many callers that is refused for minutes because it was in progress at three crashes.
+  it('is no suspect any more once an endpoint has completed it', async () => {
+    for (const index of [1, 2]) crash(index)
+    const lookup = requestWith('text 1')
+    monitor.onCompleted(lookup)
+    expect(cleared).toHaveLength(1)
+    for (const index of [3, 4]) {
+      monitor.onConnectionLost(lookup, { startId: `e${index}`, address: `a${index}` })
+      monitor.onEndpointLost(`e${index}`)
+    }
+    expect(monitor.admit(lookup)).toBe('admitted')
+  })
+})
+
+describe('the connection after a loss', () => {
+  it('is made once for all requests that were lost together', async () => {
+    let connections = 0
+    const prober = createLossProber({
+      clock,
+      connect: async () => {
+        connections++
+        return 'refused'
+      },
+      onResult: () => {}
+    })
+    for (let index = 0; index < 6; index++) prober.onConnectionLost({ startId: 'e1', address: 'a1' })
+    await clock.advanceAsync(PROBE_DELAY_MS)
+    expect(connections).toBe(1)
+  })
+
+  it('is made again if another connection is lost meanwhile', async () => {
+    const results: ConnectResult[] = ['connected', 'refused']
+    const reported: ConnectResult[] = []
+    const prober = createLossProber({ clock, connect: async () => results.shift() ?? 'unknown', onResult: (_endpoint, result) => reported.push(result) })
+    prober.onConnectionLost({ startId: 'e1', address: 'a1' })
+    clock.advance(PROBE_DELAY_MS / 2)
+    prober.onConnectionLost({ startId: 'e1', address: 'a1' })
+    await clock.advanceAsync(2 * PROBE_DELAY_MS)
+    expect(reported).toEqual(['refused'])
+  })
+})
--- a/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/suspectTable.test.ts
@@ -96,19 +96,19 @@
 
   // Guards against the refusal of all requests that share a part with those that crash engines.
   it('is not blamed as long as endpoints complete more requests with it than crash', () => {
-    for (let index = 0; index < 4; index++) table.onCompleted(['shared'])
+    for (let index = 0; index < 4; index++) table.onCompleted(['shared'], undefined)
     for (const index of [1, 2, 3]) crashWith(`r${index}`, `e${index}`, 'shared', 'bad')
     expect(quarantined('shared', 'bad')).toEqual(['part:bad'])
   })
 
   it('is not blamed beside a part that has been completed less', () => {
-    table.onCompleted(['shared'])
+    table.onCompleted(['shared'], undefined)
     for (const index of [1, 2, 3]) crashWith(`r${index}`, `e${index}`, 'shared', 'bad')
     expect(quarantined('shared', 'bad')).toEqual(['part:bad'])
   })
 
   it('is no longer taken for sound once its completions are long past', () => {
-    for (let index = 0; index < 4; index++) table.onCompleted(['bad'])
+    for (let index = 0; index < 4; index++) table.onCompleted(['bad'], undefined)
     clock.advance(2 * COUNT_PERIOD_MS + 1)
     for (const index of [1, 2, 3]) crashWith(`r${index}`, `e${index}`, 'bad')
     expect(quarantined('bad')).toEqual(['part:bad'])
@@ -116,15 +116,15 @@
 
   it('is cleared when an endpoint completes a request with it', () => {
     for (const index of [1, 2, 3]) crashWith(`r${index}`, `e${index}`, 'sound')
-    expect(table.onCompleted(['sound']).map(record => record.fingerprint)).toEqual(['part:sound'])
+    expect(table.onCompleted(['sound'], undefined).map(record => record.fingerprint)).toEqual(['part:sound'])
     expect(quarantined('sound')).toEqual([])
   })
 
   // Guards against a sound part that is refused after a lull, when its completions are long past and its crashes are not.
   it('has its crashes forgotten by a completion, also while it is known to be sound', () => {
-    for (let index = 0; index < 9; index++) table.onCompleted(['shared'])
+    for (let index = 0; index < 9; index++) table.onCompleted(['shared'], undefined)
     table.merge({ fingerprint: 'part:shared', crashedStarts: ['e1', 'e2', 'e3'], lastCrashAtMs: 5, requests: ['r1', 'r2'] })
-    expect(table.onCompleted(['shared']).map(record => record.fingerprint)).toEqual(['part:shared'])
+    expect(table.onCompleted(['shared'], undefined).map(record => record.fingerprint)).toEqual(['part:shared'])
     clock.advance(2 * COUNT_PERIOD_MS + 1)
     expect(quarantined('shared')).toEqual([])
   })
--- a/packages/anvilarch-serving/src/crashes/crashMonitor.ts
+++ b/packages/anvilarch-serving/src/crashes/crashMonitor.ts
@@ -1,8 +1,10 @@
 /** Detects requests and prompt parts that crash endpoints and decides which requests may still be sent. */
-import { runInBackground } from 'anvilarch-utils'
+import { type Clock, runInBackground } from 'anvilarch-utils'
 import type { EventLog } from '../telemetry/events'
+import type { ServingMetrics } from '../telemetry/metrics'
 import type { RequestIdentity } from './fingerprint'
 import { fingerprintOf } from './fingerprint'
+import { type ConnectResult, createLossProber, type LostEndpoint } from './lossProber'
 import type { SharedSuspects } from './shareSuspects'
 import type { LostRequest, SuspectRecord, SuspectTable } from './suspectTable'
 
@@ -19,11 +21,11 @@
   claimTrial: (request: RequestIdentity) => Promise<boolean>
   /** @returns whether a request may be sent to another endpoint; `mayHaveRun`: whether one of those before may have run it */
   mayRunAgain: (request: RequestIdentity, mayHaveRun: boolean) => boolean
-  /** Records that the connection was lost while the request was in progress. */
-  onConnectionLost: (request: RequestIdentity, startId: string) => void
+  /** Records that the connection was lost while the request was in progress, and finds out whether the endpoint has crashed. */
+  onConnectionLost: (request: RequestIdentity, endpoint: LostEndpoint) => void
   /** Records that the endpoint has presumably crashed. */
   onEndpointLost: (startId: string) => void
-  /** Records that a single endpoint has run the request from its start to its end, so that its parts are sound. */
+  /** Records that a single endpoint has run the request from its start to its end, so that the request and its parts are sound. */
   onCompleted: (request: RequestIdentity) => void
 }
 
@@ -43,18 +45,22 @@
 
 /** Options of `createCrashMonitor`. */
 export interface CrashMonitorOptions {
+  clock: Clock
+  metrics: Pick<ServingMetrics, 'lossProbes'>
   log: EventLog
   suspects: SuspectTable
   /** Exchange with other gateways. */
   shared: Pick<SharedSuspects, 'publish' | 'claimTrial' | 'clear'>
   storeNowMs: () => number | undefined
+  /** Attempts to connect to an endpoint. */
+  connect: (address: string) => Promise<ConnectResult>
 }
 
 /**
  * @param options - suspects and their exchange
  * @returns the monitor
  */
-export function createCrashMonitor ({ log, suspects, shared, storeNowMs }: CrashMonitorOptions): CrashMonitor {
+export function createCrashMonitor ({ clock, metrics, log, suspects, shared, storeNowMs, connect }: CrashMonitorOptions): CrashMonitor {
   const publishNew = (records: readonly SuspectRecord[]): void => {
     if (records.length > 0) shared.publish(records)
   }
@@ -62,6 +68,22 @@
   // Usually there is no suspect, so requests need not be hashed.
   const isQuarantined = (request: RequestIdentity): boolean => !suspects.isEmpty() && suspects.isQuarantined(fingerprintOf(request))
 
+  const actions: Record<ConnectResult, (startId: string) => void> = {
+    refused: startId => publishNew(suspects.onEndpointLost(startId)),
+    connected: suspects.onEndpointAlive,
+    // The end of its entry shows later whether the endpoint has crashed.
+    unknown: () => {}
+  }
+  const prober = createLossProber({
+    clock,
+    connect,
+    onResult: ({ startId }, result) => {
+      metrics.lossProbes.inc({ result })
+      log.info('endpoint probed after a lost connection', { endpoint: startId, result })
+      actions[result](startId)
+    }
+  })
+
   return {
     admit: request => {
       if (suspects.isEmpty()) return 'admitted'
@@ -81,10 +103,14 @@
       if (isQuarantined(request) || suspects.quarantinedParts(request.sharedParts).length > 0) return false
       return !mayHaveRun || !suspects.hasSuspectPart(request.sharedParts)
     },
-    onConnectionLost: (request, startId) => publishNew(suspects.onConnectionLost(lostRequestOf(request), startId)),
+    onConnectionLost: (request, endpoint) => {
+      publishNew(suspects.onConnectionLost(lostRequestOf(request), endpoint.startId))
+      prober.onConnectionLost(endpoint)
+    },
     onEndpointLost: startId => publishNew(suspects.onEndpointLost(startId)),
-    onCompleted: ({ sharedParts }) => {
-      for (const record of suspects.onCompleted(sharedParts)) runInBackground(log, 'clear a suspect', () => shared.clear(record))
+    onCompleted: request => {
+      const fingerprint = suspects.isEmpty() ? undefined : fingerprintOf(request)
+      for (const record of suspects.onCompleted(request.sharedParts, fingerprint)) runInBackground(log, 'clear a suspect', () => shared.clear(record))
     }
   }
 }
--- a/packages/anvilarch-serving/src/crashes/shareSuspects.ts
+++ b/packages/anvilarch-serving/src/crashes/shareSuspects.ts
@@ -22,7 +22,7 @@
   publish: (records: readonly SuspectRecord[]) => void
   /** Counts a trial of a quarantined part in its row. @returns whether no other gateway has claimed this trial */
   claimTrial: (record: SuspectRecord) => Promise<boolean>
-  /** Removes the row of a part that has turned out to be sound. */
+  /** Removes the row of a request or part that has turned out to be sound. */
   clear: (record: SuspectRecord) => Promise<void>
 }
 
@@ -80,7 +80,7 @@
   const clear = async (record: SuspectRecord): Promise<void> => {
     const outcome = await store.commit({ conditions: [], puts: [], removes: [suspectKey(record.fingerprint)] })
     versions.delete(record.fingerprint)
-    log.info('suspect part cleared', { part: record.fingerprint, shared: outcome.outcome === 'committed' })
+    log.info('suspect cleared', { fingerprint: record.fingerprint, shared: outcome.outcome === 'committed' })
   }
 
   return {
--- a/packages/anvilarch-serving/src/crashes/suspectTable.ts
+++ b/packages/anvilarch-serving/src/crashes/suspectTable.ts
@@ -44,8 +44,13 @@
   onConnectionLost: (request: LostRequest, startId: string) => SuspectRecord[]
   /** Records that the endpoint refuses connections, was replaced or cannot be reached by its agent. @returns new records */
   onEndpointLost: (startId: string) => SuspectRecord[]
-  /** Records that an endpoint has run a request with these prompt parts to its end. @returns records that other gateways must remove too */
-  onCompleted: (sharedParts: readonly string[]) => SuspectRecord[]
+  /** Records that the endpoint accepts connections, so that the connections lost so far were lost for other reasons. */
+  onEndpointAlive: (startId: string) => void
+  /**
+   * Records that an endpoint has run a request with these prompt parts to its end. `fingerprint`: that of the request, if there are
+   * suspects. @returns records that other gateways must remove too
+   */
+  onCompleted: (sharedParts: readonly string[], fingerprint: string | undefined) => SuspectRecord[]
   /** Merges a record of another gateway. @returns the record merged with the local one */
   merge: (record: SuspectRecord) => SuspectRecord
   remove: (fingerprint: string) => void
@@ -78,8 +83,11 @@
 /** Crashes that one completion outweighs: sound parts are in progress at more crashes than they cause, since a crash takes all requests at an endpoint. */
 const CRASHES_PER_COMPLETION = 4
 
-/** A lost connection and a lost endpoint are attributed to the same crash within this time. A restart is listed after at most one heartbeat of 1.2 s. */
-export const CRASH_CORRELATION_MS = 2500
+/**
+ * A lost connection and a lost endpoint are attributed to the same crash within this time. The entry of an endpoint that crashed is
+ * removed after three heartbeats of 1.2 s; the rest is for the store and the feed.
+ */
+export const CRASH_CORRELATION_MS = 6000
 
 /** A record is removed this long after its last crash. */
 export const SUSPECT_RETENTION_MS = 600_000
@@ -183,8 +191,11 @@
       lostConnections.delete(startId)
       return connections.flatMap(connection => recordCrash(connection.request, startId))
     },
-    onCompleted: sharedParts => {
-      const cleared: SuspectRecord[] = []
+    onEndpointAlive: startId => { lostConnections.delete(startId) },
+    onCompleted: (sharedParts, fingerprint) => {
+      const requestRecord = fingerprint === undefined ? undefined : records.get(fingerprint)
+      if (requestRecord !== undefined) records.delete(requestRecord.fingerprint)
+      const cleared: SuspectRecord[] = requestRecord === undefined ? [] : [requestRecord]
       for (const part of sharedParts) {
         completions.add(part)
         const record = records.size === 0 ? undefined : records.get(partKeyOf(part))
--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -30,6 +30,8 @@
   hasListing: () => boolean
   /** Calls the listener once for each start of an endpoint, as soon as nothing may be sent to it any more. */
   onEvicted: (listener: (endpoint: Endpoint) => void) => void
+  /** Calls the listener once for each start of an endpoint, as soon as its entry is gone and is not likely to come back. */
+  onUnlisted: (listener: (endpoint: Endpoint) => void) => void
 }
 
 /** Options of `createEndpointTable`. */
@@ -61,6 +63,7 @@
   const unusableReasons = new Map<string, string>()
   const logRateLimiter = createLogRateLimiter(clock, UNUSABLE_LINES_PER_SECOND)
   const evictionListeners: Array<(endpoint: Endpoint) => void> = []
+  const unlistingListeners: Array<(endpoint: Endpoint) => void> = []
   let listed = false
   let isFirstListing = false
   /** Cached results of `usable` by service and version, valid until an entry changes or the status of one changes with time. */
@@ -76,6 +79,7 @@
   const evict = (id: string, entry: Entry): void => {
     entries.delete(id)
     if (!entry.unlisted) versions.onUnlisted(entry.endpoint)
+    if (!entry.unlisted || entry.retainedUntilMs !== undefined) for (const listener of unlistingListeners) listener(entry.endpoint)
     for (const listener of evictionListeners) listener(entry.endpoint)
   }
 
@@ -135,6 +139,7 @@
     versions.onUnlisted(entry.endpoint)
     entry.leavingSinceMs ??= nowMs
     if (expired) entry.retainedUntilMs = nowMs + EXPIRED_RETENTION_MS
+    else for (const listener of unlistingListeners) listener(entry.endpoint)
     log.info('endpoint removed from the list', { endpoint: entry.endpoint.startId, service: entry.endpoint.service, held: expired })
   }
 
@@ -196,7 +201,8 @@
     hasStart: startId => [...entries.values()].some(entry => entry.endpoint.startId === startId),
     all: () => [...entries.values()].filter(entry => !entry.unlisted && isValid(entry)).map(entry => entry.endpoint),
     hasListing: () => listed,
-    onEvicted: listener => { evictionListeners.push(listener) }
+    onEvicted: listener => { evictionListeners.push(listener) },
+    onUnlisted: listener => { unlistingListeners.push(listener) }
   }
 }
 
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -122,7 +122,7 @@
     if (isFull(reason)) full.add(endpoint.startId)
     if (!isTransientFailure(reason)) loads.onFailure(endpoint.startId)
     if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
-    if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint.startId)
+    if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint)
     metrics.attemptFailures.inc({ kind: route.kind, reason: metricReason })
     attemptLog.failed(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
@@ -184,8 +184,9 @@
     cancelResponseTimeout()
     running.release(entry)
     loads.onSuccess(entry.endpoint.startId)
-    // Several endpoints may complete a stream together, although each of them crashes.
-    if (state.attemptsThatMayHaveRun === 0 && metadata.lastEventId === undefined) parts.crashes.onCompleted(requestIdentityOf(client))
+    // Several endpoints may complete a stream together, although each of them crashes. A lookup is completed by one endpoint.
+    const isWholeRun = route.kind !== 'stream' || (state.attemptsThatMayHaveRun === 0 && metadata.lastEventId === undefined)
+    if (isWholeRun) parts.crashes.onCompleted(requestIdentityOf(client))
     // The request waits in the queue until its first event and holds the slot from then on.
     if (state.service !== undefined && state.firstEventAtMs !== undefined) {
       parts.holdTimes.onCompleted(state.service, clock.nowMs() - state.firstEventAtMs)
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -4,6 +4,7 @@
 import { createCrashMonitor } from '../crashes/crashMonitor'
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
 import { createSuspectTable } from '../crashes/suspectTable'
+import { probeConnection } from '../endpoints/connectProbe'
 import { createConnectionPools } from '../endpoints/connectionPools'
 import { createLoadProber } from '../endpoints/loadProber'
 import { createLoadTable } from '../endpoints/loadTable'
@@ -65,7 +66,7 @@
   const pools = createConnectionPools({ limitOf })
   const suspects = createSuspectTable(clock, context.store.storeNowMs)
   const shared = shareSuspects(context, suspects)
-  const crashes = createCrashMonitor({ log, suspects, shared, storeNowMs: context.store.storeNowMs })
+  const crashes = createCrashMonitor({ clock, metrics: context.metrics, log, suspects, shared, storeNowMs: context.store.storeNowMs, connect: probeConnection })
   view.follow({ table: SUSPECT_TABLE, partitions: DEFAULT_PARTITIONS, listener: shared.listener })
   const onReport = (report: LoadReport): void => {
     // Reports about a start that is not listed yet are repeated. A stored one would leak if the start is never listed.
@@ -104,9 +105,9 @@
     loads.remove(endpoint.startId)
     prober.remove(endpoint)
     usageReporter.remove(endpoint)
-    // A draining endpoint stops as planned, which is not a crash.
-    if (endpoint.state === 'ready') crashes.onEndpointLost(endpoint.startId)
   })
+  // A draining endpoint stops as planned, which is not a crash.
+  view.endpoints.onUnlisted(endpoint => { if (endpoint.state === 'ready') crashes.onEndpointLost(endpoint.startId) })
   const traffic = createTrafficCounters()
   const ageMs = (table: string): number | undefined => {
     const answeredAtMs = view.answeredAtMs(table)
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -26,10 +26,12 @@
   'engine started anew': { endpoint: string, bornAtMs: number }
   'endpoint removed from the list': { endpoint: string, service: string, held: boolean }
 
+  'endpoint probed after a lost connection': { endpoint: string, result: string }
   'request in progress at a crash': { fingerprint: string, crashCount: number, endpoint: string }
   /** One request with a quarantined prompt part is let through, to see whether the part still crashes endpoints. */
   'quarantined part tried again': { part: string, trials: number }
-  'suspect part cleared': { part: string, shared: boolean }
+  /** An endpoint has completed the request, or one with the prompt part. */
+  'suspect cleared': { fingerprint: string, shared: boolean }
   'suspects not shared': { recordCount: number }
 
   // The store.
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -20,6 +20,7 @@
   connectionsClosedUnread: Counter
   connectionsClosedByDrain: Counter
   attemptFailures: Counter<'kind' | 'reason'>
+  lossProbes: Counter<'result'>
   processPauses: Counter
   storeCalls: Counter<'call' | 'result'>
   jobCalls: Counter<'call' | 'outcome'>
@@ -51,6 +52,7 @@
     connectionsClosedUnread: new Counter({ name: 'anvilarch_connections_closed_unread_total', help: 'New connections of clients that were closed before their request was read, because far more than usual came to this process', registers }),
     connectionsClosedByDrain: new Counter({ name: 'anvilarch_connections_closed_by_drain_total', help: 'Connections of clients that were closed because this process stops, after their last response', registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
+    lossProbes: new Counter({ name: 'anvilarch_loss_probes_total', help: 'Connections made to find out whether an endpoint has crashed, by result', labelNames: ['result'], registers }),
     processPauses: new Counter({ name: 'anvilarch_own_pauses_total', help: 'Times that this process stood still when it should have listened to an endpoint, and so did not judge it', registers }),
     storeCalls: new Counter({ name: 'anvilarch_store_calls_total', help: 'Calls to the metadata store by result', labelNames: ['call', 'result'], registers }),
     jobCalls: new Counter({ name: 'anvilarch_job_calls_total', help: 'Calls about jobs by outcome', labelNames: ['call', 'outcome'], registers }),
