Say that a service has had one version only where a row has recorded it

Cause: a service with one version had no row, so that gateways that started after the kill took one listed version and no row for one version ever.

--- a/packages/anvilarch-serving/src/roles/gatewayStreams.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayStreams.ts
@@ -4,6 +4,7 @@
 import { type PeerGateway, rankKeepers } from '../streams/keepers'
 import { createKnownVersions } from '../streams/knownVersions'
 import { createStreamOrigins, type StreamOrigins } from '../streams/streamOrigins'
+import { MAX_FRESH_LIST_AGE_MS } from '../streams/versionHistory'
 import { shareVersions } from '../streams/versionRows'
 import { DEFAULT_PARTITIONS, type PlatformView } from './followPlatform'
 import type { RoleContext } from './types'
@@ -39,6 +40,9 @@
     log,
     history,
     retentionMs,
+    followedSinceMs: () => view.followedSinceMs(table),
+    isFirstStart: settings.isFirstStart,
+    isListFresh: () => view.answerAgeMs(table) <= MAX_FRESH_LIST_AGE_MS,
     writes: service => rankKeepers([own, ...gateways()], service).slice(0, WRITER_COUNT).includes(own),
     signal
   })
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -30,6 +30,8 @@
   limitBounds: LimitBounds
   /** Whether accounts above their share are refused first while room is short. */
   sharesRoom: boolean
+  /** Whether the fleet starts for the first time, so that no stream has begun before. */
+  isFirstStart: boolean
   /** Whether a gateway that has had no response from the store for `maxRevocationDelayMs` refuses callers with keys. */
   failsClosed: boolean
   /** Longest time for which a revoked key may still be accepted, in milliseconds. */
--- a/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
@@ -4,12 +4,12 @@
 import type { PeerMessage } from '../../endpoints/peerMessages'
 import type { PeerAddress } from '../../endpoints/peerSocket'
 import type { Endpoint } from '../../model/types'
-import type { MetadataStore, StoredRow } from '../../store/types'
+import type { MetadataStore, StoredRow, TransactionOutcome } from '../../store/types'
 import type { EventLog } from '../../telemetry/events'
 import { createStoreOrigins } from './storeOrigins'
 import { createKnownVersions } from '../knownVersions'
 import { createStreamOrigins, type StreamOrigins } from '../streamOrigins'
-import { createVersionHistory, type VersionHistory } from '../versionHistory'
+import { createVersionHistory, MAX_FRESH_LIST_AGE_MS, type VersionHistory } from '../versionHistory'
 import { shareVersions } from '../versionRows'
 
 export const SERVICE = 's'
@@ -25,6 +25,9 @@
 
 const RESPONSE_DELAY_MS = 5
 
+/** Gateways that write rows of versions first. */
+const FIRST_WRITERS: ReadonlySet<string> = new Set(['g0', 'g1', 'g2'])
+
 /** One start of a gateway. */
 export interface FleetGateway {
   name: string
@@ -55,6 +58,8 @@
   storeVersions: () => string[]
   /** Starts an endpoint of a version, or ends the one that it has. */
   setListed: (softwareVersion: string, listed: boolean) => void
+  /** Sets the share of writes to the store that it refuses. */
+  setWriteFailureShare: (share: number) => void
   kill: (gateway: FleetGateway) => void
   /** Replaces a killed gateway by a new start of the same name. */
   restart: (gateway: FleetGateway) => FleetGateway
@@ -84,6 +89,9 @@
   const gateways: FleetGateway[] = []
   const ports = new Map<string, number>()
 
+  let writeFailureShare = 0
+  let storeVersion = 0
+  let hasRestarted = false
   const costs = { datagrams: 0, storeWrites: 0, storeReads: 0 }
 
   const deliver = (message: PeerMessage, from: PeerAddress, to: PeerAddress): void => {
@@ -128,11 +136,15 @@
         const isInRange = ({ key }: StoredRow): boolean => (from === undefined || key >= from) && (to === undefined || key < to)
         return await respond(() => Ok({ rows: [...rows.values()].filter(row => row.table === table && isInRange(row)), version: 1 }), Err({ reason: 'cut' }))
       },
-      commit: async ({ puts }) => {
+      commit: async ({ conditions, puts }) => {
         costs.storeWrites++
-        return await respond(() => {
-          for (const put of puts) rows.set(`${put.table}/${put.key}`, { ...put, version: 1 })
-          return { outcome: 'committed', version: 1 }
+        if (random.next() < writeFailureShare) return await respond<TransactionOutcome>(() => ({ outcome: 'refused', reason: 'over_rate' }), { outcome: 'refused', reason: 'cut' })
+        return await respond<TransactionOutcome>(() => {
+          const current = conditions.flatMap(({ table, key }) => rows.get(`${table}/${key}`) ?? [])
+          if (conditions.some(({ table, key, version }) => (rows.get(`${table}/${key}`)?.version ?? 0) !== version)) return { outcome: 'conflict', rows: current }
+          storeVersion++
+          for (const put of puts) rows.set(`${put.table}/${put.key}`, { ...put, version: storeVersion })
+          return { outcome: 'committed', version: storeVersion }
         }, { outcome: 'refused', reason: 'cut' })
       }
     } as Partial<MetadataStore> as MetadataStore
@@ -150,7 +162,16 @@
     const shared = { clock, history, retentionMs: () => RETENTION_MS }
     const versions = createKnownVersions({
       ...shared,
-      rows: shareVersions({ ...shared, store, log, writes: () => true, signal: controller.signal }),
+      rows: shareVersions({
+        ...shared,
+        store,
+        log,
+        followedSinceMs: () => gateway.followedSinceMs,
+        isFirstStart: !hasRestarted,
+        isListFresh: () => clock.nowMs() - gateway.answeredAtMs <= MAX_FRESH_LIST_AGE_MS,
+        writes: () => FIRST_WRITERS.has(name),
+        signal: controller.signal
+      }),
       listAgeMs: () => clock.nowMs() - gateway.answeredAtMs,
       followedSinceMs: () => gateway.followedSinceMs,
       isFeedOverdue: () => clock.nowMs() - gateway.answeredAtMs > OVERDUE_MS,
@@ -196,11 +217,13 @@
       if (isListed) listed.add(version)
       else listed.delete(version)
     },
+    setWriteFailureShare: share => { writeFailureShare = share },
     kill: gateway => {
       gateway.alive = false
       gateway.stop()
     },
     restart: gateway => {
+      hasRestarted = true
       gateways.splice(gateways.indexOf(gateway), 1)
       return start(gateway.name)
     },
--- a/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
+++ b/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
@@ -24,6 +24,15 @@
 /** Machines that had a fault within this time count as out of touch. */
 const CONTACT_MS = 3000
 
+/** Share of faults that end all gateways at once, as a loss of power does. */
+const KILL_ALL_SHARE = 0.1
+
+/** Gateways that are killed together are back after at most this long. */
+const MAX_DOWN_MS = 2000
+
+/** A client that finds no gateway tries again after this long. */
+const NO_GATEWAY_RETRY_MS = 200
+
 interface OpenStream {
   requestId: string
   softwareVersion: string
@@ -43,9 +52,13 @@
 
 async function resume (fleet: OriginFleet, stream: OpenStream, tally: Tally): Promise<void> {
   await sleep(fleet.clock, fleet.random.between(1, MAX_RESUME_DELAY_MS))
-  const alive = fleet.gateways.filter(gateway => gateway.alive && gateway.listed.size > 0)
-  if (alive.length === 0) return
-  const gateway = fleet.random.pick(alive)
+  const findGateway = (): FleetGateway | undefined => {
+    const alive = fleet.gateways.filter(gateway => gateway.alive && gateway.listed.size > 0)
+    return alive.length === 0 ? undefined : fleet.random.pick(alive)
+  }
+  for (let waitedMs = 0; findGateway() === undefined && waitedMs < RETENTION_MS / 2; waitedMs += NO_GATEWAY_RETRY_MS) await sleep(fleet.clock, NO_GATEWAY_RETRY_MS)
+  const gateway = findGateway()
+  if (gateway === undefined) return
   const isInTouch = gateway.inTouch && fleet.clock.nowMs() - gateway.calmSinceMs > CONTACT_MS
   const result = await gateway.origins.resolve(stream.requestId, [SERVICE])
   const allowed = result.resolution === 'bound' ? [result.origin.softwareVersion] : result.resolution === 'single' ? [...result.versions.values()] : []
@@ -82,8 +95,26 @@
   else if (listed.length > 1) fleet.setListed(version, false)
 }
 
+/** Replaces the only versions by another one, as a release does that ends while no gateway runs. */
+function replaceVersions (fleet: OriginFleet): void {
+  const next = fleet.random.pick(VERSIONS)
+  for (const version of fleet.storeVersions()) fleet.setListed(version, false)
+  fleet.setListed(next, true)
+}
+
+/** Kills all gateways at once; each is back after a time of its own. @returns the streams that this has broken */
+function killAll (fleet: OriginFleet, open: readonly OpenStream[]): OpenStream[] {
+  const killed = fleet.gateways.filter(gateway => gateway.alive)
+  killed.forEach(fleet.kill)
+  for (const gateway of killed) fleet.clock.after(fleet.random.between(10, MAX_DOWN_MS), () => { fleet.restart(gateway) })
+  if (fleet.random.next() < 0.5) fleet.clock.after(fleet.random.between(1, MAX_DOWN_MS), () => replaceVersions(fleet))
+  return [...open]
+}
+
 /** @returns the streams that the fault has broken */
 function injectFault (fleet: OriginFleet, open: readonly OpenStream[]): OpenStream[] {
+  if (fleet.random.next() < KILL_ALL_SHARE) return killAll(fleet, open)
+  fleet.setWriteFailureShare(fleet.random.pick([0, 0, 0.5, 1]))
   const gateway = fleet.random.pick(fleet.gateways)
   if (!gateway.alive) {
     fleet.restart(gateway)
@@ -102,12 +133,14 @@
   const fleet = createOriginFleet(seed, gatewayCountOf(seed), DATAGRAM_LOSS, KEEPING)
   const tally: Tally = { streams: 2 * STEPS, datagrams: 0, storeWrites: 0, storeReads: 0, mixed: [], resumedInTouch: 0, wentOnInTouch: 0 }
   const resuming: Array<Promise<void>> = []
+  // In some fleets versions coexist most of the time, in others a service has one version until it is replaced.
+  const changeShare = fleet.random.pick([0, 0.005, 0.05])
   let open: OpenStream[] = []
   await fleet.advance(RETENTION_MS / 2)
   for (let step = 0; step < STEPS; step++) {
     begin(fleet, open, `r${step}`)
     begin(fleet, open, `q${step}`)
-    if (fleet.random.next() < 0.05) changeVersions(fleet)
+    if (fleet.random.next() < changeShare) changeVersions(fleet)
     if (fleet.random.next() < 0.06) {
       const broken = injectFault(fleet, open)
       open = open.filter(stream => !broken.includes(stream))
--- a/packages/anvilarch-serving/src/streams/knownVersions.ts
+++ b/packages/anvilarch-serving/src/streams/knownVersions.ts
@@ -5,7 +5,7 @@
 
 /** Versions as known to this gateway. */
 export interface KnownVersions {
-  /** @returns whether a second version of the service is known, or may have been listed since the list was last updated */
+  /** @returns whether a second version of the service is known, or may have been listed before the first or since the last update of the list */
   mayBeSeveral: (service: string) => boolean
   /**
    * Reads what is missing from the store.
@@ -37,7 +37,6 @@
  */
 export function createKnownVersions (options: KnownVersionsOptions): KnownVersions {
   const { clock, history } = options
-  let rowsLoadedAtMs = -Infinity
   let refreshing: Promise<boolean> | undefined
 
   const hasSeveral = (service: string): boolean => history.recent(service).length > 1
@@ -45,28 +44,28 @@
   const isListFresh = (): boolean => options.listAgeMs() <= MAX_FRESH_LIST_AGE_MS
 
   /** Versions that were listed before a start or a gap are only in the rows of the store, until they no longer matter. */
-  const isHistoryComplete = (): boolean => {
+  const isHistoryComplete = (service: string): boolean => {
     const sinceMs = options.followedSinceMs() ?? Infinity
-    return rowsLoadedAtMs > sinceMs || clock.nowMs() - sinceMs > options.retentionMs()
+    if (clock.nowMs() - sinceMs > options.retentionMs()) return true
+    return options.rows.loadedAtMs() > sinceMs && options.rows.coversRetention(service)
   }
 
   const read = async (): Promise<boolean> => {
-    const [listRead, rowsRead] = await Promise.all([isListFresh() || options.readList(), isHistoryComplete() || options.rows.load()])
-    if (rowsRead) rowsLoadedAtMs = clock.nowMs()
+    const [listRead, rowsRead] = await Promise.all([isListFresh() || options.readList(), options.rows.load()])
     return listRead && rowsRead
   }
 
-  const refresh = async (): Promise<boolean> => {
-    if (isListFresh() && isHistoryComplete()) return true
+  const refresh = async (services: readonly string[]): Promise<boolean> => {
+    if (isListFresh() && services.every(isHistoryComplete)) return true
     // Many streams break at once when a gateway is lost.
     refreshing ??= read().finally(() => { refreshing = undefined })
-    return await refreshing
+    return await refreshing && services.every(isHistoryComplete)
   }
 
   return {
-    mayBeSeveral: service => hasSeveral(service) || options.isFeedOverdue(),
+    mayBeSeveral: service => hasSeveral(service) || options.isFeedOverdue() || !isHistoryComplete(service),
     singleVersions: async services => {
-      if (services.some(hasSeveral) || !await refresh() || services.some(hasSeveral)) return undefined
+      if (services.some(hasSeveral) || !await refresh(services) || services.some(hasSeveral)) return undefined
       return new Map(services.flatMap(service => history.recent(service).map(version => [service, version])))
     }
   }
--- a/packages/anvilarch-serving/src/streams/versionHistory.ts
+++ b/packages/anvilarch-serving/src/streams/versionHistory.ts
@@ -13,9 +13,11 @@
   listed: (service: string) => string[]
   /** @returns the versions that were listed at some time within the retention */
   recent: (service: string) => string[]
-  /** @returns whether all gateways with a fresh list have listed the version, so that new streams may begin at it */
+  /** Makes versions settle only once they are recorded. */
+  requireRecords: (isRecorded: (service: string, softwareVersion: string) => boolean) => void
+  /** @returns whether all gateways with a fresh list have listed the version, and it is recorded, so that new streams may begin at it */
   isSettled: (service: string, softwareVersion: string) => boolean
-  /** @returns time until the last version of the service is settled, in milliseconds; 0 if all are */
+  /** @returns time until the last version of the service may be settled, in milliseconds; 0 if all are */
   settlesInMs: (service: string) => number
   /** Calls the listener with the service after a version was listed for the first time, or is no longer listed. */
   onChange: (listener: (service: string) => void) => void
@@ -27,6 +29,9 @@
 /** Time from the first listing of a version until new streams begin at it: the age of a fresh list, and some delay of its feed. */
 export const SETTLING_MS = MAX_FRESH_LIST_AGE_MS + 200
 
+/** A version that is not recorded yet may be recorded at any time, so its state is looked at again after this long. */
+const RECORD_CHECK_MS = 50
+
 interface VersionState {
   listedCount: number
   settledAtMs: number
@@ -42,6 +47,7 @@
 export function createVersionHistory (clock: Clock, retentionMs: () => number): VersionHistory {
   const services = new Map<string, Map<string, VersionState>>()
   const listeners: Array<(service: string) => void> = []
+  let isRecorded = (_service: string, _softwareVersion: string): boolean => true
 
   const versionsOf = (service: string): Map<string, VersionState> => {
     const known = services.get(service)
@@ -91,10 +97,13 @@
       if (versions.size > 1) removeExpired(versions)
       return [...versions.keys()]
     },
-    isSettled: (service, softwareVersion) => (versionsOf(service).get(softwareVersion)?.settledAtMs ?? Infinity) <= clock.nowMs(),
+    requireRecords: check => { isRecorded = check },
+    isSettled: (service, softwareVersion) => (versionsOf(service).get(softwareVersion)?.settledAtMs ?? Infinity) <= clock.nowMs() && isRecorded(service, softwareVersion),
     settlesInMs: service => {
+      const listed = [...versionsOf(service)].filter(([, state]) => state.listedCount > 0)
       const settledAtMs = Math.max(-Infinity, ...[...versionsOf(service).values()].map(state => state.settledAtMs))
-      return Math.max(0, settledAtMs - clock.nowMs())
+      const waitsForRecord = listed.some(([version]) => !isRecorded(service, version))
+      return Math.max(0, settledAtMs - clock.nowMs(), waitsForRecord ? RECORD_CHECK_MS : 0)
     },
     onChange: listener => { listeners.push(listener) }
   }
--- a/packages/anvilarch-serving/src/streams/versionRows.ts
+++ b/packages/anvilarch-serving/src/streams/versionRows.ts
@@ -3,23 +3,19 @@
 import type { MetadataStore, StoredRow } from '../store/types'
 import type { EventLog } from '../telemetry/events'
 import type { VersionHistory } from './versionHistory'
+import { decodeVersionRecord, encodeVersionRecord, isCurrent, nextRecord, type OwnVersions, recentVersions, type VersionRecord } from './versionRecord'
 
-/** Table with a row for each service that has had several versions. */
+/** Table with a row for each service that has had endpoints. */
 export const VERSION_TABLE = 'software-versions'
 
-/** Value of a row, written at each change of the listed versions. */
-interface VersionRow {
-  listed: string[]
-  /** Versions that were listed before, or are listed. */
-  recent: string[]
-  /** Store time of the change, in milliseconds. */
-  changedAtMs: number
-}
-
 /** Exchange of recent versions through the store. */
 export interface VersionRows {
   /** Adds versions that were listed before this process started. @returns whether the store has responded */
   load: () => Promise<boolean>
+  /** @returns local time of the last load; `-Infinity` before the first */
+  loadedAtMs: () => number
+  /** @returns whether the service's row has named every version at which a stream has begun for the whole retention, as of the last load or write */
+  coversRetention: (service: string) => boolean
 }
 
 /** Options of `shareVersions`. */
@@ -29,7 +25,13 @@
   log: EventLog
   history: VersionHistory
   retentionMs: () => number
-  /** @returns whether this gateway is one of the few that write the row of the service */
+  /** @returns local time since which the list of endpoints has been followed without a gap; undefined before the first listing */
+  followedSinceMs: () => number | undefined
+  /** Whether the fleet starts for the first time, so that no stream has begun before. */
+  isFirstStart: boolean
+  /** @returns whether the list is recent enough to say which versions are listed */
+  isListFresh: () => boolean
+  /** @returns whether this gateway is one of the few that write the row of the service first */
   writes: (service: string) => boolean
   signal: AbortSignal
 }
@@ -39,8 +41,17 @@
 /** Pause before a row is written again. */
 const WRITE_RETRY_MS = 300
 
+/** Time after which a gateway writes a row that the first writers should have written. A new version is settled later than that. */
+const SECOND_WRITER_DELAY_MS = 400
+
+interface KnownRow {
+  record: VersionRecord
+  version: number
+}
+
 /**
- * Writes a row at each change while a service has several versions. A service with one version has no row and costs no call.
+ * Writes a row at each change of the listed versions. New streams begin only at versions that a row names, so that the loss of all
+ * gateways leaves no stream behind whose version is in no row.
  *
  * @param options - store, history and writers
  * @returns the exchange
@@ -48,54 +59,90 @@
 export function shareVersions (options: ShareVersionsOptions): VersionRows {
   const { store, clock, log, history, signal } = options
   const writing = new Set<string>()
+  const rows = new Map<string, KnownRow>()
+  let loadedAtMs = -Infinity
+  let loading: Promise<boolean> | undefined
 
-  const tryWrite = async (service: string): Promise<boolean> => {
+  const applyRow = (row: StoredRow, storeNowMs: number): void => {
+    const record = decodeVersionRecord(row.value)
+    if (record === undefined) {
+      log.warn('row cannot be used', { table: VERSION_TABLE, key: row.key, field: '', reason: 'is no record of versions' })
+      return
+    }
+    if ((rows.get(row.key)?.version ?? 0) > row.version) return
+    rows.set(row.key, { record, version: row.version })
+    history.onReported(row.key, recentVersions(record, storeNowMs, options.retentionMs()))
+  }
+
+  const read = async (): Promise<boolean> => {
+    const result = await store.readRows({ table: VERSION_TABLE, partition: PARTITION })
     const storeNowMs = store.storeNowMs()
-    if (storeNowMs === undefined) return false
-    const value: VersionRow = { listed: history.listed(service), recent: history.recent(service), changedAtMs: storeNowMs }
-    const outcome = await store.commit({ conditions: [], puts: [{ table: VERSION_TABLE, partition: PARTITION, key: service, value: Buffer.from(JSON.stringify(value)) }], removes: [] })
-    return outcome.outcome === 'committed'
+    if (result.err || storeNowMs === undefined) return false
+    for (const row of result.val.rows) applyRow(row, storeNowMs)
+    loadedAtMs = clock.nowMs()
+    return true
+  }
+
+  const load = async (): Promise<boolean> => {
+    loading ??= read().finally(() => { loading = undefined })
+    return await loading
+  }
+
+  const isRecorded = (service: string, version: string): boolean => rows.get(service)?.record.recent.includes(version) === true
+
+  const tryWrite = async (service: string): Promise<void> => {
+    const storeNowMs = store.storeNowMs()
+    const followedSinceMs = options.followedSinceMs()
+    if (storeNowMs === undefined || followedSinceMs === undefined || !options.isListFresh()) return
+    const known = rows.get(service)
+    const own: OwnVersions = {
+      listed: history.listed(service),
+      recent: history.recent(service),
+      followedSinceMs: storeNowMs - (clock.nowMs() - followedSinceMs),
+      isFirstStart: options.isFirstStart
+    }
+    const record = nextRecord(own, known?.record, storeNowMs, options.retentionMs())
+    const key = { table: VERSION_TABLE, partition: PARTITION, key: service }
+    const outcome = await store.commit({ conditions: [{ ...key, version: known?.version ?? 0 }], puts: [{ ...key, value: encodeVersionRecord(record) }], removes: [] })
+    if (outcome.outcome === 'committed') rows.set(service, { record, version: outcome.version })
+    else if (outcome.outcome === 'conflict') outcome.rows.forEach(row => applyRow(row, storeNowMs))
+  }
+
+  const isWritten = (service: string): boolean => {
+    const record = rows.get(service)?.record
+    const listed = history.listed(service)
+    if (record === undefined) return listed.length === 0
+    return options.writes(service) ? isCurrent(record, listed) : listed.every(version => isRecorded(service, version))
   }
 
   const write = async (service: string): Promise<void> => {
     if (writing.has(service)) return
     writing.add(service)
-    while (!signal.aborted) {
-      const listed = history.listed(service).join()
-      // The versions may change while the row is written.
-      if (await tryWrite(service) && history.listed(service).join() === listed) break
-      await sleep(clock, WRITE_RETRY_MS, signal)
+    // Rows are read first, as those of the time before this start are to be added to.
+    while (!signal.aborted && !await load()) await sleep(clock, WRITE_RETRY_MS, signal)
+    if (!options.writes(service) && !isWritten(service)) {
+      await sleep(clock, SECOND_WRITER_DELAY_MS, signal)
+      await load()
+    }
+    while (!signal.aborted && !isWritten(service)) {
+      await tryWrite(service)
+      if (!isWritten(service)) await sleep(clock, WRITE_RETRY_MS, signal)
     }
     writing.delete(service)
   }
 
-  history.onChange(service => {
-    if (history.recent(service).length > 1 && options.writes(service)) runInBackground(log, 'share software versions', () => write(service))
-  })
+  history.requireRecords(isRecorded)
+  history.onChange(service => { runInBackground(log, 'share software versions', () => write(service)) })
 
   return {
-    load: async () => {
-      const read = await store.readRows({ table: VERSION_TABLE, partition: PARTITION })
+    load,
+    loadedAtMs: () => loadedAtMs,
+    coversRetention: service => {
       const storeNowMs = store.storeNowMs()
-      if (read.err || storeNowMs === undefined) return false
-      for (const row of read.val.rows) {
-        const decoded = decodeRow(row)
-        if (decoded === undefined) log.warn('row cannot be used', { table: VERSION_TABLE, key: row.key, field: '', reason: 'is no record of versions' })
-        // A version that was listed at the last change may have been listed until just now.
-        else history.onReported(row.key, storeNowMs - decoded.changedAtMs > options.retentionMs() ? decoded.listed : decoded.recent)
-      }
-      return true
+      const completeSinceMs = rows.get(service)?.record.completeSinceMs
+      // No stream has begun at a service that has neither a row nor an endpoint.
+      if (!rows.has(service)) return history.recent(service).length === 0
+      return storeNowMs !== undefined && completeSinceMs !== undefined && storeNowMs - completeSinceMs > options.retentionMs()
     }
   }
 }
-
-function decodeRow (row: StoredRow): VersionRow | undefined {
-  try {
-    const value = JSON.parse(row.value.toString()) as Partial<VersionRow>
-    if (!Array.isArray(value.listed) || !Array.isArray(value.recent) || typeof value.changedAtMs !== 'number') return undefined
-    return { listed: value.listed, recent: [...new Set([...value.listed, ...value.recent])], changedAtMs: value.changedAtMs }
-  } catch {
-    // The caller logs the row.
-    return undefined
-  }
-}
