Leave expired items unclaimed, so that they are given up

Cause: only items that no runner has claimed are given up, and runners went on claiming expired ones in turn.

--- a/packages/anvilarch-serving/src/runner/__tests__/givenUpItems.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/givenUpItems.test.ts
@@ -34,6 +34,18 @@
     expect(outcomes()).toEqual({ completed: runningCount, givenUp: SLOTS + 1 - runningCount })
   })
 
+  // Guards against expired items that runners go on claiming in turn, so that no runner finds them waiting.
+  it('are given up while every engine refuses them', async () => {
+    fleet = createRunnerFleet(3, { eventCounts: Array(SLOTS).fill(5), calls: [], runs: [], expiryMs: EXPIRY_MS })
+    for (const agent of fleet.agents) agent.setFault({ fault: 'status', status: 503 })
+    await fleet.clock.advanceAsync(EXPIRY_MS)
+    expect(outcomes()).toEqual({ completed: 0, givenUp: 0 })
+    const runsBefore = fleet.runs.length
+    await fleet.clock.advanceAsync(5000)
+    expect(outcomes()).toEqual({ completed: 0, givenUp: SLOTS })
+    expect(fleet.runs.length).toBeLessThanOrEqual(runsBefore + SLOTS)
+  })
+
   // Guards against a claim made in order to give an item up, which stays in the store when it gets no answer.
   it.each<CallOutcome>(['unanswered', 'late'])('leave no claim behind when the writes get no answer: %s', async outcome => {
     fleet = createRunnerFleet(1, { eventCounts: [5], calls: [], runs: [], expiryMs: EXPIRY_MS })
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -1,6 +1,7 @@
 /** Runs batch items in the spare slots of the local engine. */
 import { runInBackground, sleep } from 'anvilarch-utils'
 import { createResultReader } from '../jobs/resultReader'
+import { isExpired } from '../jobs/jobRecord'
 import type { JobRecord } from '../jobs/types'
 import { isRoutedTo } from '../routing/jobRoute'
 import type { EventFields } from '../telemetry/events'
@@ -149,7 +150,13 @@
     return job !== undefined && mayRun(job)
   }
 
-  const state: RunnerState = { claimedItems, lifecycle, engineBackoff, isRouted, choiceInput }
+  const isItemExpired = (entry: ClaimedItem): boolean => {
+    const job = parts.work.job(entry.jobId)?.record
+    const storeNowMs = parts.store.storeNowMs()
+    return job !== undefined && storeNowMs !== undefined && isExpired(job, storeNowMs)
+  }
+
+  const state: RunnerState = { claimedItems, lifecycle, engineBackoff, isRouted, isExpired: isItemExpired, choiceInput }
   const slotScheduler = createSlotScheduler(parts, state)
   const claimMaintenance = createClaimMaintenance(parts, state)
   const jobMaintenance = createJobMaintenance({ ...parts, choiceInput, stopping: controller.signal })
--- a/packages/anvilarch-serving/src/runner/claimMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/claimMaintenance.ts
@@ -17,7 +17,7 @@
   releaseOrphanedClaims: () => Promise<void>
   sampleEventIntervals: () => void
   saveRunning: () => void
-  /** Releases items that are paused for too long, no longer routed to the engine's service, or better run elsewhere, and all running items when the endpoint is not ready. */
+  /** Releases items that are paused for too long, expired, no longer routed to the engine's service, or better run elsewhere, and all running items when the endpoint is not ready. */
   releaseUnwanted: (endpoint: Endpoint | undefined) => void
 }
 
@@ -41,7 +41,7 @@
  * @param state - items of the runner
  * @returns the maintenance
  */
-export function createClaimMaintenance (parts: RunnerParts, state: Pick<RunnerState, 'claimedItems' | 'lifecycle' | 'isRouted'>): ClaimMaintenance {
+export function createClaimMaintenance (parts: RunnerParts, state: Pick<RunnerState, 'claimedItems' | 'lifecycle' | 'isRouted' | 'isExpired'>): ClaimMaintenance {
   const { clock, log, runTimeEstimator } = parts
   const { claimedItems, lifecycle } = state
 
@@ -108,6 +108,8 @@
     releaseUnwanted: endpoint => {
       const nowMs = clock.nowMs()
       if (endpoint !== undefined) releaseAll(claimedItems.inState('paused').filter(entry => !state.isRouted(entry)), 'not_routed')
+      // Items are given up only while no runner holds them.
+      releaseAll(claimedItems.inState('paused').filter(state.isExpired), 'expired')
       releaseAll(claimedItems.inState('paused').filter(entry => nowMs - entry.pausedAtMs > maxPauseMs(entry)), 'long_paused')
       if (endpoint?.state === 'ready') releaseAll(betterElsewhere(), 'better_elsewhere')
       else releaseAll(claimedItems.inState('running'), 'endpoint_not_ready')
--- a/packages/anvilarch-serving/src/runner/itemChoice.ts
+++ b/packages/anvilarch-serving/src/runner/itemChoice.ts
@@ -1,7 +1,7 @@
 /** Chooses the items that a runner claims next. */
 import { v3 as murmurhash } from 'murmurhash'
 import { mixHashes } from 'anvilarch-utils'
-import { isClosed, openItems } from '../jobs/jobRecord'
+import { isClosed, isExpired, openItems } from '../jobs/jobRecord'
 import type { ClaimRecord, JobRecord, MemberRecord } from '../jobs/types'
 import type { WorkTable } from '../jobs/workTable'
 
@@ -89,12 +89,12 @@
 /**
  * @param input - jobs, claims and members
  * @param limit - maximum number of items
- * @returns free items, chosen from the most urgent ones
+ * @returns free items, chosen from the most urgent ones; none of an expired job, whose free items are given up
  */
 export function chooseItems (input: ItemChoiceInput, limit: number): Candidate[] {
   const open = [...input.work.jobs()]
     .map(entry => entry.record)
-    .filter(job => !isClosed(job) && input.mayRun(job))
+    .filter(job => !isClosed(job) && !isExpired(job, input.storeNowMs) && input.mayRun(job))
     .sort((a, b) => adjustedDueMs(a, input) - adjustedDueMs(b, input))
   const window = Math.max(1, input.runners.length) * limit
   const inTime: Candidate[] = []
--- a/packages/anvilarch-serving/src/runner/itemLifecycle.ts
+++ b/packages/anvilarch-serving/src/runner/itemLifecycle.ts
@@ -36,7 +36,7 @@
 }
 
 /** Why an item is released before it has ended. */
-export type ReleaseReason = 'long_paused' | 'not_routed' | 'endpoint_not_ready' | 'better_elsewhere' | 'stopping'
+export type ReleaseReason = 'long_paused' | 'expired' | 'not_routed' | 'endpoint_not_ready' | 'better_elsewhere' | 'stopping'
 
 /** Operations on items. */
 export interface ItemLifecycle {
--- a/packages/anvilarch-serving/src/runner/slotScheduler.ts
+++ b/packages/anvilarch-serving/src/runner/slotScheduler.ts
@@ -38,7 +38,7 @@
   const startItems = (count: number, online: number): void => {
     const storeNowMs = parts.store.storeNowMs()
     if (storeNowMs === undefined || !engineBackoff.mayStart()) return
-    const resumable = claimedItems.inState('paused').filter(entry => entry.backoff.mayStart() && state.isRouted(entry))
+    const resumable = claimedItems.inState('paused').filter(entry => entry.backoff.mayStart() && state.isRouted(entry) && !state.isExpired(entry))
     const paused = resumable.map(entry => ({
       entry,
       sortKey: sortKeyOf(entry, storeNowMs),
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -42,6 +42,8 @@
   engineBackoff: StartBackoff
   /** @returns whether the configuration in force routes the item's job to the service of the local engine */
   isRouted: (entry: ClaimedItem) => boolean
+  /** @returns whether the item's job has expired, so that the item may be given up */
+  isExpired: (entry: ClaimedItem) => boolean
   /** @returns the input for choosing items */
   choiceInput: (storeNowMs: number) => ItemChoiceInput
 }
