Bound what an engine may send without end

Now buffered responses share 64 MiB, a report has 1 MiB, the text of an item 8 MiB, and comments restart no timeout.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from '../../telemetry/events'
 import { createTrafficCounters } from '../../telemetry/trafficCounters'
 import { forwardRequest } from '../forwardRequest'
+import { createByteBudget } from '../byteBudget'
 import { createHoldTimes } from '../holdTimes'
 
 /** Handler of an exchange, as undici calls it. */
@@ -263,6 +264,7 @@
     },
     drainState: { isDraining: () => false },
     holdTimes: createHoldTimes(),
+    responseBudget: createByteBudget(Infinity),
     crashes: {
       admit: () => isQuarantined ? 'quarantined' : 'admitted',
       claimTrial: async () => false,
--- a/packages/anvilarch-serving/src/requests/__tests__/silentEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/silentEndpoint.test.ts
@@ -80,4 +80,16 @@
     await clock.advanceAsync(0)
     expect(client).toMatchObject({ ended: true, body: 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n' })
   })
+
+  // Guards against a stream that stays at an endpoint for as long as that one sends comments.
+  it('is one that sends comments alone', async () => {
+    const { clock, sent } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 5000 })
+    await clock.advanceAsync(0)
+    sent[0].event(1)
+    for (let waitedMs = 0; waitedMs < SILENCE_MS; waitedMs += 50) {
+      sent[0].block(': alive')
+      await clock.advanceAsync(50)
+    }
+    expect(sent).toHaveLength(2)
+  })
 })
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -15,6 +15,7 @@
 import type { LogRateLimiter } from '../telemetry/logRateLimiter'
 import type { TrafficCounters } from '../telemetry/trafficCounters'
 import type { ServingMetrics } from '../telemetry/metrics'
+import type { ByteBudget } from './byteBudget'
 import type { DrainState } from './clientResponse'
 import type { HoldTimes } from './holdTimes'
 import type { RequestLog } from './requestLog'
@@ -34,6 +35,8 @@
   wire: RequestWire
   drainState: DrainState
   holdTimes: HoldTimes
+  /** Limits the responses that are buffered at the same time. */
+  responseBudget: ByteBudget
   crashes: CrashMonitor
   streamOrigins: StreamOrigins
   limits: Pick<RateLimiter, 'acquire'>
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -2,6 +2,7 @@
 import { isFramed } from 'anvilarch-utils'
 import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
+import type { ByteBudget } from './byteBudget'
 import type { AttemptFailure } from './retryDecision'
 import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
 import { forwardedHeaders } from './headers'
@@ -24,6 +25,8 @@
   streams: boolean
   /** Id of the event after which the stream resumes. */
   afterEventId: number | undefined
+  /** Shared by all requests of this process, since their responses are buffered at the same time. */
+  budget: ByteBudget
   /** Whether another endpoint may resume the stream, which requires an id on each event. */
   resumable: boolean
   onHead: (head: { status: number, rawHeaders: string[] }) => void
@@ -126,9 +129,16 @@
     return [...forwardedHeaders(rawHeaders, NO_HEADERS), ...length === undefined ? [] : ['Content-Length', length]]
   }
 
+  const releaseBuffered = (): void => {
+    options.budget.release(bufferedBytes)
+    bufferedBytes = 0
+    chunks.length = 0
+  }
+
   const fail = (failure: AttemptFailure, reason: string): void => {
     if (ended) return
     ended = true
+    releaseBuffered()
     exchange.abort()
     options.onFailure(failure, reason)
   }
@@ -181,9 +191,12 @@
   }
 
   const onBufferedData = (chunk: Buffer): void => {
+    if (bufferedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES || !options.budget.tryTake(chunk.length)) {
+      fail('may_have_run', 'answer_too_large')
+      return
+    }
     bufferedBytes += chunk.length
-    if (bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES) fail('may_have_run', 'answer_too_large')
-    else chunks.push(chunk)
+    chunks.push(chunk)
   }
 
   const onData = (chunk: Buffer): void => {
@@ -230,8 +243,10 @@
       return
     }
     ended = true
+    const body = Buffer.concat(chunks)
+    releaseBuffered()
     if (head.events) options.onStreamEnd()
-    else options.onResponse({ status: head.status, rawHeaders: head.rawHeaders, body: Buffer.concat(chunks) })
+    else options.onResponse({ status: head.status, rawHeaders: head.rawHeaders, body })
   }
 
   const exchange: Exchange = startExchange(options.pool, options.request, {
@@ -244,6 +259,7 @@
     mayHaveRun: exchange.mayHaveBeenSent,
     abort: () => {
       ended = true
+      releaseBuffered()
       exchange.abort()
     }
   }
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -221,6 +221,9 @@
     response.flushHeaders()
   }
 
+  /** A block without id and data holds only comments, which are no sign that the endpoint runs the request. */
+  const onComment = (bytes: Buffer): void => { if (running.count() === 1) response.write(bytes) }
+
   const onEvent = (entry: RunningAttempt, bytes: Buffer, id: number | undefined): void => {
     const nowMs = clock.nowMs()
     entry.isSilent = false
@@ -245,8 +248,9 @@
     streams: route.kind === 'stream',
     afterEventId: state.lastEventId,
     resumable: route.resumable,
+    budget: parts.responseBudget,
     onHead: head => onHead(entry, head),
-    onEvent: (bytes, id) => onEvent(entry, bytes, id),
+    onEvent: (bytes, id, data) => id === undefined && data === '' ? onComment(bytes) : onEvent(entry, bytes, id),
     onStreamEnd: () => onStreamEnd(entry),
     onResponse: endpointResponse => onResponse(entry, endpointResponse),
     onFailure: (failure, reason) => onFailure(entry, failure, reason)
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -18,6 +18,9 @@
 /** The engine is on the same host; an engine that takes longer to report is down or unresponsive. */
 const REPORT_TIMEOUT_MS = 300
 
+/** Limit on a report: some 100 bytes for each run of the engine. */
+const MAX_REPORT_BYTES = 1024 * 1024
+
 /** Interval of member listings while other agents have claimed items. Delays the detection of a lost claim holder by up to this time. */
 const BUSY_MEMBERS_INTERVAL_MS = 2000
 
@@ -107,13 +110,27 @@
   }
 }
 
-function readReport (pool: Pool, wire: EngineWire, clock: Clock): Promise<EngineReport | undefined> {
+/**
+ * @param pool - connections to the engine
+ * @param wire - path and decoder of reports
+ * @param clock - clock for the timeout
+ * @returns the report; undefined if there is none in time or it is not usable
+ */
+export function readReport (pool: Pool, wire: EngineWire, clock: Clock): Promise<EngineReport | undefined> {
   return new Promise(resolve => {
     const chunks: Buffer[] = []
     let status = 0
+    let receivedBytes = 0
     const exchange = startExchange(pool, { method: 'GET', path: wire.reportPath, headers: [], body: undefined }, {
       onHead: responseStatus => { status = responseStatus },
-      onData: chunk => { chunks.push(chunk) },
+      onData: chunk => {
+        receivedBytes += chunk.length
+        if (receivedBytes <= MAX_REPORT_BYTES) chunks.push(chunk)
+        else {
+          exchange.abort()
+          settle(undefined)
+        }
+      },
       onComplete: () => settle(status === 200 ? wire.decodeReport(Buffer.concat(chunks)) : undefined),
       onFailure: () => settle(undefined)
     })
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -16,6 +16,7 @@
 import { createJobCalls } from '../jobs/jobCalls'
 import { createResultReader } from '../jobs/resultReader'
 import type { WorkTable } from '../jobs/workTable'
+import { createByteBudget } from '../requests/byteBudget'
 import type { DrainState } from '../requests/clientResponse'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { createHoldTimes } from '../requests/holdTimes'
@@ -41,6 +42,9 @@
 /** Maximum rate of log lines about successful requests, about 300 bytes each. Lines about other requests are always written. */
 const SUCCESS_LINES_PER_SECOND = 20
 
+/** Limit on the responses of endpoints that are buffered at the same time: a sixth of the memory of the smallest host. */
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+
 /** Connection limit of a gateway until the configuration sets one. */
 const DEFAULT_CONNECTION_LIMIT = 16
 
@@ -124,6 +128,7 @@
     wire: wire.request,
     drainState,
     holdTimes: createHoldTimes(),
+    responseBudget: createByteBudget(MAX_BUFFERED_BYTES),
     crashes,
     streamOrigins,
     limits: accounts.limits,
--- a/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
@@ -1,4 +1,4 @@
-import { createFakeClock } from 'anvilarch-utils'
+import { createFakeClock, type FakeClock } from 'anvilarch-utils'
 import type { Pool } from 'undici'
 import type { EngineWire } from '../../roles/types'
 import type { RequestWire } from '../../requests/types'
@@ -94,3 +94,64 @@
     expect(await endOfRun({ status, body: '' }, textUpToSecondEvent())).toEqual({ end })
   })
 })
+
+describe('a run whose engine sends bytes without end', () => {
+  interface OpenRun {
+    clock: FakeClock
+    text: ItemText
+    ends: RunEnd[]
+    send: (bytes: string) => void
+    isAborted: () => boolean
+  }
+
+  async function openRun (): Promise<OpenRun> {
+    const clock = createFakeClock()
+    const text = startOfText()
+    const ends: RunEnd[] = []
+    let aborted = false
+    let send = (_bytes: string): void => {}
+    const dispatch = (_options: unknown, handler: Record<'onConnect' | 'onHeaders' | 'onData', (...args: unknown[]) => void>): boolean => {
+      handler.onConnect(() => { aborted = true })
+      handler.onHeaders(200, ['content-type', 'text/event-stream', 'transfer-encoding', 'chunked'].map(part => Buffer.from(part)))
+      send = bytes => { handler.onData(Buffer.from(bytes)) }
+      return true
+    }
+    runItem({
+      clock,
+      pool: { dispatch } as unknown as Pool,
+      requestWire: { decodeResponse: () => ({ requestId: 'item', signed: true, notRun: false }) } as unknown as RequestWire,
+      engineWire: { encodeItem: () => [] } as unknown as EngineWire,
+      item: { id: 'item', path: '/', headers: {}, body: Buffer.alloc(0), tokens: 10 },
+      host: 'h',
+      account: undefined,
+      endpointId: 'e1',
+      deadlineMs: 100_000,
+      text,
+      onEvent: () => {},
+      onEnd: end => ends.push(end)
+    })
+    await new Promise(resolve => setImmediate(resolve))
+    return { clock, text, ends, send: bytes => send(bytes), isAborted: () => aborted }
+  }
+
+  // Guards against an item that keeps its slot for as long as its engine sends comments.
+  it('is interrupted if they are comments', async () => {
+    const { clock, ends, send, isAborted } = await openRun()
+    for (let count = 0; count < 30; count++) {
+      send(': alive\n\n')
+      clock.advance(100)
+    }
+    expect(ends).toEqual([{ end: 'interrupted', reason: 'silent' }])
+    expect(isAborted()).toBe(true)
+  })
+
+  // Guards against a runner that collects events until its memory is used up.
+  it('is interrupted, and its text discarded, if they are events', async () => {
+    const { text, ends, send, isAborted } = await openRun()
+    const data = 'a'.repeat(1024 * 1024)
+    for (let id = 1; id <= 9; id++) send(`id: ${id}\ndata: ${data}\n\n`)
+    expect(ends).toEqual([{ end: 'interrupted', reason: 'text_too_large' }])
+    expect(text).toMatchObject({ lastEventId: 0, eventData: [] })
+    expect(isAborted()).toBe(true)
+  })
+})
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -2,6 +2,7 @@
 import { type Clock, createInactivityTimeout } from 'anvilarch-utils'
 import type { Pool } from '../endpoints/httpPool'
 import type { JobItem } from '../jobs/types'
+import { createByteBudget } from '../requests/byteBudget'
 import { type Attempt, startAttempt } from '../requests/runAttempt'
 import type { RequestWire } from '../requests/types'
 import type { EngineWire } from '../roles/types'
@@ -43,6 +44,12 @@
 /** An engine that sends no event for this long is assumed to have stopped running the item. Events arrive every 25 ms, and at a few times that interval from a slow engine. */
 const EVENT_TIMEOUT_MS = 2500
 
+/** Limit on the text of an item: the store keeps objects of up to 8 MiB. */
+const MAX_TEXT_BYTES = 8 * 1024 * 1024
+
+/** Limit on a response that is no stream of events, which is a failure of the engine. */
+const MAX_RESPONSE_BYTES = 1024 * 1024
+
 const IMPOSSIBLE_STATUS = 422
 const FAILED_STATUS = 500
 
@@ -53,6 +60,7 @@
 export function runItem (options: ItemRunOptions): Attempt {
   const { clock, text, item } = options
   let ended = false
+  let textBytes = text.eventData.reduce((sum, data) => sum + data.length, 0)
   const finish = (end: RunEnd): void => {
     if (ended) return
     ended = true
@@ -67,6 +75,13 @@
       finish({ end: 'interrupted', reason: 'silent' })
     }
   })
+  /** No result may be this long, so that the events are not those of the item. */
+  const discardText = (): void => {
+    text.lastEventId = 0
+    text.eventData = []
+    attempt.abort()
+    finish({ end: 'interrupted', reason: 'text_too_large' })
+  }
   const resumesAfter = text.lastEventId > 0 ? text.lastEventId : undefined
   const attempt = startAttempt({
     pool: options.pool,
@@ -86,14 +101,17 @@
     streams: true,
     afterEventId: text.lastEventId,
     resumable: true,
+    budget: createByteBudget(MAX_RESPONSE_BYTES),
     onHead: eventTimeout.recordActivity,
     onEvent: (_bytes, id, data) => {
-      eventTimeout.recordActivity()
-      // Ignores a block that holds only comments.
+      // A block that holds only comments is no sign that the engine runs the item.
       if (id === undefined) return
+      eventTimeout.recordActivity()
       text.lastEventId = id
       text.eventData.push(data)
-      options.onEvent()
+      textBytes += data.length
+      if (textBytes > MAX_TEXT_BYTES) discardText()
+      else options.onEvent()
     },
     onStreamEnd: () => finish(endOfEvents(text)),
     onResponse: response => finish(endOfResponse(response.status)),
