--- a/packages/anvilarch-serving/src/requests/__tests__/endlessResponses.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/endlessResponses.test.ts
@@ -9,7 +9,7 @@
 /** More than any limit on a response, with what the sockets hold. */
 const MAX_SENT_BYTES = 24 * 1024 * 1024
 
-const SIGNED = 'x-request-id: r\r\nx-signature: s\r\n'
+const SIGNED = 'request-id: r\r\nsignature: s\r\n'
 
 /** An endpoint that sends the start of a response and then one chunk again and again until its connection is closed. */
 interface EndlessEndpoint {
@@ -72,7 +72,7 @@
   outcome.attempt = startAttempt({
     pool: endpoint.pool,
     wire: {
-      decodeResponse: headers => ({ requestId: headers.get('x-request-id'), signed: headers.has('x-signature'), notRun: headers.has('x-not-run') })
+      decodeResponse: headers => ({ requestId: headers.get('request-id'), signed: headers.has('signature'), notRun: headers.has('not-run') })
     } as never,
     requestId: 'r',
     request: { method: 'GET', path: '/', headers: [], body: undefined },
@@ -102,7 +102,7 @@
     ['in many headers', 'HTTP/1.1 200 OK\r\n', 'x-a: b\r\n'.repeat(1000)],
     ['in a body of known type', signedChunked('application/json'), sized],
     ['in a body without a length', `HTTP/1.1 200 OK\r\n${SIGNED}content-type: text/plain\r\n\r\n`, letters],
-    ['in the body of a refusal', `HTTP/1.1 503 Full\r\n${SIGNED}x-not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n`, sized],
+    ['in the body of a refusal', `HTTP/1.1 503 Full\r\n${SIGNED}not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n`, sized],
     ['in one event', signedChunked('text/event-stream') + '7\r\nid: 1\r\n\r\n', sized],
     ['in trailers', signedChunked('application/json') + '0\r\n', 'x-a: b\r\n'.repeat(1000)]
   ])('%s end the attempt and close the connection', async (_name, head, chunk) => {
