--- a/packages/anvilarch-serving/src/accounts/limits/meterGateways.ts
+++ b/packages/anvilarch-serving/src/accounts/limits/meterGateways.ts
@@ -15,14 +15,15 @@
 const FIRST_START_MS = 5000
 
 /**
- * @param gateway - the gateway
  * @param members - daemons as listed by the store
  * @param storeNowMs - current store time
- * @returns store time from which the gateway may keep meters; `-Infinity` for a gateway of the first start
+ * @returns live gateways, each with the store time from which it may keep meters; `-Infinity` for those of the first start
  */
-export function settledAtMs (gateway: MemberRecord, members: Iterable<MemberRecord>, storeNowMs: number): number {
-  const firstKnownMs = Math.min(...aliveGateways(members, storeNowMs).map(knownSinceMs))
-  return knownSinceMs(gateway) - firstKnownMs < FIRST_START_MS ? -Infinity : knownSinceMs(gateway) + SETTLING_MS
+export function settlingTimes (members: Iterable<MemberRecord>, storeNowMs: number): ReadonlyMap<MemberRecord, number> {
+  const alive = aliveGateways(members, storeNowMs)
+  const firstKnownMs = Math.min(...alive.map(knownSinceMs))
+  const settledAtMs = (gateway: MemberRecord): number => knownSinceMs(gateway) - firstKnownMs < FIRST_START_MS ? -Infinity : knownSinceMs(gateway) + SETTLING_MS
+  return new Map(alive.map(gateway => [gateway, settledAtMs(gateway)]))
 }
 
 /**
@@ -31,8 +32,7 @@
  * @returns gateways that may keep meters
  */
 export function eligibleMeterGateways (members: Iterable<MemberRecord>, storeNowMs: number): MeterGateway[] {
-  const alive = aliveGateways(members, storeNowMs)
-  return alive.filter(gateway => settledAtMs(gateway, alive, storeNowMs) <= storeNowMs)
+  return [...settlingTimes(members, storeNowMs)].filter(([, settledAtMs]) => settledAtMs <= storeNowMs).map(([gateway]) => gateway)
 }
 
 /**
@@ -41,8 +41,7 @@
  * @returns store time at which other gateways become eligible unless the rows change; `Infinity` if none do
  */
 export function nextEligibilityChangeMs (members: Iterable<MemberRecord>, storeNowMs: number): number {
-  const alive = aliveGateways(members, storeNowMs)
-  const changesAtMs = alive.flatMap(gateway => [gateway.aliveUntilMs, settledAtMs(gateway, alive, storeNowMs)])
+  const changesAtMs = [...settlingTimes(members, storeNowMs)].flatMap(([gateway, settledAtMs]) => [gateway.aliveUntilMs, settledAtMs])
   return Math.min(...changesAtMs.filter(atMs => atMs > storeNowMs), Infinity)
 }
 
--- a/packages/anvilarch-serving/src/accounts/limits/meterHomes.ts
+++ b/packages/anvilarch-serving/src/accounts/limits/meterHomes.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from 'anvilarch-utils'
 import type { MemberRecord } from '../../jobs/types'
-import { eligibleMeterGateways, type MeterGateway, nextEligibilityChangeMs, selectMeterGateways, settledAtMs } from './meterGateways'
+import { eligibleMeterGateways, type MeterGateway, nextEligibilityChangeMs, selectMeterGateways, settlingTimes } from './meterGateways'
 
 /** Gateways that keep meters, as of the current store time. */
 export interface MeterHomes {
@@ -82,12 +82,12 @@
     otherHome,
     mayGrantAsHome: accountName => otherHome(accountName) === undefined && !isStoreTimeLate(),
     isTakingOver: windowMs => {
-      const members = options.members()
-      const own = members.find(({ name }) => name === ownName)
       const storeNowMs = options.storeNowMs()
-      if (own === undefined || storeNowMs === undefined) return false
-      const atMs = settledAtMs(own, members, storeNowMs)
-      return atMs <= storeNowMs && storeNowMs - atMs < windowMs
+      if (storeNowMs === undefined) return false
+      const own = [...settlingTimes(options.members(), storeNowMs)].find(([{ name }]) => name === ownName)
+      if (own === undefined) return false
+      const sinceSettledMs = storeNowMs - own[1]
+      return sinceSettledMs >= 0 && sinceSettledMs < windowMs
     }
   }
 }
