Split the sending of attempts and simplify what the reading of the change found

The ends of a request and the record of its attempts have a module of their own, the probe after a lost connection logs its errors, rows of versions are read only where they are needed, and the text of an item is counted in bytes. No change of behaviour otherwise.

--- a/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
+++ b/packages/anvilarch-serving/src/crashes/__tests__/crashMonitor.test.ts
@@ -161,6 +161,7 @@
     let connections = 0
     const prober = createLossProber({
       clock,
+      log: SILENT_LOGGER as EventLog,
       connect: async () => {
         connections++
         return 'refused'
@@ -175,9 +176,11 @@
   it('is made again if another connection is lost meanwhile', async () => {
     const results: ConnectResult[] = ['connected', 'refused']
     const reported: ConnectResult[] = []
-    const prober = createLossProber({ clock, connect: async () => results.shift() ?? 'unknown', onResult: (_endpoint, result) => reported.push(result) })
-    prober.onConnectionLost({ startId: 'e1', address: 'a1' })
-    clock.advance(PROBE_DELAY_MS / 2)
+    const connect = async (): Promise<ConnectResult> => {
+      if (results.length === 2) prober.onConnectionLost({ startId: 'e1', address: 'a1' })
+      return results.shift() ?? 'unknown'
+    }
+    const prober = createLossProber({ clock, log: SILENT_LOGGER as EventLog, connect, onResult: (_endpoint, result) => reported.push(result) })
     prober.onConnectionLost({ startId: 'e1', address: 'a1' })
     await clock.advanceAsync(2 * PROBE_DELAY_MS)
     expect(reported).toEqual(['refused'])
--- a/packages/anvilarch-serving/src/crashes/crashMonitor.ts
+++ b/packages/anvilarch-serving/src/crashes/crashMonitor.ts
@@ -76,6 +76,7 @@
   }
   const prober = createLossProber({
     clock,
+    log,
     connect,
     onResult: ({ startId }, result) => {
       metrics.lossProbes.inc({ result })
--- a/packages/anvilarch-serving/src/crashes/lossProber.ts
+++ b/packages/anvilarch-serving/src/crashes/lossProber.ts
@@ -3,8 +3,9 @@
  *
  * Load: a quiet hour, in which no other request of this gateway would find out before the endpoint is back.
  */
-import type { Clock } from 'anvilarch-utils'
+import { type Clock, runInBackground, sleep } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
+import type { EventLog } from '../telemetry/events'
 
 /** Result of an attempt to connect. `unknown`: no response in time, or any other failure. */
 export type ConnectResult = 'connected' | 'refused' | 'unknown'
@@ -21,6 +22,8 @@
 /** Options of `createLossProber`. */
 export interface LossProberOptions {
   clock: Clock
+  log: EventLog
+  /** Attempts to connect. */
   connect: (address: string) => Promise<ConnectResult>
   /** Called with each result that holds for all losses reported so far. */
   onResult: (endpoint: LostEndpoint, result: ConnectResult) => void
@@ -33,30 +36,31 @@
  * @param options - clock and connections
  * @returns a prober without probes in progress
  */
-export function createLossProber ({ clock, connect, onResult }: LossProberOptions): LossProber {
+export function createLossProber ({ clock, log, connect, onResult }: LossProberOptions): LossProber {
   /** Number of losses so far of the endpoints that are being probed. */
   const lossCounts = new Map<string, number>()
 
-  const probe = (endpoint: LostEndpoint): void => {
-    const lossCount = lossCounts.get(endpoint.startId)
-    clock.after(PROBE_DELAY_MS, () => {
-      connect(endpoint.address).catch((): ConnectResult => 'unknown').then(result => {
-        // A connection may have been lost after this one was made.
-        if (result === 'connected' && lossCounts.get(endpoint.startId) !== lossCount) {
-          probe(endpoint)
-          return
-        }
-        lossCounts.delete(endpoint.startId)
-        onResult(endpoint, result)
-      }).catch(() => {})
-    })
+  const probe = async (endpoint: LostEndpoint): Promise<void> => {
+    let lossCount: number | undefined
+    let result: ConnectResult = 'unknown'
+    try {
+      do {
+        await sleep(clock, PROBE_DELAY_MS)
+        lossCount = lossCounts.get(endpoint.startId)
+        result = await connect(endpoint.address)
+        // A connection that was lost meanwhile may have been lost after this one was made.
+      } while (result === 'connected' && lossCounts.get(endpoint.startId) !== lossCount)
+    } finally {
+      lossCounts.delete(endpoint.startId)
+    }
+    onResult(endpoint, result)
   }
 
   return {
     onConnectionLost: endpoint => {
       const lossCount = lossCounts.get(endpoint.startId)
       lossCounts.set(endpoint.startId, (lossCount ?? 0) + 1)
-      if (lossCount === undefined) probe(endpoint)
+      if (lossCount === undefined) runInBackground(log, 'probe an endpoint', () => probe(endpoint))
     }
   }
 }
--- a/packages/anvilarch-serving/src/requests/attemptRequest.ts
+++ b/packages/anvilarch-serving/src/requests/attemptRequest.ts
@@ -25,3 +25,13 @@
     body: body.length > 0 ? body : undefined
   }
 }
+
+/**
+ * @param client - the request as the client sent it
+ * @param state - progress of the request
+ * @returns whether the next send is the first one, begins again, or resumes a stream after its last event
+ */
+export function sendKindOf ({ metadata }: ClientRequest, state: RequestState): 'first' | 'again' | 'resumed' {
+  if (state.sendCount === 0) return 'first'
+  return state.lastEventId === metadata.lastEventId ? 'again' : 'resumed'
+}
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -1,14 +1,18 @@
-/** Sends one request to endpoints, one after another, until one responds or no further send is allowed. */
+/**
+ * Sends one request to endpoints until one responds or no further send is allowed: to another one after an endpoint has failed or
+ * refused, and beside one that is silent.
+ */
 import { createInactivityTimeout, type InactivityTimeout } from 'anvilarch-utils'
 import type { Endpoint } from '../model/types'
+import { createFinalSteps, NO_ENDPOINT_RESPONSE, recordCompletion, recordFailure } from './attemptEnd'
 import { createAttemptLog } from './attemptLog'
-import { attemptRequestOf } from './attemptRequest'
+import { attemptRequestOf, sendKindOf } from './attemptRequest'
 import { countResumption, recordOrigin } from './bindStream'
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
 import { unauthorizedResponse } from './clientResponse'
-import { type Attempt, type EndpointResponse, isBrokenConnection, isConnectionRefused, isFull, isTransientFailure, startAttempt } from './runAttempt'
+import { type Attempt, type EndpointResponse, isFull, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
 /** Attempts of one request. */
@@ -17,18 +21,12 @@
   prepare: () => Promise<void>
   /** Sends the request to the best endpoint that has not been tried. */
   sendPrepared: () => void
-  /** Aborts the attempt in progress and sends nothing afterwards. */
+  /** Aborts the attempts in progress and sends nothing afterwards. */
   stop: () => void
   /** Ends the request with a timeout response. */
   timeOut: () => void
 }
 
-/** Retry-After for requests that no endpoint has run: slots become free within a few hundred milliseconds. */
-const REFUSED_RETRY_AFTER_MS = 300
-
-/** Retry-After if there is no endpoint: a replacement is listed after about one heartbeat. */
-const NO_ENDPOINT_RETRY_AFTER_MS = 800
-
 /** Lowest status that endpoints use for failures of their own. */
 const FIRST_FAILURE_STATUS = 500
 
@@ -107,10 +105,7 @@
   const steps: Record<NextStep, (reason: string) => void> = {
     send_again: resend,
     wait: () => restartResponseTimeout(),
-    refuse: reason => end.respond({ status: 503, code: 'not_run', message: `no endpoint took the request (${reason})`, retryAfterMs: REFUSED_RETRY_AFTER_MS }),
-    fail: reason => end.respond({ status: 502, code: 'endpoint_failed', message: `the endpoint gave no whole answer (${reason})` }),
-    time_out: reason => end.respond({ status: 504, code: 'timeout', message: `no whole answer within ${state.timeoutMs} ms (${reason})` }),
-    break_off: reason => end.abortConnection(reason)
+    ...createFinalSteps(end, state.timeoutMs)
   }
 
   const onFailure = (entry: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => {
@@ -120,9 +115,7 @@
     if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
     else state.refusedSendCount++
     if (isFull(reason)) full.add(endpoint.startId)
-    if (!isTransientFailure(reason)) loads.onFailure(endpoint.startId)
-    if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
-    if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint)
+    recordFailure(parts, client, endpoint, failure, reason)
     metrics.attemptFailures.inc({ kind: route.kind, reason: metricReason })
     attemptLog.failed(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
@@ -184,13 +177,7 @@
     cancelResponseTimeout()
     running.release(entry)
     loads.onSuccess(entry.endpoint.startId)
-    // Several endpoints may complete a stream together, although each of them crashes. A lookup is completed by one endpoint.
-    const isWholeRun = route.kind !== 'stream' || (state.attemptsThatMayHaveRun === 0 && metadata.lastEventId === undefined)
-    if (isWholeRun) parts.crashes.onCompleted(requestIdentityOf(client))
-    // The request waits in the queue until its first event and holds the slot from then on.
-    if (state.service !== undefined && state.firstEventAtMs !== undefined) {
-      parts.holdTimes.onCompleted(state.service, clock.nowMs() - state.firstEventAtMs)
-    }
+    recordCompletion(parts, client, state)
   }
 
   const onResponse = (entry: RunningAttempt, endpointResponse: EndpointResponse): void => {
@@ -261,11 +248,6 @@
     entry.sentAtMs = undefined
   }
 
-  const sendKind = (): 'first' | 'again' | 'resumed' => {
-    if (state.sendCount === 0) return 'first'
-    return state.lastEventId === metadata.lastEventId ? 'again' : 'resumed'
-  }
-
   const stop = (): void => {
     stopped = true
     cancelResponseTimeout()
@@ -288,7 +270,7 @@
   /** Ends a request without an untried endpoint: endpoints may be removed while the request waits for their loads. */
   const endWithoutEndpoint = (): void => {
     if (state.attemptsThatMayHaveRun + running.count() > 0) steps[stepAfter('may_have_run')]('no_endpoint')
-    else end.respond({ status: 503, code: 'no_endpoint', message: 'no endpoint of the service is known', retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS })
+    else end.respond(NO_ENDPOINT_RESPONSE)
   }
 
   const sendPrepared = (): void => {
@@ -310,17 +292,12 @@
     }
     attemptLog.chosen(endpoint)
     state.tried.add(endpoint.startId)
-    metrics.sends.inc({ kind: route.kind, send: sendKind() })
+    metrics.sends.inc({ kind: route.kind, send: sendKindOf(client, state) })
     countResumption(parts, state, endpoint)
     state.sendCount++
     running.add(endpoint, entry => startAt(endpoint, entry))
     restartResponseTimeout()
   }
 
-  return {
-    prepare,
-    sendPrepared,
-    stop,
-    timeOut
-  }
+  return { prepare, sendPrepared, stop, timeOut }
 }
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -14,7 +14,7 @@
   applyLimits: (limits: ClientLimits) => void
   /** @returns requests whose response is not complete */
   unfinishedRequests: () => UnfinishedRequest[]
-  /** Accepts no further connections and requests. Each connection is closed as soon as it has no unfinished response. */
+  /** Accepts no further connections, and closes each open one as soon as it has no unfinished response. */
   finish: () => void
   /** Closes all connections. Unfinished responses are cut so that they do not look complete. */
   close: () => void
--- a/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
@@ -11,6 +11,16 @@
   type?: string
 }
 
+const ITEM = {
+  requestWire: { decodeResponse: () => ({ requestId: 'item', signed: true, notRun: false }) } as unknown as RequestWire,
+  engineWire: { encodeItem: () => [] } as unknown as EngineWire,
+  item: { id: 'item', path: '/', headers: {}, body: Buffer.alloc(0), tokens: 10 },
+  host: 'h',
+  account: undefined,
+  endpointId: 'e1',
+  deadlineMs: 100_000
+}
+
 /** Continues an item from a text at an engine that sends one complete response. */
 async function endOfRun (answer: Answer, text: ItemText): Promise<RunEnd | undefined> {
   const ends: RunEnd[] = []
@@ -27,13 +37,7 @@
   runItem({
     clock: createFakeClock(),
     pool: { dispatch } as unknown as Pool,
-    requestWire: { decodeResponse: () => ({ requestId: 'item', signed: true, notRun: false }) } as unknown as RequestWire,
-    engineWire: { encodeItem: () => [] } as unknown as EngineWire,
-    item: { id: 'item', path: '/', headers: {}, body: Buffer.alloc(0), tokens: 10 },
-    host: 'h',
-    account: undefined,
-    endpointId: 'e1',
-    deadlineMs: 1000,
+    ...ITEM,
     text,
     onEvent: () => {},
     onEnd: end => ends.push(end)
@@ -119,13 +123,7 @@
     runItem({
       clock,
       pool: { dispatch } as unknown as Pool,
-      requestWire: { decodeResponse: () => ({ requestId: 'item', signed: true, notRun: false }) } as unknown as RequestWire,
-      engineWire: { encodeItem: () => [] } as unknown as EngineWire,
-      item: { id: 'item', path: '/', headers: {}, body: Buffer.alloc(0), tokens: 10 },
-      host: 'h',
-      account: undefined,
-      endpointId: 'e1',
-      deadlineMs: 100_000,
+      ...ITEM,
       text,
       onEvent: () => {},
       onEnd: end => ends.push(end)
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -60,7 +60,7 @@
 export function runItem (options: ItemRunOptions): Attempt {
   const { clock, text, item } = options
   let ended = false
-  let textBytes = text.eventData.reduce((sum, data) => sum + data.length, 0)
+  let textBytes = text.eventData.reduce((sum, data) => sum + Buffer.byteLength(data), 0)
   const finish = (end: RunEnd): void => {
     if (ended) return
     ended = true
@@ -109,7 +109,7 @@
       eventTimeout.recordActivity()
       text.lastEventId = id
       text.eventData.push(data)
-      textBytes += data.length
+      textBytes += Buffer.byteLength(data)
       if (textBytes > MAX_TEXT_BYTES) discardText()
       else options.onEvent()
     },
--- a/packages/anvilarch-serving/src/streams/knownVersions.ts
+++ b/packages/anvilarch-serving/src/streams/knownVersions.ts
@@ -50,15 +50,15 @@
     return options.rows.loadedAtMs() > sinceMs && options.rows.coversRetention(service)
   }
 
-  const read = async (): Promise<boolean> => {
-    const [listRead, rowsRead] = await Promise.all([isListFresh() || options.readList(), options.rows.load()])
+  const read = async (services: readonly string[]): Promise<boolean> => {
+    const [listRead, rowsRead] = await Promise.all([isListFresh() || options.readList(), services.every(isHistoryComplete) || options.rows.load()])
     return listRead && rowsRead
   }
 
   const refresh = async (services: readonly string[]): Promise<boolean> => {
     if (isListFresh() && services.every(isHistoryComplete)) return true
     // Many streams break at once when a gateway is lost.
-    refreshing ??= read().finally(() => { refreshing = undefined })
+    refreshing ??= read(services).finally(() => { refreshing = undefined })
     return await refreshing && services.every(isHistoryComplete)
   }
 
