Log when a request that a drain ends was received, read and sent

The times of a drain are pure code (drain/drainSchedule.ts), and the state that requests see is one object.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -1,6 +1,7 @@
 /** Runs one client request on a fake clock, with in-memory endpoints and an in-memory client. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFakeClock, type FakeClock, SILENT_LOGGER, sleep } from 'anvilarch-utils'
+import { createDrainState } from '../../drain/drainState'
 import type { Pool } from '../../endpoints/httpPool'
 import type { Endpoint, Route } from '../../model/types'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -218,6 +219,7 @@
     }
   }
 
+  const drainState = createDrainState(clock)
   const metrics = createServingMetrics()
   const load = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
   const timeoutMs = options.timeoutMs ?? 2_000
@@ -262,7 +264,7 @@
       encodeSend: (_headers, terms) => ['deadline', String(terms.deadlineMs), 'go-on-after', String(terms.lastEventId ?? '')],
       decodeResponse: headers => ({ requestId: headers.get('request-id'), signed: headers.has('signature'), notRun: headers.has('not-run') })
     },
-    drainState: { isDraining: () => false },
+    drainState,
     holdTimes: createHoldTimes(),
     responseBudget: createByteBudget(Infinity),
     crashes: {
@@ -292,7 +294,8 @@
     route,
     caller: { caller: 'unchecked' },
     configurationVersion: 1,
-    arrivedAtMs: clock.nowMs()
+    arrivedAtMs: clock.nowMs(),
+    readAtMs: clock.nowMs()
   })
   return {
     clock,
--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -1,10 +1,6 @@
 /** Sends responses of this gateway to clients. */
 import type { ServerResponse } from 'node:http'
-
-/** Whether the process is draining. Responses of a draining process carry `Connection: close`. */
-export interface DrainState {
-  isDraining: () => boolean
-}
+import type { DrainState } from '../drain/drainState'
 
 /** A response that this process creates itself rather than an endpoint. */
 export interface GatewayResponse {
@@ -29,7 +25,7 @@
  * @param gatewayResponse - status, code and message
  * @param drainState - whether the connection is closed after the response
  */
-export function sendGatewayResponse (response: ServerResponse, gatewayResponse: GatewayResponse, drainState: DrainState): void {
+export function sendGatewayResponse (response: ServerResponse, gatewayResponse: GatewayResponse, drainState: Pick<DrainState, 'isDraining'>): void {
   if (gatewayResponse.retryAfterMs !== undefined) response.setHeader('Retry-After', String(gatewayResponse.retryAfterMs / 1000))
   if (gatewayResponse.credentialScheme !== undefined) response.setHeader('WWW-Authenticate', gatewayResponse.credentialScheme)
   sendJson(response, gatewayResponse.status, { error: { code: gatewayResponse.code, message: gatewayResponse.message } }, drainState)
@@ -41,7 +37,7 @@
  * @param body - value that is sent as JSON
  * @param drainState - whether the connection is closed after the response
  */
-export function sendJson (response: ServerResponse, status: number, body: unknown, drainState: DrainState): void {
+export function sendJson (response: ServerResponse, status: number, body: unknown, drainState: Pick<DrainState, 'isDraining'>): void {
   if (response.headersSent || response.destroyed) return
   const bytes = Buffer.from(JSON.stringify(body))
   if (drainState.isDraining()) response.setHeader('Connection', 'close')
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -7,6 +7,7 @@
 import { isFirstAttempt, type RefusedRequest, returnAtTurnMs } from './callerReturn'
 import type { GatewayResponse } from './clientResponse'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
+import { endByDrain } from './endByDrain'
 import { checkOverload, type Overload, type Refusal } from './overload'
 import { createRequestCompletion, type RequestCompletion } from './requestCompletion'
 import { createRequestLog } from './requestLog'
@@ -35,10 +36,12 @@
   let permit: Permit | undefined
   const end = createRequestCompletion(parts, client, state, () => {
     expiry.cancel()
+    unregister()
     parts.streamOrigins.onEnded(streamIdOf(client))
     if (permit?.granted === true && !mayHaveRun(state)) permit.refund()
   })
   const attempts = createAttempts(parts, client, state, end)
+  const unregister = endByDrain({ parts, client, state, attempts, end })
 
   const expiry = clock.after(state.deadlineAtMs - clock.nowMs(), () => {
     attempts.stop()
@@ -139,6 +142,7 @@
     tried: new Set(),
     attemptsThatMayHaveRun: 0,
     sendCount: 0,
+    firstSentAtMs: undefined,
     refusedSendCount: 0,
     lastEventId: metadata.lastEventId,
     responseStarted: false,
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -5,6 +5,7 @@
 import type { Caller } from '../accounts/types'
 import type { CrashMonitor } from '../crashes/crashMonitor'
 import type { RequestIdentity } from '../crashes/fingerprint'
+import type { DrainState } from '../drain/drainState'
 import type { ConnectionPools } from '../endpoints/connectionPools'
 import type { LoadTable } from '../endpoints/loadTable'
 import type { Placement, PlacementCriteria } from '../endpoints/placement'
@@ -16,7 +17,6 @@
 import type { TrafficCounters } from '../telemetry/trafficCounters'
 import type { ServingMetrics } from '../telemetry/metrics'
 import type { ByteBudget } from './byteBudget'
-import type { DrainState } from './clientResponse'
 import type { HoldTimes } from './holdTimes'
 import type { RequestLog } from './requestLog'
 import type { EndpointResponse } from './runAttempt'
@@ -62,6 +62,8 @@
   configurationVersion: number
   /** Local time at which the head arrived. */
   arrivedAtMs: number
+  /** Local time at which the body was complete. */
+  readAtMs: number
 }
 
 /** @returns the properties by which the request is recognized when its caller sends it again */
@@ -98,6 +100,8 @@
   attemptsThatMayHaveRun: number
   /** All sends, refused ones included. */
   sendCount: number
+  /** Local time of the first send. */
+  firstSentAtMs: number | undefined
   /** Sends that are known not to have run. */
   refusedSendCount: number
   /** Id of the last event that has been sent to the client. */
--- a/packages/anvilarch-serving/src/requests/requestCompletion.ts
+++ b/packages/anvilarch-serving/src/requests/requestCompletion.ts
@@ -1,7 +1,8 @@
 /** Ends a client request exactly once: its response, its metrics and its log line. */
 import { abortResponse } from 'anvilarch-utils'
 import { accountNameOf } from '../accounts/types'
-import { type DrainState, type GatewayResponse, sendGatewayResponse } from './clientResponse'
+import type { DrainState } from '../drain/drainState'
+import { type GatewayResponse, sendGatewayResponse } from './clientResponse'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { AnswerEnd } from '../telemetry/events'
 import type { TrafficOutcome } from '../telemetry/trafficCounters'
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -295,6 +295,7 @@
     metrics.sends.inc({ kind: route.kind, send: sendKindOf(client, state) })
     countResumption(parts, state, endpoint)
     state.sendCount++
+    state.firstSentAtMs ??= clock.nowMs()
     running.add(endpoint, entry => startAt(endpoint, entry))
     restartResponseTimeout()
   }
--- a/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import * as fc from 'fast-check'
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { drainSchedule } from '../../drain/drainSchedule'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type ClientServer, createClientServer } from '../clientServer'
@@ -65,7 +66,7 @@
 
 function startDrain ({ clients, clock }: Gateway): { isDone: () => boolean } {
   let done = false
-  drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, graceMs: GRACE_MS }).then(() => { done = true }, () => {})
+  drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule: drainSchedule(clock.nowMs(), GRACE_MS) }).then(() => { done = true }, () => {})
   return { isDone: () => done }
 }
 
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -8,7 +8,8 @@
 import type { EndpointTable } from '../endpoints/endpointTable'
 import type { JobCalls } from '../jobs/jobCalls'
 import type { Configuration, Route } from '../model/types'
-import { type DrainState, type GatewayResponse, sendGatewayResponse } from '../requests/clientResponse'
+import type { DrainState } from '../drain/drainState'
+import { type GatewayResponse, sendGatewayResponse } from '../requests/clientResponse'
 import { forwardRequest } from '../requests/forwardRequest'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { readBody } from '../requests/readBody'
@@ -100,7 +101,7 @@
     await call.jobs.submit({ request, response, route, caller, body: read.body, metadata, arrivedAtMs })
     return
   }
-  forwardRequest(forward, { request, response, body: read.body, metadata, route, caller, configurationVersion: found.configurationVersion, arrivedAtMs })
+  forwardRequest(forward, { request, response, body: read.body, metadata, route, caller, configurationVersion: found.configurationVersion, arrivedAtMs, readAtMs: forward.clock.nowMs() })
 }
 
 type FoundRoute = { route: Route, configurationVersion: number } | { route: undefined, refusal: GatewayResponse }
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -1,14 +1,9 @@
 /** Drains a gateway before its shutdown: accepts requests for a short time, then finishes those in progress. */
 import { type Clock, sleep } from 'anvilarch-utils'
+import type { DrainSchedule } from '../drain/drainSchedule'
 import type { EventLog } from '../telemetry/events'
 import type { ClientServer } from './clientServer'
 
-/** Clients keep sending for this long after readiness fails: two failed probes at one per second, and a margin. */
-const DRAIN_ACCEPT_MS = 2600
-
-/** The drain ends this long before the process would be killed. */
-const STOP_MARGIN_MS = 700
-
 /** Interval at which the drain checks for unfinished requests. */
 const STOP_POLL_MS = 50
 
@@ -17,22 +12,20 @@
   clients: ClientServer
   log: EventLog
   clock: Clock
-  /** Time from the stop signal until the process is killed, in milliseconds. */
-  graceMs: number
+  schedule: DrainSchedule
 }
 
 /**
  * Drains the server for clients.
  *
- * @param parts - server, log, clock and grace period
- * @returns a promise that resolves when all requests are finished or the grace period is nearly over
+ * @param parts - server, log, clock and times of the drain
+ * @returns a promise that resolves when all requests are finished or the drain is over
  */
-export async function drainClients ({ clients, log, clock, graceMs }: DrainParts): Promise<void> {
-  const deadlineMs = clock.nowMs() + graceMs - STOP_MARGIN_MS
-  await sleep(clock, DRAIN_ACCEPT_MS)
+export async function drainClients ({ clients, log, clock, schedule }: DrainParts): Promise<void> {
+  await sleep(clock, schedule.acceptUntilMs - clock.nowMs())
   clients.finish()
   logUnfinished(clients, log, clock)
-  while (clients.unfinishedRequests().length > 0 && clock.nowMs() < deadlineMs) await sleep(clock, STOP_POLL_MS)
+  while (clients.unfinishedRequests().length > 0 && clock.nowMs() < schedule.endAtMs) await sleep(clock, STOP_POLL_MS)
   log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests().length })
 }
 
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -4,6 +4,7 @@
 import { createCrashMonitor } from '../crashes/crashMonitor'
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
 import { createSuspectTable } from '../crashes/suspectTable'
+import { createDrainState } from '../drain/drainState'
 import { probeConnection } from '../endpoints/connectProbe'
 import { createConnectionPools } from '../endpoints/connectionPools'
 import { createLoadProber } from '../endpoints/loadProber'
@@ -17,7 +18,6 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { WorkTable } from '../jobs/workTable'
 import { createByteBudget } from '../requests/byteBudget'
-import type { DrainState } from '../requests/clientResponse'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { createHoldTimes } from '../requests/holdTimes'
 import { createLogRateLimiter } from '../telemetry/logRateLimiter'
@@ -59,8 +59,7 @@
   const { settings, clock, log, wire } = context
   const gateway = settings.gateway
   if (gateway === undefined) throw new Error('the gateway role requires addresses for clients and for readiness')
-  let draining = false
-  const drainState: DrainState = { isDraining: () => draining }
+  const drainState = createDrainState(clock)
   const view = followPlatform(context, { memberListingIntervalMs: () => MEMBERS_INTERVAL_MS })
   const loads = createLoadTable(clock)
   const limitOf = (service: string): number => {
@@ -187,7 +186,7 @@
   })
   view.configuration.onChange(configuration => clients.applyLimits(configuration.limits))
   const readiness = createServer((_request, response) => {
-    const ready = !draining && view.configuration.current() !== undefined && view.endpoints.hasListing()
+    const ready = !drainState.isDraining() && view.configuration.current() !== undefined && view.endpoints.hasListing()
     response.writeHead(ready ? 200 : 503, { 'Content-Length': 0 })
     response.end()
   })
@@ -215,9 +214,10 @@
   return {
     close,
     stop: async () => {
-      draining = true
+      const schedule = drainState.start(settings.stopGraceMs)
       heartbeat.stop()
-      await drainClients({ clients, log, clock, graceMs: settings.stopGraceMs })
+      await drainClients({ clients, log, clock, schedule })
+      drainState.end()
       await close()
     }
   }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -6,6 +6,8 @@
   started: { role: string, address: string }
   stopping: { graceMs: number }
   'stop waits for requests': { requestCount: number, oldestMethod: string, oldestPath: string, oldestAgeMs: number }
+  /** The request was still in progress when the drain ended. Times count from the stop signal; before it they are negative. */
+  'request ended by the drain': { requestId: string, headAfterSignalMs: number, readAfterSignalMs: number, sentAfterSignalMs: number | undefined, offers: number, answerBegun: boolean }
   'gateway stopped': { unfinishedRequests: number }
   'runner stopped': { unsavedItems: number }
   'stop failed': { reason: string }
