Send nothing late in a drain that its end may cut

Cause: the drain bounds which connections are served, by closing them 2.6 s after the signal, but nothing bounds what is passed on. A request whose head came in time and whose body ended later, or that waited for its permit, loads, another attempt or a pipelined response, was sent with less time left than it may need.

Evidence: drain.test.ts failed on (status 200, cut at the end of the drain); the log line request ended by the drain has the times.

Now one pure decision (drain/drainSchedule.ts, mayBegin) is made before each send and each job call: after the accepting phase only work whose limit lies within the drain begins; anything else is answered by 503 stopping, before permits are taken. A begun stream may still be resumed.

--- a/packages/anvilarch-serving/src/drain/drainSchedule.ts
+++ b/packages/anvilarch-serving/src/drain/drainSchedule.ts
@@ -24,3 +24,21 @@
   const endAtMs = signalAtMs + Math.max(0, graceMs - STOP_MARGIN_MS)
   return { signalAtMs, acceptUntilMs: Math.min(endAtMs, signalAtMs + DRAIN_ACCEPT_MS), endAtMs }
 }
+
+/** When work would start, and the latest time at which it ends. */
+export interface WorkTimes {
+  nowMs: number
+  limitAtMs: number
+}
+
+/**
+ * Decides whether a gateway may begin work whose loss its client would notice: a request that is sent to an endpoint, or a job call.
+ * While clients still send new requests, all are served, since most end long before their limits. Later ones must end in time.
+ *
+ * @param schedule - times of the drain; undefined if the gateway does not drain
+ * @param work - start and limit of the work
+ * @returns whether it may begin
+ */
+export function mayBegin (schedule: DrainSchedule | undefined, { nowMs, limitAtMs }: WorkTimes): boolean {
+  return schedule === undefined || nowMs < schedule.acceptUntilMs || limitAtMs <= schedule.endAtMs
+}
--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -64,6 +64,9 @@
 /** How long reading or ending a job is attempted. Clients retry the call. */
 const CALL_TIMEOUT_MS = 1200
 
+/** Longest duration of a job call while the store responds: its attempts, the wait for results, and the last call to the store. */
+export const MAX_JOB_CALL_MS = 3000
+
 /** Retry delay for a call that the store has not served. */
 const RETRY_AFTER_MS = 400
 
--- a/packages/anvilarch-serving/src/requests/__tests__/retryDecision.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/retryDecision.test.ts
@@ -13,7 +13,8 @@
   allSilent: fc.boolean(),
   responseStarted: fc.boolean(),
   hasUntriedEndpoint: fc.boolean(),
-  remainingMs: fc.integer({ min: -10, max: 3000 })
+  remainingMs: fc.integer({ min: -10, max: 3000 }),
+  mayBeginSend: fc.boolean()
 }), { minLength: 1, maxLength: 8 })
 
 const RUNS = { seed: 20261202, numRuns: 3000 }
@@ -33,6 +34,7 @@
           expect(mayHaveRun + attempt.attemptsInProgress).toBeLessThan(route.maxAttempts)
           expect(attempt.attemptsInProgress === 0 || attempt.allSilent).toBe(true)
           expect(attempt.remainingMs).toBeGreaterThan(MIN_REMAINING_MS)
+          expect(attempt.mayBeginSend).toBe(true)
           continue
         }
         // A response is ended only after the last attempt in progress.
@@ -46,7 +48,7 @@
   })
 
   it('sends a request that may run only once to another endpoint after a refusal', () => {
-    const progress = { attemptsThatMayHaveRun: 0, attemptsInProgress: 0, allSilent: true, responseStarted: false, hasUntriedEndpoint: true, remainingMs: 1000 }
+    const progress = { attemptsThatMayHaveRun: 0, attemptsInProgress: 0, allSilent: true, responseStarted: false, hasUntriedEndpoint: true, remainingMs: 1000, mayBeginSend: true }
     expect(nextStep({ kind: 'once', resumable: false, maxAttempts: 1 }, 'not_run', progress)).toBe('send_again')
   })
 })
--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -12,6 +12,13 @@
   credentialScheme?: string
 }
 
+/** Response to a call that this gateway cannot complete before it stops. No `Retry-After`: other gateways can serve it at once. */
+export const STOPPING_RESPONSE: GatewayResponse = {
+  status: 503,
+  code: 'stopping',
+  message: 'this gateway stops before it could complete the request; it has not run, and another gateway can serve it'
+}
+
 /**
  * @param credentialScheme - authentication scheme of keys
  * @returns the response to a caller without a valid key; it does not reveal whether the route exists
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -5,7 +5,7 @@
 import { chooseService } from '../routing/matchRoute'
 import { bindStream, resumesStream, streamIdOf } from './bindStream'
 import { isFirstAttempt, type RefusedRequest, returnAtTurnMs } from './callerReturn'
-import type { GatewayResponse } from './clientResponse'
+import { type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import { endByDrain } from './endByDrain'
 import { checkOverload, type Overload, type Refusal } from './overload'
@@ -58,6 +58,10 @@
     end.respond(QUARANTINED_RESPONSE)
     return
   }
+  if (!attempts.mayBeginSend()) {
+    end.respond(STOPPING_RESPONSE)
+    return
+  }
   const prepare = async (): Promise<GatewayResponse | undefined> => {
     if (admission === 'trial_due' && !await parts.crashes.claimTrial(requestIdentityOf(client))) return QUARANTINED_RESPONSE
     const refusal = resumesStream(client) ? await bindStream(parts, client, state) : undefined
--- a/packages/anvilarch-serving/src/requests/retryDecision.ts
+++ b/packages/anvilarch-serving/src/requests/retryDecision.ts
@@ -23,6 +23,8 @@
   /** Whether there is an endpoint that has not been tried. */
   hasUntriedEndpoint: boolean
   remainingMs: number
+  /** Whether this gateway may begin another send; false late in a drain. */
+  mayBeginSend: boolean
 }
 
 /**
@@ -47,7 +49,7 @@
   const hasAttemptLeft = startedCount < route.maxAttempts
   const retryable = startedCount === 0 || isRetryable(route)
   const maySendBeside = progress.attemptsInProgress === 0 || progress.allSilent
-  if (hasTimeLeft && retryable && hasAttemptLeft && maySendBeside && progress.hasUntriedEndpoint) return 'send_again'
+  if (progress.mayBeginSend && hasTimeLeft && retryable && hasAttemptLeft && maySendBeside && progress.hasUntriedEndpoint) return 'send_again'
   if (progress.attemptsInProgress > 0) return 'wait'
   if (progress.responseStarted) return 'break_off'
   if (!mayHaveRun) return 'refuse'
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -3,6 +3,7 @@
  * refused, and beside one that is silent.
  */
 import { createInactivityTimeout, type InactivityTimeout } from 'anvilarch-utils'
+import { mayBegin } from '../drain/drainSchedule'
 import type { Endpoint } from '../model/types'
 import { createFinalSteps, NO_ENDPOINT_RESPONSE, recordCompletion, recordFailure } from './attemptEnd'
 import { createAttemptLog } from './attemptLog'
@@ -11,7 +12,7 @@
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
-import { unauthorizedResponse } from './clientResponse'
+import { STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
 import { type Attempt, type EndpointResponse, isFull, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
@@ -19,6 +20,8 @@
 export interface Attempts {
   /** Queries the loads of endpoints. @returns a promise that resolves when an endpoint can be chosen */
   prepare: () => Promise<void>
+  /** @returns whether this gateway may send the request to an endpoint; false late in a drain */
+  mayBeginSend: () => boolean
   /** Sends the request to the best endpoint that has not been tried. */
   sendPrepared: () => void
   /** Aborts the attempts in progress and sends nothing afterwards. */
@@ -57,6 +60,10 @@
 
   const remainingMs = (): number => state.deadlineAtMs - clock.nowMs()
 
+  /** A stream that has begun is resumed also late in a drain: without a resumption it is cut in any case. */
+  const mayBeginSend = (): boolean =>
+    state.responseStarted || mayBegin(parts.drainState.schedule(), { nowMs: clock.nowMs(), limitAtMs: state.deadlineAtMs })
+
   const choose = (): Endpoint | undefined =>
     state.service === undefined ? undefined : parts.placement.choose(placementCriteria(client, state, state.service))
 
@@ -93,7 +100,8 @@
       allSilent: running.areAllSilent(),
       responseStarted: state.responseStarted,
       hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client), state.attemptsThatMayHaveRun + attemptsInProgress > 0),
-      remainingMs: remainingMs()
+      remainingMs: remainingMs(),
+      mayBeginSend: mayBeginSend()
     })
   }
 
@@ -273,6 +281,12 @@
     else end.respond(NO_ENDPOINT_RESPONSE)
   }
 
+  /** Ends a request that this gateway may not send any more, unless an attempt is in progress. */
+  const endWithoutSend = (): void => {
+    if (state.attemptsThatMayHaveRun + running.count() > 0) steps[stepAfter('may_have_run')](STOPPING_RESPONSE.code)
+    else end.respond(STOPPING_RESPONSE)
+  }
+
   const sendPrepared = (): void => {
     // After a process pause the deadline timer may fire after the timer that leads here. An endpoint would then run a
     // request that its client no longer waits for.
@@ -285,6 +299,10 @@
       endForRevokedKey()
       return
     }
+    if (!mayBeginSend()) {
+      endWithoutSend()
+      return
+    }
     const endpoint = choose()
     if (endpoint === undefined) {
       endWithoutEndpoint()
@@ -300,5 +318,5 @@
     restartResponseTimeout()
   }
 
-  return { prepare, sendPrepared, stop, timeOut }
+  return { prepare, mayBeginSend, sendPrepared, stop, timeOut }
 }
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -6,10 +6,11 @@
 import type { Caller } from '../accounts/types'
 import type { ConfigurationHolder } from '../configuration/configurationHolder'
 import type { EndpointTable } from '../endpoints/endpointTable'
-import type { JobCalls } from '../jobs/jobCalls'
+import { type JobCalls, MAX_JOB_CALL_MS } from '../jobs/jobCalls'
 import type { Configuration, Route } from '../model/types'
+import { mayBegin } from '../drain/drainSchedule'
 import type { DrainState } from '../drain/drainState'
-import { type GatewayResponse, sendGatewayResponse } from '../requests/clientResponse'
+import { type GatewayResponse, sendGatewayResponse, STOPPING_RESPONSE } from '../requests/clientResponse'
 import { forwardRequest } from '../requests/forwardRequest'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { readBody } from '../requests/readBody'
@@ -71,6 +72,7 @@
   const configuration = call.configuration.current()
   if (caller === undefined || configuration === undefined) return
   if (call.jobs.isJobCall(request)) {
+    if (refuseJobCallInDrain(call)) return
     await call.jobs.handle(request, response, caller)
     return
   }
@@ -98,6 +100,7 @@
     return
   }
   if (route.kind === 'batch' && request.method === 'POST') {
+    if (refuseJobCallInDrain(call)) return
     await call.jobs.submit({ request, response, route, caller, body: read.body, metadata, arrivedAtMs })
     return
   }
@@ -129,6 +132,14 @@
   forward.log.info('no route', { requestId, status: refusal.status, configurationVersion: configuration.current()?.version })
 }
 
+/** Refuses a job call that may not end before this gateway does. @returns whether it was refused */
+function refuseJobCallInDrain ({ response, forward, drainState }: ClientCall): boolean {
+  const nowMs = forward.clock.nowMs()
+  if (mayBegin(drainState.schedule(), { nowMs, limitAtMs: nowMs + MAX_JOB_CALL_MS })) return false
+  sendGatewayResponse(response, STOPPING_RESPONSE, drainState)
+  return true
+}
+
 /** @returns the caller; undefined if the call has been refused */
 async function authenticate (call: ClientCall): Promise<Caller | undefined> {
   const { request, forward } = call
