Answer the requests that have no response when a drain ends

Callers whose request waited at the end of a drain (in an engine's queue, between two attempts, with its body not read whole, a job call at a silent store) saw their connection close and could not tell whether the request had run.

Cause: the end of the drain closed all connections, whatever their state.

Now each unfinished request is registered with the drain and ended by it: 503 stopping if it has not run, 502 interrupted if it may have, 504 for a job call; only a response that has begun is cut. The gateway waits up to 200 ms for the final responses.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -1,7 +1,7 @@
 /** Runs one client request on a fake clock, with in-memory endpoints and an in-memory client. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFakeClock, type FakeClock, SILENT_LOGGER, sleep } from 'anvilarch-utils'
-import { createDrainState } from '../../drain/drainState'
+import { createDrainState, type DrainState } from '../../drain/drainState'
 import type { Pool } from '../../endpoints/httpPool'
 import type { Endpoint, Route } from '../../model/types'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -69,6 +69,8 @@
   clock: FakeClock
   sent: SentRequest[]
   client: ClientView
+  /** @returns the times of the drain; undefined before the stop signal */
+  drainSchedule: DrainState['schedule']
   /** Removes all endpoints. */
   removeEndpoints: () => void
   /** Removes the first endpoint and, if `isReplaced`, adds a new one. */
@@ -110,6 +112,8 @@
   placementMs?: () => number
   /** Whether the rate limit of the account permits the request. */
   granted?: boolean
+  /** When the gateway gets its stop signal, relative to the arrival of the request, and the length of its grace period. */
+  drain?: { signalAtMs: number, graceMs: number }
   /** Called for each send. @returns whether the connection to the endpoint is made */
   onSend?: (request: SentRequest) => boolean
   /** Called for each write to the client after it was made. */
@@ -219,7 +223,7 @@
     }
   }
 
-  const drainState = createDrainState(clock)
+  const drainState = startDrain(clock, options.drain)
   const metrics = createServingMetrics()
   const load = { online: 0, batchRunning: 0, ownInProgress: 0, suspected: false, ageMs: 0 }
   const timeoutMs = options.timeoutMs ?? 2_000
@@ -301,6 +305,7 @@
     clock,
     sent,
     client,
+    drainSchedule: drainState.schedule,
     removeEndpoints: () => { endpoints.length = 0 },
     replaceEndpoint: isReplaced => {
       endpoints.shift()
@@ -322,3 +327,20 @@
     processPauses: async () => (await metrics.processPauses.get()).values[0].value
   }
 }
+
+/** Plays the drain of the gateway, whose signal may come before the request. */
+function startDrain (clock: FakeClock, drain: ForwardHarnessOptions['drain']): DrainState {
+  const startedAtMs = clock.nowMs()
+  let isSignalled = false
+  // The state takes the time of the signal from its clock.
+  const state = createDrainState({ ...clock, nowMs: () => isSignalled ? clock.nowMs() : startedAtMs + (drain?.signalAtMs ?? 0) })
+  if (drain === undefined) return state
+  const signal = (): void => {
+    const { endAtMs } = state.start(drain.graceMs)
+    isSignalled = true
+    clock.after(Math.max(0, endAtMs - clock.nowMs()), () => state.end())
+  }
+  if (drain.signalAtMs <= 0) signal()
+  else clock.after(drain.signalAtMs, signal)
+  return state
+}
--- a/packages/anvilarch-serving/src/requests/endByDrain.ts
+++ b/packages/anvilarch-serving/src/requests/endByDrain.ts
@@ -1,22 +1,28 @@
 /** Ends a request that is still in progress when the drain of its gateway ends. */
+import { type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
 import type { Attempts } from './sendAttempts'
 
-/** Reason in the log and in responses. */
-export const DRAIN_REASON = 'gateway_stopping'
+/** Response to a request that an endpoint may have run when the drain ended. */
+const INTERRUPTED_RESPONSE: GatewayResponse = {
+  status: 502,
+  code: 'interrupted',
+  message: 'this gateway stopped before an endpoint had answered; the request may have run'
+}
 
 /** Parts of the request that are needed to end it. */
 export interface EndByDrainParts {
   parts: Pick<ForwardParts, 'drainState' | 'log'>
   client: ClientRequest
   state: RequestState
-  attempts: Pick<Attempts, 'stop'>
+  attempts: Pick<Attempts, 'stop' | 'mayHaveRun'>
   end: RequestCompletion
 }
 
 /**
- * Registers the request with the drain of this process.
+ * Registers the request with the drain of this process. When the drain ends, the client gets a complete response that says whether
+ * the request may have run, or a cut one if its response has begun.
  *
  * @param request - request in progress
  * @returns removes the registration, once the request has ended
@@ -34,7 +40,8 @@
       offers: state.sendCount,
       answerBegun: state.responseStarted
     })
+    const mayHaveRun = attempts.mayHaveRun()
     attempts.stop()
-    end.abortConnection(DRAIN_REASON)
+    end.respond(mayHaveRun ? INTERRUPTED_RESPONSE : STOPPING_RESPONSE)
   })
 }
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -24,6 +24,8 @@
   mayBeginSend: () => boolean
   /** Sends the request to the best endpoint that has not been tried. */
   sendPrepared: () => void
+  /** @returns whether an endpoint may have run the request, those of attempts in progress included */
+  mayHaveRun: () => boolean
   /** Aborts the attempts in progress and sends nothing afterwards. */
   stop: () => void
   /** Ends the request with a timeout response. */
@@ -256,6 +258,8 @@
     entry.sentAtMs = undefined
   }
 
+  const mayHaveRun = (): boolean => state.attemptsThatMayHaveRun > 0 || running.unsent().length < running.count()
+
   const stop = (): void => {
     stopped = true
     cancelResponseTimeout()
@@ -318,5 +322,5 @@
     restartResponseTimeout()
   }
 
-  return { prepare, mayBeginSend, sendPrepared, stop, timeOut }
+  return { prepare, mayBeginSend, sendPrepared, mayHaveRun, stop, timeOut }
 }
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -38,6 +38,12 @@
   retryAfterMs: UNCONFIRMED_RETRY_AFTER_MS
 }
 
+const INTERRUPTED_JOB_CALL: GatewayResponse = {
+  status: 504,
+  code: 'outcome_unknown',
+  message: 'this gateway stopped before the store had answered; the call may have taken effect'
+}
+
 /** A client call and the dependencies that handle it. */
 export interface ClientCall {
   request: IncomingMessage
@@ -63,6 +69,7 @@
  */
 export async function handleClient (call: ClientCall): Promise<void> {
   const { request, response, arrivedAtMs, forward, drainState } = call
+  const unregister = respondAtDrainEnd(call, STOPPING_RESPONSE)
   if (await waitForConfiguration(call) === undefined) {
     sendGatewayResponse(response, { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }, drainState)
     return
@@ -73,6 +80,8 @@
   if (caller === undefined || configuration === undefined) return
   if (call.jobs.isJobCall(request)) {
     if (refuseJobCallInDrain(call)) return
+    unregister()
+    respondAtDrainEnd(call, INTERRUPTED_JOB_CALL)
     await call.jobs.handle(request, response, caller)
     return
   }
@@ -101,9 +110,12 @@
   }
   if (route.kind === 'batch' && request.method === 'POST') {
     if (refuseJobCallInDrain(call)) return
+    unregister()
+    respondAtDrainEnd(call, INTERRUPTED_JOB_CALL)
     await call.jobs.submit({ request, response, route, caller, body: read.body, metadata, arrivedAtMs })
     return
   }
+  unregister()
   forwardRequest(forward, { request, response, body: read.body, metadata, route, caller, configurationVersion: found.configurationVersion, arrivedAtMs, readAtMs: forward.clock.nowMs() })
 }
 
@@ -132,6 +144,13 @@
   forward.log.info('no route', { requestId, status: refusal.status, configurationVersion: configuration.current()?.version })
 }
 
+/** Sends a response if the drain ends before the call has one. @returns removes the registration */
+function respondAtDrainEnd ({ response, drainState }: ClientCall, gatewayResponse: GatewayResponse): () => void {
+  const unregister = drainState.onEnd(() => sendGatewayResponse(response, gatewayResponse, drainState))
+  response.on('close', unregister)
+  return unregister
+}
+
 /** Refuses a job call that may not end before this gateway does. @returns whether it was refused */
 function refuseJobCallInDrain ({ response, forward, drainState }: ClientCall): boolean {
   const nowMs = forward.clock.nowMs()
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -4,6 +4,9 @@
 import type { EventLog } from '../telemetry/events'
 import type { ClientServer } from './clientServer'
 
+/** Longest wait for clients to receive the final responses. */
+const FINAL_RESPONSES_MS = 200
+
 /** Interval at which the drain checks for unfinished requests. */
 const STOP_POLL_MS = 50
 
@@ -13,6 +16,8 @@
   log: EventLog
   clock: Clock
   schedule: DrainSchedule
+  /** Sends final responses to the requests in progress. */
+  endRequests: () => void
 }
 
 /**
@@ -21,12 +26,18 @@
  * @param parts - server, log, clock and times of the drain
  * @returns a promise that resolves when all requests are finished or the drain is over
  */
-export async function drainClients ({ clients, log, clock, schedule }: DrainParts): Promise<void> {
+export async function drainClients ({ clients, log, clock, schedule, endRequests }: DrainParts): Promise<void> {
   await sleep(clock, schedule.acceptUntilMs - clock.nowMs())
   clients.finish()
   logUnfinished(clients, log, clock)
-  while (clients.unfinishedRequests().length > 0 && clock.nowMs() < schedule.endAtMs) await sleep(clock, STOP_POLL_MS)
-  log.info('gateway stopped', { unfinishedRequests: clients.unfinishedRequests().length })
+  const finishUntil = async (untilMs: number): Promise<void> => {
+    while (clients.unfinishedRequests().length > 0 && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
+  }
+  await finishUntil(schedule.endAtMs)
+  const unfinishedRequests = clients.unfinishedRequests().length
+  endRequests()
+  await finishUntil(clock.nowMs() + FINAL_RESPONSES_MS)
+  log.info('gateway stopped', { unfinishedRequests })
 }
 
 /** Logs the requests that delay the stop before waiting for them: a process that is killed at the end of its grace period cannot log them. */
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -216,8 +216,7 @@
     stop: async () => {
       const schedule = drainState.start(settings.stopGraceMs)
       heartbeat.stop()
-      await drainClients({ clients, log, clock, schedule })
-      drainState.end()
+      await drainClients({ clients, log, clock, schedule, endRequests: drainState.end })
       await close()
     }
   }
