Flush ended responses when a draining gateway stops listening

Cause: close() of Node's HTTP server destroys connections that it takes for idle, and a response counts as over once end() was called, although its bytes are still queued.

Now the drain stops listening only, and closes each connection itself after its last response has been flushed, as it did for busy ones. flushedResponses.test.ts failed before.

--- /dev/null
+++ b/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
@@ -0,0 +1,52 @@
+import { type AddressInfo, connect, type Socket } from 'node:net'
+import { createFakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import type { EventLog } from '../../telemetry/events'
+import { createServingMetrics } from '../../telemetry/metrics'
+import { type ClientServer, type ClientServerOptions, createClientServer } from '../clientServer'
+
+/** Exceeds what the kernel buffers for a connection whose client does not read. */
+const LARGE_BYTES = 16 * 1024 * 1024
+
+let clients: ClientServer
+const sockets: Socket[] = []
+
+afterEach(() => {
+  sockets.splice(0).forEach(socket => socket.destroy())
+  clients.close()
+})
+
+async function start (onRequest: ClientServerOptions['onRequest']): Promise<void> {
+  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createFakeClock(), metrics: createServingMetrics(), onRequest })
+  await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
+}
+
+function open (): { socket: Socket, receivedBytes: () => number, closed: Promise<void> } {
+  const socket = connect((clients.server.address() as AddressInfo).port, '127.0.0.1')
+  sockets.push(socket)
+  let bytes = 0
+  socket.on('data', data => { bytes += data.length })
+  socket.on('error', () => {})
+  return { socket, receivedBytes: () => bytes, closed: new Promise(resolve => socket.on('close', () => resolve())) }
+}
+
+describe('a server that finishes', () => {
+  // Guards against complete responses that are cut because their client reads slowly.
+  it('sends the rest of a response that has been ended but not flushed', async () => {
+    let ended = (): void => {}
+    const isEnded = new Promise<void>(resolve => { ended = resolve })
+    await start((_request, response) => {
+      response.writeHead(200, { 'Content-Length': LARGE_BYTES })
+      response.end(Buffer.alloc(LARGE_BYTES))
+      ended()
+    })
+    const { socket, receivedBytes, closed } = open()
+    socket.pause()
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    await isEnded
+    clients.finish()
+    socket.resume()
+    await closed
+    expect(receivedBytes()).toBeGreaterThan(LARGE_BYTES)
+    expect(clients.unfinishedRequests()).toEqual([])
+  })
+})
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,6 +1,6 @@
 /** HTTP server for clients: limits the size and duration of request heads and rejects bytes that do not form a request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as TcpServer, type Socket } from 'node:net'
 import { type Clock, abortResponse, type Timer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
@@ -116,7 +116,7 @@
     unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
     finish: () => {
       finishing = true
-      server.close()
+      stopListening(server)
       connections.forEach(closeIfFinished)
     },
     close: () => {
@@ -151,6 +151,11 @@
   server.on('close', () => timer?.cancel())
 }
 
+/** Accepts no further connections. `close` of an HTTP server also destroys connections whose response has been ended but not flushed. */
+function stopListening (server: Server): void {
+  TcpServer.prototype.close.call(server)
+}
+
 function cutUnfinishedResponse (response: ServerResponse): void {
   if (!response.writableEnded) abortResponse(response)
 }
