Read the rest of a body before closing a refused request's connection

Callers that still send a body when their request is refused with Connection: close (413, 408, 431; any response before the body's end while a gateway drains) lost the response: the connection was reset, and a client that writes first and reads later got nothing (0 bytes in the test).

Cause: Node destroys the socket as soon as such a response is flushed; closing with unread bytes resets the connection, and the reset overtakes the response.

Now the sending side is closed first and the rest is read for up to a second; the end of a drain waits for that like for the final responses (up to 200 ms). A body that is refused for its size or time is no longer collected. flushedResponses.test.ts: two tests failed before.

--- a/packages/anvilarch-serving/src/requests/readBody.ts
+++ b/packages/anvilarch-serving/src/requests/readBody.ts
@@ -31,15 +31,17 @@
       timer.cancel()
       resolve(read)
     }
+    const onData = (chunk: Buffer): void => {
+      bytes += chunk.length
+      if (bytes > limits.maxBytes) stop({ outcome: 'too_large' })
+      else chunks.push(chunk)
+    }
     const stop = (read: BodyReadResult): void => {
+      request.off('data', onData)
       request.pause()
       end(read)
     }
-    request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes > limits.maxBytes) stop({ outcome: 'too_large' })
-      else chunks.push(chunk)
-    })
+    request.on('data', onData)
     request.on('end', () => end({ outcome: 'read', body: Buffer.concat(chunks) }))
     request.on('error', () => end({ outcome: 'broken_off' }))
     request.on('close', () => end({ outcome: 'broken_off' }))
--- a/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
@@ -1,13 +1,15 @@
 import { type AddressInfo, connect, type Socket } from 'node:net'
-import { createFakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type ClientServer, type ClientServerOptions, createClientServer } from '../clientServer'
+import { LINGER_MS } from '../lingeringClose'
 
 /** Exceeds what the kernel buffers for a connection whose client does not read. */
 const LARGE_BYTES = 16 * 1024 * 1024
 
 let clients: ClientServer
+let clock: FakeClock
 const sockets: Socket[] = []
 
 afterEach(() => {
@@ -16,7 +18,8 @@
 })
 
 async function start (onRequest: ClientServerOptions['onRequest']): Promise<void> {
-  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createFakeClock(), metrics: createServingMetrics(), onRequest })
+  clock = createFakeClock()
+  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock, metrics: createServingMetrics(), onRequest })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 }
 
@@ -50,3 +53,39 @@
     expect(clients.unfinishedRequests()).toEqual([])
   })
 })
+
+describe('a response to a request whose body is still being sent', () => {
+  const CHUNK = '400\r\n' + 'x'.repeat(1024) + '\r\n'
+
+  beforeEach(async () => {
+    await start((_request, response) => {
+      response.writeHead(503, { Connection: 'close', 'Content-Length': 2 })
+      response.end('no')
+    })
+  })
+
+  // Guards against refusals that are lost in a reset while the client still sends.
+  it('reaches a client that reads it only after it has sent everything', async () => {
+    const { socket, receivedBytes, closed } = open()
+    socket.pause()
+    socket.write('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+    for (let part = 0; part < 20; part++) {
+      socket.write(CHUNK)
+      await new Promise(resolve => setTimeout(resolve, 5))
+    }
+    socket.write('0\r\n\r\n')
+    socket.resume()
+    await closed
+    expect(receivedBytes()).toBeGreaterThan('HTTP/1.1 503'.length)
+  })
+
+  it('is followed by the close of the connection, also if the client goes on sending', async () => {
+    const { socket, closed } = open()
+    socket.write('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+    await new Promise<void>(resolve => socket.once('data', () => resolve()))
+    expect(clients.isSettled()).toBe(false)
+    clock.advance(LINGER_MS)
+    await closed
+    expect(clients.isSettled()).toBe(true)
+  })
+})
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '../telemetry/events'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { createConnectionAdmission } from './connectionAdmission'
+import { createLingeringClose } from './lingeringClose'
 
 /** HTTP server for clients. */
 export interface ClientServer {
@@ -14,6 +15,8 @@
   applyLimits: (limits: ClientLimits) => void
   /** @returns requests whose response is not complete */
   unfinishedRequests: () => UnfinishedRequest[]
+  /** @returns whether each response has been flushed and each connection whose client still sent a body is closed */
+  isSettled: () => boolean
   /** Accepts no further connections, and closes each open one as soon as it has no unfinished response. */
   finish: () => void
   /** Closes all connections. Unfinished responses are cut so that they do not look complete. */
@@ -66,6 +69,7 @@
 export function createClientServer (options: ClientServerOptions): ClientServer {
   const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
   const connections = new Set<Socket>()
+  const lingeringClose = createLingeringClose(options.clock)
   let finishing = false
   const handleInOrder = createPipelineHandler(options.onRequest)
   const responsesOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
@@ -80,6 +84,7 @@
       request.socket.destroy()
       return
     }
+    lingeringClose.onRequest(request)
     const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
     inProgress.set(response, { socket: request.socket, unfinished })
     response.on('close', () => {
@@ -114,6 +119,7 @@
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
     unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
+    isSettled: () => inProgress.size === 0 && lingeringClose.count() === 0,
     finish: () => {
       finishing = true
       stopListening(server)
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -30,13 +30,13 @@
   await sleep(clock, schedule.acceptUntilMs - clock.nowMs())
   clients.finish()
   logUnfinished(clients, log, clock)
-  const finishUntil = async (untilMs: number): Promise<void> => {
-    while (clients.unfinishedRequests().length > 0 && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
+  const waitUntil = async (untilMs: number, isDone: () => boolean): Promise<void> => {
+    while (!isDone() && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
   }
-  await finishUntil(schedule.endAtMs)
+  await waitUntil(schedule.endAtMs, () => clients.unfinishedRequests().length === 0)
   const unfinishedRequests = clients.unfinishedRequests().length
   endRequests()
-  await finishUntil(clock.nowMs() + FINAL_RESPONSES_MS)
+  await waitUntil(clock.nowMs() + FINAL_RESPONSES_MS, clients.isSettled)
   log.info('gateway stopped', { unfinishedRequests })
 }
 
