--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -102,10 +102,10 @@
     await Promise.all([pool.destroy(), freshPool.destroy()])
   })
   return {
-    stop: async () => {
+    stop: once(async () => {
       await runner.stop()
       await close()
-    },
+    }),
     close
   }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -213,12 +213,12 @@
 
   return {
     close,
-    stop: async () => {
+    stop: once(async () => {
       const schedule = drainState.start(settings.stopGraceMs)
       heartbeat.stop()
       await drainClients({ clients, log, clock, schedule, endRequests: drainState.end })
       await close()
-    }
+    })
   }
 }
 
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -5,6 +5,7 @@
   // Start and stop of the process.
   started: { role: string, address: string }
   stopping: { graceMs: number }
+  'stop signal repeated': Record<string, never>
   'stop waits for requests': { requestCount: number, oldestMethod: string, oldestPath: string, oldestAgeMs: number }
   /** The request was still in progress when the drain ended. Times count from the stop signal; before it they are negative. */
   'request ended by the drain': { requestId: string, headAfterSignalMs: number, readAfterSignalMs: number, sentAfterSignalMs: number | undefined, offers: number, answerBegun: boolean }
