Do not cut complete responses when a gateway of anvilarch-daemon closes connections

Callers that read slowly got a response without its end when their gateway stopped, although it had been written whole.

Cause: `Server.close()` and `closeIdleConnections()` of Node.js take a connection for idle as soon as its last response has been ended, and destroy it with all that is still queued. A destroyed connection is also reset by the next bytes of its client, and a reset drops what the kernel has not sent yet.

The server stops listening without closing connections, and half-closes each one that has no request; the client closes it then, within a second. A request that crosses the end of its connection is not run.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -70,6 +70,8 @@
     isDraining: () => draining !== undefined
   }
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
+    // The request crossed the end of its connection, so it can't be answered; its caller sends it again.
+    if (!request.socket.writable) return
     handleRequest(parts, request, response).catch(() => { abortResponse(response) })
   })
   respondToClientErrors(server)
--- a/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
+++ b/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
@@ -1,6 +1,6 @@
 /** Closes an HTTP server after its requests in progress have completed. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import { type Clock, isCloseDelimited, sleep } from 'anvilarch-utils'
 
 /** Closes a server. */
@@ -14,52 +14,70 @@
   close: (timeoutMs: number) => Promise<boolean>
 }
 
-/** Interval of the checks for connections that have become idle. */
-const IDLE_CHECK_MS = 50
-
 /** Grace period for new connections, whose first request may be about to arrive. */
 const UNUSED_CONNECTION_MS = 1_000
 
+/** Time for the client to close its side of a connection. */
+const CLIENT_CLOSE_MS = 1_000
+
+interface Connection {
+  /** Responses that have not been flushed yet. */
+  unfinished: Set<ServerResponse>
+  /** Bytes read when the last response was flushed; more show that another request is arriving. */
+  idleAtBytes: number
+}
+
 /**
  * @param server - the server; it must not have connections yet
  * @param clock - clock for the timeouts
  * @returns the closer
  */
 export function createGracefulCloser (server: Server, clock: Clock): GracefulCloser {
-  /** Open connections with their last response. */
-  const sockets = new Map<Socket, ServerResponse | undefined>()
+  const connections = new Map<Socket, Connection>()
+  let isClosing = false
+
+  /**
+   * Half-closes a connection without a request. Destroying it would reset it if the client sends more, and a reset discards
+   * the end of a response that the client has not read yet.
+   */
+  const closeIfIdle = (socket: Socket, { unfinished, idleAtBytes }: Connection): void => {
+    if (unfinished.size > 0 || socket.bytesRead !== idleAtBytes || !socket.writable) return
+    socket.end()
+    const timer = clock.after(CLIENT_CLOSE_MS, () => { socket.destroy() })
+    socket.once('close', () => { timer.cancel() })
+  }
+
   server.on('connection', (socket: Socket) => {
-    sockets.set(socket, undefined)
-    socket.once('close', () => { sockets.delete(socket) })
+    connections.set(socket, { unfinished: new Set(), idleAtBytes: 0 })
+    socket.once('close', () => { connections.delete(socket) })
   })
-  server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
-    if (sockets.has(socket)) sockets.set(socket, response)
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    const { socket } = request
+    const connection = connections.get(socket)
+    if (connection === undefined) return
+    connection.unfinished.add(response)
+    const onRead = (): void => {
+      connection.idleAtBytes = socket.bytesRead
+      if (isClosing) closeIfIdle(socket, connection)
+    }
+    response.once('close', () => {
+      connection.unfinished.delete(response)
+      // A request that was rejected before its end is still being read.
+      if (request.complete) onRead()
+      else request.once('close', onRead)
+    })
   })
 
-  /**
-   * Connection pools open connections ahead of use. The server counts one that never sent a byte as busy and would wait for it
-   * until the timeout.
-   */
+  /** Connection pools open connections ahead of use. */
   const closeUnused = (): void => {
-    for (const socket of sockets.keys()) {
+    for (const socket of connections.keys()) {
       if (socket.bytesRead === 0) socket.destroy()
     }
   }
 
-  /**
-   * A response that started before the drain could not announce the close of its connection, which then stays open and idle
-   * until the client closes it.
-   */
-  const closeIdle = async (signal: AbortSignal): Promise<void> => {
-    while (!signal.aborted) {
-      await sleep(clock, IDLE_CHECK_MS, signal)
-      server.closeIdleConnections()
-    }
-  }
-
   const abortAll = (): void => {
-    for (const [socket, response] of sockets) {
-      if (response !== undefined && !response.writableFinished && isCloseDelimited(response)) socket.resetAndDestroy()
+    for (const [socket, { unfinished }] of connections) {
+      if ([...unfinished].some(response => isCloseDelimited(response))) socket.resetAndDestroy()
       else socket.destroy()
     }
   }
@@ -67,10 +85,13 @@
   return {
     close: async timeoutMs => {
       const finished = new AbortController()
-      const closed = new Promise<true>(resolve => { server.close(() => { resolve(true) }) })
+      isClosing = true
+      const closed = new Promise<true>(resolve => { stopListening(server, () => { resolve(true) }) })
+      for (const [socket, connection] of connections) {
+        if (socket.bytesRead > 0) closeIfIdle(socket, connection)
+      }
       const unused = clock.after(UNUSED_CONNECTION_MS, closeUnused)
       const expired = sleep(clock, timeoutMs, finished.signal).then(() => false)
-      closeIdle(finished.signal).catch(() => {})
       const isDrained = await Promise.race([closed, expired])
       finished.abort()
       unused.cancel()
@@ -79,3 +100,12 @@
     }
   }
 }
+
+/** `close` of an HTTP server also destroys connections whose last response has been ended but not flushed. */
+function stopListening (server: Server, onClosed: () => void): void {
+  NetServer.prototype.close.call(server, () => {
+    // Ends the check of header timeouts.
+    server.close()
+    onClosed()
+  })
+}
