Do not run requests that a stopping gateway of anvilarch-daemon may cut

A request whose body ended late in the drain of a gateway was passed on, and its caller got a connection that closed without a whole answer when the drain ended. One whose body had not ended by then was cut without an answer.

Cause: the drain bounded new connections, but nothing compared the deadline of a request that had just been read with the end of the drain.

callers/drainGate.ts decides, from the time of the signal, the drain's phases and the deadline of the request: within the readiness lead every request is run, later only one that is answered before the drain ends. Others get 503 `draining`, `not_run` at once, and requests that are still being read get it a second before the end. The answer no longer announces the close of the connection while the caller is sending, since Node.js then closes at once, which resets the caller before it has read the answer. Completions, plain calls and submissions of batches are gated; the operator interface and uploads of files are not.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -11,6 +11,7 @@
 import { createCompletionRoutes } from './completions/completionRoutes'
 import { createModelRoutes } from './completions/modelRoutes'
 import { createDispatchTable } from './dispatchTable'
+import { createDrainGate } from './drainGate'
 import { DEFAULT_OPTIONS, type CallersServerOptions, type RouteDeps } from './routeDeps'
 import { handleRequest, type HandlerParts } from './handleRequest'
 import { respondToClientErrors } from './http/clientErrors'
@@ -57,6 +58,7 @@
   const limiter = createCallerLimiter({ clock: context.clock, maxConcurrentRequests })
   const intents = createKeyedCallRunner(context)
   const routeDeps: RouteDeps = { context, runner: dependencies.runner, intents, options }
+  const gate = createDrainGate(context.clock)
   let draining: Promise<void> | undefined
   let ids = 0
 
@@ -67,7 +69,8 @@
     ]),
     limiter,
     nextRequestId: () => `req-${context.incarnation}-${(ids++).toString(ID_RADIX)}`,
-    isDraining: () => draining !== undefined
+    isDraining: () => draining !== undefined,
+    drain: gate
   }
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
     // The request crossed the end of its connection, so it can't be answered; its caller sends it again.
@@ -80,8 +83,10 @@
 
   const drain = async (): Promise<void> => {
     context.timeline.record('gateway.draining', { detail: { inProgress: limiter.inProgress() } })
+    gate.startDrain({ readinessLeadMs: options.readinessLeadMs, drainTimeoutMs })
     await sleep(context.clock, options.readinessLeadMs)
     const isDrained = await closer.close(drainTimeoutMs)
+    gate.close()
     if (!isDrained) context.logger.warn('requests in progress were cut, since the drain took too long', { drainTimeoutMs })
     await Promise.race([intents.idle(), sleep(context.clock, RECORD_TIMEOUT_MS)])
     context.timeline.record('gateway.drained')
--- a/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
+++ b/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
@@ -27,13 +27,14 @@
 async function complete (parts: RouteDeps, kind: CompletionKind, context: CallerContext): Promise<void> {
   const { document } = requireConfiguration(parts.context)
   checkWorkClass(context.request.headers)
-  const body = parseJsonObject(await readBody(context.request, document.limits.maxBodyBytes))
+  const body = parseJsonObject(await readBody(context.request, document.limits.maxBodyBytes, context.drain.unreadRejected))
   const input = checkCompletion(kind, body, document)
   const request = completionRequest(kind, body, input, {
     requestId: context.requestId,
     caller: context.caller,
     deadlineMs: context.deadlineMs ?? parts.context.clock.nowMs() + input.spec.timeoutMs
   })
+  context.drain.check(request.deadlineMs)
   if (input.stream) await sendStream(parts, context, sink => parts.runner.run(request, { sink, signal: context.signal }))
   else sendComplete(context, await parts.runner.run(request, { signal: context.signal }))
 }
--- a/packages/anvilarch-daemon/src/callers/handleRequest.ts
+++ b/packages/anvilarch-daemon/src/callers/handleRequest.ts
@@ -3,6 +3,7 @@
 import { abortResponse, toAnvilarchError } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
 import type { DispatchTable } from './dispatchTable'
+import type { DrainGate } from './drainGate'
 import { sendError } from './http/errorResponse'
 import { bearerKeyOf, deadlineOf, requestIdOf } from './http/requestHeaders'
 import { lingerThenClose } from './http/unreadBody'
@@ -21,6 +22,7 @@
   limiter: CallerLimiter
   nextRequestId: () => string
   isDraining: () => boolean
+  drain: DrainGate
 }
 
 /**
@@ -54,7 +56,8 @@
       requestId,
       caller,
       deadlineMs: durationMs === undefined ? undefined : parts.context.clock.nowMs() + durationMs,
-      signal: disconnectSignal(response)
+      signal: disconnectSignal(response),
+      drain: parts.drain
     })
   } finally {
     release()
@@ -94,6 +97,8 @@
     return
   }
   if (error instanceof MethodNotAllowed) response.setHeader('allow', error.allowed.join(', '))
+  // Node.js closes a connection as soon as a response that announces its close is sent, which resets a caller that is still sending.
+  if (!request.complete) response.removeHeader('connection')
   sendError(response, anvilarchError, requestId)
   if (!request.complete) lingerThenClose(request, response, parts.context.clock)
 }
--- a/packages/anvilarch-daemon/src/callers/http/readBody.ts
+++ b/packages/anvilarch-daemon/src/callers/http/readBody.ts
@@ -1,7 +1,7 @@
 /** Reads request bodies with a size limit. */
 import type { IncomingMessage } from 'node:http'
 import { describeExpectedSyntax } from 'anvilarch-configuration'
-import { AnvilarchError } from 'anvilarch-utils'
+import { AnvilarchError, toAnvilarchError } from 'anvilarch-utils'
 import { parse, type ParseError } from 'jsonc-parser'
 
 const STEP = 'callers.read_body'
@@ -12,10 +12,11 @@
  *
  * @param request - the request
  * @param limitBytes - maximum size of the body
+ * @param rejected - aborted when incomplete requests are rejected, with the error as its reason
  * @returns the body
  * @throws AnvilarchError with code `too_large`, or `bad_request` if the upload was truncated
  */
-export function readBody (request: IncomingMessage, limitBytes: number): Promise<Buffer> {
+export function readBody (request: IncomingMessage, limitBytes: number, rejected?: AbortSignal): Promise<Buffer> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0)
   if (declaredBytes > limitBytes) return Promise.reject(tooLarge(limitBytes, `${declaredBytes} bytes were announced`))
   return new Promise((resolve, reject) => {
@@ -27,6 +28,7 @@
       request.off('end', onEnd)
       request.off('error', onCut)
       request.off('close', onCut)
+      rejected?.removeEventListener('abort', onRejected)
       act()
     }
     const onData = (chunk: Buffer): void => {
@@ -39,6 +41,12 @@
     const onEnd = (): void => { settle(() => { resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)) }) }
     const onCut = (cause?: Error): void => { settle(() => { reject(truncated(sizeBytes, declaredBytes, cause)) }) }
 
+    const onRejected = (): void => { settle(() => { reject(rejectionOf(rejected)) }) }
+
+    if (rejected?.aborted === true && !request.complete) {
+      reject(rejectionOf(rejected))
+      return
+    }
     if (request.destroyed && !request.complete) {
       reject(truncated(0, declaredBytes))
       return
@@ -47,9 +55,14 @@
     request.on('end', onEnd)
     request.on('error', onCut)
     request.on('close', onCut)
+    rejected?.addEventListener('abort', onRejected)
   })
 }
 
+function rejectionOf (rejected: AbortSignal | undefined): AnvilarchError {
+  return toAnvilarchError(rejected?.reason, { code: 'draining', step: STEP })
+}
+
 function tooLarge (limitBytes: number, found: string): AnvilarchError {
   return new AnvilarchError(`the body is larger than the ${limitBytes} bytes that are allowed: ${found}`, { code: 'too_large', step: STEP })
 }
--- a/packages/anvilarch-daemon/src/callers/types.ts
+++ b/packages/anvilarch-daemon/src/callers/types.ts
@@ -1,5 +1,6 @@
 /** Types of the HTTP server for callers, which serves the routes of several slices. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { DrainGate } from './drainGate'
 
 /** Input of a route handler. */
 export interface CallerContext {
@@ -14,6 +15,8 @@
   deadlineMs: number | undefined
   /** Aborted when the caller disconnects. */
   signal: AbortSignal
+  /** Rejects requests that a drain may cut. */
+  drain: DrainGate
 }
 
 /** HTTP methods of routes. */
--- a/packages/anvilarch-daemon/src/jobs/__fixtures__/testServer.ts
+++ b/packages/anvilarch-daemon/src/jobs/__fixtures__/testServer.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import findMyWay from 'find-my-way'
-import { toAnvilarchError } from 'anvilarch-utils'
+import { createSystemClock, toAnvilarchError } from 'anvilarch-utils'
+import { createDrainGate } from '../../callers/drainGate'
 import { sendError } from '../../callers/http/errorResponse'
 import type { CallerContext, Route } from '../../callers/types'
 
@@ -46,7 +47,8 @@
     requestId: 'r',
     caller: (request.headers.authorization ?? 'Bearer nobody').slice('Bearer '.length),
     deadlineMs: undefined,
-    signal: closed.signal
+    signal: closed.signal,
+    drain: createDrainGate(createSystemClock())
   }
 }
 
--- a/packages/anvilarch-daemon/src/jobs/batchRoutes.ts
+++ b/packages/anvilarch-daemon/src/jobs/batchRoutes.ts
@@ -15,6 +15,8 @@
 
 /** Longest body of a request that creates a job; the items are in the file. */
 const MAX_BODY_BYTES = 64 * 1024
+/** Longest time that accepting a job is expected to take while the platform is slow. */
+const MAX_ACCEPT_MS = 10_000
 /** Polls after which each holder has detected a cancelled job. */
 const STOP_POLLS = 2
 
@@ -30,9 +32,10 @@
     return toBatchObject(job, await reader.counts(job), shownState(job, context.clock.wallMs(), stopMs))
   }
 
-  const create = async ({ request, response, caller, signal }: CallerContext): Promise<void> => {
+  const create = async ({ request, response, caller, signal, drain }: CallerContext): Promise<void> => {
     const key = parseKey(request.headers['idempotency-key'])
-    const batch = parseBatchRequest(parseJsonObject(await readBody(request, MAX_BODY_BYTES)))
+    const batch = parseBatchRequest(parseJsonObject(await readBody(request, MAX_BODY_BYTES, drain.unreadRejected)))
+    drain.check(context.clock.nowMs() + MAX_ACCEPT_MS)
     const job = await acceptJob(context, { caller, key, batch, signal }, randomValue)
     // The job is already accepted, so a failure to count its items must not turn this response into an error.
     const counts = await reader.counts(job).catch(() => ({ completed: 0, failed: 0 }))
