Handle signals of anvilarchd from the start on, and repeated ones

Requests in progress were cut when a gateway or agent of the older path got SIGTERM before all its components had started (its start takes 9 s and more while the platform is silent, and it serves meanwhile), when a second SIGTERM or a SIGHUP followed the first one, and by SIGHUP alone.

Cause: signal handlers were set after the start, so that SIGTERM had its default effect until then; a second SIGTERM forced the exit after 2 s; nothing handled SIGHUP, which ends a process by default. Supervisors repeat SIGTERM.

bin/stopSignals.ts decides what a signal does: the first SIGTERM or SIGINT drains, SIGINT during a drain forces the exit, everything else is logged and ignored. A daemon may be stopped while it starts: the life-cycle manager starts no component once it stops, and those that run are drained.

--- a/packages/anvilarch-daemon/src/bin/anvilarchd.ts
+++ b/packages/anvilarch-daemon/src/bin/anvilarchd.ts
@@ -3,12 +3,13 @@
 import { readFileSync } from 'node:fs'
 import { command, flag, option, optional, positional, run, string } from 'cmd-ts'
 import { type DaemonSettings, formatIssues, validateSettings } from 'anvilarch-configuration'
-import { exitOnViolation, runDaemon, type RunningDaemon } from '../roles/runDaemon'
+import { createDaemon, type Daemon, exitOnViolation } from '../roles/runDaemon'
+import { HANDLED_SIGNALS, onSignal, type Phase, type SignalCommand } from './stopSignals'
 
 /** Exit codes, consistent with those of the command-line tool. */
 const EXIT_CODES = { ok: 0, failed: 1, usage: 2, invalid_settings: 3, invariant_violated: 70 } as const
 
-/** Time between the second signal and the forced exit. */
+/** Time between the second interrupt and the forced exit. */
 const FORCED_EXIT_DELAY_MS = 2000
 
 function readSettings (path: string): DaemonSettings {
@@ -25,24 +26,30 @@
   return process.exit(EXIT_CODES.invalid_settings)
 }
 
-/** Drains the daemon on SIGTERM or SIGINT; a second signal limits the remaining time. */
-function handleSignals (daemon: RunningDaemon): void {
-  let signals = 0
-  const onSignal = (): void => {
-    signals++
-    if (signals > 1) {
-      daemon.context.clock.after(FORCED_EXIT_DELAY_MS, () => process.exit(EXIT_CODES.failed))
-      return
-    }
-    daemon.stop().then(
-      () => process.exit(EXIT_CODES.ok),
-      (error: unknown) => {
-        daemon.context.logger.error('stopping failed', { error: String(error) })
-        process.exit(EXIT_CODES.failed)
-      })
+/** Applies signals from now on, also while the daemon starts: a default handler would end the process at once. */
+function handleSignals (daemon: Daemon): void {
+  const { clock, logger } = daemon.context
+  let phase: Phase = 'running'
+  const commands: Record<SignalCommand, () => void> = {
+    stop: () => {
+      daemon.stop().then(
+        () => process.exit(EXIT_CODES.ok),
+        (error: unknown) => {
+          logger.error('stopping failed', { error: String(error) })
+          process.exit(EXIT_CODES.failed)
+        })
+    },
+    force: () => { clock.after(FORCED_EXIT_DELAY_MS, () => process.exit(EXIT_CODES.failed)) },
+    ignore: () => {}
+  }
+  for (const signal of HANDLED_SIGNALS) {
+    process.on(signal, () => {
+      const step = onSignal(phase, signal)
+      logger.info('signal received', { signal, phase, command: step.command })
+      phase = step.phase
+      commands[step.command]()
+    })
   }
-  process.on('SIGTERM', onSignal)
-  process.on('SIGINT', onSignal)
 }
 
 const anvilarchd = command({
@@ -65,7 +72,9 @@
       return
     }
     if (process.env.ANVILARCH_EXIT_ON_VIOLATION === '1') exitOnViolation(() => process.exit(EXIT_CODES.invariant_violated))
-    handleSignals(await runDaemon(settings))
+    const daemon = createDaemon(settings)
+    handleSignals(daemon)
+    await daemon.start()
   }
 })
 
--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -79,6 +79,7 @@
   })
   respondToClientErrors(server)
   const closer = createGracefulCloser(server, context.clock)
+  await startIntentSweep(context, lifecycle)
   const address = await listen(server, context.settings.listen.callers ?? '127.0.0.1:0')
 
   const drain = async (): Promise<void> => {
@@ -101,7 +102,6 @@
     }
   }
   const stopTimeoutMs = options.readinessLeadMs + drainTimeoutMs + RECORD_TIMEOUT_MS + STOP_MARGIN_MS
-  await startIntentSweep(context, lifecycle)
   await lifecycle.start({ name: 'callers', stop: callers.drain, stopTimeoutMs })
   return callers
 }
--- a/packages/anvilarch-utils/src/__tests__/lifecycle.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/lifecycle.test.ts
@@ -26,6 +26,14 @@
     expect(firstStopped).toBe(true)
   })
 
+  it('starts no component once it stops', async () => {
+    const manager = createLifecycleManager({ clock: createFakeClock() })
+    await manager.stop()
+    const steps: string[] = []
+    await expect(manager.start({ name: 'late', start: () => { steps.push('start late') } })).rejects.toThrow('"late" was not started')
+    expect(steps).toEqual([])
+  })
+
   it('stops components once when called twice', async () => {
     let stops = 0
     const manager = createLifecycleManager({ clock: createFakeClock() })
--- a/packages/anvilarch-utils/src/lifecycle.ts
+++ b/packages/anvilarch-utils/src/lifecycle.ts
@@ -13,7 +13,7 @@
 
 /** Manages the components of one process. */
 export interface LifecycleManager {
-  /** Adds a component and starts it. */
+  /** Adds a component and starts it. Rejects once `stop` has been called, so that nothing starts beside the components that stop. */
   start: (component: Component) => Promise<void>
   /** Stops all components in reverse order; a second call waits for the first. */
   stop: () => Promise<void>
@@ -64,6 +64,7 @@
 
   return {
     start: async component => {
+      if (controller.signal.aborted) throw new Error(`"${component.name}" was not started, since the process is stopping`)
       components.push(component)
       await component.start?.()
     },
