Answer pipelined requests that a draining gateway has read

Cause: each response of a draining gateway sets Connection: close, upon which Node drops what has been read behind it.

Now a response sets it only if no further request has been read from its connection; the last one does. Requests that are read after the head of the response before them are still dropped: their client has been told that the connection closes.

--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -19,6 +19,25 @@
   message: 'this gateway stops before it could complete the request; it has not run, and another gateway can serve it'
 }
 
+/** Responses whose connection has a further request. */
+const followedResponses = new WeakSet<ServerResponse>()
+
+/** Records that the client has sent a further request on the connection of this response, which is still unfinished. */
+export function markFollowed (response: ServerResponse): void {
+  followedResponses.add(response)
+}
+
+/**
+ * Sets `Connection: close` on a response of a draining process, unless a further request has been read from its connection: that
+ * request would be left without a response.
+ *
+ * @param response - response whose head has not been sent
+ * @param drainState - whether the process is draining
+ */
+export function closeAfterLastResponse (response: ServerResponse, drainState: Pick<DrainState, 'isDraining'>): void {
+  if (drainState.isDraining() && !followedResponses.has(response)) response.setHeader('Connection', 'close')
+}
+
 /**
  * @param credentialScheme - authentication scheme of keys
  * @returns the response to a caller without a valid key; it does not reveal whether the route exists
@@ -47,7 +66,7 @@
 export function sendJson (response: ServerResponse, status: number, body: unknown, drainState: Pick<DrainState, 'isDraining'>): void {
   if (response.headersSent || response.destroyed) return
   const bytes = Buffer.from(JSON.stringify(body))
-  if (drainState.isDraining()) response.setHeader('Connection', 'close')
+  closeAfterLastResponse(response, drainState)
   response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': bytes.length })
   response.end(bytes)
 }
--- a/packages/anvilarch-serving/src/requests/requestCompletion.ts
+++ b/packages/anvilarch-serving/src/requests/requestCompletion.ts
@@ -2,7 +2,7 @@
 import { abortResponse } from 'anvilarch-utils'
 import { accountNameOf } from '../accounts/types'
 import type { DrainState } from '../drain/drainState'
-import { type GatewayResponse, sendGatewayResponse } from './clientResponse'
+import { closeAfterLastResponse, type GatewayResponse, sendGatewayResponse } from './clientResponse'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { AnswerEnd } from '../telemetry/events'
 import type { TrafficOutcome } from '../telemetry/trafficCounters'
@@ -140,7 +140,7 @@
 }
 
 function sendEndpointResponse ({ request, response }: ClientRequest, endpointResponse: EndpointResponse, drainState: DrainState): void {
-  if (drainState.isDraining()) response.setHeader('Connection', 'close')
+  closeAfterLastResponse(response, drainState)
   const headers = [...endpointResponse.rawHeaders]
   if (request.method !== 'HEAD' && endpointResponse.status !== 204 && endpointResponse.status !== 304) headers.push('Content-Length', String(endpointResponse.body.length))
   response.writeHead(endpointResponse.status, headers)
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -12,7 +12,7 @@
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
-import { STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
+import { closeAfterLastResponse, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
 import { type Attempt, type EndpointResponse, isFull, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
@@ -213,7 +213,7 @@
     continueWith(entry)
     state.responseStarted = true
     recordOrigin(parts, client, state, entry.endpoint)
-    if (parts.drainState.isDraining()) response.setHeader('Connection', 'close')
+    closeAfterLastResponse(response, parts.drainState)
     response.writeHead(head.status, head.rawHeaders)
     response.flushHeaders()
   }
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -4,6 +4,7 @@
 import { type Clock, abortResponse, type Timer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
+import { markFollowed } from '../requests/clientResponse'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { createConnectionAdmission } from './connectionAdmission'
 import { createLingeringClose } from './lingeringClose'
@@ -86,6 +87,8 @@
     }
     lingeringClose.onRequest(request)
     const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
+    // A response owns no connection until those before it are complete.
+    if (response.socket === null) responsesOn(request.socket).forEach(markFollowed)
     inProgress.set(response, { socket: request.socket, unfinished })
     response.on('close', () => {
       inProgress.delete(response)
