Keep a timer of more than 2^31 ms from firing at once

setTimeout takes a delay of 2^31 ms and more for 1 ms, so that a timeout from a row or a header that is very long ended its request at once. The clock bounds each delay, which covers all timers of the daemons.

--- a/packages/anvilarch-utils/src/clock.ts
+++ b/packages/anvilarch-utils/src/clock.ts
@@ -15,13 +15,16 @@
   after: (delayMs: number, onFire: () => void) => Timer
 }
 
+/** A timer of Node.js with a longer delay fires at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1
+
 /** @returns a clock on the system time. Its timers do not keep the process running. */
 export function createSystemClock (): Clock {
   return {
     nowMs: () => performance.now(),
     wallMs: () => Date.now(),
     after: (delayMs, onFire) => {
-      const handle = setTimeout(onFire, Math.max(0, delayMs))
+      const handle = setTimeout(onFire, Math.min(MAX_TIMER_MS, Math.max(0, delayMs)))
       handle.unref()
       return { cancel: () => clearTimeout(handle) }
     }
