Check the rows of all shared tables in one place

What can happen here: a row among the members that is `null` broke every request of every gateway ("other side closed"), since the rows of our own tables were cast and not checked. A member's address that is none made each store call that was to be relayed throw; the exception left the loop that follows a table, so that the process followed neither configuration nor endpoints from then on. Entries of endpoints with slots of 1e300, texts of 60,000 characters or a key that no header can hold passed. A configuration of version 1e300 kept every later one out.

What could not be made to come: the entries of replicas alone.

store/rowValues.ts states the bounds and checks each field of a record; the result is the record or the problem. An unusable row is one log line a change, at most two a second, and a count in anvilarch_unusable_rows_total. A listener that throws misses one change; a step that throws counts as a failed call; the transport to a peer and the peer socket fail without an exception.

Tests changed: workTable.test.ts listed a job without items' tokens, failures and times, which is no job any more, and uses a whole one; versionRecord.test.ts and claims.test.ts read the result that decoders return now; fixtures of the runner have an address instead of an empty text. What they demand is the same.

--- a/packages/anvilarch-serving/src/crashes/shareSuspects.ts
+++ b/packages/anvilarch-serving/src/crashes/shareSuspects.ts
@@ -1,5 +1,8 @@
 /** Shares suspects between gateways through rows of the store, since any gateway may receive the same request. */
 import { runInBackground } from 'anvilarch-utils'
+import type { Result } from 'ts-results'
+import { decodeChecked, isCount, isStoreTimeMs, isString, listOf, optional, type RecordChecks, type RowProblem } from '../store/rowValues'
+import { NO_REPORTS, type UnusableRows } from '../store/unusableRows'
 import type { RowKey, StoredRow } from '../store/types'
 import type { RoleContext } from '../roles/types'
 import type { TableListener } from '../store/tableFollower'
@@ -29,16 +32,18 @@
 /**
  * @param context - store and log
  * @param suspects - suspects known to this gateway
+ * @param unusable - receives rows that contain no record
  * @returns the exchange with other gateways
  */
-export function shareSuspects (context: Pick<RoleContext, 'store' | 'log'>, suspects: SuspectTable): SharedSuspects {
+export function shareSuspects (context: Pick<RoleContext, 'store' | 'log'>, suspects: SuspectTable, unusable: UnusableRows = NO_REPORTS): SharedSuspects {
   const { store, log } = context
   const versions = new Map<string, number>()
 
   const mergeRow = (row: StoredRow): void => {
     versions.set(row.key, row.version)
-    const record = decodeSuspect(row)
-    if (record !== undefined) suspects.merge(record)
+    const decoded = decodeSuspect(row)
+    if (decoded.ok) suspects.merge(decoded.val)
+    else unusable.report(row, decoded.val)
   }
 
   const write = async (records: readonly SuspectRecord[]): Promise<void> => {
@@ -115,21 +120,23 @@
   return { table: SUSPECT_TABLE, partition: '', key: fingerprint }
 }
 
-/** @returns the record; undefined if the row does not contain one */
-function decodeSuspect (row: StoredRow): SuspectRecord | undefined {
-  try {
-    const record = JSON.parse(row.value.toString()) as SuspectRecord
-    return Array.isArray(record.crashedStarts) && typeof record.lastCrashAtMs === 'number' ? { ...record, fingerprint: row.key } : undefined
-  } catch {
-    // A row that is not valid JSON is not a suspect record.
-    return undefined
-  }
+const SUSPECT_CHECKS: RecordChecks<Omit<SuspectRecord, 'fingerprint'>> = {
+  crashedStarts: listOf(isString),
+  lastCrashAtMs: isStoreTimeMs,
+  requests: optional(listOf(isString)),
+  trials: optional(isCount)
+}
+
+/** @returns the record, or why the row contains none */
+function decodeSuspect (row: StoredRow): Result<SuspectRecord, RowProblem> {
+  return decodeChecked(row.value, SUSPECT_CHECKS).map(record => ({ ...record, fingerprint: row.key }))
 }
 
 /** Removes rows past their retention. Each gateway does this after listing the table; rows that another gateway has already removed are harmless. */
 async function removeExpired (store: RoleContext['store'], rows: readonly StoredRow[]): Promise<void> {
   const nowMs = store.storeNowMs()
   if (nowMs === undefined) return
-  const expired = rows.filter(row => nowMs - (decodeSuspect(row)?.lastCrashAtMs ?? 0) > SUSPECT_RETENTION_MS).slice(0, ROWS_PER_COMMIT)
+  const lastCrashAtMs = (row: StoredRow): number => decodeSuspect(row).map(record => record.lastCrashAtMs).unwrapOr(0)
+  const expired = rows.filter(row => nowMs - lastCrashAtMs(row) > SUSPECT_RETENTION_MS).slice(0, ROWS_PER_COMMIT)
   if (expired.length > 0) await store.commit({ conditions: [], puts: [], removes: expired.map(row => suspectKey(row.key)) })
 }
--- a/packages/anvilarch-serving/src/endpoints/peerMessages.ts
+++ b/packages/anvilarch-serving/src/endpoints/peerMessages.ts
@@ -5,6 +5,7 @@
  */
 import type { Grant, PermitDemand } from '../accounts/limits/accountMeter'
 import type { Granter } from '../accounts/limits/limitBounds'
+import { MAX_DURATION_MS } from '../store/rowValues'
 import type { StreamOrigin } from '../streams/types'
 
 /** Request of a gateway for the load report of an agent. */
@@ -185,7 +186,7 @@
   ['a', ([correlationId, startId, online, batchRunning, reachable, intervalMs = UNKNOWN_INTERVAL]) => {
     if (!isCount(correlationId)) return undefined
     if (startId === undefined) return { message: 'load_response', correlationId, report: undefined }
-    if (typeof startId !== 'string' || !isCount(online) || !isCount(batchRunning) || typeof reachable !== 'boolean' || !isCount(intervalMs)) return undefined
+    if (typeof startId !== 'string' || !isCount(online) || !isCount(batchRunning) || typeof reachable !== 'boolean' || !isCountOfMs(intervalMs)) return undefined
     const eventIntervalMs = intervalMs === UNKNOWN_INTERVAL ? undefined : intervalMs
     return { message: 'load_response', correlationId, report: { startId, online, batchRunning, reachable, eventIntervalMs } }
   }],
@@ -196,8 +197,8 @@
     return { message: 'permit_request', correlationId, accountName, granter: GRANTERS[code], wanted, returning, deniedUnasked, configurationVersion }
   }],
   ['g', ([correlationId, granted, retryAfterMs, configurationVersion, turnIntervalMs = 0, usedPerSecond = 0]) => {
-    if (!isCount(correlationId) || !isCount(granted) || !isCount(retryAfterMs) || !isCount(configurationVersion)) return undefined
-    if (!isCount(turnIntervalMs) || !isCount(usedPerSecond)) return undefined
+    if (!isCount(correlationId) || !isCount(granted) || !isCountOfMs(retryAfterMs) || !isCount(configurationVersion)) return undefined
+    if (!isCountOfMs(turnIntervalMs) || !isCount(usedPerSecond)) return undefined
     return { message: 'permit_response', correlationId, granted, retryAfterMs, turnIntervalMs, usedPerSecond, configurationVersion }
   }],
   ['r', ([accountName, code, count]) => {
@@ -226,6 +227,10 @@
   return Number.isSafeInteger(value) && (value as number) >= 0
 }
 
+function isCountOfMs (value: unknown): value is number {
+  return isCount(value) && value <= MAX_DURATION_MS
+}
+
 function parseList (bytes: Buffer): unknown[] | undefined {
   try {
     const value: unknown = JSON.parse(bytes.toString())
--- a/packages/anvilarch-serving/src/endpoints/peerSocket.ts
+++ b/packages/anvilarch-serving/src/endpoints/peerSocket.ts
@@ -26,6 +26,9 @@
 /** Limit of log lines about unreadable datagrams, since any host can send them. */
 const UNREADABLE_LINES_PER_SECOND = 1
 
+/** Limit of log lines about datagrams that cannot be sent: one is sent for each request. */
+const UNSENT_LINES_PER_SECOND = 1
+
 /** Options of `openPeerSocket`. */
 export interface PeerSocketOptions {
   clock: Clock
@@ -41,6 +44,7 @@
 export function openPeerSocket (options: PeerSocketOptions): PeerSocket {
   const { log, own } = options
   const logRateLimiter = createLogRateLimiter(options.clock, UNREADABLE_LINES_PER_SECOND)
+  const sendLogRateLimiter = createLogRateLimiter(options.clock, UNSENT_LINES_PER_SECOND)
   const socket = createSocket('udp4')
   let closed = false
   socket.on('error', error => log.warn('peer socket failed', { reason: error.message }))
@@ -53,9 +57,14 @@
   return {
     send: (message, to) => {
       if (closed) return
-      socket.send(encodePeerMessage(message), to.port, to.ip, () => {
-        // A datagram that cannot be sent is treated like a lost one.
-      })
+      try {
+        socket.send(encodePeerMessage(message), to.port, to.ip, () => {
+          // A datagram that cannot be sent is treated like a lost one.
+        })
+      } catch (error) {
+        // Node.js throws for a port that is out of range.
+        if (sendLogRateLimiter.tryAcquire()) log.warn('peer message not sent', { to: `${to.ip}:${to.port}`, reason: (error as Error).message })
+      }
     },
     close: () => {
       closed = true
--- a/packages/anvilarch-serving/src/jobs/__tests__/workTable.test.ts
+++ b/packages/anvilarch-serving/src/jobs/__tests__/workTable.test.ts
@@ -3,9 +3,9 @@
 import { jobKey, encodeRecord } from '../jobRows'
 import { createWorkTable } from '../workTable'
 
-function row (version: number, ended = false): StoredRow {
-  const record = { ...createJobRecord([], { jobId: 'j', host: 'h', path: '/', nowMs: 0, dueMs: 1, expiryMs: 1, maxAttempts: 1 }), ended }
-  return { ...encodeRecord(jobKey('j'), record), version }
+function row (version: number, ended = false, jobId = 'j'): StoredRow {
+  const record = { ...createJobRecord([], { jobId, host: 'h', path: '/', nowMs: 0, dueMs: 1, expiryMs: 1, maxAttempts: 1 }), ended }
+  return { ...encodeRecord(jobKey(jobId), record), version }
 }
 
 describe('createWorkTable', () => {
@@ -23,8 +23,7 @@
   it('removes rows that a listing no longer contains', () => {
     const table = createWorkTable()
     table.update(row(5))
-    const other = { ...row(9), ...jobKey('k') }
-    table.listeners.jobs.onListing([{ ...other, value: Buffer.from(JSON.stringify({ jobId: 'k', listed: [], itemIds: [] })) }], 9)
+    table.listeners.jobs.onListing([row(9, false, 'k')], 9)
     expect(table.job('j')).toBeUndefined()
     expect(table.job('k')).toBeDefined()
   })
--- a/packages/anvilarch-serving/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-serving/src/jobs/acceptJob.ts
@@ -5,7 +5,7 @@
 import type { RowKey, StoreFailure, Transaction } from '../store/types'
 import { withRepeats } from '../store/withRepeats'
 import { createJobRecord } from './jobRecord'
-import { decodeRecord, JOB_TABLE, jobKey, encodeRecord, submissionObject } from './jobRows'
+import { decodeJob, JOB_TABLE, jobKey, encodeRecord, submissionObject } from './jobRows'
 import { type JobParts, readJob } from './jobStore'
 import { decodePage, firstPageRange, furtherPagesRange, isFull, type JobLookup, pageKey, paginate, planReservation, quotaKey, type Reservation, type ReservationPage, reservedTokens } from './quota'
 import { encodeSubmission } from './submission'
@@ -133,6 +133,7 @@
   const read = await parts.store.readRows(firstPageRange(first))
   if (read.err) return Err(read.val)
   const pages = [decodePage(first, read.val.rows)]
+  if (pages[0].problem !== undefined) parts.log.error('row cannot be used', { table: first.table, key: first.key, ...pages[0].problem })
   if (!isFull(pages[0])) return Ok(pages)
   const further = await parts.store.readRows(furtherPagesRange(first))
   if (further.err) return Err(further.val)
@@ -157,8 +158,8 @@
   for (const read of reads) {
     if (read.err) return undefined
     for (const row of read.val.rows) {
-      const record = reserved.has(row.key) ? decodeRecord<JobRecord>(row) : undefined
-      if (record !== undefined) jobs.set(row.key, { record })
+      const decoded = reserved.has(row.key) ? decodeJob(row) : undefined
+      if (decoded?.ok === true) jobs.set(row.key, { record: decoded.val })
     }
   }
   return { job: jobId => jobs.get(jobId), isComplete: true }
--- a/packages/anvilarch-serving/src/jobs/jobCache.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCache.ts
@@ -1,7 +1,7 @@
 /** Cache of the jobs that a gateway's clients have recently requested. */
 import { LRUCache } from 'lru-cache'
 import type { Versioned } from '../store/tableCache'
-import { decodeRecord, JOB_TABLE } from './jobRows'
+import { decodeJob, JOB_TABLE } from './jobRows'
 import type { JobCache } from './jobStore'
 import type { JobRecord } from './types'
 
@@ -20,8 +20,9 @@
     job: jobId => jobs.get(jobId),
     update: row => {
       if (row.table !== JOB_TABLE) return
-      const record = decodeRecord<JobRecord>(row)
-      if (record === undefined) return
+      const decoded = decodeJob(row)
+      if (decoded.err) return
+      const record = decoded.val
       const known = jobs.get(record.jobId)
       if (known === undefined || known.version < row.version) jobs.set(record.jobId, { record, version: row.version })
     },
--- a/packages/anvilarch-serving/src/jobs/jobRows.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRows.ts
@@ -1,8 +1,13 @@
 /** Keys and encoding of the rows of jobs, claims, members, results and saved progress. */
+import { Err, Ok, type Result } from 'ts-results'
 import { accountNameOf, type Caller } from '../accounts/types'
+import {
+  decodeChecked, isCount, isDurationMs, isFiniteNumber, isFlag, isName, isSocketAddress, isStoreTimeMs, isString, listOf, mapOf, oneOf, optional,
+  type RecordChecks, rowProblem, type RowProblem
+} from '../store/rowValues'
 import type { RowKey, RowWrite, StoredRow } from '../store/types'
 import { MEMBER_PARTITION, partitionOf } from './partitions'
-import type { ClaimRecord, JobRecord, MemberRecord } from './types'
+import type { ClaimRecord, FinishedItem, JobRecord, MemberRecord } from './types'
 
 /** Jobs. Agents follow this table; gateways read it. */
 export const JOB_TABLE = 'jobs'
@@ -87,14 +92,71 @@
   return { ...key, value: Buffer.from(JSON.stringify(record)) }
 }
 
-/**
- * @param row - a row made by `encodeRecord`
- * @returns the record; undefined when the bytes are not JSON
- */
-export function decodeRecord<Record extends JobRecord | ClaimRecord | MemberRecord> (row: Pick<StoredRow, 'value'>): Record | undefined {
-  return parse(row.value) as Record | undefined
+const JOB_CHECKS: RecordChecks<JobRecord> = {
+  jobId: isName,
+  account: optional(isString),
+  host: isString,
+  path: isString,
+  submittedAtMs: isStoreTimeMs,
+  dueAtMs: isStoreTimeMs,
+  expiresAtMs: isStoreTimeMs,
+  maxAttempts: isFiniteNumber,
+  itemIds: listOf(isString),
+  itemTokens: listOf(isFiniteNumber),
+  listed: listOf(isFinishedItem),
+  failures: mapOf(isCount),
+  ended: isFlag
 }
 
+const CLAIM_CHECKS: RecordChecks<ClaimRecord> = {
+  jobId: isName,
+  item: isCount,
+  runner: isName,
+  incarnation: isName,
+  held: isFlag,
+  savedEventId: isCount
+}
+
+const MEMBER_CHECKS: RecordChecks<MemberRecord> = {
+  name: isName,
+  role: oneOf('gateway', 'agent'),
+  incarnation: isName,
+  peerAddress: isSocketAddress,
+  failureDomain: isString,
+  aliveUntilMs: isStoreTimeMs,
+  eventMs: optional(isDurationMs),
+  knownSinceMs: optional(isStoreTimeMs)
+}
+
+function isFinishedItem (value: unknown): boolean {
+  const { item, outcome } = (value ?? {}) as Partial<FinishedItem>
+  return isCount(item) && (outcome === 'completed' || outcome === 'dead_letter')
+}
+
+/** @returns the job of a row, or why the row describes none */
+export function decodeJob (row: EncodedRow): Result<JobRecord, RowProblem> {
+  return decodeChecked(row.value, JOB_CHECKS).andThen(job => {
+    if (job.jobId !== row.key) return Err(rowProblem('jobId', 'is not the key of the row'))
+    if (job.itemTokens.length !== job.itemIds.length) return Err(rowProblem('itemTokens', 'does not have an entry for each item'))
+    if (job.listed.some(({ item }) => item >= job.itemIds.length)) return Err(rowProblem('listed', 'names an item that does not exist'))
+    return Ok(job)
+  })
+}
+
+/** @returns the claim of a row, or why the row describes none */
+export function decodeClaim (row: EncodedRow): Result<ClaimRecord, RowProblem> {
+  return decodeChecked(row.value, CLAIM_CHECKS).andThen(claim =>
+    claimRowKey(claim.jobId, claim.item) === row.key ? Ok(claim) : Err(rowProblem('item', 'is not the item of the key')))
+}
+
+/** @returns the daemon of a row, or why the row describes none */
+export function decodeMember (row: EncodedRow): Result<MemberRecord, RowProblem> {
+  return decodeChecked(row.value, MEMBER_CHECKS).andThen(member =>
+    member.name === row.key ? Ok(member) : Err(rowProblem('name', 'is not the key of the row')))
+}
+
+type EncodedRow = Pick<StoredRow, 'key' | 'value'>
+
 /** Saved text of an unfinished item. */
 export interface SavedProgress {
   lastEventId: number
@@ -110,22 +172,20 @@
 
 /** @returns the decoded progress; undefined when the bytes cannot be decoded, so that the item is run from the start */
 export function decodeProgress (value: Buffer): SavedProgress | undefined {
-  const progress = parse(value) as Partial<SavedProgress> | null | undefined
-  if (typeof progress?.text !== 'string' || !isEventId(progress.lastEventId)) return undefined
-  const softwareVersion = typeof progress.softwareVersion === 'string' ? progress.softwareVersion : undefined
-  return { lastEventId: progress.lastEventId, text: progress.text, softwareVersion }
+  const decoded = decodeChecked(value, PROGRESS_CHECKS)
+  if (decoded.err) return undefined
+  const { lastEventId, text, softwareVersion } = decoded.val
+  return { lastEventId, text, softwareVersion: typeof softwareVersion === 'string' ? softwareVersion : undefined }
 }
 
-/** Ids of saved events start at 1, since nothing is saved before the first event. */
-function isEventId (id: unknown): id is number {
-  return Number.isInteger(id) && Number(id) > 0
+/** The version does not decide whether the text can be used: without one that is known, the item is run from the start. */
+const PROGRESS_CHECKS: RecordChecks<SavedProgress> = {
+  lastEventId: isEventId,
+  text: isString,
+  softwareVersion: () => true
 }
 
-function parse (value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString())
-  } catch {
-    // Only this program writes to its tables, so bytes that are not JSON hold none of its records.
-    return undefined
-  }
+/** Ids of saved events start at 1, since nothing is saved before the first event. */
+function isEventId (id: unknown): boolean {
+  return isCount(id) && Number(id) > 0
 }
--- a/packages/anvilarch-serving/src/jobs/jobStore.ts
+++ b/packages/anvilarch-serving/src/jobs/jobStore.ts
@@ -2,7 +2,7 @@
 import { type Clock, sleep } from 'anvilarch-utils'
 import { Err, Ok, type Result } from 'ts-results'
 import type { MetadataStore, RowCondition, RowKey, RowWrite, StoreFailure, StoredRow, TransactionOutcome } from '../store/types'
-import { decodeRecord, jobKey, encodeRecord } from './jobRows'
+import { decodeJob, jobKey, encodeRecord } from './jobRows'
 import type { JobRecord } from './types'
 import type { Versioned } from '../store/tableCache'
 import type { WorkTable } from './workTable'
@@ -127,6 +127,6 @@
 }
 
 function versionedJob (row: StoredRow): Versioned<JobRecord> | undefined {
-  const record = decodeRecord<JobRecord>(row)
-  return record === undefined ? undefined : { record, version: row.version }
+  const decoded = decodeJob(row)
+  return decoded.ok ? { record: decoded.val, version: row.version } : undefined
 }
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -5,6 +5,7 @@
  * reserve the last free tokens.
  */
 import { v3 as murmurhash } from 'murmurhash'
+import { isFiniteNumber, isName, isStoreTimeMs, parseRowValue, rowProblem, type RowProblem } from '../store/rowValues'
 import type { RowKey, RowRange, StoredRow } from '../store/types'
 import { waitingTokens } from './jobRecord'
 import { QUOTA_TABLE } from './jobRows'
@@ -62,6 +63,8 @@
   /** Version of the row; 0 if it does not exist. */
   version: number
   reservations: readonly Reservation[]
+  /** Why the row cannot be used; the page is then empty, and the next reservation replaces the row. */
+  problem?: RowProblem
 }
 
 /**
@@ -107,11 +110,22 @@
 /**
  * @param key - key of a page
  * @param rows - rows that were read
- * @returns the page; empty if it has no row
+ * @returns the page; empty if it has no row or one that cannot be used
  */
 export function decodePage (key: RowKey, rows: readonly StoredRow[]): ReservationPage {
   const row = rows.find(candidate => candidate.key === key.key)
-  return row === undefined ? { version: 0, reservations: [] } : { version: row.version, reservations: JSON.parse(row.value.toString()) as Reservation[] }
+  if (row === undefined) return { version: 0, reservations: [] }
+  const parsed = parseRowValue(row.value)
+  if (parsed.err) return { version: row.version, reservations: [], problem: parsed.val }
+  if (!isReservations(parsed.val)) return { version: row.version, reservations: [], problem: rowProblem('', 'is no list of reservations') }
+  return { version: row.version, reservations: parsed.val }
+}
+
+function isReservations (value: unknown): value is Reservation[] {
+  return Array.isArray(value) && value.every((entry: unknown) => {
+    const { jobId, tokens, reservedAtMs } = (entry ?? {}) as Partial<Reservation>
+    return isName(jobId) && isFiniteNumber(tokens) && isStoreTimeMs(reservedAtMs)
+  })
 }
 
 /**
--- a/packages/anvilarch-serving/src/jobs/workTable.ts
+++ b/packages/anvilarch-serving/src/jobs/workTable.ts
@@ -1,8 +1,9 @@
 /** This process's cache of the jobs, claims and members in the store. */
 import { createTableCache, type TableCache, type Versioned } from '../store/tableCache'
+import { NO_REPORTS, type UnusableRows } from '../store/unusableRows'
 import type { RowKey, StoredRow } from '../store/types'
 import type { TableListener } from '../store/tableFollower'
-import { CLAIM_TABLE, claimRowKey, decodeRecord, JOB_TABLE, MEMBER_TABLE } from './jobRows'
+import { CLAIM_TABLE, claimRowKey, decodeClaim, decodeJob, decodeMember, JOB_TABLE, MEMBER_TABLE } from './jobRows'
 import type { ClaimRecord, JobRecord, MemberRecord } from './types'
 
 /** Local cache of all jobs, claims and members. */
@@ -10,6 +11,8 @@
   job: (jobId: string) => Versioned<JobRecord> | undefined
   jobs: () => Iterable<Versioned<JobRecord>>
   claim: (jobId: string, item: number) => Versioned<ClaimRecord> | undefined
+  /** @returns version of the row by which an item is claimed, also of one that cannot be used; 0 if there is no row */
+  claimVersion: (jobId: string, item: number) => number
   members: () => Iterable<Versioned<MemberRecord>>
   member: (name: string) => Versioned<MemberRecord> | undefined
   /** @returns store version of the last listing of the members; undefined before the first */
@@ -22,17 +25,21 @@
   listeners: { jobs: TableListener, claims: TableListener, members: TableListener }
 }
 
-/** @returns an empty cache */
-export function createWorkTable (): WorkTable {
-  const jobs = createTableCache<JobRecord>(decodeRecord)
-  const claims = createTableCache<ClaimRecord>(decodeRecord)
-  const members = createTableCache<MemberRecord>(decodeRecord)
+/**
+ * @param unusable - receives rows that describe no job, claim or member
+ * @returns an empty cache
+ */
+export function createWorkTable (unusable: UnusableRows = NO_REPORTS): WorkTable {
+  const jobs = createTableCache<JobRecord>(decodeJob, unusable)
+  const claims = createTableCache<ClaimRecord>(decodeClaim, unusable)
+  const members = createTableCache<MemberRecord>(decodeMember, unusable)
   const caches: ReadonlyMap<string, TableCache<unknown>> = new Map<string, TableCache<unknown>>([[JOB_TABLE, jobs], [CLAIM_TABLE, claims], [MEMBER_TABLE, members]])
 
   return {
     job: jobId => jobs.get(jobId),
     jobs: jobs.values,
     claim: (jobId, item) => claims.get(claimRowKey(jobId, item)),
+    claimVersion: (jobId, item) => claims.rowVersion(claimRowKey(jobId, item)),
     members: members.values,
     member: name => members.get(name),
     membersListedAtVersion: members.listedAtVersion,
--- a/packages/anvilarch-serving/src/operations/readStore.ts
+++ b/packages/anvilarch-serving/src/operations/readStore.ts
@@ -1,12 +1,13 @@
 /** Reads the complete state in the store for operators. */
 import { Ok, type Result } from 'ts-results'
-import { decodeRecord, JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
+import { decodeJob, decodeMember, JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
 import { JOB_PARTITIONS, MEMBER_PARTITION } from '../jobs/partitions'
 import type { JobRecord, MemberRecord } from '../jobs/types'
 import type { ListedAccount } from '../accounts/types'
 import type { Endpoint, ListedConfiguration } from '../model/types'
 import type { OperatorWire } from '../roles/types'
-import type { MetadataStore, StoreFailure } from '../store/types'
+import type { RowProblem } from '../store/rowValues'
+import type { MetadataStore, StoredRow, StoreFailure } from '../store/types'
 
 /** An account as shown to operators: the number of its keys, but never the keys. */
 export interface AccountSummary extends Omit<ListedAccount, 'keys'> {
@@ -45,10 +46,10 @@
   const endpointRows = await store.readRows({ table: wire.endpointTable, partition: '' })
   if (endpointRows.err) return endpointRows
   snapshot.endpoints = endpointRows.val.rows.map(wire.decodeEndpoint).flatMap(row => row.row === 'endpoint' ? [row.endpoint] : [])
-  const members = await readRecords<MemberRecord>(store, MEMBER_TABLE, [MEMBER_PARTITION])
+  const members = await readRecords(store, MEMBER_TABLE, [MEMBER_PARTITION], decodeMember)
   if (members.err) return members
   snapshot.members = members.val
-  const jobs = await readRecords<JobRecord>(store, JOB_TABLE, JOB_PARTITIONS)
+  const jobs = await readRecords(store, JOB_TABLE, JOB_PARTITIONS, decodeJob)
   if (jobs.err) return jobs
   snapshot.jobs = jobs.val
   snapshot.storeNowMs = store.storeNowMs()
@@ -60,13 +61,13 @@
 }
 
 async function readRecords<Record extends JobRecord | MemberRecord> (
-  store: MetadataStore, table: string, partitions: readonly string[]
+  store: MetadataStore, table: string, partitions: readonly string[], decode: (row: StoredRow) => Result<Record, RowProblem>
 ): Promise<Result<Record[], StoreFailure>> {
   const records: Record[] = []
   for (const partition of partitions) {
     const read = await store.readRows({ table, partition })
     if (read.err) return read
-    records.push(...read.val.rows.map(row => decodeRecord<Record>(row)).filter(record => record !== undefined))
+    records.push(...read.val.rows.map(decode).flatMap(decoded => decoded.ok ? [decoded.val] : []))
   }
   return Ok(records)
 }
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -7,6 +7,8 @@
 import { MEMBER_PARTITION } from '../jobs/partitions'
 import { MEMBER_TABLE } from '../jobs/jobRows'
 import { createWorkTable, type WorkTable } from '../jobs/workTable'
+import type { EndpointRow } from '../model/types'
+import { createUnusableRows, type UnusableRows } from '../store/unusableRows'
 import type { StoredRow } from '../store/types'
 import { originRetentionMs } from '../streams/retention'
 import { createVersionHistory, type VersionHistory } from '../streams/versionHistory'
@@ -24,6 +26,8 @@
   /** @returns how long the origins of streams, and the versions of endpoints that are gone, matter, in milliseconds */
   originRetentionMs: () => number
   work: WorkTable
+  /** Receives rows of shared tables that cannot be used. */
+  unusableRows: UnusableRows
   /** Follows one more table until the view is closed. */
   follow: (table: FollowedTable) => void
   /** Reads the configuration from the store and applies it. @returns whether the store responded */
@@ -79,7 +83,8 @@
     isConfiguredService: service => configuration.current()?.services.has(service) ?? true
   })
   configuration.onChange(endpoints.onServicesChanged)
-  const work = createWorkTable()
+  const unusableRows = createUnusableRows({ clock, log, metrics: context.metrics })
+  const work = createWorkTable(unusableRows)
   const controller = new AbortController()
   const tableAnsweredAtMs = new Map<string, number>()
   const waitMs = feedWaitMs({ contactMs: context.settings.contactMs, callTimeoutMs: store.callTimeoutMs })
@@ -101,6 +106,12 @@
     runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, waitMs, signal: controller.signal, onResponse, ...table }))
   }
 
+  const decodeEndpoint = (row: StoredRow): EndpointRow => {
+    const decoded = wire.operator.decodeEndpoint(row)
+    if (decoded.row === 'unusable') context.metrics.unusableRows.inc({ table: row.table })
+    return decoded
+  }
+
   const applyConfiguration = async (row: StoredRow): Promise<void> => {
     const decoded = wire.operator.decodeConfiguration(row)
     if (decoded === undefined || decoded.version <= (configuration.current()?.version ?? -Infinity)) return
@@ -136,10 +147,10 @@
     partitions: DEFAULT_PARTITIONS,
     intervalMs: () => ENDPOINT_FEED_INTERVAL_MS,
     listener: {
-      onListing: rows => endpoints.onListing(rows.map(wire.operator.decodeEndpoint)),
+      onListing: rows => endpoints.onListing(rows.map(decodeEndpoint)),
       onChange: change => {
         if (change.change === 'removed') endpoints.onRemoved(change.key.key)
-        else endpoints.onRow(wire.operator.decodeEndpoint(change.row))
+        else endpoints.onRow(decodeEndpoint(change.row))
       }
     }
   })
@@ -163,6 +174,7 @@
     versions,
     originRetentionMs: () => retentionMs,
     work,
+    unusableRows,
     follow,
     refreshConfiguration,
     answerAgeMs,
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -69,7 +69,7 @@
   }
   const pools = createConnectionPools({ limitOf })
   const suspects = createSuspectTable(clock, context.store.storeNowMs)
-  const shared = shareSuspects(context, suspects)
+  const shared = shareSuspects(context, suspects, view.unusableRows)
   const crashes = createCrashMonitor({ clock, metrics: context.metrics, log, suspects, shared, storeNowMs: context.store.storeNowMs, connect: probeConnection })
   view.follow({ table: SUSPECT_TABLE, partitions: DEFAULT_PARTITIONS, listener: shared.listener })
   const onReport = (report: LoadReport): void => {
--- a/packages/anvilarch-serving/src/roles/gatewayStreams.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayStreams.ts
@@ -38,6 +38,7 @@
     store,
     clock,
     log,
+    unusable: view.unusableRows,
     history,
     retentionMs,
     followedSinceMs: () => view.followedSinceMs(table),
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -190,7 +190,7 @@
   let engineLost = false
   let lifetime = new AbortController()
   const writeMember = (): void => store.put(memberKey(name), {
-    name, role: 'agent', incarnation: `life${incarnation}`, peerAddress: '', failureDomain: '', aliveUntilMs: alive ? NEVER_MS : clock.nowMs()
+    name, role: 'agent', incarnation: `life${incarnation}`, peerAddress: '10.0.0.1:1', failureDomain: '', aliveUntilMs: alive ? NEVER_MS : clock.nowMs()
   })
   const endpoint = (): Endpoint => ({
     id: name, startId: `${name}@${engine.bornAtMs()}`, bornAtMs: engine.bornAtMs(), service: listing.service, address: name, failureDomain: 'a', softwareVersion: 'v1', slots: SLOTS, state: ready ? 'ready' : 'draining', coldLeftMs: 0, listedVersion: 1
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -74,7 +74,7 @@
     work.update({ ...encodeRecord(jobKey(jobId), { ...job, jobId, host: 'elsewhere' }), version: 1 })
   }
   work.update({
-    ...encodeRecord(memberKey(RUNNER), { name: RUNNER, role: 'agent', incarnation: INCARNATION, peerAddress: '', failureDomain: '', aliveUntilMs: Infinity }),
+    ...encodeRecord(memberKey(RUNNER), { name: RUNNER, role: 'agent', incarnation: INCARNATION, peerAddress: '10.0.0.1:1', failureDomain: '', aliveUntilMs: Number.MAX_SAFE_INTEGER }),
     version: 1
   })
 
--- a/packages/anvilarch-serving/src/runner/__tests__/claims.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/claims.test.ts
@@ -1,8 +1,8 @@
 import { createFakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import { createJobRecord, openItems } from '../../jobs/jobRecord'
-import { claimKey, decodeRecord, encodeRecord, jobKey } from '../../jobs/jobRows'
+import { claimKey, decodeJob, encodeRecord, jobKey } from '../../jobs/jobRows'
 import type { ChangeOutcome } from '../../jobs/jobStore'
-import type { ClaimRecord, JobRecord } from '../../jobs/types'
+import type { ClaimRecord } from '../../jobs/types'
 import { createWorkTable } from '../../jobs/workTable'
 import { createMemoryStore } from '../__fixtures__/memoryStore'
 import { giveUpItems } from '../claims'
@@ -28,7 +28,7 @@
   const isHeld = (item: number): boolean => work.claim('job', item)?.record.held === true
   const giving = giveUpItems(parts, 'job', job => openItems(job).filter(item => !isHeld(item)))
   await clock.advanceAsync(5000)
-  const listed = (decodeRecord<JobRecord>(store.row(jobKey('job')) ?? claimRow))?.listed.map(entry => entry.item) ?? []
+  const listed = decodeJob(store.row(jobKey('job')) ?? claimRow).unwrap().listed.map(entry => entry.item)
   return { outcome: await giving, listed, claimStored: store.row(claimKey('job', 0)) !== undefined }
 }
 
--- a/packages/anvilarch-serving/src/runner/claims.ts
+++ b/packages/anvilarch-serving/src/runner/claims.ts
@@ -63,7 +63,7 @@
   }
   const conditions = [
     { ...jobKey(jobId), version: job.version },
-    { ...claimKey(jobId, item), version: previous?.version ?? 0 }
+    { ...claimKey(jobId, item), version: parts.work.claimVersion(jobId, item) }
   ]
   return await writeClaim(parts, record, conditions, [])
 }
@@ -154,7 +154,7 @@
   return await changeJob(parts, jobId, job => {
     const items = waitingItems(job).slice(0, MAX_ITEMS_PER_TRANSACTION)
     if (items.length === 0) return undefined
-    const claims = items.map(item => ({ ...claimKey(jobId, item), version: parts.work.claim(jobId, item)?.version ?? 0 }))
+    const claims = items.map(item => ({ ...claimKey(jobId, item), version: parts.work.claimVersion(jobId, item) }))
     return {
       next: items.reduce((next, item) => recordOutcome(next, item, 'dead_letter') ?? next, job),
       conditions: claims,
--- a/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/tableFollower.test.ts
@@ -55,6 +55,38 @@
     expect(rejected()).toBeLessThan(4800)
   })
 
+  // Guards against a copy of a table that is never updated again because one row made its listener throw.
+  it.each(['listing', 'change', 'response'] as const)('goes on after an exception at a %s', async faulty => {
+    const clock = createFakeClock()
+    const events: string[] = []
+    const received: string[] = []
+    let feedCalls = 0
+    const throwOnce = (kind: string, key: string): void => {
+      received.push(key)
+      if (kind === faulty && received.length === 1) throw new Error('odd row')
+    }
+    const change = (key: string, version: number): object => ({ change: 'put', row: { ...rowOf(key), version } })
+    const store = {
+      readRows: async () => Ok({ rows: [], version: 1 }),
+      readFeed: async () => {
+        await new Promise<void>(resolve => clock.after(100, resolve))
+        feedCalls++
+        if (faulty === 'response' && feedCalls === 1) throw new Error('odd response')
+        return Ok({ outcome: 'changes', changes: [change(`a${feedCalls}`, 2 * feedCalls), change(`b${feedCalls}`, 2 * feedCalls + 1)], version: 2 * feedCalls + 1 })
+      }
+    } as unknown as MetadataStore
+    const log = { ...SILENT_LOGGER, error: (event: string) => { events.push(event) } } as EventLog
+    const listener = { onListing: () => { if (faulty === 'listing') throwOnce('listing', 'listing') }, onChange: ({ row }: { row: StoredRow }) => throwOnce('change', row.key) }
+    const controller = new AbortController()
+    const following = followTable({ store, clock, random: createRandom(1), log, table: 't', partitions: ['p'], listener: listener as never, waitMs: 2000, signal: controller.signal })
+    for (let passedMs = 0; passedMs < 2000; passedMs += 50) await clock.advanceAsync(50)
+    controller.abort()
+    await clock.advanceAsync(1000)
+    await following
+    expect(received).toEqual(expect.arrayContaining(['row-a2', 'row-b2', 'row-a3', 'row-b3']))
+    expect(events).toEqual(faulty === 'response' ? [] : ['table listener failed'])
+  })
+
   it('restarts a listing that has been interrupted for too long', async () => {
     const clock = createFakeClock()
     let version = 1
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -48,6 +48,14 @@
     expect(directCalls).toBeLessThan(5)
   })
 
+  // Guards against a daemon whose calls all throw, so that it follows no table any more, because the address of a peer is none.
+  it.each(['10.0.0.2:65536', 'no host:1', ''])('treats a call through a peer at "%s" as not done', async peer => {
+    const direct: StoreTransport = async () => BUSY
+    const odd = createRelayedTransport({ clock, log: SILENT_LOGGER, random: createRandom(1), direct, peers: () => [peer], createPeerTransport: address => createDirectTransport(address, clock) })
+    for (let index = 0; index < 5; index++) expect(['answered', 'not_done']).toContain((await odd.call(CALL)).outcome)
+    expect(['answered', 'not_done']).toContain((await odd.call({ ...CALL, repeatAfterMs: 10 })).outcome)
+  })
+
   it('detects that the store serves this host again', async () => {
     direct = BUSY
     for (let index = 0; index < 3; index++) await transport.call(CALL)
--- a/packages/anvilarch-serving/src/store/relayPeers.ts
+++ b/packages/anvilarch-serving/src/store/relayPeers.ts
@@ -55,13 +55,21 @@
     return picked
   }
 
+  const transportTo = (peer: string): StoreTransport => {
+    try {
+      return createPeerTransport(peer)
+    } catch (error) {
+      return () => Promise.resolve({ outcome: 'not_done', reason: (error as Error).message })
+    }
+  }
+
   const isPaused = (): boolean => clock.nowMs() < pausedUntilMs
 
   return {
     pick,
     pickForRepeat: count => isPaused() ? pick(1).filter(peer => peer === provenPeer) : pick(count),
     send: async (peer, call) => {
-      const response = await createPeerTransport(peer)(call)
+      const response = await transportTo(peer)(call)
       if (isServed(response)) {
         backoffMs = RELAY_BACKOFF_MS
         provenPeer = peer
--- a/packages/anvilarch-serving/src/store/tableCache.ts
+++ b/packages/anvilarch-serving/src/store/tableCache.ts
@@ -1,5 +1,8 @@
 /** Local cache of the rows of one table, filled by listings, the feed of changes and the writes of this process. */
+import type { Result } from 'ts-results'
+import type { RowProblem } from './rowValues'
 import type { RowChange, RowKey, StoredRow } from './types'
+import type { UnusableRows } from './unusableRows'
 
 /** A decoded record and the version of its row. */
 export interface Versioned<Record> {
@@ -10,6 +13,8 @@
 /** Local cache of one table. */
 export interface TableCache<Record> {
   get: (key: string) => Versioned<Record> | undefined
+  /** @returns version of the cached row, also of one that cannot be used; 0 if there is none */
+  rowVersion: (key: string) => number
   values: () => Iterable<Versioned<Record>>
   /** Stores a row that this process has just written or read, unless the cached one is as new. */
   update: (row: StoredRow) => void
@@ -30,18 +35,20 @@
 /**
  * Creates a cache for a table whose keys are unique across all its partitions.
  *
- * @param decode - decodes a row; returns undefined for bytes that this program has not written
+ * @param decode - decodes a row
+ * @param unusable - receives rows that cannot be decoded
  * @returns an empty cache
  */
-export function createTableCache<Record> (decode: (row: StoredRow) => Record | undefined): TableCache<Record> {
+export function createTableCache<Record> (decode: (row: StoredRow) => Result<Record, RowProblem>, unusable: UnusableRows): TableCache<Record> {
   const entries = new Map<string, Entry<Record>>()
   let listedAtVersion: number | undefined
 
   const put = (row: StoredRow): void => {
     const cached = entries.get(row.key)
     if (cached !== undefined && cached.version >= row.version) return
-    const record = decode(row)
-    entries.set(row.key, { version: row.version, versioned: record === undefined ? undefined : { record, version: row.version } })
+    const decoded = decode(row)
+    if (decoded.err) unusable.report(row, decoded.val)
+    entries.set(row.key, { version: row.version, versioned: decoded.ok ? { record: decoded.val, version: row.version } : undefined })
   }
 
   // The feed may report a removal after this process has written the row again. The newer row stays.
@@ -52,6 +59,7 @@
 
   return {
     get: key => entries.get(key)?.versioned,
+    rowVersion: key => entries.get(key)?.version ?? 0,
     values: function * () {
       for (const { versioned } of entries.values()) if (versioned !== undefined) yield versioned
     },
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -59,7 +59,7 @@
   const feedMonitor = createFeedMonitor(options)
   while (!options.signal.aborted) {
     const sentAtMs = options.clock.nowMs()
-    const next = version === undefined ? await listing.run() : await readChanges(options, version)
+    const next = await runStep(() => version === undefined ? listing.run() : readChanges(options, version))
     if (version !== undefined) feedMonitor.onOutcome(next, sentAtMs)
     if (next.outcome === 'failed') {
       retryMs = Math.min(longestRetryMs(next.reason), retryMs)
@@ -78,6 +78,24 @@
 
 type Step = { outcome: 'changed', version: number | undefined } | { outcome: 'failed', reason: string }
 
+/** A step that throws counts as a failed call, so that the table is followed further. */
+async function runStep (step: () => Promise<Step>): Promise<Step> {
+  try {
+    return await step()
+  } catch (error) {
+    return { outcome: 'failed', reason: (error as Error).message }
+  }
+}
+
+/** A listener that throws misses one change, but not those after it. */
+function notify ({ log, table, listener }: Pick<FollowTableOptions, 'log' | 'table' | 'listener'>, call: (listener: TableListener) => void): void {
+  try {
+    call(listener)
+  } catch (error) {
+    log.error('table listener failed', { table, reason: (error as Error).message })
+  }
+}
+
 /** Logs when a feed is lost and when it responds again. */
 interface FeedMonitor {
   onOutcome: (step: Step, sentAtMs: number) => void
@@ -144,7 +162,7 @@
         next++
       }
       next = 0
-      options.listener.onListing(rows, oldestVersion ?? 0)
+      notify(options, listener => listener.onListing(rows, oldestVersion ?? 0))
       options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion ?? 0 })
       return { outcome: 'changed', version: oldestVersion }
     }
@@ -158,7 +176,7 @@
     options.log.info('feed history lost, listing again', { table: options.table, version })
     return { outcome: 'changed', version: undefined }
   }
-  for (const change of read.val.changes) options.listener.onChange(change)
+  for (const change of read.val.changes) notify(options, listener => listener.onChange(change))
   return { outcome: 'changed', version: read.val.version }
 }
 
@@ -184,7 +202,7 @@
   let earlyIntervalMs = FIRST_LISTING_INTERVAL_MS
   const listing = createListing(options)
   while (!options.signal.aborted) {
-    const listed = await listing.run()
+    const listed = await runStep(listing.run)
     if (listed.outcome === 'changed') options.onResponse?.()
     const intervalMs = Math.min(earlyIntervalMs, options.intervalMs())
     // The interval does not grow after failures other than a rejection for the rate of calls.
--- a/packages/anvilarch-serving/src/streams/__tests__/versionRecord.test.ts
+++ b/packages/anvilarch-serving/src/streams/__tests__/versionRecord.test.ts
@@ -41,8 +41,8 @@
   })
 
   it('is read as it was written, and rows of an older software version without a time of completeness', () => {
-    expect(decodeVersionRecord(encodeVersionRecord(STORED))).toEqual(STORED)
-    expect(decodeVersionRecord(Buffer.from('{"listed":["v1"],"recent":[],"changedAtMs":1}'))).toEqual({ listed: ['v1'], recent: ['v1'], changedAtMs: 1, completeSinceMs: undefined })
-    for (const text of ['x', '{}', '{"listed":1,"recent":[],"changedAtMs":1}']) expect(decodeVersionRecord(Buffer.from(text))).toBeUndefined()
+    expect(decodeVersionRecord(encodeVersionRecord(STORED)).unwrap()).toEqual(STORED)
+    expect(decodeVersionRecord(Buffer.from('{"listed":["v1"],"recent":[],"changedAtMs":1}')).unwrap()).toEqual({ listed: ['v1'], recent: ['v1'], changedAtMs: 1, completeSinceMs: undefined })
+    for (const text of ['x', '{}', '{"listed":1,"recent":[],"changedAtMs":1}']) expect(decodeVersionRecord(Buffer.from(text)).err).toBe(true)
   })
 })
--- a/packages/anvilarch-serving/src/streams/versionRecord.ts
+++ b/packages/anvilarch-serving/src/streams/versionRecord.ts
@@ -1,4 +1,6 @@
 /** The record of the software versions of a service at which streams may have begun. Pure. */
+import type { Result } from 'ts-results'
+import { decodeChecked, isStoreTimeMs, isString, listOf, optional, type RecordChecks, type RowProblem } from '../store/rowValues'
 
 /** Record of a service, shared by all gateways. */
 export interface VersionRecord {
@@ -25,8 +27,12 @@
 /** Store time before any stream began. */
 const SINCE_EVER_MS = Number.MIN_SAFE_INTEGER
 
-/** Value of the row. */
-type StoredRecord = Partial<Omit<VersionRecord, 'completeSinceMs'>> & { completeSinceMs?: number }
+const VERSION_CHECKS: RecordChecks<VersionRecord> = {
+  listed: listOf(isString),
+  recent: listOf(isString),
+  changedAtMs: isStoreTimeMs,
+  completeSinceMs: optional(isStoreTimeMs)
+}
 
 /**
  * @param record - the record
@@ -71,14 +77,8 @@
   return Buffer.from(JSON.stringify(record))
 }
 
-/** @returns the record; undefined if the bytes are none. Rows of an older version do not say since when they are complete */
-export function decodeVersionRecord (bytes: Buffer): VersionRecord | undefined {
-  try {
-    const { listed, recent, changedAtMs, completeSinceMs } = JSON.parse(bytes.toString()) as StoredRecord
-    if (!Array.isArray(listed) || !Array.isArray(recent) || typeof changedAtMs !== 'number') return undefined
-    return { listed, recent: [...new Set([...listed, ...recent])], changedAtMs, completeSinceMs: typeof completeSinceMs === 'number' ? completeSinceMs : undefined }
-  } catch {
-    // The caller logs the row.
-    return undefined
-  }
+/** @returns the record, or why the bytes are none. Rows of an older version do not say since when they are complete */
+export function decodeVersionRecord (bytes: Buffer): Result<VersionRecord, RowProblem> {
+  return decodeChecked(bytes, VERSION_CHECKS).map(({ listed, recent, changedAtMs, completeSinceMs }) =>
+    ({ listed, recent: [...new Set([...listed, ...recent])], changedAtMs, completeSinceMs }))
 }
--- a/packages/anvilarch-serving/src/streams/versionRows.ts
+++ b/packages/anvilarch-serving/src/streams/versionRows.ts
@@ -1,6 +1,7 @@
 /** Shares the recent software versions of each service through rows of the store, so that a gateway that has just started has them. */
 import { type Clock, runInBackground, sleep } from 'anvilarch-utils'
 import type { MetadataStore, StoredRow } from '../store/types'
+import type { UnusableRows } from '../store/unusableRows'
 import type { EventLog } from '../telemetry/events'
 import type { VersionHistory } from './versionHistory'
 import { decodeVersionRecord, encodeVersionRecord, isCurrent, nextRecord, type OwnVersions, recentVersions, type VersionRecord } from './versionRecord'
@@ -23,6 +24,8 @@
   store: MetadataStore
   clock: Clock
   log: EventLog
+  /** Receives rows that contain no record. */
+  unusable: UnusableRows
   history: VersionHistory
   retentionMs: () => number
   /** @returns local time since which the list of endpoints has been followed without a gap; undefined before the first listing */
@@ -45,7 +48,8 @@
 const SECOND_WRITER_DELAY_MS = 400
 
 interface KnownRow {
-  record: VersionRecord
+  /** Undefined if the row cannot be used. */
+  record: VersionRecord | undefined
   version: number
 }
 
@@ -57,19 +61,22 @@
  * @returns the exchange
  */
 export function shareVersions (options: ShareVersionsOptions): VersionRows {
-  const { store, clock, log, history, signal } = options
+  const { store, clock, log, history, unusable, signal } = options
   const writing = new Set<string>()
   const rows = new Map<string, KnownRow>()
   let loadedAtMs = -Infinity
   let loading: Promise<boolean> | undefined
 
   const applyRow = (row: StoredRow, storeNowMs: number): void => {
-    const record = decodeVersionRecord(row.value)
-    if (record === undefined) {
-      log.warn('row cannot be used', { table: VERSION_TABLE, key: row.key, field: '', reason: 'is no record of versions' })
+    const decoded = decodeVersionRecord(row.value)
+    if ((rows.get(row.key)?.version ?? 0) > row.version) return
+    if (decoded.err) {
+      unusable.report(row, decoded.val)
+      // The next record replaces the row.
+      rows.set(row.key, { record: undefined, version: row.version })
       return
     }
-    if ((rows.get(row.key)?.version ?? 0) > row.version) return
+    const record = decoded.val
     rows.set(row.key, { record, version: row.version })
     history.onReported(row.key, recentVersions(record, storeNowMs, options.retentionMs()))
   }
@@ -88,7 +95,7 @@
     return await loading
   }
 
-  const isRecorded = (service: string, version: string): boolean => rows.get(service)?.record.recent.includes(version) === true
+  const isRecorded = (service: string, version: string): boolean => rows.get(service)?.record?.recent.includes(version) === true
 
   const tryWrite = async (service: string): Promise<void> => {
     const storeNowMs = store.storeNowMs()
@@ -99,7 +106,8 @@
       listed: history.listed(service),
       recent: history.recent(service),
       followedSinceMs: storeNowMs - (clock.nowMs() - followedSinceMs),
-      isFirstStart: options.isFirstStart
+      // A row that cannot be used may have named versions.
+      isFirstStart: options.isFirstStart && known === undefined
     }
     const record = nextRecord(own, known?.record, storeNowMs, options.retentionMs())
     const key = { table: VERSION_TABLE, partition: PARTITION, key: service }
@@ -139,7 +147,7 @@
     loadedAtMs: () => loadedAtMs,
     coversRetention: service => {
       const storeNowMs = store.storeNowMs()
-      const completeSinceMs = rows.get(service)?.record.completeSinceMs
+      const completeSinceMs = rows.get(service)?.record?.completeSinceMs
       // No stream has begun at a service that has neither a row nor an endpoint.
       if (!rows.has(service)) return history.recent(service).length === 0
       return storeNowMs !== undefined && completeSinceMs !== undefined && storeNowMs - completeSinceMs > options.retentionMs()
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -44,6 +44,7 @@
   'feed lost': { table: string, reason: string, openMs: number }
   'feed answers again': { table: string, failedCalls: number, afterMs: number, openMs: number }
   'feed history lost, listing again': { table: string, version: number }
+  'table listener failed': { table: string, reason: string }
   'row cannot be used': { table: string, key: string, field: string, reason: string }
 
   // Requests.
@@ -91,6 +92,7 @@
 
   // Traffic between daemons.
   'peer socket failed': { reason: string }
+  'peer message not sent': { to: string, reason: string }
   'peer message not readable': { from: string, bytes: number }
   'relayed call not read': { reason: string }
   'relayed call failed': { reason: string }
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -29,6 +29,7 @@
   orphanedClaims: Gauge
   configurationVersion: Gauge
   eventIntervalSeconds: Gauge
+  unusableRows: Counter<'table'>
   logLinesDropped: Counter
   logLinesLeftOut: Counter
 }
@@ -61,6 +62,7 @@
     orphanedClaims: new Gauge({ name: 'anvilarch_orphaned_claims', help: 'Claims of this process on batch items that it does not have in hand', registers }),
     configurationVersion: new Gauge({ name: 'anvilarch_configuration_version', help: 'Version of the configuration in force', registers }),
     eventIntervalSeconds: new Gauge({ name: 'anvilarch_event_interval_seconds', help: 'Time between two events of a run at the engine of this agent; 0 while it is not known', registers }),
+    unusableRows: new Counter({ name: 'anvilarch_unusable_rows_total', help: 'Rows of shared tables that were read and cannot be used', labelNames: ['table'], registers }),
     logLinesDropped: new Counter({ name: 'anvilarch_log_lines_dropped_total', help: 'Log lines that a stalled reader has cost', registers }),
     logLinesLeftOut: new Counter({ name: 'anvilarch_log_lines_left_out_total', help: 'Lines of requests that went well, beyond the rate that is written', registers })
   }
