Play planned stops of gateways in series beside late bodies in the soak

The fault stop_gateways signals two of three gateways in series and each of them again (SIGTERM or SIGHUP), beside operators that apply documents and, in pairs, any other fault. Meanwhile callers send up to five orders over one connection, in chunks whose last one comes up to 3 s late, half of them with a deadline beyond the drain. A new check counts requests that a stopping gateway has passed on and cut, whatever time they were sent at.

--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -72,6 +72,12 @@
   'daemons behind the last accepted version at the end': { applies: [APPLY], versions: [VERSION] },
   'orders taken with an old fencing token': { orders: [{ ...ORDERED, fencingToken: 2 }, { ...ORDERED, atMs: 1100, fencingToken: 1 }] },
   'new work on a leaving endpoint after the bound': { leaves: [ENGINE_DRAIN], executions: [execution({ startedAtMs: 6001 })] },
+  'requests run by a stopping gateway and cut': {
+    stops: [STOP],
+    faults: [STOP_FAULT],
+    calls: [call({ ...ORDER, sentAtMs: 6000, endedAtMs: 9000, told: 'broken', code: 'UND_ERR_SOCKET' })],
+    executions: [execution({ startedAtMs: 8000, endedAtMs: 8500 })]
+  },
   'requests cut by a planned stop': { stops: [STOP], faults: [STOP_FAULT], calls: [call({ sentAtMs: 4000, endedAtMs: 6000, told: 'broken', code: 'UND_ERR_SOCKET' })] },
   'planned stops that did not end by themselves': { stops: [{ ...STOP, exitCode: null }] },
   'daemons that ended without being told to': { unplannedExits: [{ daemon: 'agent-1', atMs: 1000, exit: 'code 1' }] },
--- a/packages/anvilarch-bench/src/soak/checker/daemonChecks.ts
+++ b/packages/anvilarch-bench/src/soak/checker/daemonChecks.ts
@@ -24,6 +24,7 @@
   { name: 'orders taken with an old fencing token', run: staleTokensAccepted },
   { name: 'new work on a leaving endpoint after the bound', run: newWorkWhileDraining },
   { name: 'requests cut by a planned stop', run: interruptedByStop },
+  { name: 'requests run by a stopping gateway and cut', run: runAndCutByStop },
   { name: 'planned stops that did not end by themselves', run: stopsWithoutCleanExit },
   { name: 'daemons that ended without being told to', run: unplannedExits },
   { name: 'invariant violations', run: invariantViolations }
@@ -112,6 +113,14 @@
   return { trials: checked.length, wrong: wrong.map(describeCall) }
 }
 
+/** Counts requests whatever time they were sent at: one that was passed on had been read whole. */
+function runAndCutByStop (evidence: Evidence): Finding {
+  const inProgress = evidence.calls.filter(call => call.kind !== 'crashing' && call.told !== 'gone' && evidence.stops.some(stop =>
+    stop.daemon === call.gateway && call.sentAtMs < stop.endedAtMs && call.endedAtMs > stop.toldAtMs))
+  const run = inProgress.filter(call => !isDisturbed(call, evidence.faults) && executionsOf(evidence.executions, call.requestId).length > 0)
+  return { trials: run.length, wrong: run.filter(call => call.told === 'broken').map(describeCall) }
+}
+
 /**
  * While a call of the same key is in progress through another gateway, the immediate response `conflict` is correct: the outcome is not
  * known yet. The stop interrupted nothing if that other call, in progress at the same time, got its complete response.
--- a/packages/anvilarch-bench/src/soak/checker/serviceChecks.ts
+++ b/packages/anvilarch-bench/src/soak/checker/serviceChecks.ts
@@ -21,7 +21,7 @@
 
 /** Faults that do not keep gateways from ordering a load. */
 const FAULTS_NOT_DELAYING_ORDERS: ReadonlySet<string> = new Set([
-  CRASHING_FAULT, 'stop_gateway', 'stop_agent', 'failing_item', 'slow_caller', 'gone_caller', 'flooding_caller', 'objects_outage', 'objects_slow', 'objects_lost_replies'
+  CRASHING_FAULT, 'stop_gateway', 'stop_gateways', 'stop_agent', 'failing_item', 'slow_caller', 'gone_caller', 'flooding_caller', 'objects_outage', 'objects_slow', 'objects_lost_replies'
 ])
 
 export const SERVICE_CHECKS: Check[] = [
--- a/packages/anvilarch-bench/src/soak/faults/faultTable.ts
+++ b/packages/anvilarch-bench/src/soak/faults/faultTable.ts
@@ -3,7 +3,7 @@
 import { connectionDelay, connectionStall, endpointStall, ENGINE_FROZEN, FAILING_ENGINE } from './connectionFaults'
 import { KILL_ACCEPTOR, OUTAGE_AFTER_APPLY } from './acceptanceFaults'
 import { standinFault } from './platformFaults'
-import { kill, LEAVING_FLAG, pause, stop } from './processFaults'
+import { kill, LEAVING_FLAG, pause, stop, STOP_GATEWAYS } from './processFaults'
 import type { FaultKind } from './types'
 
 /** Lag of the fleet's host list when no fault is active. */
@@ -27,6 +27,7 @@
   pause_gateway: pause('gateway'),
   stop_agent: stop('agent'),
   stop_gateway: stop('gateway'),
+  stop_gateways: STOP_GATEWAYS,
   table_outage: standinFault({ standin: 'table', set: { outage: true }, restore: { outage: false } }),
   table_slow: standinFault({ standin: 'table', set: { latencyMs: SLOW_MS }, restore: { latencyMs: 0 } }),
   table_too_slow: standinFault({ standin: 'table', set: { latencyMs: TOO_SLOW_MS }, restore: { latencyMs: 0 } }),
--- a/packages/anvilarch-bench/src/soak/faults/processFaults.ts
+++ b/packages/anvilarch-bench/src/soak/faults/processFaults.ts
@@ -84,6 +84,42 @@
   }
 }
 
+/** Stops several gateways in series while callers keep their connections, and repeats a signal. */
+export const STOP_GATEWAYS: FaultKind = {
+  inject: async context => {
+    const { clock, load, random } = context
+    const targets = Array.from({ length: GATEWAYS_IN_SERIES }, () => claimTarget(context, ['gateway'])).filter(target => target !== undefined)
+    if (targets.length === 0) return undefined
+    load.lateBodies = true
+    await sleep(clock, random.between(0, MAX_SIGNAL_GAP_MS))
+    const restarted: Array<Promise<void>> = []
+    for (const target of targets) {
+      restarted.push(stopTwiceAndRestart(context, target))
+      await sleep(clock, random.between(0, MAX_SIGNAL_GAP_MS))
+    }
+    return {
+      target: targets.join(', '),
+      durationMs: random.between(MIN_DOWNTIME_MS, MAX_DOWNTIME_MS),
+      heal: async () => {
+        await Promise.all(restarted)
+        load.lateBodies = false
+      }
+    }
+  }
+}
+
+const GATEWAYS_IN_SERIES = 2
+const MAX_SIGNAL_GAP_MS = 2000
+
+async function stopTwiceAndRestart (context: FaultContext, target: string): Promise<void> {
+  const { clock, fleet, random } = context
+  const exited = stopAndRecord(context, target)
+  await sleep(clock, random.between(0, MAX_SIGNAL_GAP_MS))
+  fleet.kill(target, random.pick(['SIGTERM', 'SIGHUP'] as const))
+  await exited
+  await restart(context, target)
+}
+
 /** Sends the signal by which an agent detects that the platform will power down its host, and records the exit. */
 async function stopAndRecord (context: FaultContext, target: string): Promise<void> {
   const { clock, fleet } = context
--- a/packages/anvilarch-bench/src/soak/faults/types.ts
+++ b/packages/anvilarch-bench/src/soak/faults/types.ts
@@ -23,6 +23,8 @@
   flood: boolean
   /** Requests that crash endpoints. */
   crashingCalls: boolean
+  /** Callers that keep their connection and send the ends of their bodies late. */
+  lateBodies: boolean
   /** Jobs with an item that always fails. */
   failingItems: boolean
   /** Called when a gateway has accepted a job or a document. */
--- a/packages/anvilarch-bench/src/soak/load/misbehavingCallers.ts
+++ b/packages/anvilarch-bench/src/soak/load/misbehavingCallers.ts
@@ -1,8 +1,8 @@
-/** Misbehaving callers that faults turn on: slow, disconnecting and flooding ones, and those whose requests crash engines. */
+/** Misbehaving callers that faults turn on: slow, late, disconnecting and flooding ones, and those whose requests crash engines. */
 import { sleep } from 'anvilarch-utils'
 import type { CallerSwitch } from '../faults/types'
 import { callModel, randomPrompt } from './modelCalls'
-import { callOrder } from './plainCalls'
+import { callOrder, sendLateOrders } from './plainCalls'
 import { slowStream } from './slowStream'
 import { FLOODER_KEY } from './soakDocument'
 import { CRASH_MARKER, type LoadContext } from './types'
@@ -17,6 +17,7 @@
 export const MISBEHAVING_CALLERS = {
   crashingCalls: { everyMs: 4000, run: sendCrashing },
   goneCallers: { everyMs: 150, run: disconnectEarly },
+  lateBodies: { everyMs: 300, run: sendLateOrders },
   slowCallers: { everyMs: 500, run: slowStream },
   flood: { everyMs: 8, run: flood }
 } satisfies Partial<Record<CallerSwitch, { everyMs: number, run: (context: LoadContext, name: string) => Promise<void> }>>
--- a/packages/anvilarch-bench/src/soak/load/plainCalls.ts
+++ b/packages/anvilarch-bench/src/soak/load/plainCalls.ts
@@ -1,6 +1,7 @@
 /** Calls of the plain service: lookups, and orders, which may be executed only once, with and without a key. */
 import { expectedPlainAnswer } from 'anvilarch-standins'
 import { sleep } from 'anvilarch-utils'
+import { Client } from 'undici'
 import { sendLookup } from '../../clients/lookupClient'
 import { CLIENT_TIMEOUT_CODE } from '../checker/callChecks'
 import type { ResponseFault, CallRecord } from '../types'
@@ -96,22 +97,66 @@
   return record.told === 'broken' || record.told === 'refused' || (record.told === 'failed' && record.ran !== 'ran')
 }
 
+/**
+ * Sends orders over one connection, in chunks whose last one comes late, until a response is not complete.
+ *
+ * @param context - of the load
+ * @param name - unique; prefix of the request ids
+ */
+export async function sendLateOrders (context: LoadContext, name: string): Promise<void> {
+  const { gateways, random } = context
+  const gateway = gateways.pick()
+  const client = new Client(gateway.origin, { keepAliveTimeout: CALL_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0 })
+  try {
+    for (let index = 0; index < MAX_LATE_ORDERS; index++) {
+      const requestId = `${name}.${index}`
+      const { told } = await sendOrder({ ...context, dispatcher: client }, {
+        kind: 'order',
+        requestId,
+        key: undefined,
+        body: orderBody(requestId),
+        lateByMs: random.between(0, MAX_LATE_MS),
+        headers: random.next() < LONG_DEADLINE_SHARE ? { 'x-deadline-ms': LONG_DEADLINE_MS } : {},
+        gateway
+      })
+      if (told !== 'whole') return
+    }
+  } finally {
+    await client.destroy()
+  }
+}
+
+const MAX_LATE_ORDERS = 5
+const MAX_LATE_MS = 3000
+/** Longer than a gateway of the soak that stops may take, so that it must not run the call. */
+const LONG_DEADLINE_MS = '44000'
+const LONG_DEADLINE_SHARE = 0.5
+
+async function * sendLate (context: LoadContext, body: string, lateByMs: number): AsyncGenerator<string> {
+  yield body.slice(0, 1)
+  await sleep(context.clock, lateByMs)
+  yield body.slice(1)
+}
+
 interface Order {
   kind: 'order' | 'keyed_order'
   requestId: string
   key: string | undefined
   body: string
   gateway: GatewayAddress
+  headers?: Record<string, string>
+  /** Sends the body in chunks, the last one after this time. */
+  lateByMs?: number
   signal?: AbortSignal
 }
 
 async function sendOrder (context: LoadContext, order: Order): Promise<CallRecord> {
-  const { requestId, kind, key, body, gateway } = order
+  const { requestId, kind, key, body, gateway, lateByMs } = order
   const { text, ...result } = await sendRequest(context, gateway, {
     method: 'POST',
     path: `/services/${PLAIN_SERVICE}${ORDER_PATH}`,
-    headers: { 'content-type': 'application/json', 'x-request-id': requestId, ...(key === undefined ? {} : { 'idempotency-key': key }) },
-    body,
+    headers: { 'content-type': 'application/json', 'x-request-id': requestId, ...(key === undefined ? {} : { 'idempotency-key': key }), ...order.headers },
+    body: lateByMs === undefined ? body : sendLate(context, body, lateByMs),
     signal: order.signal
   })
   const fault = result.told === 'whole' ? findOrderFault(text, body) : undefined
--- a/packages/anvilarch-bench/src/soak/load/sendRequest.ts
+++ b/packages/anvilarch-bench/src/soak/load/sendRequest.ts
@@ -1,4 +1,5 @@
 /** Sends an HTTP request and reads its complete response. */
+import { Readable } from 'node:stream'
 import type { RunStatus } from 'anvilarch-utils'
 import { errorResult } from '../../clients/requestResult'
 import type { CallOutcome } from '../types'
@@ -8,7 +9,8 @@
   method: 'GET' | 'POST'
   path: string
   headers?: Record<string, string>
-  body?: string
+  /** A body that is not a string is sent in chunks. */
+  body?: string | AsyncIterable<string>
   timeoutMs?: number
   signal?: AbortSignal
 }
@@ -41,7 +43,7 @@
   const timeout = AbortSignal.timeout(call.timeoutMs ?? CALL_TIMEOUT_MS)
   const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
   try {
-    const response = await dispatcher.request({ origin: gateway.origin, path: call.path, method: call.method, headers: call.headers, body: call.body, signal })
+    const response = await dispatcher.request({ origin: gateway.origin, path: call.path, method: call.method, headers: call.headers, body: toBody(call.body), signal })
     result.status = response.statusCode
     result.text = await response.body.text()
     result.endedAtMs = clock.wallMs()
@@ -53,6 +55,10 @@
   }
 }
 
+function toBody (body: HttpCall['body']): string | Readable | undefined {
+  return body === undefined || typeof body === 'string' ? body : Readable.from(body)
+}
+
 function describeError (status: number, retryAfter: string | string[] | undefined, text: string): Pick<HttpCallResult, 'told' | 'code' | 'ran' | 'retryAfterMs' | 'detail'> {
   const { outcome, code, ran, retryAfterMs, detail } = errorResult(status, retryAfter, text, 0)
   return { told: outcome === 'refused' ? 'refused' : 'failed', code, ran, retryAfterMs, detail }
--- a/packages/anvilarch-bench/src/soak/run/runSoak.ts
+++ b/packages/anvilarch-bench/src/soak/run/runSoak.ts
@@ -72,7 +72,7 @@
   await waitForServices(fleet, clock)
   log(`the fleet is ready with version ${version}`)
 
-  const switches: LoadSwitches = { slowCallers: false, goneCallers: false, flood: false, crashingCalls: false, failingItems: false }
+  const switches: LoadSwitches = { slowCallers: false, goneCallers: false, flood: false, crashingCalls: false, lateBodies: false, failingItems: false }
   const claimed = new Set<string>()
   const stopping = new AbortController()
   // Each wait of the load adds a listener.
