Do not end a gateway of anvilarch-daemon by an error of an abandoned HTTP/2 session

Cause: connect-node destroys a session with an error when a GOAWAY comes without open streams, and the error event comes later; when the library leaves that session in between, it removes its listener, and an error event without a listener ends the process.

--- a/packages/anvilarch-daemon/src/attempts/__fixtures__/testGateway.ts
+++ b/packages/anvilarch-daemon/src/attempts/__fixtures__/testGateway.ts
@@ -33,7 +33,7 @@
   const context = createTestContext({ ...options, gateway: { routingPolicy: 'round_robin', ...options.gateway } })
   const directory = createFakeDirectory(agents.map(agent => agent.view))
   const quarantine = createFakeQuarantine()
-  const clients = createAgentClients({ clock: context.clock })
+  const clients = createAgentClients({ clock: context.clock, logger: context.logger })
   const runner = createRequestRunner(context, { directory, clients, quarantine })
   const lifecycle = createLifecycleManager({ clock: context.clock })
   const callers = await startCallersServer(context, { runner, directory, quarantine, routes: [], options: { readinessLeadMs: 0, ...options.front } }, lifecycle)
--- a/packages/anvilarch-daemon/src/peers/__tests__/agentClients.test.ts
+++ b/packages/anvilarch-daemon/src/peers/__tests__/agentClients.test.ts
@@ -1,4 +1,4 @@
-import { createFakeClock } from 'anvilarch-utils'
+import { createFakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import { type FakeAgent, startFakeAgent } from '../../attempts/__fixtures__/fakeAgent'
 import { createAgentClients } from '../agentClients'
 import type { AgentClient, AgentClients } from '../types'
@@ -11,7 +11,7 @@
   beforeAll(() => { jest.spyOn(console, 'error').mockImplementation(() => {}) })
   beforeEach(async () => {
     agent = await startFakeAgent({ name: 'a1' })
-    clients = createAgentClients({ clock, replacedConnectionMs: 5_000 })
+    clients = createAgentClients({ clock, logger: SILENT_LOGGER, replacedConnectionMs: 5_000 })
   })
   afterEach(async () => {
     await clients.close()
--- a/packages/anvilarch-daemon/src/peers/agentClients.ts
+++ b/packages/anvilarch-daemon/src/peers/agentClients.ts
@@ -2,7 +2,7 @@
 import { createClient } from '@connectrpc/connect'
 import { createConnectTransport, type Http2SessionManager } from '@connectrpc/connect-node'
 import { AgentService } from 'anvilarch-protocol'
-import type { Clock, Timer } from 'anvilarch-utils'
+import type { Clock, Logger, Timer } from 'anvilarch-utils'
 import { createSessionClient } from './sessionClient'
 import { createSessionManager, type SessionLimits } from './sessionManager'
 import type { AgentClient, AgentClients, Channel } from './types'
@@ -10,6 +10,7 @@
 /** Options of `createAgentClients`. */
 export interface AgentClientsOptions extends Partial<SessionLimits> {
   clock: Clock
+  logger: Logger
   /** Time after which a replaced connection is destroyed, together with its remaining streams. */
   replacedConnectionMs?: number
 }
@@ -45,7 +46,9 @@
 
   const open = (address: string, channel: Channel): Connection => {
     const baseUrl = `http://${address}`
-    const manager = createSessionManager(baseUrl, settings)
+    const manager = createSessionManager(baseUrl, settings, error => {
+      settings.logger.debug('connection to an agent failed', { address, channel, error: error.message })
+    })
     const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager: manager, acceptCompression: [] })
     const plain = createClient(AgentService, transport)
     const client = createSessionClient({ clock: settings.clock, client: plain, address, idleMs: settings.idleMs })
--- a/packages/anvilarch-daemon/src/roles/startGatewayRole.ts
+++ b/packages/anvilarch-daemon/src/roles/startGatewayRole.ts
@@ -35,7 +35,7 @@
   const described: DescribedParts = {}
   const describe = (): GatewayDescription => describeGateway(context, described, operationsAddress)
 
-  const clients = createAgentClients({ clock: context.clock })
+  const clients = createAgentClients({ clock: context.clock, logger: context.logger })
   await lifecycle.start({ name: 'connections to agents', stop: async () => { await clients.close() } })
   const quarantine = await startQuarantine(context, lifecycle)
   const suspects = createSuspects()
