Do not count the replay of a recorded outcome as a request cut by a planned stop

A call with the outcome `outcome_unknown` is not counted if an earlier call of its key had ended with the same outcome before it was sent. That earlier call is checked on its own, so that none that a stop has cut goes uncounted. The new test failed before, and shows four cases that are still counted.

--- a/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
+++ b/packages/anvilarch-bench/src/soak/checker/__tests__/checkEvidence.test.ts
@@ -137,6 +137,20 @@
     expect(failedChecks({ ...stopped, calls: [{ ...conflicting, status: 502, code: 'outcome_unknown' }, other] })).toEqual(counted)
   })
 
+  // Guards against counting a keyed order against a planned stop when it got the outcome that was recorded before (soak seed 71).
+  test('does not count a call against a planned stop that got the recorded outcome of an earlier call of its key', () => {
+    const order = { kind: 'keyed_order', key: 'order-1', idempotent: false, told: 'failed', status: 502, code: 'outcome_unknown', ran: 'unknown', detail: 'the agent went silent' } as const
+    const replayed = call({ ...order, requestId: 'order-1.1', sentAtMs: 4000, endedAtMs: 6000 })
+    const earlier = call({ ...order, requestId: 'order-1.0', gateway: 'gateway-2', sentAtMs: 1000, endedAtMs: 2000 })
+    const counted = ['requests cut by a planned stop']
+    const stopped = { stops: [STOP], faults: [STOP_FAULT] }
+    expect(failedChecks({ ...stopped, calls: [earlier, replayed] })).toEqual([])
+    expect(failedChecks({ ...stopped, calls: [replayed] })).toEqual(counted)
+    expect(failedChecks({ ...stopped, calls: [{ ...earlier, key: 'order-2' }, replayed] })).toEqual(counted)
+    expect(failedChecks({ ...stopped, calls: [{ ...earlier, detail: 'another cause' }, replayed] })).toEqual(counted)
+    expect(failedChecks({ ...stopped, calls: [{ ...earlier, endedAtMs: 4500 }, replayed] })).toEqual(counted)
+  })
+
   // Guards against mistaking processes without CPU time on a busy computer for a fault of the system.
   test('names the daemons whose process paused while a call was held up to its deadline', () => {
     const timedOut = call({ told: 'failed', status: 504, code: 'deadline_exceeded', ran: 'unknown' })
--- a/packages/anvilarch-bench/src/soak/checker/daemonChecks.ts
+++ b/packages/anvilarch-bench/src/soak/checker/daemonChecks.ts
@@ -109,7 +109,8 @@
 function interruptedByStop (evidence: Evidence): Finding {
   const inProgress = evidence.calls.filter(call => call.told !== 'gone' && call.kind !== 'crashing' && evidence.stops.some(stop => wasInProgressAtStop(call, stop)))
   const checked = inProgress.filter(call => !isDisturbed(call, evidence.faults))
-  const wrong = checked.filter(call => wasInterrupted(call) && !isConflictWithCompletedCall(call, evidence.calls))
+  const wrong = checked.filter(call =>
+    wasInterrupted(call) && !isConflictWithCompletedCall(call, evidence.calls) && !isReplay(call, evidence.calls))
   return { trials: checked.length, wrong: wrong.map(describeCall) }
 }
 
@@ -131,6 +132,12 @@
     other.sentAtMs <= call.endedAtMs && other.endedAtMs >= call.sentAtMs)
 }
 
+/** The recorded outcome of an earlier call of the key is returned to each later one. The earlier call is checked on its own. */
+function isReplay (call: CallRecord, calls: readonly CallRecord[]): boolean {
+  if (call.kind !== 'keyed_order' || call.code !== 'outcome_unknown') return false
+  return calls.some(other => other.key === call.key && other.code === call.code && other.detail === call.detail && other.endedAtMs < call.sentAtMs)
+}
+
 function wasInProgressAtStop (call: CallRecord, stop: StopRecord): boolean {
   return call.sentAtMs < stop.toldAtMs - STOP_MARGIN_MS && call.endedAtMs > stop.toldAtMs && call.sentAtMs < stop.endedAtMs
 }
