Send one response to a call that the end of a drain answers

When a drain ends, a call that still waits (for a configuration, its caller's key, the store, or its body) gets 503 or 504. Its handler went on and answered again: responses with Retry-After, rejections and bodies of items set headers without looking whether there is a response, which fails (Cannot set headers after they are sent to the client), so that the gateway logged `request handling failed` as an error and destroyed the first response. That a client lost a response by it is not shown: it is a few hundred bytes.

--- a/packages/anvilarch-serving/src/jobs/jobCalls.ts
+++ b/packages/anvilarch-serving/src/jobs/jobCalls.ts
@@ -5,7 +5,7 @@
 import { accountNameOf, type Caller } from '../accounts/types'
 import type { RequestMetadata, Route } from '../model/types'
 import type { DrainState } from '../drain/drainState'
-import { closeAfterLastResponse, sendJson, sendGatewayResponse } from '../requests/clientResponse'
+import { sendBytes, sendJson, sendGatewayResponse } from '../requests/clientResponse'
 import type { JobWire } from '../roles/types'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { acceptJob, type Submission } from './acceptJob'
@@ -223,9 +223,7 @@
     return
   }
   parts.metrics.jobCalls.inc({ call: 'item', outcome: 'answered' })
-  closeAfterLastResponse(response, parts.drainState)
-  response.writeHead(200, { 'Content-Type': 'application/octet-stream', 'Content-Length': body.length })
-  response.end(body)
+  sendBytes(response, { status: 200, contentType: 'application/octet-stream', bytes: body }, parts.drainState)
 }
 
 async function end (parts: JobCallParts, response: ServerResponse, named: NamedJob): Promise<void> {
--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -52,6 +52,7 @@
  * @param drainState - whether the connection is closed after the response
  */
 export function sendGatewayResponse (response: ServerResponse, gatewayResponse: GatewayResponse, drainState: Pick<DrainState, 'isDraining'>): void {
+  if (response.headersSent) return
   if (gatewayResponse.retryAfterMs !== undefined) response.setHeader('Retry-After', String(gatewayResponse.retryAfterMs / 1000))
   if (gatewayResponse.credentialScheme !== undefined) response.setHeader('WWW-Authenticate', gatewayResponse.credentialScheme)
   sendJson(response, gatewayResponse.status, { error: { code: gatewayResponse.code, message: gatewayResponse.message } }, drainState)
@@ -64,9 +65,19 @@
  * @param drainState - whether the connection is closed after the response
  */
 export function sendJson (response: ServerResponse, status: number, body: unknown, drainState: Pick<DrainState, 'isDraining'>): void {
+  sendBytes(response, { status, contentType: 'application/json', bytes: Buffer.from(JSON.stringify(body)) }, drainState)
+}
+
+/**
+ * Sends a response unless the request already has one, as at the end of a drain.
+ *
+ * @param response - response object of the client request
+ * @param content - status, type and body
+ * @param drainState - whether the connection is closed after the response
+ */
+export function sendBytes (response: ServerResponse, { status, contentType, bytes }: { status: number, contentType: string, bytes: Buffer }, drainState: Pick<DrainState, 'isDraining'>): void {
   if (response.headersSent || response.destroyed) return
-  const bytes = Buffer.from(JSON.stringify(body))
   closeAfterLastResponse(response, drainState)
-  response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': bytes.length })
+  response.writeHead(status, { 'Content-Type': contentType, 'Content-Length': bytes.length })
   response.end(bytes)
 }
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -200,6 +200,7 @@
 /** Rejects a request that has not been read completely. The rest of it could not be told apart from the next request, so the connection is closed. */
 function rejectClient ({ request, response, forward, drainState }: ClientCall, status: number, code: string, message: string): void {
   forward.log.info('client bytes rejected', { requestId: forward.wire.decodeRequest(request.headers).requestId, status, reason: code })
+  if (response.headersSent) return
   response.setHeader('Connection', 'close')
   sendGatewayResponse(response, { status, code, message }, drainState)
 }
