Ignore responses to origin queries of an earlier start of a gateway

What callers see: a stream that a client resumes may go on at the software version of another stream. A gateway that has restarted at the same address numbered its queries from 1 again, so that a late response to a query of its predecessor (from a gateway that stood still) was taken for the response to its own query with the same number, with the origin of another stream.

The new test of originQueries.test.ts failed before.

Numbers start from the wall clock now, so that those of an earlier start are not used again.

--- a/packages/anvilarch-serving/src/streams/__tests__/originQueries.test.ts
+++ b/packages/anvilarch-serving/src/streams/__tests__/originQueries.test.ts
@@ -44,6 +44,20 @@
     expect(await found).toBeUndefined()
   })
 
+  // Guards against a stream that goes on at the version of another one, which the process that ran here before had asked for.
+  it('ignores responses to a query of an earlier start of the gateway', async () => {
+    const startQueries = (): OriginQueries => createOriginQueries({ clock, gateways: () => GATEWAYS, send: (message: PeerMessage, to) => { sent.push({ query: message as OriginQuery, to }) } })
+    const formerlyFound = queries.find('r1')
+    const [former] = sent
+    await clock.advanceAsync(2 * QUERY_TIMEOUT_MS)
+    expect(await formerlyFound).toBeUndefined()
+    queries = startQueries()
+    const found = queries.find('r2')
+    queries.onResponse({ message: 'origin_response', correlationId: former.query.correlationId, origin: ORIGIN }, former.to)
+    await clock.advanceAsync(2 * QUERY_TIMEOUT_MS)
+    expect(await found).toBeUndefined()
+  })
+
   it('ignores responses of processes that were not queried', async () => {
     const found = queries.find('r1')
     respond(0, ORIGIN, { ip: '10.0.0.9', port: 1 })
--- a/packages/anvilarch-serving/src/streams/originQueries.ts
+++ b/packages/anvilarch-serving/src/streams/originQueries.ts
@@ -42,7 +42,8 @@
  */
 export function createOriginQueries ({ clock, send, gateways }: OriginQueriesOptions): OriginQueries {
   const rounds = new Map<number, Round>()
-  let lastCorrelationId = 0
+  // A process that has restarted at the same address must not use the ids of its predecessor, whose responses may still arrive.
+  let lastCorrelationId = Math.floor(clock.wallMs())
 
   const end = (correlationId: number, origin: StreamOrigin | undefined): void => {
     const round = rounds.get(correlationId)
