Count the age of what a gateway knows from the making of a response

Cause: the age of the list of endpoints counted from the reading of a response. A response that a link had held back, or that had waited for a process that stood still, made a list new that was seconds old. A version listed, recorded and settled meanwhile was unknown, and its streams were taken for streams of the single version.

With a list older than a second, list and rows of versions are read, once for all streams that break at a time; a read in progress is joined only if it was sent within a second, and rows count as loaded when their read was sent. A listing, and a removal of an endpoint that was never seen, count as a gap. A discarded history of the feed no longer counts as a response.

--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -11,6 +11,8 @@
   /** Applies a new or changed row. */
   onRow: (row: EndpointRow) => void
   onRemoved: (id: string) => void
+  /** @returns whether a row with this id has been seen since it was last removed */
+  isKnown: (id: string) => boolean
   /** Replaces the table by the complete list. */
   onListing: (rows: EndpointRow[]) => void
   /** Clears cached results that depend on the configured services. */
@@ -173,6 +175,7 @@
   return {
     onRow: putRow,
     onRemoved: remove,
+    isKnown: id => entries.get(id)?.unlisted === false || unusableReasons.has(id),
     onListing: rows => {
       isFirstListing = !listed
       listed = true
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -80,7 +80,7 @@
     freshPool,
     engineAddress: agent.engineAddress,
     retentionMs: settings.retentionMs,
-    membersListedAtMs: () => view.answeredAtMs(MEMBER_TABLE),
+    membersAgeMs: view.freshness(MEMBER_TABLE).ageMs,
     readReport: () => readReport(pool, context.wire.engine, clock),
     runTimeEstimator,
     paceMeter: createPaceMeter()
--- a/packages/anvilarch-serving/src/roles/followPlatform.ts
+++ b/packages/anvilarch-serving/src/roles/followPlatform.ts
@@ -12,6 +12,7 @@
 import { createVersionHistory, type VersionHistory } from '../streams/versionHistory'
 import { feedWaitMs } from '../store/feedWait'
 import { pollTable, type FollowTableOptions, followTable } from '../store/tableFollower'
+import { createTableFreshness, type TableFreshness } from '../store/tableFreshness'
 import { registerStateMetrics } from '../telemetry/stateMetrics'
 import type { RoleContext } from './types'
 
@@ -28,14 +29,8 @@
   follow: (table: FollowedTable) => void
   /** Reads the configuration from the store and applies it. @returns whether the store responded */
   refreshConfiguration: () => Promise<boolean>
-  /** @returns time since the last response about a followed table, with the time for which this host was suspended; `Infinity` before the first */
-  answerAgeMs: (table: string) => number
-  /** @returns local time of the last response about a followed table; undefined before the first */
-  answeredAtMs: (table: string) => number | undefined
-  /** @returns local time since which a table has been followed without a gap; undefined before the first response */
-  followedSinceMs: (table: string) => number | undefined
-  /** @returns whether the feed of a followed table is overdue, so that this process may have missed changes */
-  isFeedOverdue: (table: string) => boolean
+  /** @returns age of the local copy of a followed table */
+  freshness: (table: string) => TableFreshness
   /** Stops following all tables. */
   close: () => void
 }
@@ -49,9 +44,6 @@
 /** Every heartbeat of an endpoint is a change, so changes are batched. Draining endpoints must get no requests after 2 s, which allows the delay. */
 const ENDPOINT_FEED_INTERVAL_MS = 250
 
-/** Longest delay of a feed response after the end of its long poll while the store and the network work normally. */
-const OVERDUE_MS = 500
-
 /** Options of `followPlatform`. */
 export interface FollowPlatformOptions {
   /** Returns the time until the next listing of the daemons, in milliseconds. Called after each listing. */
@@ -81,23 +73,15 @@
   configuration.onChange(endpoints.onServicesChanged)
   const work = createWorkTable()
   const controller = new AbortController()
-  const tableAnsweredAtMs = new Map<string, number>()
   const waitMs = feedWaitMs({ contactMs: context.settings.contactMs, callTimeoutMs: store.callTimeoutMs })
-  const tableFollowedSinceMs = new Map<string, number>()
-  const tableAnsweredAtWallMs = new Map<string, number>()
-  // The monotonic clock stops while the host is suspended; the wall clock does not, but may be set back.
-  const answerAgeMs = (table: string): number => Math.max(
-    clock.nowMs() - (tableAnsweredAtMs.get(table) ?? -Infinity),
-    clock.wallMs() - (tableAnsweredAtWallMs.get(table) ?? -Infinity)
-  )
-  const isFeedOverdue = (table: string): boolean => answerAgeMs(table) > waitMs + OVERDUE_MS
+  const freshnessByTable = new Map<string, TableFreshness>()
+  const freshness = (table: string): TableFreshness => {
+    const known = freshnessByTable.get(table) ?? createTableFreshness(clock, waitMs)
+    freshnessByTable.set(table, known)
+    return known
+  }
   const follow = (table: FollowedTable): void => {
-    const onResponse = (): void => {
-      // The feed names rows that were written and removed in a gap, but no longer has their content.
-      if (isFeedOverdue(table.table)) tableFollowedSinceMs.set(table.table, clock.nowMs())
-      tableAnsweredAtMs.set(table.table, clock.nowMs())
-      tableAnsweredAtWallMs.set(table.table, clock.wallMs())
-    }
+    const { onResponse } = freshness(table.table)
     runInBackground(log, `follow ${table.table}`, () => followTable({ store, clock, random: context.random, log, waitMs, signal: controller.signal, onResponse, ...table }))
   }
 
@@ -138,8 +122,12 @@
     listener: {
       onListing: rows => endpoints.onListing(rows.map(wire.operator.decodeEndpoint)),
       onChange: change => {
-        if (change.change === 'removed') endpoints.onRemoved(change.key.key)
-        else endpoints.onRow(wire.operator.decodeEndpoint(change.row))
+        if (change.change === 'put') {
+          endpoints.onRow(wire.operator.decodeEndpoint(change.row))
+          return
+        }
+        if (!endpoints.isKnown(change.key.key)) freshness(wire.operator.endpointTable).onMissedRows()
+        endpoints.onRemoved(change.key.key)
       }
     }
   })
@@ -149,14 +137,14 @@
     random: context.random,
     log,
     signal: controller.signal,
-    onResponse: () => { tableAnsweredAtMs.set(MEMBER_TABLE, clock.nowMs()) },
+    onResponse: freshness(MEMBER_TABLE).onResponse,
     table: MEMBER_TABLE,
     partitions: [MEMBER_PARTITION],
     listener: work.listeners.members,
     intervalMs: options.memberListingIntervalMs
   }))
   context.peers.setView({ work, endpoints })
-  registerStateMetrics(context.metrics.registry, { clock, work, configuration: configuration.current, tableAnsweredAtMs })
+  registerStateMetrics(context.metrics.registry, { work, configuration: configuration.current, freshnessByTable })
   return {
     configuration,
     endpoints,
@@ -165,10 +153,7 @@
     work,
     follow,
     refreshConfiguration,
-    answerAgeMs,
-    answeredAtMs: table => tableAnsweredAtMs.get(table),
-    followedSinceMs: table => tableFollowedSinceMs.get(table),
-    isFeedOverdue,
+    freshness,
     close: () => controller.abort()
   }
 }
--- a/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
@@ -66,11 +66,7 @@
   return {
     callers,
     limits,
-    isConfigurationStale: () => {
-      if (!settings.failsClosed) return false
-      const lastResponseMs = view.answeredAtMs(context.wire.operator.configurationTable)
-      return lastResponseMs === undefined || clock.nowMs() - lastResponseMs > settings.maxRevocationDelayMs
-    },
+    isConfigurationStale: () => settings.failsClosed && view.freshness(context.wire.operator.configurationTable).ageMs() > settings.maxRevocationDelayMs,
     onMessage,
     heartbeatDetails: storeNowMs => {
       if (view.work.membersListedAtVersion() === undefined) return undefined
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -114,8 +114,8 @@
   view.endpoints.onUnlisted(endpoint => { if (endpoint.state === 'ready') crashes.onEndpointLost(endpoint.startId) })
   const traffic = createTrafficCounters()
   const ageMs = (table: string): number | undefined => {
-    const answeredAtMs = view.answeredAtMs(table)
-    return answeredAtMs === undefined ? undefined : Math.round(clock.nowMs() - answeredAtMs)
+    const tableAgeMs = view.freshness(table).ageMs()
+    return tableAgeMs === Infinity ? undefined : Math.round(tableAgeMs)
   }
   const forward: ForwardParts = {
     clock,
@@ -176,7 +176,7 @@
         endpoints: view.endpoints,
         callers: accounts.callers,
         isConfigurationStale: accounts.isConfigurationStale,
-        isConfigurationFeedOverdue: () => view.isFeedOverdue(wire.operator.configurationTable),
+        isConfigurationFeedOverdue: view.freshness(wire.operator.configurationTable).isOverdue,
         drainState
       })
         .catch(error => {
--- a/packages/anvilarch-serving/src/roles/gatewayStreams.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayStreams.ts
@@ -33,6 +33,7 @@
   const gateways = createGatewayList(context, view)
   const own: PeerGateway = { name: settings.name, address: { ip: settings.ip, port: settings.peerPort } }
   const table = wire.operator.endpointTable
+  const freshness = view.freshness(table)
 
   const rows = shareVersions({
     store,
@@ -40,9 +41,9 @@
     log,
     history,
     retentionMs,
-    followedSinceMs: () => view.followedSinceMs(table),
+    followedSinceMs: freshness.followedSinceMs,
     isFirstStart: settings.isFirstStart,
-    isListFresh: () => view.answerAgeMs(table) <= MAX_FRESH_LIST_AGE_MS,
+    isListFresh: () => freshness.ageMs() <= MAX_FRESH_LIST_AGE_MS,
     writes: service => rankKeepers([own, ...gateways()], service).slice(0, WRITER_COUNT).includes(own),
     signal
   })
@@ -62,9 +63,9 @@
     history,
     rows,
     retentionMs,
-    listAgeMs: () => view.answerAgeMs(table),
-    followedSinceMs: () => view.followedSinceMs(table),
-    isFeedOverdue: () => view.isFeedOverdue(table),
+    listAgeMs: freshness.ageMs,
+    followedSinceMs: freshness.followedSinceMs,
+    isFeedOverdue: freshness.isOverdue,
     readList
   })
   return createStreamOrigins({ clock, history, versions, retentionMs, send, gateways })
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -216,7 +216,7 @@
       freshPool: engine.freshPool,
       engineAddress: name,
       retentionMs: 900_000,
-      membersListedAtMs: () => clock.nowMs(),
+      membersAgeMs: () => 0,
       readReport: async () => engineLost ? undefined : { running: engine.running() + online, waiting: 0, runs: [], bornAtMs: engine.bornAtMs() },
       runTimeEstimator: createRunTimeEstimator(),
       paceMeter: createPaceMeter()
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -140,7 +140,7 @@
     freshPool: { dispatch } as unknown as Pool,
     engineAddress: ENDPOINT_ADDRESS,
     retentionMs: 900_000,
-    membersListedAtMs: () => clock.nowMs(),
+    membersAgeMs: () => 0,
     readReport: async () => ({ running: runningItems().length + online.running, waiting: online.waiting, runs: [], bornAtMs: undefined }),
     runTimeEstimator: createRunTimeEstimator(),
     paceMeter: createPaceMeter()
--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -122,9 +122,7 @@
   }
 
   const heartbeatsTrusted = (): boolean => {
-    const nowMs = clock.nowMs()
-    const listedAtMs = parts.membersListedAtMs() ?? -Infinity
-    return nowMs - (parts.store.lastFailureMs() ?? -Infinity) > HEARTBEAT_GRACE_MS && nowMs - listedAtMs < MEMBERS_MAX_AGE_MS
+    return clock.nowMs() - (parts.store.lastFailureMs() ?? -Infinity) > HEARTBEAT_GRACE_MS && parts.membersAgeMs() < MEMBERS_MAX_AGE_MS
   }
 
   const choiceInput = (storeNowMs: number): ItemChoiceInput => {
--- a/packages/anvilarch-serving/src/runner/types.ts
+++ b/packages/anvilarch-serving/src/runner/types.ts
@@ -27,8 +27,8 @@
   engineAddress: string
   /** Guaranteed retention of results, counted from submission. */
   retentionMs: number
-  /** Local time of the last listing of daemons; undefined before the first one. */
-  membersListedAtMs: () => number | undefined
+  /** @returns age of the last listing of daemons; `Infinity` before the first one */
+  membersAgeMs: () => number
   readReport: () => Promise<EngineReport | undefined>
   runTimeEstimator: RunTimeEstimator
   paceMeter: PaceMeter
--- a/packages/anvilarch-serving/src/store/tableFollower.ts
+++ b/packages/anvilarch-serving/src/store/tableFollower.ts
@@ -1,7 +1,8 @@
 /** Keeps up with a table, either by a listing and the feed of changes after it or by periodic listings. */
-import { type Clock, type Random, sleep } from 'anvilarch-utils'
+import { type Clock, type Moment, momentNow, type Random, sleep } from 'anvilarch-utils'
 import { type MetadataStore, OVER_RATE_REASON, type RowChange, type StoredRow } from './types'
 import type { EventLog } from '../telemetry/events'
+import type { TableResponse } from './tableFreshness'
 
 /** Receives the rows and changes of a followed table. */
 export interface TableListener {
@@ -20,8 +21,8 @@
   /** Partitions to list. The feed covers all of them. */
   partitions: readonly string[]
   listener: TableListener
-  /** Called after each response of the store about the table, even without changes. */
-  onResponse?: () => void
+  /** Called with each response of the store about the table, even without changes, before it is applied. */
+  onResponse?: (response: TableResponse) => void
   /** Returns the pause before the next call, in which changes are batched; `FEED_INTERVAL_MS` by default. Called after each successful call. */
   intervalMs?: () => number
   /** Wait of one long poll of the feed, in milliseconds. */
@@ -69,7 +70,6 @@
       retryMs *= 2
       continue
     }
-    options.onResponse?.()
     retryMs = FEED_RETRY_MS
     version = next.version
     if (next.outcome === 'changed') await pause(options, options.intervalMs?.() ?? FEED_INTERVAL_MS)
@@ -117,15 +117,17 @@
  * Creates a listing that repeats only the failed partition after a rejected call. If all partitions were listed again, an overloaded
  * store would get eight calls for each one that it rejects, and no daemon would ever complete a listing.
  */
-function createListing (options: Pick<FollowTableOptions, 'store' | 'clock' | 'log' | 'table' | 'partitions' | 'listener'>): Listing {
+function createListing (options: Pick<FollowTableOptions, 'store' | 'clock' | 'log' | 'table' | 'partitions' | 'listener' | 'onResponse'>): Listing {
   let rows: StoredRow[] = []
   let oldestVersion: number | undefined
+  let oldestMadeAt: Moment | undefined
   let next = 0
   let startedAtMs = -Infinity
 
   const reset = (): void => {
     rows = []
     oldestVersion = undefined
+    oldestMadeAt = undefined
     next = 0
     startedAtMs = options.clock.nowMs()
   }
@@ -134,16 +136,19 @@
     run: async () => {
       if (next === 0 || options.clock.nowMs() - startedAtMs > LISTING_MAX_AGE_MS) reset()
       while (next < options.partitions.length) {
+        const sentAt = momentNow(options.clock)
         const read = await options.store.readRows({ table: options.table, partition: options.partitions[next] })
         if (read.err) {
           options.log.warn('table listing failed', { table: options.table, reason: read.val.reason })
           return { outcome: 'failed', reason: read.val.reason }
         }
         rows.push(...read.val.rows)
+        oldestMadeAt ??= read.val.madeAt ?? sentAt
         oldestVersion = Math.min(oldestVersion ?? read.val.version, read.val.version)
         next++
       }
       next = 0
+      options.onResponse?.({ madeAt: oldestMadeAt ?? momentNow(options.clock), isContinuous: false })
       options.listener.onListing(rows, oldestVersion ?? 0)
       options.log.debug('table listed', { table: options.table, rowCount: rows.length, version: oldestVersion ?? 0 })
       return { outcome: 'changed', version: oldestVersion }
@@ -152,12 +157,14 @@
 }
 
 async function readChanges (options: FollowTableOptions, version: number): Promise<Step> {
+  const sentAt = momentNow(options.clock)
   const read = await options.store.readFeed(options.table, version, options.waitMs)
   if (read.err) return { outcome: 'failed', reason: read.val.reason }
   if (read.val.outcome === 'history_lost') {
     options.log.info('feed history lost, listing again', { table: options.table, version })
     return { outcome: 'changed', version: undefined }
   }
+  options.onResponse?.({ madeAt: read.val.madeAt ?? sentAt, isContinuous: true })
   for (const change of read.val.changes) options.listener.onChange(change)
   return { outcome: 'changed', version: read.val.version }
 }
@@ -185,7 +192,6 @@
   const listing = createListing(options)
   while (!options.signal.aborted) {
     const listed = await listing.run()
-    if (listed.outcome === 'changed') options.onResponse?.()
     const intervalMs = Math.min(earlyIntervalMs, options.intervalMs())
     // The interval does not grow after failures other than a rejection for the rate of calls.
     if (listed.outcome === 'changed' || listed.reason === OVER_RATE_REASON) earlyIntervalMs *= 2
--- a/packages/anvilarch-serving/src/store/types.ts
+++ b/packages/anvilarch-serving/src/store/types.ts
@@ -1,4 +1,5 @@
 /** Interface to the metadata store: versioned rows, a feed of changes, and objects. */
+import type { Moment } from 'anvilarch-utils'
 import type { Result } from 'ts-results'
 
 /** Location of a row. Rows of one partition can change in one transaction. */
@@ -56,6 +57,8 @@
   rows: StoredRow[]
   /** Newest version of the store at that time. */
   version: number
+  /** The earliest local time at which the store can have made the response; undefined if only the time of the call bounds it. */
+  madeAt?: Moment
 }
 
 /** A change in a feed. */
@@ -63,9 +66,9 @@
   | { change: 'put', row: StoredRow }
   | { change: 'removed', key: RowKey, version: number }
 
-/** Changes after a version. `history_lost`: the store no longer retains all of them. */
+/** Changes after a version, and when the store made the response, as in `RowsRead`. `history_lost`: the store no longer retains all of them. */
 export type FeedRead =
-  | { outcome: 'changes', changes: RowChange[], version: number }
+  | { outcome: 'changes', changes: RowChange[], version: number, madeAt?: Moment }
   | { outcome: 'history_lost' }
 
 /** Outcome of writing an object. */
--- a/packages/anvilarch-serving/src/streams/knownVersions.ts
+++ b/packages/anvilarch-serving/src/streams/knownVersions.ts
@@ -1,5 +1,6 @@
 /** Determines whether a service is known for certain to have had a single software version while any stream lasted. */
 import type { Clock } from 'anvilarch-utils'
+import { shareReads } from './shareReads'
 import { MAX_FRESH_LIST_AGE_MS, type VersionHistory } from './versionHistory'
 import type { VersionRows } from './versionRows'
 
@@ -21,7 +22,7 @@
   history: VersionHistory
   rows: VersionRows
   retentionMs: () => number
-  /** @returns time since the list of endpoints was complete, in milliseconds; `Infinity` before the first listing */
+  /** @returns time since the store made the last response about the list of endpoints, in milliseconds; `Infinity` before the first listing */
   listAgeMs: () => number
   /** @returns local time since which the list has been followed without a gap; undefined before the first listing */
   followedSinceMs: () => number | undefined
@@ -37,7 +38,7 @@
  */
 export function createKnownVersions (options: KnownVersionsOptions): KnownVersions {
   const { clock, history } = options
-  let refreshing: Promise<boolean> | undefined
+  const readList = shareReads(clock, options.readList)
 
   const hasSeveral = (service: string): boolean => history.recent(service).length > 1
 
@@ -47,25 +48,24 @@
   const isHistoryComplete = (service: string): boolean => {
     const sinceMs = options.followedSinceMs() ?? Infinity
     if (clock.nowMs() - sinceMs > options.retentionMs()) return true
-    return options.rows.loadedAtMs() > sinceMs && options.rows.coversRetention(service)
+    return options.rows.loadedAtMs() >= sinceMs && options.rows.coversRetention(service)
   }
 
-  const read = async (services: readonly string[]): Promise<boolean> => {
-    const [listRead, rowsRead] = await Promise.all([isListFresh() || options.readList(), services.every(isHistoryComplete) || options.rows.load()])
-    return listRead && rowsRead
+  /** The list tells which versions are listed, the rows those that were listed and removed since the last update of the list. */
+  const replaceOldList = async (services: readonly string[]): Promise<boolean> => {
+    const [listRead, rowsRead] = await Promise.all([readList(), options.rows.load()])
+    return listRead && rowsRead && services.every(isHistoryComplete) && services.every(options.rows.coversRetention)
   }
 
-  const refresh = async (services: readonly string[]): Promise<boolean> => {
-    if (isListFresh() && services.every(isHistoryComplete)) return true
-    // Many streams break at once when a gateway is lost.
-    refreshing ??= read(services).finally(() => { refreshing = undefined })
-    return await refreshing && services.every(isHistoryComplete)
+  const isCertain = async (services: readonly string[]): Promise<boolean> => {
+    if (!isListFresh()) return await replaceOldList(services)
+    return services.every(isHistoryComplete) || (await options.rows.load() && services.every(isHistoryComplete))
   }
 
   return {
     mayBeSeveral: service => hasSeveral(service) || options.isFeedOverdue() || !isHistoryComplete(service),
     singleVersions: async services => {
-      if (services.some(hasSeveral) || !await refresh(services) || services.some(hasSeveral)) return undefined
+      if (services.some(hasSeveral) || !await isCertain(services) || services.some(hasSeveral)) return undefined
       return new Map(services.flatMap(service => history.recent(service).map(version => [service, version])))
     }
   }
--- a/packages/anvilarch-serving/src/streams/versionRows.ts
+++ b/packages/anvilarch-serving/src/streams/versionRows.ts
@@ -2,6 +2,7 @@
 import { type Clock, runInBackground, sleep } from 'anvilarch-utils'
 import type { MetadataStore, StoredRow } from '../store/types'
 import type { EventLog } from '../telemetry/events'
+import { shareReads } from './shareReads'
 import type { VersionHistory } from './versionHistory'
 import { decodeVersionRecord, encodeVersionRecord, isCurrent, nextRecord, type OwnVersions, recentVersions, type VersionRecord } from './versionRecord'
 
@@ -10,9 +11,9 @@
 
 /** Exchange of recent versions through the store. */
 export interface VersionRows {
-  /** Adds versions that were listed before this process started. @returns whether the store has responded */
+  /** Adds the versions that other gateways have recorded, by a read that was sent within the age of a fresh list. @returns whether the store has responded */
   load: () => Promise<boolean>
-  /** @returns local time of the last load; `-Infinity` before the first */
+  /** @returns local time as of which the rows were last loaded; `-Infinity` before the first load */
   loadedAtMs: () => number
   /** @returns whether the service's row has named every version at which a stream has begun for the whole retention, as of the last load or write */
   coversRetention: (service: string) => boolean
@@ -61,7 +62,6 @@
   const writing = new Set<string>()
   const rows = new Map<string, KnownRow>()
   let loadedAtMs = -Infinity
-  let loading: Promise<boolean> | undefined
 
   const applyRow = (row: StoredRow, storeNowMs: number): void => {
     const record = decodeVersionRecord(row.value)
@@ -75,18 +75,16 @@
   }
 
   const read = async (): Promise<boolean> => {
+    const sentAtMs = clock.nowMs()
     const result = await store.readRows({ table: VERSION_TABLE, partition: PARTITION })
     const storeNowMs = store.storeNowMs()
     if (result.err || storeNowMs === undefined) return false
     for (const row of result.val.rows) applyRow(row, storeNowMs)
-    loadedAtMs = clock.nowMs()
+    loadedAtMs = Math.max(loadedAtMs, sentAtMs)
     return true
   }
 
-  const load = async (): Promise<boolean> => {
-    loading ??= read().finally(() => { loading = undefined })
-    return await loading
-  }
+  const load = shareReads(clock, read)
 
   const isRecorded = (service: string, version: string): boolean => rows.get(service)?.record.recent.includes(version) === true
 
--- a/packages/anvilarch-serving/src/telemetry/__tests__/stateMetrics.test.ts
+++ b/packages/anvilarch-serving/src/telemetry/__tests__/stateMetrics.test.ts
@@ -19,7 +19,7 @@
     const halfDone = { ...createJobRecord(ITEMS, { jobId: 'half', ...TERMS }), listed: [{ item: 1, outcome: 'completed' as const }] }
     const ended = { ...createJobRecord(ITEMS, { jobId: 'ended', ...TERMS }), ended: true }
     const work = { jobs: () => [open, halfDone, ended].map(record => ({ record, version: 1 })) }
-    registerStateMetrics(registry, { clock, work, configuration: () => CONFIGURATION, tableAnsweredAtMs: new Map([['config', startMs]]) })
+    registerStateMetrics(registry, { work, configuration: () => CONFIGURATION, freshnessByTable: new Map([['config', { ageMs: () => clock.nowMs() - startMs }]]) })
     clock.advance(2500)
     const text = await registry.metrics()
     expect(text).toContain('anvilarch_table_age_seconds{table="config"} 2.5')
@@ -32,7 +32,7 @@
     const registry = new Registry()
     const jobAt = (host: string, ended = false): JobRecord => ({ ...createJobRecord(ITEMS, { jobId: `${host}${ended}`, ...TERMS, host }), ended })
     const work = { jobs: () => [jobAt('h'), jobAt('online'), jobAt('removed'), jobAt('removed', true)].map(record => ({ record, version: 1 })) }
-    registerStateMetrics(registry, { clock: createFakeClock(), work, configuration: () => CONFIGURATION, tableAnsweredAtMs: new Map() })
+    registerStateMetrics(registry, { work, configuration: () => CONFIGURATION, freshnessByTable: new Map() })
     expect(await registry.metrics()).toContain('anvilarch_jobs_without_route 2')
   })
 })
--- a/packages/anvilarch-serving/src/telemetry/stateMetrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/stateMetrics.ts
@@ -1,20 +1,19 @@
 /** Gauges for the state of a process, computed when the metrics are scraped. */
 import { performance } from 'node:perf_hooks'
-import type { Clock } from 'anvilarch-utils'
 import { Gauge, type Registry } from 'prom-client'
 import { isClosed, waitingTokens } from '../jobs/jobRecord'
 import type { JobRecord } from '../jobs/types'
 import type { WorkTable } from '../jobs/workTable'
 import type { Configuration } from '../model/types'
 import { jobRoute } from '../routing/jobRoute'
+import type { TableFreshness } from '../store/tableFreshness'
 
 /** Sources of the gauges. */
 export interface StateMetricsParts {
-  clock: Clock
   work: Pick<WorkTable, 'jobs'>
   configuration: () => Configuration | undefined
-  /** Local time of the last response about each followed table. */
-  tableAnsweredAtMs: ReadonlyMap<string, number>
+  /** Age of the local copy of each followed table. */
+  freshnessByTable: ReadonlyMap<string, Pick<TableFreshness, 'ageMs'>>
 }
 
 const MS_PER_SECOND = 1000
@@ -41,8 +40,10 @@
     labelNames: ['table'],
     registers,
     collect () {
-      const nowMs = parts.clock.nowMs()
-      for (const [table, answeredAtMs] of parts.tableAnsweredAtMs) this.set({ table }, (nowMs - answeredAtMs) / MS_PER_SECOND)
+      for (const [table, freshness] of parts.freshnessByTable) {
+        const ageMs = freshness.ageMs()
+        if (ageMs < Infinity) this.set({ table }, ageMs / MS_PER_SECOND)
+      }
     }
   })
   gauge('anvilarch_open_jobs', 'Jobs that are neither finished nor ended', () => openJobs(parts.work).length)
--- a/packages/anvilarch-utils/src/clock.ts
+++ b/packages/anvilarch-utils/src/clock.ts
@@ -15,6 +15,22 @@
   after: (delayMs: number, onFire: () => void) => Timer
 }
 
+/** A point in time by both local clocks: the monotonic one stops while the host is suspended, the wall clock may be set back. */
+export interface Moment {
+  monotonicMs: number
+  wallMs: number
+}
+
+/** @returns the current moment */
+export function momentNow (clock: Clock): Moment {
+  return { monotonicMs: clock.nowMs(), wallMs: clock.wallMs() }
+}
+
+/** @returns time since the moment in milliseconds, including the time for which this host was suspended */
+export function ageMs (clock: Clock, moment: Moment): number {
+  return Math.max(clock.nowMs() - moment.monotonicMs, clock.wallMs() - moment.wallMs)
+}
+
 /** @returns a clock on the system time. Its timers do not keep the process running. */
 export function createSystemClock (): Clock {
   return {
