Count contact with the store from the making of its latest response

What callers may see: an agent that stood still starts items that others have taken over; a gateway whose host was suspended grants permits as the home of a meter by an estimate of the store's time that is late; a new key is refused as unknown after a suspension. By reading after the change before; not shown with a running fleet.

Cause: lastSuccessMs was the time at which a response was read, so that a response from before counted as contact. The read that confirms an unknown key was reused by the monotonic clock alone, which stops with the host.

Fix: answerAgeMs of the store client replaces lastSuccessMs. It counts from the time at which the store made its latest response, by the greater of both clocks. The age of the confirming read counts a suspension too.

Evidence: the new test of accounts.test.ts failed before.

--- a/packages/anvilarch-serving/src/accounts/__tests__/accounts.test.ts
+++ b/packages/anvilarch-serving/src/accounts/__tests__/accounts.test.ts
@@ -87,6 +87,20 @@
     expect(refreshCount).toBe(2)
   })
 
+  // Guards against a key that is refused by what the store said before the host was suspended.
+  it('reads the store again after the host was suspended', async () => {
+    const clock = createFakeClock()
+    let suspendedMs = 0
+    const current = configurationWith(await buildAccountDirectory([], noYield))
+    let refreshCount = 0
+    const suspendableClock = { ...clock, wallMs: () => clock.wallMs() + suspendedMs }
+    const authenticator = createCallerAuthenticator({ clock: suspendableClock, configuration: { current: () => current }, refresh: async () => { refreshCount++; return true } })
+    await authenticator.authenticate(request)
+    suspendedMs = 20_000
+    await authenticator.authenticate(request)
+    expect(refreshCount).toBe(2)
+  })
+
   it('accepts a key of a newer version in the store', async () => {
     let current = configurationWith(await buildAccountDirectory([], noYield))
     const newer = configurationWith(await buildAccountDirectory([listed('a', ['new'])], noYield), 2)
--- a/packages/anvilarch-serving/src/accounts/callerAuthenticator.ts
+++ b/packages/anvilarch-serving/src/accounts/callerAuthenticator.ts
@@ -2,7 +2,7 @@
  * Authenticates callers. Before a key is refused, the configuration is read from the store, since this process may not have
  * received the version that contains the key.
  */
-import { type Clock, sleep } from 'anvilarch-utils'
+import { ageMs, type Clock, type Moment, momentNow, sleep } from 'anvilarch-utils'
 import type { ConfigurationHolder } from '../configuration/configurationHolder'
 import type { Configuration, Route } from '../model/types'
 import { identifyCaller, type Identification } from './identifyCaller'
@@ -45,10 +45,10 @@
  */
 export function createCallerAuthenticator (options: CallerAuthenticatorOptions): CallerAuthenticator {
   const { clock } = options
-  let lastRefresh: { atMs: number, hasResponded: Promise<boolean> } | undefined
+  let lastRefresh: { sentAt: Moment, hasResponded: Promise<boolean> } | undefined
 
   const refreshConfiguration = async (): Promise<boolean> => {
-    if (lastRefresh === undefined || clock.nowMs() - lastRefresh.atMs >= REFRESH_INTERVAL_MS) lastRefresh = { atMs: clock.nowMs(), hasResponded: options.refresh() }
+    if (lastRefresh === undefined || ageMs(clock, lastRefresh.sentAt) >= REFRESH_INTERVAL_MS) lastRefresh = { sentAt: momentNow(clock), hasResponded: options.refresh() }
     return await Promise.race([lastRefresh.hasResponded, sleep(clock, REFRESH_TIMEOUT_MS).then(() => false)])
   }
 
--- a/packages/anvilarch-serving/src/accounts/limits/meterHomes.ts
+++ b/packages/anvilarch-serving/src/accounts/limits/meterHomes.ts
@@ -28,7 +28,7 @@
   ownName: string
   members: () => MemberRecord[]
   storeNowMs: () => number | undefined
-  /** @returns local time of the last response of the store; undefined before the first */
+  /** @returns local time at which the store made its latest response; undefined before the first */
   storeAnsweredAtMs: () => number | undefined
   /** Called after the list of gateways has changed. */
   onChanged: () => void
--- a/packages/anvilarch-serving/src/roles/__tests__/gatewayAccounts.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/gatewayAccounts.test.ts
@@ -67,7 +67,7 @@
         log: SILENT_LOGGER,
         metrics: createServingMetrics(),
         // Readings of the store's clock that are older than a suspension are behind by its length.
-        store: { storeNowMs: () => clock.nowMs() - plan.lagMs - (suspended.lostMs - lostMsAtReading), lastSuccessMs: () => answeredAtMs }
+        store: { storeNowMs: () => clock.nowMs() - plan.lagMs - (suspended.lostMs - lostMsAtReading), answerAgeMs: () => gatewayClock.nowMs() - answeredAtMs }
       } as never,
       view: {
         configuration: { current: () => ({ version: 1, accounts: { byName: (account: string) => account === ACCOUNT.name ? ACCOUNT : undefined } }), onChange: () => {} },
--- a/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayAccounts.ts
@@ -47,6 +47,11 @@
     if (version > currentVersion()) runInBackground(log, 'read a newer configuration', callers.refreshConfiguration)
   }
 
+  const storeAnsweredAtMs = (): number | undefined => {
+    const answerAgeMs = context.store.answerAgeMs()
+    return answerAgeMs === Infinity ? undefined : clock.nowMs() - answerAgeMs
+  }
+
   const { limits, meters, onMessage } = createAccountLimits({
     clock,
     log,
@@ -55,7 +60,7 @@
     account: accountNamed,
     members: () => [...view.work.members()].map(member => member.record),
     storeNowMs: context.store.storeNowMs,
-    storeAnsweredAtMs: context.store.lastSuccessMs,
+    storeAnsweredAtMs,
     configurationVersion: currentVersion,
     onPeerVersion,
     send
--- a/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/memoryStore.ts
@@ -133,7 +133,7 @@
     storeNowMs: () => clock.nowMs(),
     lastFailureMs: () => undefined,
     lastOutageMs: () => 0,
-    lastSuccessMs: () => clock.nowMs()
+    answerAgeMs: () => 0
   }
 
   const rowsOf = (table: string): StoredRow[] => [...rows.values()].filter(row => row.table === table)
--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerHarness.ts
@@ -96,7 +96,7 @@
     storeNowMs: () => clock.nowMs(),
     lastFailureMs: () => undefined,
     lastOutageMs: () => 0,
-    lastSuccessMs: () => clock.nowMs()
+    answerAgeMs: () => 0
   }
 
   const dispatch = (options: { headers: string[] }, handler: ExchangeHandler): boolean => {
--- a/packages/anvilarch-serving/src/runner/itemLifecycle.ts
+++ b/packages/anvilarch-serving/src/runner/itemLifecycle.ts
@@ -64,8 +64,8 @@
 type FinalEnd = Exclude<RunEnd, { end: 'interrupted' }>
 
 /** @returns whether the store has responded recently enough to start items based on its data */
-export function hasRecentStoreResponse (parts: Pick<ItemLifecycleParts, 'clock' | 'store'>): boolean {
-  return parts.clock.nowMs() - (parts.store.lastSuccessMs() ?? -Infinity) < MAX_WORK_AGE_MS
+export function hasRecentStoreResponse (parts: Pick<ItemLifecycleParts, 'store'>): boolean {
+  return parts.store.answerAgeMs() < MAX_WORK_AGE_MS
 }
 
 /**
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -77,10 +77,10 @@
     direct = BUSY
     throughPeer = BUSY
     await transport.call(CALL)
-    expect(transport.contact).toEqual({ lastSuccessMs: undefined, lastFailureMs: 10_000, lastOutageMs: 0 })
+    expect(transport.contact).toEqual({ lastFailureMs: 10_000, lastOutageMs: 0 })
     clock.advance(900)
     await transport.call(CALL)
-    expect(transport.contact).toEqual({ lastSuccessMs: undefined, lastFailureMs: 10_900, lastOutageMs: 900 })
+    expect(transport.contact).toEqual({ lastFailureMs: 10_900, lastOutageMs: 900 })
   })
 
   // Guards against a host that, rejected by the store after a start of all hosts, serves no client for 0.7 s although the store serves its peers.
--- a/packages/anvilarch-serving/src/store/relayPeers.ts
+++ b/packages/anvilarch-serving/src/store/relayPeers.ts
@@ -22,8 +22,6 @@
   peers: () => string[]
   /** @returns a transport that uses the relay of a peer */
   createPeerTransport: (peerAddress: string) => StoreTransport
-  /** Called when the store has served a relayed call. */
-  onServed: () => void
 }
 
 /** Pause of relaying after a relayed call has failed as well. */
@@ -38,7 +36,7 @@
  * @param options - peers and clock
  * @returns relays, none of which is proven
  */
-export function createRelayPeers ({ clock, random, peers, createPeerTransport, onServed }: RelayPeersOptions): RelayPeers {
+export function createRelayPeers ({ clock, random, peers, createPeerTransport }: RelayPeersOptions): RelayPeers {
   let pausedUntilMs = -Infinity
   let backoffMs = RELAY_BACKOFF_MS
   /** The peer that has last relayed a call, until one of its calls fails. */
@@ -65,7 +63,6 @@
       if (isServed(response)) {
         backoffMs = RELAY_BACKOFF_MS
         provenPeer = peer
-        onServed()
       } else if (provenPeer === peer && call.signal?.aborted !== true) {
         provenPeer = undefined
       }
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -76,9 +76,8 @@
   })
 }
 
-/** Recent successes and failures of calls to the store. */
+/** Recent failures of calls to the store. */
 export interface StoreContactState {
-  lastSuccessMs: number | undefined
   lastFailureMs: number | undefined
   /** Time from the first to the last call of the latest run of consecutive failures; 0 for a single failure. */
   lastOutageMs: number
@@ -126,19 +125,18 @@
  */
 export function createRelayedTransport (options: RelayOptions): RelayedTransport {
   const { clock, log } = options
-  const contact: StoreContactState = { lastSuccessMs: undefined, lastFailureMs: undefined, lastOutageMs: 0 }
+  const contact: StoreContactState = { lastFailureMs: undefined, lastOutageMs: 0 }
   let consecutiveFailures = 0
   let failingSinceMs = 0
   let lastProbeMs = -Infinity
   const longPolls = createLongPolls(clock)
-  const relays = createRelayPeers({ ...options, onServed: () => { contact.lastSuccessMs = clock.nowMs() } })
+  const relays = createRelayPeers(options)
 
   const recordOutcome = (response: StoreResponse): void => {
     const nowMs = clock.nowMs()
     if (isServed(response)) {
       if (consecutiveFailures >= RELAY_FAILURE_THRESHOLD) log.info('store answers again', { afterMs: Math.round(nowMs - failingSinceMs) })
       consecutiveFailures = 0
-      contact.lastSuccessMs = nowMs
       return
     }
     consecutiveFailures++
--- a/packages/anvilarch-serving/src/store/types.ts
+++ b/packages/anvilarch-serving/src/store/types.ts
@@ -107,8 +107,8 @@
   lastFailureMs: () => number | undefined
   /** @returns time from the first to the last call of the latest run of consecutive failures, in milliseconds */
   lastOutageMs: () => number
-  /** @returns local time of the last successful call; undefined if none has succeeded */
-  lastSuccessMs: () => number | undefined
+  /** @returns time since the store made the latest response, with the time for which this host was suspended; `Infinity` before the first */
+  answerAgeMs: () => number
 }
 
 /** Limit on the size of a row, in bytes before encoding. */
