--- a/packages/anvilarch-utils/src/clock.ts
+++ b/packages/anvilarch-utils/src/clock.ts
@@ -18,6 +18,22 @@
 /** A timer of Node.js with a longer delay fires at once. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
+/** A point in time by both local clocks: the monotonic one stops while the host is suspended, the wall clock may be set back. */
+export interface Moment {
+  monotonicMs: number
+  wallMs: number
+}
+
+/** @returns the current moment */
+export function momentNow (clock: Clock): Moment {
+  return { monotonicMs: clock.nowMs(), wallMs: clock.wallMs() }
+}
+
+/** @returns time since the moment in milliseconds, including the time for which this host was suspended */
+export function ageMs (clock: Clock, moment: Moment): number {
+  return Math.max(clock.nowMs() - moment.monotonicMs, clock.wallMs() - moment.wallMs)
+}
+
 /** @returns a clock on the system time. Its timers do not keep the process running. */
 export function createSystemClock (): Clock {
   return {
