Release unanswered claims when an agent stops

An item of a job that an agent was claiming when it got SIGTERM could stay claimed by the process that had ended, and waited up to 6 s for its heartbeat to expire. Nothing was lost.

Cause: the stop saved and released the items in hand, and a claim whose write got no response is not in hand, although the store may have it. The check for such claims, once a second, ended as the stop began.

The stop goes on, within its limit of 3 s, until no claim of the process is left in its copy of the claims, and releases those that it does not have in hand.

stoppingRunner.test.ts stops a runner at a random moment beside a store that refuses, loses or does not answer calls for up to a second.

--- a/packages/anvilarch-serving/src/runner/batchRunner.ts
+++ b/packages/anvilarch-serving/src/runner/batchRunner.ts
@@ -22,7 +22,7 @@
 
 /** A started batch runner. */
 export interface BatchRunner {
-  /** Saves and releases all claimed items; resolves when none is left, or when the store has not accepted the writes in time. */
+  /** Saves and releases all claimed items; resolves when no claim is left, or when the store has not accepted the writes in time. */
   stop: () => Promise<void>
   /** Drops all items immediately; their claims expire. */
   halt: () => void
@@ -193,6 +193,9 @@
   runInBackground(log, 'retention', () => repeat(() => sleep(clock, RETENTION_INTERVAL_MS, controller.signal), jobMaintenance.retire))
   runInBackground(log, 'give up', () => repeat(() => sleep(clock, GIVE_UP_INTERVAL_MS, controller.signal), jobMaintenance.giveUp))
 
+  /** A claim whose write got no response is not in hand, but other runners would wait for it until the heartbeat has expired. */
+  const holdsClaims = (): boolean => claimedItems.all().length > 0 || claimMaintenance.hasOrphanedClaims()
+
   return {
     onUsageReport: (gateway, startId, inProgress) => {
       const before = onlineUsage.online()
@@ -229,10 +232,11 @@
     stop: async () => {
       controller.abort()
       const untilMs = clock.nowMs() + STOP_TIMEOUT_MS
-      while (claimedItems.all().length > 0 && clock.nowMs() < untilMs) {
+      while (holdsClaims() && clock.nowMs() < untilMs) {
         for (const entry of claimedItems.inState('running')) lifecycle.pause(entry, 'stopping')
         await Promise.all(claimedItems.inState('paused').map(entry => lifecycle.release(entry, 'stopping')))
-        if (claimedItems.all().length > 0) await sleep(clock, STOP_RETRY_INTERVAL_MS)
+        await claimMaintenance.releaseOrphanedClaims()
+        if (holdsClaims()) await sleep(clock, STOP_RETRY_INTERVAL_MS)
       }
       log.info('runner stopped', { unsavedItems: claimedItems.all().length })
     }
--- a/packages/anvilarch-serving/src/runner/claimMaintenance.ts
+++ b/packages/anvilarch-serving/src/runner/claimMaintenance.ts
@@ -6,7 +6,7 @@
 import { type ClaimedItem, progressOf } from './claimedItems'
 import { isBetterElsewhere, hasTightDeadline } from './itemChoice'
 import type { ReleaseReason } from './itemLifecycle'
-import { orphanedClaims } from './orphanedClaims'
+import { type OrphanedClaim, orphanedClaims } from './orphanedClaims'
 import type { RunnerParts, RunnerState } from './types'
 
 /** Maintenance of claimed items, done after each poll of the engine. */
@@ -15,6 +15,7 @@
   dropLostItems: () => void
   /** Releases claims in the store whose items this process does not have in hand, so that any runner may run them. */
   releaseOrphanedClaims: () => Promise<void>
+  hasOrphanedClaims: () => boolean
   sampleEventIntervals: () => void
   saveRunning: () => void
   /** Releases items that are paused for too long, expired, no longer routed to the engine's service, or better run elsewhere, and all running items when the endpoint is not ready. */
@@ -66,6 +67,8 @@
     for (const entry of entries) runInBackground(log, 'release item', () => lifecycle.release(entry, reason))
   }
 
+  const findOrphanedClaims = (): OrphanedClaim[] => orphanedClaims(parts.work, parts, claimedItems.isClaimed)
+
   return {
     dropLostItems: () => {
       for (const entry of [...claimedItems.inState('running'), ...claimedItems.inState('paused')]) {
@@ -76,8 +79,9 @@
         claimedItems.drop(entry)
       }
     },
+    hasOrphanedClaims: () => findOrphanedClaims().length > 0,
     releaseOrphanedClaims: async () => {
-      const orphaned = orphanedClaims(parts.work, parts, claimedItems.isClaimed)
+      const orphaned = findOrphanedClaims()
       parts.metrics.orphanedClaims.set(orphaned.length)
       await Promise.all(orphaned.map(async ({ jobId, item, itemId }) => {
         const released = await releaseClaim(parts, jobId, item, undefined)
