--- a/packages/anvilarch-serving/src/runner/__tests__/stoppingRunner.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/stoppingRunner.test.ts
@@ -14,8 +14,8 @@
   eventCounts: fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 8 }),
   stopsAtMs: fc.integer({ min: 0, max: 3000 }),
   callOutcome: fc.constantFrom<CallOutcome>('done', 'refused', 'unanswered', 'lost'),
-  /** Shorter than the time in which a runner saves its items. */
-  storeFaultMs: fc.nat({ max: 1000 })
+  /** Two calls of a second each fit into the 3 s of a stop. */
+  storeFaultMs: fc.nat({ max: 2000 })
 })
 
 describe('a runner that stops', () => {
