Restore an endpoint whose entry another writer replaced by a later start

A row under the id of a running endpoint with a later born kept that endpoint out of use for good: each of its own rows counted as a late write of an earlier start. A start that has ended writes a row or two late; one that goes on to write while the later start does not is the one that runs. Its third row in a row restores it.

Also: of many rows that become unusable in the same second, two were told of and the others never, since the reason was noted although the line was left out. They are told of at two a second now while they are written.

--- a/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/endpointTable.test.ts
@@ -152,6 +152,26 @@
     expect(table.atAddress(ENDPOINT.address)).toMatchObject({ startId: 'e1@2000', state: 'ready' })
   })
 
+  // Guards against a running endpoint that receives nothing more because another writer has once listed a later start under its id.
+  it('is replaced by the previous start if only that one goes on to write', () => {
+    table.onRow(rowOf({ bornAtMs: 1000, listedVersion: 2 }))
+    table.onRow(rowOf({ bornAtMs: 9000, listedVersion: 3, address: '10.9.9.9:1' }))
+    for (const listedVersion of [4, 4, 5]) table.onRow(rowOf({ bornAtMs: 1000, listedVersion }))
+    expect(table.hasStart('e1@9000')).toBe(true)
+    table.onRow(rowOf({ bornAtMs: 1000, listedVersion: 6 }))
+    expect([table.hasStart('e1@1000'), table.hasStart('e1@9000')]).toEqual([true, false])
+  })
+
+  it('is not replaced by late rows of its previous start while it writes as often', () => {
+    table.onRow(rowOf({ bornAtMs: 2000, listedVersion: 2 }))
+    for (let version = 3; version < 30; version += 3) {
+      table.onRow(rowOf({ bornAtMs: 1000, listedVersion: version }))
+      table.onRow(rowOf({ bornAtMs: 1000, listedVersion: version + 1 }))
+      table.onRow(rowOf({ bornAtMs: 2000, listedVersion: version + 2 }))
+    }
+    expect(table.hasStart('e1@2000')).toBe(true)
+  })
+
   it('does not inherit the time at which its previous start began to drain', () => {
     table.onRow(rowOf({ bornAtMs: 1000, state: 'draining' }))
     table.onRemoved('e2')
--- a/packages/anvilarch-serving/src/endpoints/endpointTable.ts
+++ b/packages/anvilarch-serving/src/endpoints/endpointTable.ts
@@ -47,8 +47,14 @@
 
 interface Entry extends EntryStatus {
   endpoint: Endpoint
+  /** Number of rows of an earlier start that were written since the last one of this start, and version of the last of them. */
+  earlierRows?: number
+  lastEarlierVersion?: number
 }
 
+/** Rows after which an earlier start counts as running. Writes of a start that has ended may be late, but the later start writes as often. */
+const ROWS_OF_RUNNING_START = 3
+
 /** Limit of log lines about unusable rows, since their writer may repeat them indefinitely. */
 const UNUSABLE_LINES_PER_SECOND = 2
 
@@ -89,14 +95,14 @@
     const reason = `${row.field}: ${row.reason}`
     if (unusableReasons.get(row.id) !== reason && logRateLimiter.tryAcquire()) {
       log.warn('endpoint entry not usable', { endpoint: row.id, field: row.field, reason: row.reason, replacedGood: existing !== undefined && !existing.unlisted })
+      unusableReasons.set(row.id, reason)
     }
-    unusableReasons.set(row.id, reason)
     if (existing !== undefined) evict(row.id, existing)
   }
 
   const putEndpoint = (endpoint: Endpoint): void => {
     const existing = entries.get(endpoint.id)
-    if (existing !== undefined && isEarlierStart(endpoint, existing.endpoint)) return
+    if (existing !== undefined && isEarlierStart(endpoint, existing.endpoint) && !isStillWritten(endpoint, existing)) return
     if (existing?.endpoint.bornAtMs !== undefined && endpoint.bornAtMs === undefined) {
       // Endpoints that report their start time do so in each row; a row without it has another writer.
       putUnusable({ row: 'unusable', id: endpoint.id, field: 'bornAtMs', reason: 'missing, although an earlier row had it' })
@@ -122,6 +128,14 @@
     })
   }
 
+  /** An earlier start that goes on to write, while the later one does not, is the one that runs: the later start is of another writer. */
+  const isStillWritten = (endpoint: Endpoint, existing: Entry): boolean => {
+    if (endpoint.listedVersion <= (existing.lastEarlierVersion ?? existing.endpoint.listedVersion)) return false
+    existing.lastEarlierVersion = endpoint.listedVersion
+    existing.earlierRows = (existing.earlierRows ?? 0) + 1
+    return existing.earlierRows >= ROWS_OF_RUNNING_START
+  }
+
   const putRow = (row: EndpointRow): void => {
     clearCache()
     if (row.row === 'endpoint') putEndpoint(row.endpoint)
