Read the other heartbeats and quarantine rows beside an odd one

One among the heartbeats threw out of each scan, at each gateway, so that none knew which others were alive. Both failures were logged at debug only.

Such a row costs one line now. An odd heartbeat is no progress of its gateway; its last row counts until the lease has lapsed, as for a gateway that writes nothing.

Open: jobs, leases of one holder, intents, orders, configuration, host list.

--- a/packages/anvilarch-daemon/src/leases/__tests__/leases.test.ts
+++ b/packages/anvilarch-daemon/src/leases/__tests__/leases.test.ts
@@ -68,6 +68,19 @@
 })
 
 describe('startLeaseObserver', () => {
+  // Guards against gateways that take each other for dead, or a dead one for alive, because one heartbeat row cannot be read.
+  it.each(['', '{', 'null', '[]', '{"sequence":1e400}', `${'['.repeat(100_000)}${']'.repeat(100_000)}`])('observes the other gateways beside a row that is odd (%#)', async odd => {
+    const fleet = createSimulatedFleet(1, 0)
+    const [first, second] = [await startProcess(fleet), await startProcess(fleet)]
+    fleet.store.rows.set('gateway/a-odd', { key: 'gateway/a-odd', version: 1_000_000, value: odd })
+    expect(await first.observer.scan()).toBe(true)
+    await fleet.clock.advanceAsync(3 * LEASE_MS)
+    expect(first.observer.stateOf(second.heartbeat.instance)).toBe('alive')
+    second.gate.pause()
+    await fleet.clock.advanceAsync(3 * LEASE_MS)
+    expect(first.observer.stateOf(second.heartbeat.instance)).toBe('dead')
+  })
+
   it('considers a holder dead shortly after its lease ends, and never before', async () => {
     const fleet = createSimulatedFleet(1, 0)
     const [one, other] = [await startProcess(fleet), await startProcess(fleet)]
--- a/packages/anvilarch-daemon/src/leases/startLeaseObserver.ts
+++ b/packages/anvilarch-daemon/src/leases/startLeaseObserver.ts
@@ -3,12 +3,15 @@
 import { ROW_KEYS, type Row } from 'anvilarch-protocol'
 import { type LifecycleManager, sleep } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
+import { createUnusableRowLog, isCount, isString, readRowValue, type RowChecks } from '../platform/readRowValue'
 import { leaseTimes } from './leaseTimes'
 import {
   afterQuery, afterScan, type HeartbeatReading, type HolderRecord, holderState, INITIAL_OBSERVER_STATE, removableRows
 } from './observerCore'
 import type { GatewayRow, Heartbeat, LeaseObserver } from './types'
 
+const ROW_CHECKS: RowChecks<GatewayRow> = { name: isString, incarnation: isString, sequence: isCount, address: isString, operationsAddress: isString }
+
 /** Maximum of rows in one page of the scan. */
 const SCAN_LIMIT = 500
 
@@ -29,13 +32,23 @@
   const stopping = new AbortController()
   let state = INITIAL_OBSERVER_STATE
   let loop: Promise<void> | undefined
+  const reportUnusable = createUnusableRowLog(context.logger)
+
+  /** A row that cannot be used is no progress of its gateway, whose last row still counts until the lease has lapsed. */
+  const toReading = (row: Row): HeartbeatReading | undefined => {
+    const instance = row.key.slice(ROW_KEYS.gateways.length)
+    const value = readRowValue(row, ROW_CHECKS)
+    if (value === undefined) reportUnusable(row)
+    const known = value ?? state.holders.get(instance)?.row
+    return known && { instance, version: row.version, row: known }
+  }
 
   const readAll = async (): Promise<HeartbeatReading[]> => {
     const readings: HeartbeatReading[] = []
     let after: string | undefined
     do {
       const page = await platform.table.scan(ROW_KEYS.gateways, { after, limit: SCAN_LIMIT }, stopping.signal)
-      readings.push(...page.rows.map(toReading))
+      readings.push(...page.rows.flatMap(row => toReading(row) ?? []))
       after = page.next
     } while (after !== undefined)
     return readings
@@ -92,7 +105,3 @@
     scan
   }
 }
-
-function toReading (row: Row): HeartbeatReading {
-  return { instance: row.key.slice(ROW_KEYS.gateways.length), version: row.version, row: JSON.parse(row.value) as GatewayRow }
-}
--- a/packages/anvilarch-daemon/src/quarantine/__tests__/startQuarantine.test.ts
+++ b/packages/anvilarch-daemon/src/quarantine/__tests__/startQuarantine.test.ts
@@ -60,6 +60,17 @@
     expect(platform.rows.size).toBe(0)
   })
 
+  // Guards against a gateway that learns of no crashing request any more because one row cannot be read.
+  it.each(['', '{', 'null', '[]', '{"reason":1}', `${'['.repeat(100_000)}${']'.repeat(100_000)}`, '{"reason":"a","addedBy":"b","addedAtMs":1e400}'])('learns of the other rows beside one that is odd (%#)', async odd => {
+    const clock = createFakeClock()
+    const platform = createFakePlatform()
+    const quarantine = await startGateway('g1', clock, platform)
+    platform.rows.set(ROW_KEYS.suspect('a-odd'), { key: ROW_KEYS.suspect('a-odd'), version: 1, value: odd })
+    platform.rows.set(ROW_KEYS.suspect('crasher'), { key: ROW_KEYS.suspect('crasher'), version: 2, value: JSON.stringify({ reason: 'why', addedBy: 'g2', addedAtMs: 0 }) })
+    await clock.advanceAsync(6000)
+    expect(quarantine.list()).toEqual(['crasher'])
+  })
+
   it('lists the fingerprints added since the last call', async () => {
     const quarantine = await startGateway('g1', createFakeClock(), createFakePlatform())
     quarantine.add('a', 'why')
--- a/packages/anvilarch-daemon/src/quarantine/startQuarantine.ts
+++ b/packages/anvilarch-daemon/src/quarantine/startQuarantine.ts
@@ -3,6 +3,7 @@
 import { ROW_KEYS, type Row } from 'anvilarch-protocol'
 import { type LifecycleManager, sleep } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
+import { createUnusableRowLog, isCount, isString, readRowValue, type RowChecks } from '../platform/readRowValue'
 import { withFingerprint, withoutExpired, EMPTY_STATE, unstoredRows } from './quarantineState'
 import type { QuarantineLog, QuarantineRow } from './types'
 
@@ -15,6 +16,8 @@
 /** One day: by then the fault behind a crash is fixed, or the request is no longer sent. */
 export const DEFAULT_OPTIONS: QuarantineOptions = { expiryMs: 24 * 3600 * 1000 }
 
+const ROW_CHECKS: RowChecks<QuarantineRow> = { reason: isString, addedBy: isString, addedAtMs: isCount }
+
 /** Rows per page of a scan. */
 const SCAN_PAGE_ROWS = 500
 /** Maximum number of rows written by one commit. */
@@ -38,6 +41,7 @@
   let wake = new AbortController()
   let state = EMPTY_STATE
   let loop: Promise<void> | undefined
+  const reportUnusable = createUnusableRowLog(logger)
 
   const writeUnstored = async (): Promise<void> => {
     const rows = unstoredRows(state).slice(0, MAX_COMMIT_ROWS)
@@ -59,7 +63,11 @@
 
   const addRow = (row: Row): void => {
     const fingerprint = row.key.slice(ROW_KEYS.suspects.length)
-    const value = JSON.parse(row.value) as QuarantineRow
+    const value = readRowValue(row, ROW_CHECKS)
+    if (value === undefined) {
+      reportUnusable(row)
+      return
+    }
     if (!state.entries.has(fingerprint)) timeline.record('quarantine.learned', { detail: { fingerprint, addedBy: value.addedBy } })
     state = withFingerprint(state, fingerprint, value, true)
   }
