Accept each job row that this program may have written

The check of job rows demanded an id of 1 to 200 characters and times below 2^53, which nothing demands of a client or of the configuration: a job with an empty id would have been accepted and then be read by no daemon. What is checked by the key needs no check of its own, and the numbers that get into rows are bounded where they come in: tokens of an item have to be finite (1e400 was stored as null), durations of the configuration exact.

--- a/packages/anvilarch-serving/src/jobs/jobRows.ts
+++ b/packages/anvilarch-serving/src/jobs/jobRows.ts
@@ -92,14 +92,15 @@
   return { ...key, value: Buffer.from(JSON.stringify(record)) }
 }
 
+/** The ids of jobs are compared with the keys of their rows. Whatever a client may submit has to pass. */
 const JOB_CHECKS: RecordChecks<JobRecord> = {
-  jobId: isName,
+  jobId: isString,
   account: optional(isString),
   host: isString,
   path: isString,
-  submittedAtMs: isStoreTimeMs,
-  dueAtMs: isStoreTimeMs,
-  expiresAtMs: isStoreTimeMs,
+  submittedAtMs: isFiniteNumber,
+  dueAtMs: isFiniteNumber,
+  expiresAtMs: isFiniteNumber,
   maxAttempts: isFiniteNumber,
   itemIds: listOf(isString),
   itemTokens: listOf(isFiniteNumber),
@@ -109,10 +110,10 @@
 }
 
 const CLAIM_CHECKS: RecordChecks<ClaimRecord> = {
-  jobId: isName,
+  jobId: isString,
   item: isCount,
-  runner: isName,
-  incarnation: isName,
+  runner: isString,
+  incarnation: isString,
   held: isFlag,
   savedEventId: isCount
 }
--- a/packages/anvilarch-serving/src/jobs/quota.ts
+++ b/packages/anvilarch-serving/src/jobs/quota.ts
@@ -5,7 +5,7 @@
  * reserve the last free tokens.
  */
 import { v3 as murmurhash } from 'murmurhash'
-import { isFiniteNumber, isName, isStoreTimeMs, parseRowValue, rowProblem, type RowProblem } from '../store/rowValues'
+import { isFiniteNumber, isStoreTimeMs, isString, parseRowValue, rowProblem, type RowProblem } from '../store/rowValues'
 import type { RowKey, RowRange, StoredRow } from '../store/types'
 import { waitingTokens } from './jobRecord'
 import { QUOTA_TABLE } from './jobRows'
@@ -124,7 +124,7 @@
 function isReservations (value: unknown): value is Reservation[] {
   return Array.isArray(value) && value.every((entry: unknown) => {
     const { jobId, tokens, reservedAtMs } = (entry ?? {}) as Partial<Reservation>
-    return isName(jobId) && isFiniteNumber(tokens) && isStoreTimeMs(reservedAtMs)
+    return isString(jobId) && isFiniteNumber(tokens) && isStoreTimeMs(reservedAtMs)
   })
 }
 
--- a/packages/anvilarch-serving/src/store/__tests__/rowValues.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/rowValues.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
-import { decodeClaim, decodeJob, decodeMember, decodeProgress } from '../../jobs/jobRows'
+import { countFailure, createJobRecord, endJob, recordOutcome } from '../../jobs/jobRecord'
+import { claimKey, claimRowKey, decodeClaim, decodeJob, decodeMember, decodeProgress, encodeRecord, jobKey } from '../../jobs/jobRows'
 import { decodePage } from '../../jobs/quota'
 import { decodeVersionRecord } from '../../streams/versionRecord'
 import { isSocketAddress, MAX_NESTING, MAX_VALUE_BYTES, parseRowValue } from '../rowValues'
@@ -84,6 +85,26 @@
   })
 })
 
+describe('records of this program', () => {
+  const number = fc.double({ noNaN: true, noDefaultInfinity: true, min: -Number.MAX_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER })
+
+  // Guards against an accepted job that no daemon can read.
+  it('are decoded as they were written, whatever a client submits', () => {
+    const item = fc.record({ id: fc.string(), path: fc.string(), headers: fc.constant({}), body: fc.constant(Buffer.alloc(0)), tokens: fc.double({ noNaN: true, noDefaultInfinity: true }) })
+    const terms = fc.record({ jobId: fc.string(), account: fc.option(fc.string(), { nil: undefined }), host: fc.string(), path: fc.string(), nowMs: number, dueMs: number, expiryMs: number, maxAttempts: number })
+    fc.assert(fc.property(fc.array(item), terms, fc.nat(), (items, jobTerms, chosen) => {
+      const job = createJobRecord(items, jobTerms)
+      const failed = items.length === 0 ? undefined : countFailure(job, chosen % items.length)
+      const records = [job, endJob(job), ...failed === undefined ? [] : [failed, recordOutcome(failed, chosen % items.length, 'completed') ?? job]]
+      for (const record of records) expect(decodeJob(rowOf(jobTerms.jobId, encodeRecord(jobKey(jobTerms.jobId), record).value)).ok).toBe(true)
+      const claim = { ...RECORDS.claim, jobId: jobTerms.jobId, item: chosen }
+      expect(decodeClaim(rowOf(claimRowKey(jobTerms.jobId, chosen), encodeRecord(claimKey(jobTerms.jobId, chosen), claim).value)).ok).toBe(true)
+      const page = decodePage(jobKey('k'), [rowOf('k', Buffer.from(JSON.stringify([{ jobId: jobTerms.jobId, tokens: jobTerms.nowMs, reservedAtMs: jobTerms.dueMs }])))])
+      expect(page.problem).toBeUndefined()
+    }), { seed: 61, numRuns: 500 })
+  })
+})
+
 describe('parseRowValue', () => {
   it('refuses values that are too long, too deep, not UTF-8 or not JSON, with a short reason', () => {
     const values = [
