Ask of generated histories whether any row has named a mixed version

The histories count streams of a version that no row of the store names apart. They looked at the row at the time of the resumption only, so that a row that had named the version and lost it by a fault would have hidden a mixed stream.

--- a/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
@@ -67,8 +67,8 @@
   storeVersions: () => string[]
   /** Starts an endpoint of a version, or ends the one that it has. */
   setListed: (softwareVersion: string, listed: boolean) => void
-  /** @returns whether the record in the store names the version */
-  isRecorded: (softwareVersion: string) => boolean
+  /** @returns whether the record in the store has named the version at some time since */
+  isRecorded: (softwareVersion: string, sinceMs: number) => boolean
   /** Sets the share of writes to the store that it refuses. */
   setWriteFailureShare: (share: number) => void
   kill: (gateway: FleetGateway) => void
@@ -108,7 +108,7 @@
 export function createOriginFleet (seed: number, gatewayCount: number, lossShare: number, keeping: OriginKeeping = 'peers'): OriginFleet {
   const clock = createFakeClock(1000)
   const random = createRandom(seed)
-  const store = createOriginStore(clock, random)
+  const store = createOriginStore({ clock, random, keptTable: VERSION_TABLE })
   const maxHeartbeatMs = random.pick(MAX_HEARTBEAT_MS)
   /** Ids of the listed endpoints by software version. */
   const listed = new Map<string, string>()
@@ -267,10 +267,9 @@
     gateways,
     storeVersions: () => [...listed.keys()],
     setListed,
-    isRecorded: version => {
-      const row = store.get({ table: VERSION_TABLE, partition: PARTITION, key: SERVICE })
-      return row !== undefined && decodeVersionRecord(row.value)?.recent.includes(version) === true
-    },
+    isRecorded: (version, sinceMs) => store
+      .valuesSince({ table: VERSION_TABLE, partition: PARTITION, key: SERVICE }, sinceMs)
+      .some(value => decodeVersionRecord(value)?.recent.includes(version)),
     setWriteFailureShare: store.setWriteFailureShare,
     kill: gateway => {
       gateway.alive = false
--- a/packages/anvilarch-serving/src/streams/__fixtures__/originStore.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originStore.ts
@@ -15,7 +15,8 @@
 
 /** Store with rows in any table. */
 export interface OriginStore {
-  get: (key: RowKey) => StoredRow | undefined
+  /** @returns the values that a row has had since a time, the one that it had then included */
+  valuesSince: (key: RowKey, sinceMs: number) => Buffer[]
   put: (key: RowKey, value: Buffer) => void
   remove: (key: RowKey) => void
   /** @returns a client of a gateway */
@@ -42,14 +43,24 @@
   version: number
 }
 
+/** Options of `createOriginStore`. */
+export interface OriginStoreOptions {
+  clock: FakeClock
+  /** Delays and losses. */
+  random: Random
+  /** Table of whose rows all values are kept. */
+  keptTable: string
+}
+
 /**
- * @param clock - clock of the store
- * @param random - delays and losses
+ * @param options - clock and delays
  * @returns a store without rows
  */
-export function createOriginStore (clock: FakeClock, random: Random): OriginStore {
+export function createOriginStore (options: OriginStoreOptions): OriginStore {
+  const { clock, random } = options
   const rows = new Map<string, StoredRow>()
   const changes: Change[] = []
+  const former = new Map<string, Array<{ value: Buffer, writtenAtMs: number }>>()
   const openFeeds = new Set<() => void>()
   const costs = { storeWrites: 0, storeReads: 0 }
   let version = 0
@@ -66,6 +77,7 @@
 
   const put = ({ table, partition, key }: RowKey, value: Buffer): void => {
     version++
+    if (table === options.keptTable) former.set(idOf({ table, partition, key }), [...former.get(idOf({ table, partition, key })) ?? [], { value, writtenAtMs: clock.nowMs() }])
     record({ table, partition, key }, { table, partition, key, value, version })
   }
 
@@ -163,5 +175,10 @@
     } as Partial<MetadataStore> as MetadataStore
   }
 
-  return { get: key => rows.get(idOf(key)), put, remove, connect, setWriteFailureShare: share => { writeFailureShare = share }, costs }
+  const valuesSince: OriginStore['valuesSince'] = (key, sinceMs) => {
+    const values = former.get(idOf(key)) ?? []
+    return values.filter((_, index) => (values[index + 1]?.writtenAtMs ?? Infinity) >= sinceMs).map(({ value }) => value)
+  }
+
+  return { valuesSince, put, remove, connect, setWriteFailureShare: share => { writeFailureShare = share }, costs }
 }
--- a/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
+++ b/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
@@ -62,7 +62,7 @@
   storeWrites: number
   storeReads: number
   mixed: string[]
-  /** Streams that mix a version that no row of the store names, so that no gateway can know that it had streams. */
+  /** Streams that mix a version that no row of the store has named since they began, so that no other gateway can know of it. */
   mixedWithoutRow: string[]
   resumedInTouch: number
   wentOnInTouch: number
@@ -85,7 +85,7 @@
   const result = await gateway.origins.resolve(stream.requestId, [SERVICE])
   const allowed = result.resolution === 'bound' ? [result.origin.softwareVersion] : result.resolution === 'single' ? [...result.versions.values()] : []
   if (allowed.some(version => version !== stream.softwareVersion)) {
-    const mixed = fleet.isRecorded(stream.softwareVersion) ? tally.mixed : tally.mixedWithoutRow
+    const mixed = fleet.isRecorded(stream.softwareVersion, stream.beganAtMs) ? tally.mixed : tally.mixedWithoutRow
     mixed.push(`${stream.requestId}: ${result.resolution}`)
   }
   // A client can only resume while the version serves.
