--- a/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
@@ -5,6 +5,7 @@
 import type { PeerAddress } from '../../endpoints/peerSocket'
 import type { EndpointRow } from '../../model/types'
 import { followTable } from '../../store/tableFollower'
+import { NO_REPORTS } from '../../store/unusableRows'
 import { createTableFreshness } from '../../store/tableFreshness'
 import type { StoredRow } from '../../store/types'
 import type { EventLog } from '../../telemetry/events'
@@ -208,6 +209,7 @@
         ...shared,
         store: client,
         log,
+        unusable: NO_REPORTS,
         isFirstStart: !hasRestarted,
         isListFresh: () => freshness.ageMs() <= MAX_FRESH_LIST_AGE_MS,
         writes: () => FIRST_WRITERS.has(name),
@@ -269,7 +271,7 @@
     setListed,
     isRecorded: (version, sinceMs) => store
       .valuesSince({ table: VERSION_TABLE, partition: PARTITION, key: SERVICE }, sinceMs)
-      .some(value => decodeVersionRecord(value)?.recent.includes(version)),
+      .some(value => decodeVersionRecord(value).map(({ recent }) => recent.includes(version)).unwrapOr(false)),
     setWriteFailureShare: store.setWriteFailureShare,
     kill: gateway => {
       gateway.alive = false
