Answer uploads that a stopping gateway of anvilarch-daemon cannot finish

An upload of a file that had not ended when the drain of its gateway did was cut without an answer. The gate of a drain covered completions, plain calls and batches only.

An upload gets 503 `draining`, `not_run` a second before the drain ends, and also if it was read whole and its commit might not end in time; its chunks are removed as for any rejected upload.

--- a/packages/anvilarch-daemon/src/jobs/__fixtures__/testServer.ts
+++ b/packages/anvilarch-daemon/src/jobs/__fixtures__/testServer.ts
@@ -3,13 +3,14 @@
 import type { AddressInfo } from 'node:net'
 import findMyWay from 'find-my-way'
 import { createSystemClock, toAnvilarchError } from 'anvilarch-utils'
-import { createDrainGate } from '../../callers/drainGate'
+import { type ClosableGate, createDrainGate } from '../../callers/drainGate'
 import { sendError } from '../../callers/http/errorResponse'
 import type { CallerContext, Route } from '../../callers/types'
 
 /** A listening server. */
 export interface TestServer {
   url: string
+  gate: ClosableGate
   close: () => Promise<void>
 }
 
@@ -21,11 +22,12 @@
  */
 export async function startTestServer (routes: Route[]): Promise<TestServer> {
   const router = findMyWay()
+  const gate = createDrainGate(createSystemClock())
   for (const route of routes) {
     router.on(route.method, route.path, (request, response, params) => {
       const incoming = request as IncomingMessage
       const outgoing = response as ServerResponse
-      route.handle(callerContext(incoming, outgoing, params as Record<string, string>)).catch((error: unknown) => {
+      route.handle(callerContext(incoming, outgoing, params as Record<string, string>, gate)).catch((error: unknown) => {
         if (outgoing.headersSent || outgoing.destroyed) outgoing.destroy()
         else sendError(outgoing, toAnvilarchError(error, { code: 'internal', step: 'test' }), 'r')
       })
@@ -33,10 +35,10 @@
   }
   const server = createServer((request, response) => { router.lookup(request, response) })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => closeServer(server) }
+  return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, gate, close: () => closeServer(server) }
 }
 
-function callerContext (request: IncomingMessage, response: ServerResponse, params: Record<string, string>): CallerContext {
+function callerContext (request: IncomingMessage, response: ServerResponse, params: Record<string, string>, drain: ClosableGate): CallerContext {
   const closed = new AbortController()
   response.once('close', () => { if (!response.writableFinished) closed.abort() })
   return {
@@ -48,7 +50,7 @@
     caller: (request.headers.authorization ?? 'Bearer nobody').slice('Bearer '.length),
     deadlineMs: undefined,
     signal: closed.signal,
-    drain: createDrainGate(createSystemClock())
+    drain
   }
 }
 
--- a/packages/anvilarch-daemon/src/jobs/__tests__/jobRoutes.test.ts
+++ b/packages/anvilarch-daemon/src/jobs/__tests__/jobRoutes.test.ts
@@ -4,6 +4,9 @@
 
 const rowsOf = (gateway: TestGateway, prefix: string): string[] => [...gateway.store.rows.keys()].filter(key => key.startsWith(prefix))
 
+const UPLOAD_START = '--b\r\ncontent-disposition: form-data; name="file"; filename="f"\r\n\r\n'
+const UPLOAD_HEADERS = { 'content-type': 'multipart/form-data; boundary=b' }
+
 describe('rejected uploads', () => {
   let gateway: TestGateway
   let client: BatchClient
@@ -50,6 +53,18 @@
     expectNothingStored()
   })
 
+  // Guards against uploads that a stopping gateway cuts without an answer.
+  it('stores nothing of an upload that does not end before the drain does, and says so', async () => {
+    const content = new ReadableStream({ start: controller => { controller.enqueue(Buffer.from(UPLOAD_START + itemLines(40))) } })
+    const uploading = fetch(`${gateway.server.url}/v1/files`, { method: 'POST', body: content, headers: UPLOAD_HEADERS, duplex: 'half' } as RequestInit)
+    await until(() => gateway.store.counts.puts > 0)
+    gateway.server.gate.startDrain({ readinessLeadMs: 0, drainTimeoutMs: 1_100 })
+    const response = await uploading
+    expect([response.status, await response.json()]).toEqual([503, { error: expect.objectContaining({ code: 'draining', ran: 'not_run' }) }])
+    await until(() => gateway.store.objects.size === 0 && rowsOf(gateway, 'upload/').length === 0)
+    expectNothingStored()
+  })
+
   // Guards against an incomplete file that can be run, and against chunks that are never removed.
   it('stores nothing of an incomplete upload', async () => {
     await abortUpload(gateway.server.url, itemLines(40))
--- a/packages/anvilarch-daemon/src/jobs/acceptJob.ts
+++ b/packages/anvilarch-daemon/src/jobs/acceptJob.ts
@@ -18,6 +18,9 @@
   signal?: AbortSignal
 }
 
+/** Longest time that the commit of a job or file is expected to take while the platform is slow. */
+export const MAX_ACCEPT_MS = 10_000
+
 const STEP = 'jobs.accept'
 /** Rounds of reading and committing. Another round is needed when a concurrent request has changed a row in between. */
 const MAX_ROUNDS = 6
--- a/packages/anvilarch-daemon/src/jobs/batchRoutes.ts
+++ b/packages/anvilarch-daemon/src/jobs/batchRoutes.ts
@@ -4,7 +4,7 @@
 import { sendJson } from '../callers/http/sendJson'
 import type { CallerContext, Route } from '../callers/types'
 import type { DaemonContext } from '../context'
-import { acceptJob } from './acceptJob'
+import { acceptJob, MAX_ACCEPT_MS } from './acceptJob'
 import { toBatchObject, toListObject } from './apiObjects'
 import { parseBatchRequest, parseKey } from './batchRequest'
 import { cancelJob } from './cancelJob'
@@ -15,8 +15,6 @@
 
 /** Longest body of a request that creates a job; the items are in the file. */
 const MAX_BODY_BYTES = 64 * 1024
-/** Longest time that accepting a job is expected to take while the platform is slow. */
-const MAX_ACCEPT_MS = 10_000
 /** Polls after which each holder has detected a cancelled job. */
 const STOP_POLLS = 2
 
--- a/packages/anvilarch-daemon/src/jobs/fileRoutes.ts
+++ b/packages/anvilarch-daemon/src/jobs/fileRoutes.ts
@@ -70,8 +70,8 @@
     return sizeBytes
   }
 
-  const upload = async ({ request, response, caller }: CallerContext): Promise<void> => {
-    sendJson(response, 200, toFileObject(await uploadFile(context, caller, request, randomValue)))
+  const upload = async ({ request, response, caller, drain }: CallerContext): Promise<void> => {
+    sendJson(response, 200, toFileObject(await uploadFile(context, { caller, request, drain }, randomValue)))
   }
 
   const list = async ({ response, caller, query }: CallerContext): Promise<void> => {
--- a/packages/anvilarch-daemon/src/jobs/readMultipart.ts
+++ b/packages/anvilarch-daemon/src/jobs/readMultipart.ts
@@ -23,13 +23,15 @@
 /**
  * @param request - upload request
  * @param sink - receives the content; the request is read no faster than the sink accepts it
+ * @param rejected - aborted when incomplete requests are rejected, with the error as its reason
  * @returns the fields of the form, after its end was read
  * @throws AnvilarchError with code `bad_request` when the form is malformed or ends early
  */
-export async function readMultipart (request: IncomingMessage, sink: ContentSink): Promise<UploadForm> {
+export async function readMultipart (request: IncomingMessage, sink: ContentSink, rejected: AbortSignal): Promise<UploadForm> {
   const form: UploadForm = { purpose: undefined, fileName: undefined }
   const parser = createParser(request)
   let reading: Promise<void> | undefined
+  let stopListening = (): void => {}
   try {
     await new Promise<void>((resolve, reject) => {
       const fail = (error: unknown): void => { reject(error instanceof AnvilarchError ? error : malformed(error)) }
@@ -48,9 +50,11 @@
       parser.on('finish', () => { Promise.resolve(reading).then(() => resolve(), fail) })
       // Otherwise a caller that disconnects would leave the parser waiting forever and its chunks in the store.
       request.on('error', fail)
+      stopListening = onAbort(rejected, () => { fail(rejected.reason) })
       request.pipe(parser)
     })
   } finally {
+    stopListening()
     // The rest of a rejected upload is read and discarded, since many clients read the response only after they have sent everything.
     request.unpipe(parser)
     request.resume()
@@ -58,6 +62,13 @@
   return form
 }
 
+/** @returns a function that removes the listener */
+function onAbort (signal: AbortSignal, listener: () => void): () => void {
+  if (signal.aborted) listener()
+  signal.addEventListener('abort', listener)
+  return () => { signal.removeEventListener('abort', listener) }
+}
+
 function createParser (request: IncomingMessage): BusboyInstance {
   try {
     return new Busboy({
--- a/packages/anvilarch-daemon/src/jobs/uploadFile.ts
+++ b/packages/anvilarch-daemon/src/jobs/uploadFile.ts
@@ -1,16 +1,19 @@
 /** Stores an uploaded file. Its row is written after its chunks, so that a visible file is always complete. */
 import { randomUUID } from 'node:crypto'
-import type { IncomingMessage } from 'node:http'
 import { type Condition, ROW_KEYS } from 'anvilarch-protocol'
 import { AnvilarchError, toAnvilarchError } from 'anvilarch-utils'
 import { requireConfiguration } from '../callers/requireConfiguration'
+import type { CallerContext } from '../callers/types'
 import type { DaemonContext } from '../context'
 import { type ChunkWriter, createChunkWriter } from './chunkWriter'
 import { type RandomSource, newFileId } from './ids'
 import { readMultipart, type UploadForm } from './readMultipart'
 import { type FileRow, JOB_KEYS, type UploadRow } from './rows'
+import { MAX_ACCEPT_MS } from './acceptJob'
 import { commitWithRetry, type CommitRetryContext } from '../platform/commitWithRetry'
 
+type UploadCall = Pick<CallerContext, 'caller' | 'request' | 'drain'>
+
 const STEP = 'jobs.upload'
 const PURPOSE = 'batch'
 const DEFAULT_FILE_NAME = 'items.jsonl'
@@ -18,13 +21,12 @@
 
 /**
  * @param context - shared parts of the daemon
- * @param caller - name of the caller
- * @param request - upload request with a multipart form
+ * @param call - upload request with a multipart form
  * @param randomValue - source of random numbers for the id of the file
  * @returns row of the file
  * @throws AnvilarchError when the file was not accepted; then nothing of it remains visible
  */
-export async function uploadFile (context: DaemonContext, caller: string, request: IncomingMessage, randomValue: RandomSource): Promise<FileRow> {
+export async function uploadFile (context: DaemonContext, { caller, request, drain }: UploadCall, randomValue: RandomSource): Promise<FileRow> {
   const { limits } = requireConfiguration(context).document
   const { clock, platform, random, settings } = context
   const settle: CommitRetryContext = { table: platform.table, clock, random }
@@ -39,7 +41,10 @@
   })
   const upload = await recordUpload(settle, fileId, { caller, startedAtMs: clock.wallMs() })
   const abandon = async (): Promise<void> => { await discard(context, settle, writer, fileId) }
-  const row = await receiveContent(request, writer, { fileId, caller, createdAtMs: clock.wallMs() }).catch(async (error: unknown) => {
+  const row = await receiveContent({ caller, request, drain }, writer, { fileId, createdAtMs: clock.wallMs() }).then(received => {
+    drain.check(clock.nowMs() + MAX_ACCEPT_MS)
+    return received
+  }).catch(async (error: unknown) => {
     await abandon()
     throw toNotRun(error)
   })
@@ -61,14 +66,14 @@
 }
 
 async function receiveContent (
-  request: IncomingMessage, writer: ChunkWriter, identity: { fileId: string, caller: string, createdAtMs: number }
+  { caller, request, drain }: UploadCall, writer: ChunkWriter, identity: { fileId: string, createdAtMs: number }
 ): Promise<FileRow> {
-  const form = await readMultipart(request, writer.push)
+  const form = await readMultipart(request, writer.push, drain.unreadRejected)
   checkForm(form)
   const content = await writer.finish()
   return {
     id: identity.fileId,
-    caller: identity.caller,
+    caller,
     fileName: form.fileName ?? DEFAULT_FILE_NAME,
     purpose: PURPOSE,
     createdAtMs: identity.createdAtMs,
