Read what has come before a late drain closes connections

Cause: the timer that ends the accepting phase comes before the reads that wait. The drain took these connections for idle, closed them, read their requests and dropped them. Connections that had not been accepted yet were reset with the listening socket.

Now the drain lets the event loop accept and read what has arrived before it stops listening, and read once more before it closes idle connections.

--- a/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -70,9 +70,12 @@
   return { isDone: () => done }
 }
 
+/** Turns of the event loop in which a drain stops listening and closes idle connections. */
+const FINISH_TURNS = 8
+
 async function advance ({ clock }: Gateway, ms: number): Promise<void> {
   clock.advance(ms)
-  await new Promise(resolve => setImmediate(resolve))
+  for (let turn = 0; turn < FINISH_TURNS; turn++) await new Promise(resolve => setImmediate(resolve))
 }
 
 describe('a drain', () => {
--- a/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
@@ -1,4 +1,6 @@
+import { once } from 'node:events'
 import { type AddressInfo, connect, type Socket } from 'node:net'
+import { Worker } from 'node:worker_threads'
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -46,7 +48,7 @@
     socket.pause()
     socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
     await isEnded
-    clients.finish()
+    await clients.finish()
     socket.resume()
     await closed
     expect(receivedBytes()).toBeGreaterThan(LARGE_BYTES)
@@ -54,6 +56,59 @@
   })
 })
 
+describe('a server that finishes late', () => {
+  /** Sends a request on each of two connections in a thread of its own; one is opened only after the first message. */
+  const CLIENT = `
+    const { connect } = require('node:net')
+    const { parentPort, workerData: { port, shared } } = require('node:worker_threads')
+    const sent = new Int32Array(shared)
+    const open = name => {
+      const socket = connect(port, '127.0.0.1')
+      let received = ''
+      socket.on('data', data => { received += data })
+      socket.on('error', () => {})
+      socket.on('close', () => parentPort.postMessage({ name, received }))
+      return socket
+    }
+    const send = socket => socket.write('GET / HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n', () => {
+      Atomics.add(sent, 0, 1)
+      Atomics.notify(sent, 0)
+    })
+    const kept = open('kept')
+    kept.on('connect', () => parentPort.postMessage({ name: 'connected' }))
+    parentPort.once('message', () => {
+      send(kept)
+      const opened = open('opened')
+      opened.on('connect', () => send(opened))
+    })
+  `
+
+  // Guards against a drain that closes connections whose requests have come while its process was busy, and then drops them.
+  it('handles the requests that have come before', async () => {
+    await start((_request, response) => { response.end('whole') })
+    const shared = new SharedArrayBuffer(4)
+    const sent = new Int32Array(shared)
+    const worker = new Worker(CLIENT, { eval: true, workerData: { port: (clients.server.address() as AddressInfo).port, shared } })
+    const accepted = once(clients.server, 'connection')
+    const results = new Map<string, string>()
+    const isDone = new Promise<void>(resolve => {
+      worker.on('message', ({ name, received }: { name: string, received: string }) => {
+        results.set(name, received)
+        if (results.has('kept') && results.has('opened')) resolve()
+      })
+    })
+    await once(worker, 'message')
+    await accepted
+    worker.postMessage('send')
+    for (let count = 0; count < 2; count = Atomics.load(sent, 0)) Atomics.wait(sent, 0, count, 10_000)
+    await clients.finish()
+    await isDone
+    await worker.terminate()
+    expect(results.get('kept')).toMatch(/whole$/)
+    expect(results.get('opened')).toMatch(/whole$/)
+  })
+})
+
 describe('a response to a request whose body is still being sent', () => {
   const CHUNK = '400\r\n' + 'x'.repeat(1024) + '\r\n'
 
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -18,8 +18,12 @@
   unfinishedRequests: () => UnfinishedRequest[]
   /** @returns whether each response has been flushed and each connection whose client still sent a body is closed */
   isSettled: () => boolean
-  /** Accepts no further connections, and closes each open one as soon as it has no unfinished response. */
-  finish: () => void
+  /**
+   * Accepts no further connections, and closes each open one as soon as it has no unfinished response.
+   *
+   * @returns a promise that resolves when the requests that had come before are in progress
+   */
+  finish: () => Promise<void>
   /** Closes all connections. Unfinished responses are cut so that they do not look complete. */
   close: () => void
 }
@@ -123,9 +127,12 @@
     },
     unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
     isSettled: () => inProgress.size === 0 && lingeringClose.count() === 0,
-    finish: () => {
-      finishing = true
+    finish: async () => {
+      // This process may be late: connections and requests that came before are accepted and read first.
+      await readArrived()
       stopListening(server)
+      await readArrived()
+      finishing = true
       connections.forEach(closeIfFinished)
     },
     close: () => {
@@ -160,6 +167,13 @@
   server.on('close', () => timer?.cancel())
 }
 
+/** Waits until the event loop has handled what the sockets have received. */
+async function readArrived (): Promise<void> {
+  // The first one may come without a look at the sockets, if this is called from one of their events.
+  await new Promise(resolve => setImmediate(resolve))
+  await new Promise(resolve => setImmediate(resolve))
+}
+
 /** Accepts no further connections. `close` of an HTTP server also destroys connections whose response has been ended but not flushed. */
 function stopListening (server: Server): void {
   TcpServer.prototype.close.call(server)
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -28,7 +28,7 @@
  */
 export async function drainClients ({ clients, log, clock, schedule, endRequests }: DrainParts): Promise<void> {
   await sleep(clock, schedule.acceptUntilMs - clock.nowMs())
-  clients.finish()
+  await clients.finish()
   logUnfinished(clients, log, clock)
   const waitUntil = async (untilMs: number, isDone: () => boolean): Promise<void> => {
     while (!isDone() && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
