Accept the connections that wait before a draining gateway stops listening

Cause: the event loop accepts one connection in each turn, and the turns of a late process are long. Traced with the ports of both sides: in a run with 16 such requests none of their connections was among those that the server had accepted.

Now the drain waits for turns in which a connection comes, at most as many as the backlog holds, before it stops listening. flushedResponses.test.ts: of 20 connections that were opened while the server was busy 19 were reset before; all get whole responses now.

That a late process accepts its connections slowly at any time is not changed.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -129,7 +129,7 @@
     isSettled: () => inProgress.size === 0 && lingeringClose.count() === 0,
     finish: async () => {
       // This process may be late: connections and requests that came before are accepted and read first.
-      await readArrived()
+      await acceptArrived(server)
       stopListening(server)
       await readArrived()
       finishing = true
@@ -167,6 +167,21 @@
   server.on('close', () => timer?.cancel())
 }
 
+/** Connections that may wait to be accepted: the default backlog of Node.js. */
+const MAX_WAITING_CONNECTIONS = 511
+
+/** Waits until the connections that had come are accepted. The event loop accepts one in each turn. */
+async function acceptArrived (server: Server): Promise<void> {
+  let accepted = true
+  const onConnection = (): void => { accepted = true }
+  server.on('connection', onConnection)
+  for (let count = 0; accepted && count < MAX_WAITING_CONNECTIONS; count++) {
+    accepted = false
+    await readArrived()
+  }
+  server.off('connection', onConnection)
+}
+
 /** Waits until the event loop has handled what the sockets have received. */
 async function readArrived (): Promise<void> {
   // The first one may come without a look at the sockets, if this is called from one of their events.
