--- a/packages/anvilarch-serving/src/endpoints/__tests__/peerSocket.test.ts
+++ b/packages/anvilarch-serving/src/endpoints/__tests__/peerSocket.test.ts
@@ -3,8 +3,8 @@
 import { openPeerSocket } from '../peerSocket'
 
 describe('openPeerSocket', () => {
-  // Guards against reports that are never sent again because one peer has an address that is none.
-  it('does not throw for an address that is none, and logs it at a bounded rate', () => {
+  // Guards against reports that are never sent again because one peer has an invalid address.
+  it('does not throw for an invalid address, and logs it at a bounded rate', () => {
     const events: string[] = []
     const log = { ...SILENT_LOGGER, warn: (event: string) => { events.push(event) } } as EventLog
     const socket = openPeerSocket({ clock: createFakeClock(), log, own: { ip: '127.0.0.1', port: 0 }, onMessage: () => {} })
--- a/packages/anvilarch-serving/src/store/__tests__/rowValues.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/rowValues.test.ts
@@ -70,7 +70,7 @@
     }), { seed: 61, numRuns: 800 })
   })
 
-  it('are an empty page of reservations that the next reservation replaces if they are none', () => {
+  it('are an empty page of reservations that the next reservation replaces if they are malformed', () => {
     fc.assert(fc.property(oddBytes({ jobId: 'j', tokens: 1, reservedAtMs: 1 }), bytes => {
       const page = decodePage({ table: 't', partition: '', key: 'k' }, [rowOf('k', bytes)])
       return page.version === 1 && (page.problem === undefined ? isPlain(page.reservations) : page.reservations.length === 0)
--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -48,7 +48,7 @@
     expect(directCalls).toBeLessThan(5)
   })
 
-  // Guards against a daemon whose calls all throw, so that it follows no table any more, because the address of a peer is none.
+  // Guards against a daemon whose calls all throw, so that it follows no table any more, because the address of a peer is invalid.
   it.each(['10.0.0.2:65536', 'no host:1', ''])('treats a call through a peer at "%s" as not done', async peer => {
     const direct: StoreTransport = async () => BUSY
     const odd = createRelayedTransport({ clock, log: SILENT_LOGGER, random: createRandom(1), direct, peers: () => [peer], createPeerTransport: address => createDirectTransport(address, clock) })
--- a/packages/anvilarch-serving/src/streams/versionRecord.ts
+++ b/packages/anvilarch-serving/src/streams/versionRecord.ts
@@ -77,7 +77,7 @@
   return Buffer.from(JSON.stringify(record))
 }
 
-/** @returns the record, or why the bytes are none. Rows of an older version do not say since when they are complete */
+/** @returns the record, or why the bytes do not describe one. Rows of an older version do not say since when they are complete */
 export function decodeVersionRecord (bytes: Buffer): Result<VersionRecord, RowProblem> {
   return decodeChecked(bytes, VERSION_CHECKS).map(({ listed, recent, changedAtMs, completeSinceMs }) =>
     ({ listed, recent: [...new Set([...listed, ...recent])], changedAtMs, completeSinceMs }))
