--- a/packages/anvilarch-daemon/src/agent/__tests__/cutHeads.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/cutHeads.test.ts
@@ -6,7 +6,7 @@
 
 type End = 'fin' | 'rst'
 
-/** Runs a call to its end. @returns what its caller is told of it */
+/** Runs a call until it ends. @returns its outcome */
 type Run = (connections: EndpointConnections) => Promise<string>
 
 const clock = createSystemClock()
--- a/packages/anvilarch-serving/src/store/responseTimes.ts
+++ b/packages/anvilarch-serving/src/store/responseTimes.ts
@@ -1,4 +1,4 @@
-/** Determines when the store made a response, which may be read long after: a link holds it back, or this process stands still. Pure. */
+/** Determines when the store made a response. It may be read much later, after a network delay or a pause of this process. Free of I/O. */
 import type { Moment } from 'anvilarch-utils'
 
 /** A response of the store. */
--- a/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
+++ b/packages/anvilarch-serving/src/streams/__fixtures__/originFleet.ts
@@ -46,7 +46,7 @@
   inTouch: boolean
   /** Whether it reaches the other gateways. */
   reachesPeers: boolean
-  /** Time until which the process stands still. */
+  /** End of the current process pause. */
   stillUntilMs: number
   /** Time since which it has had no fault of its own. */
   calmSinceMs: number
@@ -56,7 +56,7 @@
 /** Where gateways keep origins: at other gateways, or in the store. */
 export type OriginKeeping = 'peers' | 'store'
 
-/** A process stands still; its host may be suspended with it, so that its monotonic clock stops. */
+/** Kind of process pause. While its host is suspended, the monotonic clock of the process stops. */
 export type Standstill = 'stopped' | 'suspended'
 
 /** The fleet. */
--- a/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
+++ b/packages/anvilarch-serving/src/streams/__tests__/originHistories.test.ts
@@ -28,7 +28,7 @@
 /** Share of faults that end all gateways at once, as a loss of power does. */
 const KILL_ALL_SHARE = 0.1
 
-/** Share of the faults of single gateways by which one is cut off or connected again, and by which one stands still. */
+/** Shares of network partitions (begun or healed) and of process pauses among the faults of single gateways. */
 const CUT_SHARE = 0.3
 const STANDSTILL_SHARE = 0.3
 
