Add a package for a soak of the platform's path

The soak of anvilarch-bench plays anvilarch-daemon only, whereas the users run the platform's path. The package begins with the types of what clients, endpoints and the operator saw, from which a run is judged.

--- a/jest.config.js
+++ b/jest.config.js
@@ -6,7 +6,7 @@
   transform: { '^.+\\.[tj]s$': ['@swc/jest', { jsc: { target: 'es2022', parser: { syntax: 'typescript' } }, module: { type: 'commonjs' } }] },
   transformIgnorePatterns: ['/node_modules/(?!(lru-cache)/)'],
   moduleNameMapper: {
-    '^(anvilarch-(?:utils|protocol|configuration|daemon|serving|standins|bench))$': '<rootDir>/packages/$1/src/index.ts',
+    '^(anvilarch-(?:utils|protocol|configuration|daemon|serving|standins|bench|platform-soak))$': '<rootDir>/packages/$1/src/index.ts',
     '^anvilarch-platform$': '<rootDir>/platform/src/index.ts'
   },
   testTimeout: 30000
--- /dev/null
+++ b/packages/anvilarch-platform-soak/src/index.ts
@@ -0,0 +1,2 @@
+/** Randomised runs of the platform's path. */
+export * from './rule/types'
