Tell rejected runs, work begun and announced closes apart in evidence

The rule LOST needs three things that the types do not have: whether an endpoint was at work on a request or had it in its queue, whether it rejected the request or broke off, and whether a client sent a request after it had received `Connection: close`. A configuration whose write got no acknowledgement may be in force too.

`beganAtMs` of a run is the time at which it gets a slot, no longer that of its first event, since a lookup has no event while the endpoint works on it.

--- a/packages/anvilarch-platform-soak/src/rule/types.ts
+++ b/packages/anvilarch-platform-soak/src/rule/types.ts
@@ -20,21 +20,26 @@
   headAtMs: number | undefined
   status: number | undefined
   lastByteAtMs: number | undefined
+  /** Time at which the head of an earlier response with `Connection: close` arrived on the same connection; undefined if there is none. */
+  closeAnnouncedAtMs?: number
   end: ResponseEnd
   endedAtMs: number
   /** How the request was sent and read, for reports. */
   form: string
 }
 
-/** How a run ended at its endpoint. `broke_off`: the endpoint ended it. `dropped`: its sender closed the connection. */
-export type RunEnd = 'complete' | 'broke_off' | 'dropped' | 'running'
+/**
+ * How a run ended at its endpoint. `rejected`: the endpoint responded that it did not run the request. `broke_off`: the endpoint ended it.
+ * `dropped`: its sender closed the connection.
+ */
+export type RunEnd = 'complete' | 'rejected' | 'broke_off' | 'dropped' | 'running'
 
 /** Run of a request at an endpoint, from its arrival there. */
 export interface EndpointRun {
   requestId: string
   endpoint: string
   arrivedAtMs: number
-  /** Time of the first event or of the response; undefined if it still waited. */
+  /** Time at which the endpoint began to work on it; undefined if it waited for a slot until its end. */
   beganAtMs: number | undefined
   end: RunEnd
   /** Undefined while it runs. */
@@ -52,7 +57,8 @@
 export interface ConfigurationChange {
   version: number
   sentAtMs: number
-  acknowledgedAtMs: number
+  /** Undefined if no acknowledgement came; it may be in force even so. */
+  acknowledgedAtMs: number | undefined
 }
 
 /** Disruption that is not planned work. */
