Log the slice of a line after its fields

Users keep the first 200 characters of a log line.

The slice is of least use to a reader, who has the message. As the last field it leaves 21 more characters to the fields. Readers of the logs parse the lines, so that the order does not matter to them.

--- a/packages/anvilarch-utils/src/logger.ts
+++ b/packages/anvilarch-utils/src/logger.ts
@@ -34,6 +34,8 @@
 }
 
 /**
+ * The message and the fields come before the slice, so that a line that is cut short keeps more of them.
+ *
  * @param options - level, process name and output
  * @returns a logger that writes JSON lines
  */
@@ -46,7 +48,7 @@
     write(JSON.stringify({ at: meta.date.toISOString(), level: meta.logLevelName.toLowerCase(), process: options.process, ...fields }))
   })
   const forSlice = (slice: string | undefined): Logger => {
-    const line = (message: string, fields?: LogFields): ILogObj => ({ slice, message, ...fields })
+    const line = (message: string, fields?: LogFields): ILogObj => ({ message, ...fields, slice })
     return {
       trace: (message, fields) => { backend.trace(line(message, fields)) },
       debug: (message, fields) => { backend.debug(line(message, fields)) },
