Log why an attempt failed before its endpoint, and how long the gateway drains

Nor does a line about a request say that its gateway drains: the time of a stop signal is only on `stopping`, which a record of the lines about a request leaves out.

The reason comes right after the request id, then `drainMs`, the time since the stop signal, on a gateway that drains only, whether the request may have run, and the rest. Prompt prefixes are last, since nothing bounds their length.

--- a/packages/anvilarch-serving/src/drain/drainState.ts
+++ b/packages/anvilarch-serving/src/drain/drainState.ts
@@ -44,3 +44,13 @@
     end: () => { for (const listener of [...listeners]) listener() }
   }
 }
+
+/**
+ * @param clock - local clock
+ * @param drainState - state of the process
+ * @returns time since the stop signal for log lines, in whole milliseconds; undefined if the process does not drain
+ */
+export function drainElapsedMs (clock: Clock, drainState: Pick<DrainState, 'schedule'>): number | undefined {
+  const schedule = drainState.schedule()
+  return schedule === undefined ? undefined : Math.round(clock.nowMs() - schedule.signalAtMs)
+}
--- a/packages/anvilarch-serving/src/requests/attemptLog.ts
+++ b/packages/anvilarch-serving/src/requests/attemptLog.ts
@@ -1,4 +1,5 @@
 /** Logs the attempts of one request. */
+import { drainElapsedMs } from '../drain/drainState'
 import type { Endpoint } from '../model/types'
 import type { AttemptFailure } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, type RequestState } from './forwardTypes'
@@ -47,7 +48,16 @@
     },
     failed: (endpoint, failure, reason) => {
       state.requestLog.flush()
-      parts.log.info('attempt failed', { requestId, endpoint: endpoint.startId, failure, reason, sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1).join(), lastEventId: state.lastEventId, remainingMs: remainingMs() })
+      parts.log.info('attempt failed', {
+        requestId,
+        reason,
+        drainMs: drainElapsedMs(clock, parts.drainState),
+        failure,
+        endpoint: endpoint.startId,
+        lastEventId: state.lastEventId,
+        remainingMs: remainingMs(),
+        sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1).join()
+      })
     },
     silent: endpoint => {
       state.requestLog.note('endpoint silent', { requestId, endpoint: endpoint.startId, lastEventId: state.lastEventId, afterMs: elapsedMs(clock, client.arrivedAtMs) })
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -1,4 +1,7 @@
-/** Catalog of log events and their fields. Field names include their unit; ids come first. */
+/**
+ * Catalog of log events and their fields. Field names include their unit; ids come first, then the fields that distinguish causes, since readers
+ * may keep only the beginning of a line. `drainMs` is the time since the stop signal and is absent in a process that does not drain.
+ */
 
 /** Fields of each event, by message. */
 export interface EventFields {
@@ -63,7 +66,7 @@
   /** The request is also sent to another endpoint; the first that sends an event continues it. */
   'endpoint silent': { requestId: string, endpoint: string, lastEventId: number | undefined, afterMs: number }
   'own pause noticed': { requestId: string, endpoint: string, lateMs: number }
-  'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, sharedPrefixes: string, lastEventId: number | undefined, remainingMs: number }
+  'attempt failed': AttemptFailureFields
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
 
@@ -186,6 +189,20 @@
   afterMs: number
 }
 
+/** Reason for which an attempt failed. */
+type AttemptFailureFields = {
+  requestId: string
+  reason: string
+  drainMs: number | undefined
+  /** Whether the endpoint may have run the request. */
+  failure: string
+  endpoint: string
+  lastEventId: number | undefined
+  remainingMs: number
+  /** Prompt prefixes that other requests have too. */
+  sharedPrefixes: string
+}
+
 /** Outcomes of the requests of a gateway in the last second, and the age of its configuration and endpoint list. */
 type TrafficFields = {
   arrived: number
