Log the outcome and the times of a request before its route

The line of a request that has ended begins with route and kind, which a reader of a cut line can look up by the id. Time and reason come at its end, after ten other fields, and nothing says when the stop signal of the gateway came, so that a cut response can't be told from one that failed at its engine, nor a request taken late from one passed on late.

Outcome, `drainMs` (on a gateway that drains only), `elapsedMs`, reason or status and the end of the response come first now. `drainMs` less `elapsedMs` is when the head of the request came, counted from the signal.

The lines of a gateway that doesn't drain are as long as they were.

--- a/packages/anvilarch-bench/src/experiments/logCost.ts
+++ b/packages/anvilarch-bench/src/experiments/logCost.ts
@@ -98,5 +98,5 @@
 }
 
 function requestEndFields (requestId: string, outcome: string): EventFields['request ended'] {
-  return { requestId, route: 'r-pes2etv', kind: 'stream', outcome, configurationVersion: 7, attempts: 1, offers: 1, lastEventId: 35, firstEventMs: 31, elapsedMs: 794, endpoint: 'i-25e40e7ffa', status: 200 }
+  return { requestId, outcome, drainMs: undefined, elapsedMs: 794, status: 200, endpoint: 'i-25e40e7ffa', route: 'r-pes2etv', kind: 'stream', configurationVersion: 7, attempts: 1, offers: 1, lastEventId: 35, firstEventMs: 31 }
 }
--- a/packages/anvilarch-serving/src/requests/__tests__/requestCompletion.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestCompletion.test.ts
@@ -1,27 +1,33 @@
 import type { ServerResponse } from 'node:http'
-import { createFakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { createDrainState, type OwnedDrainState } from '../../drain/drainState'
+import type { EventLog } from '../../telemetry/events'
 import { createLogRateLimiter } from '../../telemetry/logRateLimiter'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { createTrafficCounters } from '../../telemetry/trafficCounters'
+import { createLoggedLines, REQUEST_ID, START_ID } from '../__fixtures__/loggedLines'
 import type { ClientRequest, ForwardParts, RequestState } from '../forwardTypes'
 import { createRequestCompletion, type RequestCompletion } from '../requestCompletion'
 
 let ended: boolean
 let destroyed: boolean
+let clock: FakeClock
+let drainState: OwnedDrainState
 
 /** @returns the completion of a stream whose head has been sent to the client */
-function completionOfStartedStream (): RequestCompletion {
+function completionOfStartedStream (log: EventLog = SILENT_LOGGER as EventLog): RequestCompletion {
   ended = false
   destroyed = false
-  const clock = createFakeClock()
+  clock = createFakeClock()
+  drainState = createDrainState(clock)
   const response = {
     useChunkedEncodingByDefault: true,
     writeHead: () => { throw new Error('the head has been sent') },
     end: () => { ended = true },
     destroy: () => { destroyed = true }
   }
-  const parts = { clock, log: SILENT_LOGGER, metrics: createServingMetrics(), traffic: createTrafficCounters(), logRateLimiter: createLogRateLimiter(clock, 20), drainState: { isDraining: () => false } }
-  const client = { response: response as unknown as ServerResponse, route: { kind: 'stream' }, metadata: {}, caller: { caller: 'unchecked' }, arrivedAtMs: 0 }
+  const parts = { clock, log, metrics: createServingMetrics(), traffic: createTrafficCounters(), logRateLimiter: createLogRateLimiter(clock, 20), drainState }
+  const client = { response: response as unknown as ServerResponse, route: { name: 'r-pes2etv', kind: 'stream' }, metadata: { requestId: REQUEST_ID }, caller: { caller: 'unchecked' }, arrivedAtMs: clock.nowMs() }
   const state = { responseStarted: true, longestGapMs: 0, requestLog: { note: () => {}, flush: () => {} } }
   return createRequestCompletion(parts as unknown as ForwardParts, client as unknown as ClientRequest, state as unknown as RequestState, () => {})
 }
@@ -44,3 +50,31 @@
     expect({ ended, destroyed }).toEqual({ ended: true, destroyed: false })
   })
 })
+
+describe('the kept part of the line of a request that has ended', () => {
+  it('has the outcome, the time and the reason', () => {
+    const { log, kept } = createLoggedLines()
+    const end = completionOfStartedStream(log)
+    clock.advance(1_234)
+    end.abortConnection('silent')
+    for (const text of [REQUEST_ID, '"outcome":"broken_off"', '"elapsedMs":1234', '"reason":"silent"']) expect(kept()[0]).toContain(text)
+    expect(kept()[0]).not.toContain('drainMs')
+  })
+
+  it('has the times since its head and since the stop signal of a gateway that drains', () => {
+    const { log, kept } = createLoggedLines()
+    const end = completionOfStartedStream(log)
+    clock.advance(1_000)
+    drainState.start(8_000)
+    clock.advance(7_300)
+    end.abortConnection('interrupted')
+    for (const text of [REQUEST_ID, '"outcome":"broken_off"', '"drainMs":7300', '"elapsedMs":8300']) expect(kept()[0]).toContain(text)
+  })
+
+  it('has the status of an endpoint', () => {
+    const { log, kept } = createLoggedLines()
+    const end = completionOfStartedStream(log)
+    end.completeStream(START_ID)
+    expect(kept()[0]).toContain('"status":200')
+  })
+})
--- a/packages/anvilarch-serving/src/requests/requestCompletion.ts
+++ b/packages/anvilarch-serving/src/requests/requestCompletion.ts
@@ -1,7 +1,7 @@
 /** Ends a client request exactly once: its response, its metrics and its log line. */
 import { abortResponse } from 'anvilarch-utils'
 import { accountNameOf } from '../accounts/types'
-import type { DrainState } from '../drain/drainState'
+import { drainElapsedMs, type DrainState } from '../drain/drainState'
 import { closeAfterLastResponse, type GatewayResponse, sendGatewayResponse } from './clientResponse'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
 import type { AnswerEnd } from '../telemetry/events'
@@ -9,7 +9,7 @@
 import { elapsedMs } from './requestLog'
 import type { EndpointResponse } from './runAttempt'
 
-/** Fields of the `request ended` log line. */
+/** Fields of the `request ended` log line that depend on the outcome. */
 type EndFields = Record<string, string | number | boolean | undefined> & { answerEnd?: AnswerEnd }
 
 /**
@@ -59,19 +59,20 @@
   const logEnd = (outcome: string, fields: EndFields): void => {
     log.info('request ended', {
       requestId: metadata.requestId,
+      outcome,
+      drainMs: drainElapsedMs(clock, drainState),
+      elapsedMs: elapsedMs(clock, client.arrivedAtMs),
+      ...fields,
       route: route.name,
       account: accountNameOf(client.caller),
       kind: route.kind,
       resumesRequestId: metadata.resumesRequestId,
-      outcome,
       configurationVersion: client.configurationVersion,
       attempts: state.attemptsThatMayHaveRun,
       offers: state.sendCount,
       lastEventId: state.lastEventId,
       ...state.responseStarted ? { eventCount: state.eventCount, firstEventId: state.firstEventId, softwareVersion: state.origin?.softwareVersion } : {},
-      firstEventMs: state.firstEventAtMs === undefined ? undefined : Math.round(state.firstEventAtMs - client.arrivedAtMs),
-      elapsedMs: elapsedMs(clock, client.arrivedAtMs),
-      ...fields
+      firstEventMs: state.firstEventAtMs === undefined ? undefined : Math.round(state.firstEventAtMs - client.arrivedAtMs)
     })
   }
 
@@ -118,7 +119,7 @@
       if (state.responseStarted) abortConnection(gatewayResponse.code)
       else if (failed !== undefined) {
         // A failure response of an endpoint takes precedence over one of the gateway.
-        if (finish('endpoint_status', { endpoint: failed.endpointId, status: failed.response.status })) sendEndpointResponse(client, failed.response, drainState)
+        if (finish('endpoint_status', { status: failed.response.status, endpoint: failed.endpointId })) sendEndpointResponse(client, failed.response, drainState)
       } else if (finish(gatewayResponse.code, { status: gatewayResponse.status })) {
         if (REFUSED_STATUSES.has(gatewayResponse.status)) metrics.refusals.inc({ kind: route.kind, reason: gatewayResponse.code })
         sendGatewayResponse(response, gatewayResponse, drainState)
@@ -127,10 +128,10 @@
     respondFromEndpoint: (endpointId, endpointResponse) => {
       const outcome = endpointResponse.status < FIRST_ERROR_STATUS ? 'answered' : 'endpoint_status'
       if (state.responseStarted) abortConnection('whole_answer')
-      else if (finish(outcome, { endpoint: endpointId, status: endpointResponse.status })) sendEndpointResponse(client, endpointResponse, drainState)
+      else if (finish(outcome, { status: endpointResponse.status, endpoint: endpointId })) sendEndpointResponse(client, endpointResponse, drainState)
     },
     completeStream: endpointId => {
-      if (finish('answered', { endpoint: endpointId, status: STREAM_STATUS, answerEnd: 'complete' })) response.end()
+      if (finish('answered', { status: STREAM_STATUS, answerEnd: 'complete', endpoint: endpointId })) response.end()
     },
     abortConnection,
     clientDisconnected: () => {
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -115,10 +115,22 @@
 
 type RequestEndFields = {
   requestId: string
+  outcome: string
+  drainMs: number | undefined
+  /** Time since the head of the request arrived. */
+  elapsedMs: number
+  reason?: string
+  status?: number
+  /** How the response ended for a client that has received its head. */
+  answerEnd?: AnswerEnd
+  endpoint?: string
+  /** Whether the response came later than the objectives of the route allow. */
+  late?: boolean
   route: string
   account?: string
   kind: string
-  outcome: string
+  /** The client attempt whose stream this request resumes, as named by the client. */
+  resumesRequestId?: string
   configurationVersion: number
   /** Number of attempts that may have run. */
   attempts: number
@@ -130,18 +142,8 @@
   firstEventId?: number
   /** Software version of the endpoint that sent the first of these events. */
   softwareVersion?: string
-  /** The client attempt whose stream this request resumes, as named by the client. */
-  resumesRequestId?: string
-  /** How the response ended for a client that has received its head. */
-  answerEnd?: AnswerEnd
   /** Time from the arrival of the request to the first event of a stream. */
   firstEventMs: number | undefined
-  elapsedMs: number
-  /** Whether the response came later than the objectives of the route allow. */
-  late?: boolean
-  endpoint?: string
-  status?: number
-  reason?: string
 }
 
 /** `complete`: complete by the protocol, even if content is missing. `cut`: this process closed the connection. `left`: the client closed it. */
