Shorten the times on the line of a request that the drain ends

`request ended by the drain` tells a request that was taken late from one that was read or passed on late, but with ids of the users' length its first 200 characters end within the second of its three times.

--- a/packages/anvilarch-serving/src/requests/endByDrain.ts
+++ b/packages/anvilarch-serving/src/requests/endByDrain.ts
@@ -34,9 +34,9 @@
     const sinceSignalMs = (timeMs: number): number => Math.round(timeMs - signalAtMs)
     log.warn('request ended by the drain', {
       requestId: client.metadata.requestId,
-      headAfterSignalMs: sinceSignalMs(client.arrivedAtMs),
-      readAfterSignalMs: sinceSignalMs(client.readAtMs),
-      sentAfterSignalMs: state.firstSentAtMs === undefined ? undefined : sinceSignalMs(state.firstSentAtMs),
+      headMs: sinceSignalMs(client.arrivedAtMs),
+      readMs: sinceSignalMs(client.readAtMs),
+      sentMs: state.firstSentAtMs === undefined ? undefined : sinceSignalMs(state.firstSentAtMs),
       offers: state.sendCount,
       answerBegun: state.responseStarted
     })
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -10,8 +10,8 @@
   stopping: { graceMs: number }
   'stop signal repeated': Record<string, never>
   'stop waits for requests': { requestCount: number, oldestMethod: string, oldestPath: string, oldestAgeMs: number }
-  /** The request was still in progress when the drain ended. Times count from the stop signal; before it they are negative. */
-  'request ended by the drain': { requestId: string, headAfterSignalMs: number, readAfterSignalMs: number, sentAfterSignalMs: number | undefined, offers: number, answerBegun: boolean }
+  /** The request was still in progress when the drain ended. Times of its head, its last byte and its first send count from the stop signal; before it they are negative. */
+  'request ended by the drain': { requestId: string, headMs: number, readMs: number, sentMs: number | undefined, offers: number, answerBegun: boolean }
   'gateway stopped': { unfinishedRequests: number }
   'runner stopped': { unsavedItems: number }
   'stop failed': { reason: string }
