Play engines that pause together and queue streams behind their heads

The request histories draw pauses of all endpoints at once and streams that wait in the queue of their endpoint after their head.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/scriptedEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/scriptedEndpoint.ts
@@ -9,6 +9,8 @@
 export type Ending = EndingKind & {
   /** Time to the head. */
   headMs: number
+  /** Time from the head of a stream until the run leaves the endpoint's queue. */
+  queueMs: number
   gapMs: number
   /** Chunk size of the stream; 0 for one chunk for each event. */
   chunkBytes: number
@@ -51,6 +53,8 @@
   lastEventAtMs: number
   /** Whether the endpoint has ended the stream after the last event. */
   endedStream: boolean
+  /** Whether the endpoint has refused, closed the connection, or sent what is not its part of the response. */
+  failed: boolean
   /** The complete response that is not a stream of events. */
   whole?: { status: number, body: string }
 }
@@ -59,6 +63,8 @@
 export interface ScriptedRequest {
   streams: boolean
   eventCount: number
+  /** @returns the time until which all endpoints are paused */
+  pausedUntilMs: () => number
 }
 
 const HALF_EVENTS: ReadonlySet<string> = new Set<Ending['ending']>(['half_event', 'half_event_end'])
@@ -88,13 +94,24 @@
   const { exchange } = request
   let over = false
   let refused = ending.ending === 'not_reached'
-  const run: Run = { request, ending, isOver: () => over || request.aborted, mayHaveRun: () => !refused, lastEventAtMs: clock.nowMs(), endedStream: false }
-
+  const run: Run = { request, ending, isOver: () => over || request.aborted, mayHaveRun: () => !refused, lastEventAtMs: clock.nowMs(), endedStream: false, failed: false }
+
+  /** A paused endpoint continues after the pause. */
+  const after = (delayMs: number, act: () => void): void => {
+    clock.after(delayMs, () => {
+      const pausedMs = scripted.pausedUntilMs() - clock.nowMs()
+      if (pausedMs > 0) after(pausedMs, act)
+      else act()
+    })
+  }
   const end = (act: () => void): void => {
     over = true
     act()
   }
-  const fail = (code: string): void => end(() => exchange.onError(Object.assign(new Error(code), { code })))
+  const fail = (code: string): void => end(() => {
+    run.failed = true
+    exchange.onError(Object.assign(new Error(code), { code }))
+  })
   const head = (status: number, headers: string[]): void => { exchange.onHeaders(status, headers.map(text => Buffer.from(text))) }
 
   const send = (text: string): void => {
@@ -107,8 +124,9 @@
     const body = 'body' in ending ? ending.body : `${status} of ${request.endpoint}`
     head(status, [...SIGNED_HEADERS, ...notRun, 'content-type', 'text/plain', 'content-length', String(body.length)])
     send(isHalf ? body.slice(0, body.length / 2) : body)
+    run.failed ||= scripted.streams && !request.aborted
     if (isHalf) {
-      clock.after(ending.gapMs, () => fail('ECONNRESET'))
+      after(ending.gapMs, () => fail('ECONNRESET'))
       return
     }
     refused = notRun.length > 0 && !request.aborted
@@ -127,8 +145,11 @@
     return ids[ending.ending] ?? id
   }
 
+  const isWrong = (id: number): boolean => (id === faultId && ending.ending !== 'silent') || (ending.ending === 'from_start' && (request.lastEventId ?? 0) > 0)
+
   const endEvents = (id: number): void => {
     run.endedStream = id > scripted.eventCount
+    run.failed ||= !run.endedStream && !request.aborted
     end(exchange.onComplete)
   }
 
@@ -139,6 +160,7 @@
     else if (id === faultId && ending.ending === 'break') fail('UND_ERR_SOCKET')
     else if (id === faultId && HALF_EVENTS.has(ending.ending)) {
       send(eventText(id, eventData(id), ending.style).slice(0, -1))
+      run.failed ||= !request.aborted
       if (ending.ending === 'half_event') fail('ECONNRESET')
       else endEvents(id)
     } else if (id > scripted.eventCount) endEvents(id)
@@ -147,15 +169,16 @@
       const isSkipped = id === faultId && ending.ending === 'skip' && id < scripted.eventCount
       if (!isSkipped) {
         run.lastEventAtMs = clock.nowMs()
+        run.failed ||= isWrong(id) && !request.aborted
         send(eventText(idOf(id), eventData(id), ending.style))
-      }
-      clock.after(ending.gapMs, () => sendEvents(id + 1))
+      } else run.failed ||= !request.aborted
+      after(ending.gapMs, () => sendEvents(id + 1))
     }
   }
 
   const streamHead = (headers: string[]): void => {
     head(200, headers)
-    clock.after(ending.gapMs, () => sendEvents(firstId))
+    after(ending.queueMs + ending.gapMs, () => sendEvents(firstId))
   }
 
   const respondNormally = (headers: string[]): void => {
@@ -166,6 +189,7 @@
 
   /** Sends a faulty head, which invalidates all that follows. The body of a lookup is complete. */
   const respondWithHead = (headers: string[]): void => {
+    run.failed = !request.aborted
     if (scripted.streams) {
       streamHead(headers)
       return
@@ -194,10 +218,13 @@
       head(200, EVENT_STREAM_HEADERS)
       endEvents(firstId)
     },
-    no_answer: () => end(exchange.onComplete),
+    no_answer: () => end(() => {
+      run.failed = true
+      exchange.onComplete()
+    }),
     not_reached: () => fail('ECONNREFUSED')
   }
-  clock.after(ending.headMs, responses[ending.ending] ?? (() => respondNormally(EVENT_STREAM_HEADERS)))
+  after(ending.headMs, responses[ending.ending] ?? (() => respondNormally(EVENT_STREAM_HEADERS)))
   return run
 }
 
--- a/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
@@ -4,7 +4,7 @@
  * is not silent, or beside the one whose events the client gets; a response that is ended while an endpoint still works on it; a request that does
  * not end, or continues after its end.
  * Generated histories: endpoints send wrong responses, close connections, stop responding, refuse and are replaced one after
- * another, while clients disconnect, keys are revoked, requests are quarantined, and the process pauses or shuts down.
+ * another or pause together, while clients disconnect, keys are revoked, requests are quarantined, and the process pauses or shuts down.
  */
 import fc from 'fast-check'
 import { forwardOnFakeClock, type ForwardHarness } from '../__fixtures__/forwardHarness'
@@ -12,7 +12,7 @@
 import { type Ending, type EndingKind, eventData, type Run, runScript } from '../__fixtures__/scriptedEndpoint'
 
 type Step =
-  | { step: 'wait' | 'pause', ms: number }
+  | { step: 'wait' | 'pause' | 'pause_engines', ms: number }
   | { step: 'replace', isReplaced: boolean }
   | { step: 'disconnect' | 'stop' | 'revoke_key' | 'quarantine' | 'remove_endpoints' }
 
@@ -79,6 +79,7 @@
 
 const pace = fc.record({
   headMs: fc.oneof({ weight: 5, arbitrary: fc.nat({ max: 30 }) }, { weight: 1, arbitrary: fc.nat({ max: 1500 }) }),
+  queueMs: fc.oneof({ weight: 5, arbitrary: fc.constant(0) }, { weight: 1, arbitrary: fc.nat({ max: 4000 }) }),
   gapMs: fc.oneof({ weight: 5, arbitrary: fc.nat({ max: 20 }) }, { weight: 1, arbitrary: fc.nat({ max: 500 }) }),
   chunkBytes: fc.constantFrom(0, 0, 1, 7, 64),
   style: fc.constantFrom('plain' as const, 'crlf' as const, 'with_version' as const, 'with_comments' as const)
@@ -89,6 +90,7 @@
 const step: fc.Arbitrary<Step> = fc.oneof(
   { weight: 14, arbitrary: fc.record({ step: fc.constant('wait' as const), ms: fc.oneof(fc.nat({ max: 60 }), fc.nat({ max: 600 })) }) },
   { weight: 2, arbitrary: fc.record({ step: fc.constant('pause' as const), ms: fc.nat({ max: 1500 }) }) },
+  { weight: 2, arbitrary: fc.record({ step: fc.constant('pause_engines' as const), ms: fc.integer({ min: 200, max: 2500 }) }) },
   { weight: 2, arbitrary: fc.record({ step: fc.constant('replace' as const), isReplaced: fc.boolean() }) },
   { weight: 2, arbitrary: fc.record({ step: fc.constantFrom('disconnect' as const, 'disconnect' as const, 'stop' as const, 'revoke_key' as const, 'quarantine' as const, 'remove_endpoints' as const) }) }
 )
@@ -128,6 +130,7 @@
   isStopped: boolean
   /** Whether nothing new may be sent for the request, since its key was revoked or it was quarantined. */
   isBlocked: boolean
+  enginesPausedUntilMs: number
   /** Number of untried endpoints when the request ended. */
   untriedAtEnd: number | undefined
 }
@@ -135,7 +138,7 @@
 function begin (history: History): PlayedRequest {
   const runs: Run[] = []
   let placements = 0
-  const played: Omit<PlayedRequest, 'harness'> = { history, runs, concurrent: 0, repeated: 0, abandoned: 0, unwanted: 0, wrongStarts: 0, lateSends: 0, isStopped: false, isBlocked: false, untriedAtEnd: undefined }
+  const played: Omit<PlayedRequest, 'harness'> = { history, runs, concurrent: 0, repeated: 0, abandoned: 0, unwanted: 0, wrongStarts: 0, lateSends: 0, isStopped: false, isBlocked: false, enginesPausedUntilMs: 0, untriedAtEnd: undefined }
   const eventCount = Math.max(history.eventCount, history.lastEventId ?? 0)
   const inProgress = (): Run[] => runs.filter(run => !run.isOver() && run.request.connected)
   const harness = forwardOnFakeClock({
@@ -160,7 +163,7 @@
       const receivedCount = history.kind === 'stream' && history.resumable ? dataOf(client.body).length : 0
       if ((request.lastEventId ?? 0) !== (history.lastEventId ?? 0) + receivedCount) played.wrongStarts++
       const next = history.endings[runs.length % history.endings.length]
-      runs.push(runScript(clock, request, next, { streams: history.kind === 'stream', eventCount }))
+      runs.push(runScript(clock, request, next, { streams: history.kind === 'stream', eventCount, pausedUntilMs: () => played.enginesPausedUntilMs }))
       return next.ending !== 'not_reached'
     },
     onWrite: () => { if (inProgress().length > 1) played.concurrent++ },
@@ -178,6 +181,9 @@
     case 'pause':
       harness.clock.stall(next.ms)
       break
+    case 'pause_engines':
+      played.enginesPausedUntilMs = harness.clock.nowMs() + next.ms
+      break
     case 'replace':
       harness.replaceEndpoint(next.isReplaced)
       break
@@ -243,6 +249,14 @@
   expect(runs.some(run => run.endedStream && !run.request.aborted)).toBe(true)
 }
 
+/** A response that has begun is cut only if an endpoint has failed, the deadline has passed or the drain is over. */
+function checkCut ({ history, harness, runs, isBlocked }: PlayedRequest): void {
+  const { client } = harness
+  const endedAtMs = client.endedAtMs ?? 0
+  if (isBlocked || endedAtMs >= history.timeoutMs || isOverAt(harness, endedAtMs)) return
+  expect(runs.some(run => run.failed)).toBe(true)
+}
+
 function checkBuffered ({ harness: { client }, runs }: PlayedRequest): void {
   const { status, body } = client
   expect(client.destroyed && client.status === undefined).toBe(false)
@@ -306,7 +320,10 @@
       checkCleanup(played)
       if (client.responseStarted) checkStream(played)
       else if (!client.disconnected && !played.isStopped) checkBuffered(played)
-      if (!client.disconnected && !played.isStopped && hasFailed(played)) checkFailure(played)
+      if (!client.disconnected && !played.isStopped && hasFailed(played)) {
+        checkFailure(played)
+        if (client.responseStarted) checkCut(played)
+      }
     }), { seed: SEED, numRuns: RUNS })
   })
 })
