--- a/packages/anvilarch-serving/src/requests/__tests__/startedResponses.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/startedResponses.test.ts
@@ -106,6 +106,29 @@
   })
 })
 
+describe('a stream whose endpoint has sent only its head', () => {
+  async function headOnly (options: ForwardHarnessOptions): Promise<ForwardHarness> {
+    const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1, ...options })
+    await harness.clock.advanceAsync(0)
+    harness.sent[0].exchange.onHeaders(200, EVENT_STREAM_HEADERS.map(header => Buffer.from(header)))
+    return harness
+  }
+
+  // Guards against a cut response to a request that still waits in the queue of its endpoint.
+  it('gets status 502 if the drain ends before its first event', async () => {
+    const { clock, client } = await headOnly({ drain: { signalAtMs: 0, graceMs: 4000 } })
+    await clock.advanceAsync(4000)
+    expect(client).toMatchObject({ status: 502, ended: true, destroyed: false })
+  })
+
+  it('gets status 502 if the endpoint breaks off and there is no other', async () => {
+    const { clock, sent, client } = await headOnly({})
+    sent[0].reset()
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ status: 502, ended: true, destroyed: false })
+  })
+})
+
 describe('the metric of started responses', () => {
   it('counts a complete response', async () => {
     const { sent, startedResponses } = await brokenStream({ endpoints: 2 })
