Show that a stream is cut although the endpoint that began it is sound

An endpoint is silent for longer than the response timeout, the stream goes on at a second one, and the first, which was only slow, is aborted. If the second then breaks off and the route allows two attempts, the response is cut, and the first endpoint is never asked again: its attempt counts, and it counts as tried.

--- a/packages/anvilarch-serving/src/requests/__tests__/startedResponses.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/startedResponses.test.ts
@@ -129,6 +129,42 @@
   })
 })
 
+describe('a stream that goes on at an endpoint beside a silent one', () => {
+  async function continuedStream (options: ForwardHarnessOptions): Promise<ForwardHarness> {
+    const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, maxAttempts: 2, ...options })
+    await harness.clock.advanceAsync(0)
+    harness.sent[0].event(1)
+    await harness.clock.advanceAsync(350)
+    harness.sent[1].event(2)
+    harness.sent[1].reset()
+    await harness.clock.advanceAsync(0)
+    return harness
+  }
+
+  // Guards against a stream that is cut although the endpoint that began it is sound and was only slow.
+  it.each([2, 3])('goes back to the silent one if the other one breaks off and no attempt is left (%i endpoints)', async endpoints => {
+    const { clock, sent, client } = await continuedStream({ endpoints })
+    expect(sent.map(({ endpoint, lastEventId }) => ({ endpoint, lastEventId }))).toEqual([{ endpoint: 'e1', lastEventId: undefined }, { endpoint: 'e2', lastEventId: 1 }, { endpoint: 'e1', lastEventId: 2 }])
+    sent[2].event(3)
+    sent[2].endEvents()
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ body: `${TWO_EVENTS}id: 3\ndata: x\n\n`, ended: true, destroyed: false })
+  })
+
+  it('goes to a further one first', async () => {
+    const { sent } = await continuedStream({ endpoints: 3, maxAttempts: 3 })
+    expect(sent.map(({ endpoint }) => endpoint)).toEqual(['e1', 'e2', 'e3'])
+  })
+
+  it('is cut if the silent one breaks off as well', async () => {
+    const { clock, sent, client } = await continuedStream({ endpoints: 3 })
+    sent[2].reset()
+    await clock.advanceAsync(0)
+    expect(sent).toHaveLength(3)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+  })
+})
+
 describe('the metric of started responses', () => {
   it('counts a complete response', async () => {
     const { sent, startedResponses } = await brokenStream({ endpoints: 2 })
