Log why the gateway closes a connection under a response

A gateway closes the connection of a response in progress if its client sends bytes that are not a request, if the next head stays incomplete for longer than the header timeout, and when its server is closed. Such a request ends as `client_left`, and `traffic` counts it as left, so that the logs can't tell a cut by the gateway from a client that went away.

The server records its reason with the response, and the request ends as `broken_off` with that reason: `gateway_closed`, or the code of the parser. Which connections are closed, and when, does not change.

The new tests fail without either half of the change (1 of the metric, 3 of the server).

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -10,6 +10,7 @@
 import { createTrafficCounters } from '../../telemetry/trafficCounters'
 import { forwardRequest } from '../forwardRequest'
 import { createByteBudget } from '../byteBudget'
+import { cutResponse } from '../clientResponse'
 import { createHoldTimes } from '../holdTimes'
 
 /** Handler of an exchange, as undici calls it. */
@@ -312,7 +313,7 @@
       if (isReplaced) endpoints.push(endpointNamed(`e${++endpointCount}`))
     },
     untriedCount: () => endpoints.filter(({ id }) => !sent.some(({ endpoint }) => endpoint === id)).length,
-    closeOnShutdown: () => { (response as unknown as ServerResponse).destroy() },
+    closeOnShutdown: () => cutResponse(response as unknown as ServerResponse, 'gateway_closed'),
     revokeKey: () => { hasKey = false },
     quarantine: () => { isQuarantined = true },
     inProgress: () => ({ ...inProgress }),
--- a/packages/anvilarch-serving/src/requests/__tests__/startedResponses.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/startedResponses.test.ts
@@ -125,6 +125,14 @@
     expect(await startedResponses()).toEqual([['left', 'client_left']])
   })
 
+  // Guards against responses that this process cuts and that count as left by their clients.
+  it('counts a response as cut whose connection the gateway closes', async () => {
+    const { clock, closeOnShutdown, startedResponses } = await brokenStream({ endpoints: 2 })
+    closeOnShutdown()
+    await clock.advanceAsync(0)
+    expect(await startedResponses()).toEqual([['cut', 'broken_off']])
+  })
+
   it('does not count a failure that is sent as a buffered response', async () => {
     const { clock, sent, startedResponses } = forwardOnFakeClock({ kind: 'stream', endpoints: 1 })
     await clock.advanceAsync(0)
--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -1,5 +1,6 @@
 /** Sends responses of this gateway to clients. */
 import type { ServerResponse } from 'node:http'
+import { abortResponse } from 'anvilarch-utils'
 import type { DrainState } from '../drain/drainState'
 
 /** A response that this process creates itself rather than an endpoint. */
@@ -27,6 +28,25 @@
   followedResponses.add(response)
 }
 
+/** Reasons for which this process closed the connections of unfinished responses. */
+const cutReasons = new WeakMap<ServerResponse, string>()
+
+/**
+ * Closes the connection of an unfinished response, and records why, so that the request does not end as one that its client left.
+ *
+ * @param response - a response that is not complete
+ * @param reason - code for log lines
+ */
+export function cutResponse (response: ServerResponse, reason: string): void {
+  cutReasons.set(response, reason)
+  abortResponse(response)
+}
+
+/** @returns why this process closed the connection of the response; undefined if its client closed it */
+export function cutReasonOf (response: ServerResponse): string | undefined {
+  return cutReasons.get(response)
+}
+
 /**
  * Sets `Connection: close` on a response of a draining process, unless a further request has been read from its connection: that
  * request would be left without a response.
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -5,7 +5,7 @@
 import { chooseService } from '../routing/matchRoute'
 import { bindStream, resumesStream, streamIdOf } from './bindStream'
 import { isFirstAttempt, type RefusedRequest, returnAtTurnMs } from './callerReturn'
-import { type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
+import { cutReasonOf, type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import { endByDrain } from './endByDrain'
 import { checkOverload, type Overload, type Refusal } from './overload'
@@ -50,7 +50,9 @@
   client.response.on('close', () => {
     if (end.hasEnded()) return
     attempts.stop()
-    end.clientDisconnected()
+    const cutReason = cutReasonOf(client.response)
+    if (cutReason === undefined) end.clientDisconnected()
+    else end.abortConnection(cutReason)
   })
 
   const admission = parts.crashes.admit(requestIdentityOf(client))
--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -4,6 +4,7 @@
 import { createFakeClock, createSystemClock, abortResponse, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
+import { cutReasonOf } from '../../requests/clientResponse'
 import { type ClientServer, createClientServer } from '../clientServer'
 import { EXCESS_FACTOR, MAX_LATENESS_MS, MIN_USUAL_PER_SECOND, USUAL_SECONDS } from '../connectionAdmission'
 
@@ -114,6 +115,35 @@
   })
 })
 
+describe('the reason for which the connection of an unfinished response is closed', () => {
+  /** Opens a connection with one request and acts on it. @returns the reason that the server records for its response */
+  async function reasonAfter (act: (socket: Socket) => void): Promise<string | undefined> {
+    const { socket } = await openClient('/1')
+    act(socket)
+    await until(() => clients.unfinishedRequests().length === 0)
+    socket.destroy()
+    return cutReasonOf(handled[0].response)
+  }
+
+  it.each<[string, (socket: Socket) => void, string | undefined]>([
+    ['bytes that are not a request', socket => socket.write('no request\r\n\r\n'), 'HPE_INVALID_METHOD'],
+    ['a close of the server', () => clients.close(), 'gateway_closed'],
+    ['a client that closes the connection', socket => socket.end(), undefined],
+    ['a client that resets the connection', socket => socket.resetAndDestroy(), undefined]
+  ])('is known after %s', async (_name, act, reason) => {
+    expect(await reasonAfter(act)).toBe(reason)
+  })
+
+  it('is known after a next head that stays incomplete', async () => {
+    clients.applyLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 50, idleTimeoutMs: 5_000 })
+    const { socket, closed } = await openClient('/1')
+    socket.write('GET /2 HTTP/1.1\r\n')
+    await once(socket, 'close')
+    expect(closed()).toBe(true)
+    expect(cutReasonOf(handled[0].response)).toBe('ERR_HTTP_REQUEST_TIMEOUT')
+  })
+})
+
 describe('a flood of new connections', () => {
   // Guards against a gateway that reads the requests of most clients of a zone and answers them late.
   it('is closed with the requests unread while the process is late', async () => {
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -4,7 +4,7 @@
 import { type Clock, abortResponse, type Timer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
-import { markFollowed } from '../requests/clientResponse'
+import { cutResponse, markFollowed } from '../requests/clientResponse'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { createConnectionAdmission } from './connectionAdmission'
 import { createLingeringClose } from './lingeringClose'
@@ -105,14 +105,14 @@
     socket.once('close', () => connections.delete(socket))
   })
   // Node.js closes the connection when the client half-closes it. An HTTP/1.0 client would take that as the end of a complete response.
-  server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(cutUnfinishedResponse)) })
+  server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(response => cutUnfinishedResponse(response))) })
   closeExcessConnections(server, options)
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     const { status, reason } = PARSER_ERROR_RESPONSES.get(error.code ?? '') ?? MALFORMED
     const unfinishedResponses = responsesOn(socket)
     if (error.code === 'ECONNRESET' || !socket.writable || unfinishedResponses.length > 0) {
       // An error response sent now would become part of the response in progress.
-      unfinishedResponses.forEach(cutUnfinishedResponse)
+      unfinishedResponses.forEach(response => cutUnfinishedResponse(response, error.code === 'ECONNRESET' ? undefined : error.code ?? error.message))
       socket.destroy()
       return
     }
@@ -137,7 +137,7 @@
     },
     close: () => {
       server.close()
-      for (const response of inProgress.keys()) cutUnfinishedResponse(response)
+      for (const response of inProgress.keys()) cutUnfinishedResponse(response, 'gateway_closed')
       server.closeAllConnections()
     }
   }
@@ -194,8 +194,11 @@
   TcpServer.prototype.close.call(server)
 }
 
-function cutUnfinishedResponse (response: ServerResponse): void {
-  if (!response.writableEnded) abortResponse(response)
+/** @param reason - why this process closes the connection; undefined if the client has closed it */
+function cutUnfinishedResponse (response: ServerResponse, reason?: string): void {
+  if (response.writableEnded) return
+  if (reason === undefined) abortResponse(response)
+  else cutResponse(response, reason)
 }
 
 /**
