Begin a stream for its client with its first block, not with its head

Clients saw the connection close after the head of a response, at the end of a drain or when the only endpoint broke off. A response counted as begun as soon as the head of its endpoint had come, and a response that has begun can only be cut. An endpoint may send the head while the request waits in its queue, where the rule LOST doesn't excuse a cut.

The head is kept with its attempt and sent with the first block of the stream, or with its end. Attempts beside each other are ended by the first event, no longer by a head without one, and a head that can't be sent fails its attempt before the response counts as begun.

--- a/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
@@ -249,10 +249,11 @@
   expect(runs.some(run => run.endedStream && !run.request.aborted)).toBe(true)
 }
 
-/** A response that has begun is cut only if an endpoint has failed, the deadline has passed or the drain is over. */
+/** A response is cut only if a block of it has come and an endpoint has failed, the deadline has passed or the drain is over. */
 function checkCut ({ history, harness, runs, isBlocked }: PlayedRequest): void {
   const { client } = harness
   const endedAtMs = client.endedAtMs ?? 0
+  expect(client.body).not.toBe('')
   if (isBlocked || endedAtMs >= history.timeoutMs || isOverAt(harness, endedAtMs)) return
   expect(runs.some(run => run.failed)).toBe(true)
 }
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -15,6 +15,12 @@
   body: Buffer
 }
 
+/** Head of a response that is streamed. */
+export interface ResponseHead {
+  status: number
+  rawHeaders: string[]
+}
+
 /** Inputs and callbacks of an attempt. */
 export interface AttemptOptions {
   pool: Pool
@@ -29,7 +35,7 @@
   budget: ByteBudget
   /** Whether another endpoint may resume the stream, which requires an id on each event. */
   resumable: boolean
-  onHead: (head: { status: number, rawHeaders: string[] }) => void
+  onHead: (head: ResponseHead) => void
   onEvent: (bytes: Buffer, id: number | undefined, data: string) => void
   /** Called when the response was a stream of events and is complete. */
   onStreamEnd: () => void
--- a/packages/anvilarch-serving/src/requests/runningAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/runningAttempts.ts
@@ -1,13 +1,15 @@
 /** Attempts of one request that are in progress, and their load at endpoints. */
 import type { Endpoint } from '../model/types'
 import type { ForwardParts } from './forwardTypes'
-import type { Attempt } from './runAttempt'
+import type { Attempt, ResponseHead } from './runAttempt'
 
 /** An attempt in progress and its endpoint. */
 export interface RunningAttempt {
   endpoint: Endpoint
   /** Undefined while the attempt is being started. */
   attempt: Attempt | undefined
+  /** Head of a stream; undefined until it has come. */
+  head: ResponseHead | undefined
   /** Time of the send; undefined after its first event or its response. */
   sentAtMs: number | undefined
   /** Whether the endpoint has sent no event or response for the response timeout. */
@@ -54,7 +56,7 @@
     add: (endpoint, start) => {
       loads.onSent(endpoint.startId)
       usageReporter.onSent(endpoint)
-      const entry: RunningAttempt = { endpoint, attempt: undefined, sentAtMs: clock.nowMs(), isSilent: false }
+      const entry: RunningAttempt = { endpoint, attempt: undefined, head: undefined, sentAtMs: clock.nowMs(), isSilent: false }
       entries.add(entry)
       entry.attempt = start(entry)
     },
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -13,7 +13,7 @@
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
 import { closeAfterLastResponse, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
-import { type Attempt, type EndpointResponse, isFull, startAttempt } from './runAttempt'
+import { type Attempt, type EndpointResponse, isFull, type ResponseHead, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
 /** Attempts of one request. */
@@ -202,29 +202,43 @@
 
   const onStreamEnd = (entry: RunningAttempt): void => {
     observeEndpointWait(entry)
+    startResponse(entry)
     onSuccess(entry)
     end.completeStream(entry.endpoint.startId)
   }
 
-  const onHead = (entry: RunningAttempt, head: { status: number, rawHeaders: string[] }): void => {
+  const onHead = (entry: RunningAttempt, head: ResponseHead): void => {
     attemptLog.responseStarted(entry.endpoint, head.status)
-    if (state.responseStarted) return
+    entry.head = head
+  }
+
+  /**
+   * Sends the head to the client, together with the first block of the stream. Until then the request may wait in the queue of its
+   * endpoint, and a failure can still be answered completely.
+   */
+  const startResponse = (entry: RunningAttempt): void => {
+    if (state.responseStarted || entry.head === undefined) return
     // The client gets the head and the first events from the same endpoint.
     continueWith(entry)
-    state.responseStarted = true
     recordOrigin(parts, client, state, entry.endpoint)
     closeAfterLastResponse(response, parts.drainState)
-    response.writeHead(head.status, head.rawHeaders)
+    response.writeHead(entry.head.status, entry.head.rawHeaders)
+    state.responseStarted = true
     response.flushHeaders()
   }
 
   /** A block without id and data holds only comments, which are no sign that the endpoint runs the request. */
-  const onComment = (bytes: Buffer): void => { if (running.count() === 1) response.write(bytes) }
+  const onComment = (entry: RunningAttempt, bytes: Buffer): void => {
+    if (running.count() > 1) return
+    startResponse(entry)
+    response.write(bytes)
+  }
 
   const onEvent = (entry: RunningAttempt, bytes: Buffer, id: number | undefined): void => {
     const nowMs = clock.nowMs()
     entry.isSilent = false
     continueWith(entry)
+    startResponse(entry)
     state.firstEventAtMs ??= nowMs
     state.firstEventId ??= id
     if (id !== undefined) state.eventCount++
@@ -247,7 +261,7 @@
     resumable: route.resumable,
     budget: parts.responseBudget,
     onHead: head => onHead(entry, head),
-    onEvent: (bytes, id, data) => id === undefined && data === '' ? onComment(bytes) : onEvent(entry, bytes, id),
+    onEvent: (bytes, id, data) => id === undefined && data === '' ? onComment(entry, bytes) : onEvent(entry, bytes, id),
     onStreamEnd: () => onStreamEnd(entry),
     onResponse: endpointResponse => onResponse(entry, endpointResponse),
     onFailure: (failure, reason) => onFailure(entry, failure, reason)
