Play real gateways and agents of the platform's path under planned work

The soak of the platform's path starts daemons with the commands of the deploy file, each machine on its own loopback address, beside stand-ins for the store and the endpoints, links with delays, and clients of many forms. Planned work of several kinds is drawn from a seed in series that overlap.

ClientRequest gets linkDelayMs, as a link between client and gateway takes part of the slack of the rule.

--- a/packages/anvilarch-platform-soak/src/rule/types.ts
+++ b/packages/anvilarch-platform-soak/src/rule/types.ts
@@ -14,8 +14,10 @@
   routeTimeoutMs: number
   /** Time at which the first byte was sent. */
   sendBeganAtMs: number
-  /** Time at which the last byte was sent; undefined if the connection ended before. */
+  /** Time at which the last byte was sent; undefined if the connection ended before that byte was at the gateway's host. */
   sentAtMs: number | undefined
+  /** Time that the last byte took to the gateway's host, and the end of the connection from there to the client. */
+  linkDelayMs: number
   /** Time at which the head of the response arrived; undefined if there is none. */
   headAtMs: number | undefined
   status: number | undefined
--- /dev/null
+++ b/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
@@ -0,0 +1,115 @@
+/** A run: starts the deployment, plays load and planned work, and collects the evidence. */
+import { join } from 'node:path'
+import { startStoreStandin } from 'anvilarch-standins'
+import { type Clock, createRandom, processSeed, sleep } from 'anvilarch-utils'
+import type { Attempt } from '../clients/attempt'
+import { startTraffic } from '../clients/traffic'
+import { BOUNDS, configurationDocument, ZONES } from '../deployment'
+import { createAddresses } from '../machines/addresses'
+import { openFleet } from '../machines/fleet'
+import { startRotation } from '../machines/rotation'
+import type { ConfigurationChange, Evidence } from '../rule/types'
+import { openEndpoints } from '../standins/endpoints'
+import { performStep, type WorkContext } from '../work/performStep'
+import { drawSchedule, type WorkKind } from '../work/schedule'
+
+/** Options of `runPlatformSoak`. */
+export interface PlatformSoakOptions {
+  clock: Clock
+  durationMs: number
+  seed: number
+  gateways: number
+  /** Engines; there is a plain service for every two. */
+  engines: number
+  /** Mean number of requests per second. */
+  rate: number
+  work: readonly WorkKind[]
+  pipelines: boolean
+  /** Checkout whose daemons run. */
+  root: string
+  /** Folder for settings and logs. */
+  folder: string
+  /** Ends the run early. */
+  signal: AbortSignal
+  log: (line: string) => void
+}
+
+/** What a run has yielded. */
+export interface PlatformSoakResult {
+  evidence: Evidence
+  attempts: Attempt[]
+  /** Processes that ended by themselves or in a wrong way. */
+  problems: string[]
+  /** Log of each daemon, by its name. */
+  logPaths: Map<string, string>
+}
+
+/** Longest time from the start until all gateways are ready. */
+const START_TIMEOUT_MS = 20_000
+
+const START_POLL_MS = 100
+
+/** @returns what the run has yielded, after all that it started has ended */
+export async function runPlatformSoak (options: PlatformSoakOptions): Promise<PlatformSoakResult> {
+  const { clock, seed, signal, log, folder, root } = options
+  const nextIp = createAddresses(createRandom(processSeed()))
+  const store = await startStoreStandin()
+  store.put('op', 'config', configurationDocument(1, { extraTimeoutMs: 0, extraRoutes: 0 }))
+  const fleet = openFleet({ clock, root, folder, storeAddress: store.address })
+  const endpoints = openEndpoints({ clock, store, nextIp, seed })
+  const changes: ConfigurationChange[] = []
+  const startMs = clock.nowMs()
+  try {
+    for (let index = 0; index < Math.ceil(options.engines / 2); index++) await endpoints.add('plain', 'v1')
+    for (let index = 0; index < options.engines; index++) {
+      const { engine, zone } = await endpoints.add('models', 'v1')
+      fleet.start({ name: `agent-${index + 1}`, role: 'agent', ip: engine.ip, zone, endpointAddress: engine.address })
+    }
+    for (let index = 0; index < options.gateways; index++) fleet.start({ name: `gateway-${index + 1}`, role: 'gateway', ip: await nextIp(), zone: ZONES[index % ZONES.length] })
+    const gateways = fleet.machines.filter(({ role }) => role === 'gateway')
+    const rotation = startRotation(clock, gateways)
+    while (!gateways.every(rotation.isReady)) {
+      if (clock.nowMs() - startMs > START_TIMEOUT_MS) throw new Error(`gateways are not ready after ${START_TIMEOUT_MS} ms: see the logs in ${folder}`)
+      await sleep(clock, START_POLL_MS)
+    }
+    const traffic = startTraffic({ clock, seed, rotation, rate: options.rate, pipelines: options.pipelines })
+    const context: WorkContext = { clock, fleet, rotation, traffic, endpoints, store, changes, log }
+    const work = playSchedule(context, options)
+    await sleep(clock, options.durationMs, signal)
+    await traffic.stop()
+    await work.stop()
+    rotation.close()
+    return {
+      evidence: { bounds: BOUNDS, requests: traffic.attempts, runs: endpoints.runs, signals: fleet.signals, changes, disruptions: [] },
+      attempts: traffic.attempts,
+      problems: fleet.problems,
+      logPaths: new Map(fleet.machines.map(({ name }) => [name, join(folder, `${name}.log`)]))
+    }
+  } finally {
+    await fleet.close()
+    await endpoints.close()
+    await store.close()
+  }
+}
+
+/** Starts the steps at their times. @returns a function that starts no more of them and reports one that failed */
+function playSchedule (context: WorkContext, { clock, work, seed, durationMs, signal }: PlatformSoakOptions): { stop: () => Promise<void> } {
+  const startMs = clock.nowMs()
+  const failures: Error[] = []
+  const stopped = new AbortController()
+  const play = async (): Promise<void> => {
+    for (const step of drawSchedule(work, seed, durationMs)) {
+      await sleep(clock, step.atMs - (clock.nowMs() - startMs), AbortSignal.any([signal, stopped.signal]))
+      if (signal.aborted || stopped.signal.aborted) return
+      performStep(context, step).catch((error: Error) => { failures.push(error) })
+    }
+  }
+  const played = play()
+  return {
+    stop: async () => {
+      stopped.abort()
+      await played
+      if (failures.length > 0) throw failures[0]
+    }
+  }
+}
--- /dev/null
+++ b/packages/anvilarch-platform-soak/src/standins/engine.ts
@@ -0,0 +1,208 @@
+/** Stand-in for an endpoint: an engine that computes streams in steps, or a plain service. */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Clock, Random, Timer } from 'anvilarch-utils'
+import { STREAM_EVENTS } from '../deployment'
+import type { EndpointRun } from '../rule/types'
+
+/** Time of a step with one running request, and how much each further one adds: a stream of 35 events takes 0.9 to 1.5 s. */
+const STEP_MS = 24
+const STEP_PER_RUN_MS = 2.4
+
+/** Time of a plain request. */
+const WORK_MS = 42.9
+
+const WORK_JITTER = 0.3
+const QUEUE_LIMIT = 24
+
+/** Time for which requests in progress may hold up the end of a leaving endpoint. */
+const FINISH_MS = 5000
+
+/** Options of `startEngine`. */
+export interface EngineOptions {
+  id: string
+  ip: string
+  port: number
+  service: 'models' | 'plain'
+  slots: number
+  clock: Clock
+  random: Random
+  /** Receives all runs. */
+  runs: EndpointRun[]
+}
+
+/** Running stand-in. */
+export interface Engine extends Pick<EngineOptions, 'id' | 'service' | 'slots' | 'ip'> {
+  address: string
+  /** Pauses all streams, and preempts the newest run, as when memory runs out. */
+  pause: (durationMs: number) => void
+  /** Announces on each response that the connection ends. */
+  leave: () => void
+  /** Ends after the requests in progress. */
+  end: () => Promise<void>
+}
+
+interface Work {
+  run: EndpointRun
+  response: ServerResponse
+  /** Last event that was sent. */
+  lastEventId: number
+  deadlineAtMs: number
+  /** Sends what the next step yields. */
+  timer: Timer | undefined
+}
+
+/** @returns the data of an event of a request */
+export function eventData (eventId: number): string {
+  return `token-${eventId} `.repeat(8)
+}
+
+/** @returns the body of the response of a plain service */
+export function plainBody (requestId: string): string {
+  return `answer to ${requestId} `.padEnd(800, '.')
+}
+
+/** @returns the listening stand-in */
+export async function startEngine ({ id, ip, port, service, slots, clock, random, runs }: EngineOptions): Promise<Engine> {
+  const active = new Set<Work>()
+  const queue: Work[] = []
+  const sockets = new Set<Socket>()
+  let leaving = false
+  let pausedUntilMs = 0
+  let stepping = false
+
+  const respond = (response: ServerResponse, status: number, headers: Record<string, string>, body = ''): void => {
+    if (leaving) response.setHeader('Connection', 'close')
+    response.writeHead(status, { 'Content-Length': Buffer.byteLength(body), ...headers })
+    response.end(body)
+  }
+  const stamps = ({ run }: Work): Record<string, string> => ({ 'X-Request-Id': run.requestId, 'X-Server-Stamp': `stamp.${id}`, 'X-Weight-Versions': '1' })
+
+  const settle = (work: Work, end: EndpointRun['end']): void => {
+    if (work.run.end !== 'running') return
+    work.run.end = end
+    work.run.endedAtMs = clock.nowMs()
+    work.timer?.cancel()
+    active.delete(work)
+    const position = queue.indexOf(work)
+    if (position >= 0) queue.splice(position, 1)
+    admit()
+  }
+
+  const admit = (): void => {
+    while (active.size < slots && queue.length > 0) {
+      const work = queue.shift() as Work
+      active.add(work)
+      if (service === 'plain') work.timer = clock.after(random.jitter(WORK_MS, WORK_JITTER), () => completePlain(work))
+    }
+    if (service === 'models' && active.size > 0 && !stepping) scheduleStep()
+  }
+
+  const completePlain = (work: Work): void => {
+    work.run.beganAtMs = clock.nowMs()
+    settle(work, 'complete')
+    respond(work.response, 200, stamps(work), plainBody(work.run.requestId))
+  }
+
+  const scheduleStep = (): void => {
+    stepping = true
+    const stepMs = STEP_MS + STEP_PER_RUN_MS * active.size
+    clock.after(Math.max(stepMs, pausedUntilMs - clock.nowMs()), () => {
+      stepping = false
+      if (clock.nowMs() < pausedUntilMs) scheduleStep()
+      else step()
+    })
+  }
+
+  const step = (): void => {
+    for (const work of [...active]) sendEvent(work)
+    if (active.size > 0 && !stepping) scheduleStep()
+  }
+
+  const sendEvent = (work: Work): void => {
+    const { response, run } = work
+    if (clock.nowMs() > work.deadlineAtMs) {
+      settle(work, 'broke_off')
+      response.destroy()
+      return
+    }
+    if (!response.headersSent) {
+      if (leaving) response.setHeader('Connection', 'close')
+      response.writeHead(200, { 'Content-Type': 'text/event-stream', ...stamps(work) })
+    }
+    run.beganAtMs ??= clock.nowMs()
+    work.lastEventId++
+    const text = `id: ${work.lastEventId}\ndata: ${eventData(work.lastEventId)}\n\n`
+    if (work.lastEventId < STREAM_EVENTS) {
+      response.write(text)
+      return
+    }
+    settle(work, 'complete')
+    response.end(text)
+  }
+
+  const serve = (request: IncomingMessage, response: ServerResponse): void => {
+    const requestId = String(request.headers['x-request-id'])
+    const expected = request.headers['x-expect-instance']
+    if (request.url === '/-/report') {
+      respond(response, 200, { 'Content-Type': 'application/json' }, JSON.stringify({ stage: 'both', models: [{ name: 'm', version: 1, adapters: [] }], busy: false, seq: 0, waiting: queue.length, running: active.size, 'kv-used': active.size * 400, 'kv-total': 147_261, handles: 0, state: leaving ? 'draining' : 'ready', runs: [...active].map(work => [work.run.requestId, 350 + work.lastEventId, work.lastEventId, 0]) }))
+      return
+    }
+    if (request.url === '/health') {
+      respond(response, leaving ? 503 : 200, { 'X-Instance-Id': id })
+      return
+    }
+    if (expected !== undefined && expected !== id) {
+      respond(response, 421, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
+      return
+    }
+    if (active.size >= slots && queue.length >= QUEUE_LIMIT) {
+      respond(response, 503, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
+      return
+    }
+    const nowMs = clock.nowMs()
+    const run: EndpointRun = { requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'running', endedAtMs: undefined }
+    const work: Work = { run, response, lastEventId: Number(request.headers['last-event-id'] ?? 0), deadlineAtMs: nowMs + Number(request.headers['x-deadline-ms'] ?? 5000), timer: undefined }
+    runs.push(run)
+    response.on('close', () => settle(work, 'dropped'))
+    queue.push(work)
+    admit()
+  }
+
+  const server = createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
+    request.resume()
+    request.on('end', () => serve(request, response))
+  })
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.on('error', () => socket.destroy())
+    socket.on('close', () => sockets.delete(socket))
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, ip, resolve)
+  })
+  return {
+    id,
+    service,
+    slots,
+    ip,
+    address: `${ip}:${port}`,
+    pause: durationMs => {
+      pausedUntilMs = Math.max(pausedUntilMs, clock.nowMs() + durationMs)
+      const newest = [...active].at(-1)
+      if (newest === undefined || active.size < 2) return
+      active.delete(newest)
+      queue.unshift(newest)
+    },
+    leave: () => { leaving = true },
+    end: async () => {
+      leaving = true
+      const untilMs = clock.nowMs() + FINISH_MS
+      while (active.size + queue.length > 0 && clock.nowMs() < untilMs) await new Promise(resolve => setTimeout(resolve, 20))
+      for (const work of [...active, ...queue]) settle(work, 'broke_off')
+      for (const socket of sockets) socket.destroy()
+      server.close()
+    }
+  }
+}
