--- a/packages/anvilarch-platform-soak/src/clients/attempt.ts
+++ b/packages/anvilarch-platform-soak/src/clients/attempt.ts
@@ -2,7 +2,7 @@
 import type { Clock, Random } from 'anvilarch-utils'
 import { type RequestKind, STREAM_EVENTS, STREAM_GAP_MS } from '../deployment'
 import type { ClientRequest } from '../rule/types'
-import { eventData, plainBody } from '../standins/engine'
+import { endpointBody, endpointEventData } from 'anvilarch-standins'
 import type { ClientConnection, Exchange } from './clientConnection'
 import { describeForm, type RequestFields, type RequestForm, requestParts } from './forms'
 
@@ -68,11 +68,12 @@
     status,
     lastByteAtMs: exchange.lastByteAtMs,
     end: exchange.end ?? 'left',
+    closeAnnouncedAtMs: exchange.closeAnnouncedAtMs,
     endedAtMs: exchange.endedAtMs,
     form: describeForm(form),
     kind,
     isSigned: exchange.head?.headers.has('x-server-stamp') ?? false,
-    isIntact: body === (kind.service === 'plain' ? plainBody(requestId) : streamBody(firstEventId)),
+    isIntact: body === (kind.service === 'plain' ? endpointBody(requestId) : streamBody(firstEventId)),
     lastEventId: Number([...body.matchAll(/^id: (\d+)\n.*\n\n/gm)].at(-1)?.[1] ?? firstEventId - 1),
     retryAfterMs: Number(exchange.head?.headers.get('retry-after') ?? 0) * 1000
   }
@@ -80,7 +81,7 @@
 
 function streamBody (firstEventId: number): string {
   const ids = Array.from({ length: Math.max(0, STREAM_EVENTS - firstEventId + 1) }, (_, index) => firstEventId + index)
-  return ids.map(id => `id: ${id}\ndata: ${eventData(id)}\n\n`).join('')
+  return ids.map(id => `id: ${id}\ndata: ${endpointEventData(id)}\n\n`).join('')
 }
 
 /** @returns whether the client may send the request again */
--- a/packages/anvilarch-platform-soak/src/clients/clientConnection.ts
+++ b/packages/anvilarch-platform-soak/src/clients/clientConnection.ts
@@ -1,9 +1,7 @@
 /** Connection of a client to a gateway, directly or over a link. */
 import { connect } from 'node:net'
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
-import { createLinkFlow, type LinkFlow } from '../links/linkFlow'
-import { createLinkTiming, type LinkProfile } from '../links/linkTiming'
-import { forwardSocket } from '../links/linkedPort'
+import { createLinkFlow, createLinkTiming, forwardSocket, type LinkFlow, type LinkProfile } from 'anvilarch-standins'
 import type { ResponseEnd } from '../rule/types'
 import { createResponseParser, type ResponseHead } from './responseParser'
 
@@ -37,6 +35,8 @@
   endedAtMs: number
   /** Time at which the connection ended at the gateway's side of the link. */
   closedAtMs: number | undefined
+  /** Time of the first head on the connection with `Connection: close`. */
+  closeAnnouncedAtMs: number | undefined
   onEnd: () => void
 }
 
@@ -68,6 +68,7 @@
   const socket = connect({ host: ip, port, allowHalfOpen: true })
   const exchanges: Exchange[] = []
   let reusable = true
+  let closeAnnouncedAtMs: number | undefined
   let connected = false
   let over = false
   let closedAtMs: number | undefined
@@ -77,6 +78,7 @@
     exchange.end = end
     exchange.endedAtMs = clock.nowMs()
     exchange.closedAtMs = closedAtMs
+    exchange.closeAnnouncedAtMs = closeAnnouncedAtMs
     lastUsedAtMs = exchange.endedAtMs
     exchange.onEnd()
   }
@@ -89,7 +91,10 @@
   const parser = createResponseParser({
     onHead: head => {
       onHead()
-      if (head.headers.get('connection')?.toLowerCase() === 'close') reusable = false
+      if (head.headers.get('connection')?.toLowerCase() === 'close') {
+        reusable = false
+        closeAnnouncedAtMs ??= clock.nowMs()
+      }
       if (exchanges.length === 0) return
       exchanges[0].headAtMs = clock.nowMs()
       exchanges[0].head = head
@@ -162,7 +167,7 @@
 
   return {
     send: (parts, onEnd) => {
-      const exchange: Exchange = { sendBeganAtMs: clock.nowMs(), sentAtMs: undefined, deliveredAtMs: undefined, headAtMs: undefined, head: undefined, body: [], lastDataAtMs: clock.nowMs(), lastByteAtMs: undefined, end: undefined, endedAtMs: 0, closedAtMs: undefined, onEnd }
+      const exchange: Exchange = { sendBeganAtMs: clock.nowMs(), sentAtMs: undefined, deliveredAtMs: undefined, headAtMs: undefined, head: undefined, body: [], lastDataAtMs: clock.nowMs(), lastByteAtMs: undefined, end: undefined, endedAtMs: 0, closedAtMs: undefined, closeAnnouncedAtMs: undefined, onEnd }
       exchanges.push(exchange)
       sendParts(exchange, parts).catch(() => finishAll('reset'))
       return exchange
--- a/packages/anvilarch-platform-soak/src/clients/traffic.ts
+++ b/packages/anvilarch-platform-soak/src/clients/traffic.ts
@@ -1,7 +1,8 @@
 /** Load: clients that arrive at random at a rate that swings, each with its kind and form of request. */
-import { type Clock, createRandom, type Random, sleep } from 'anvilarch-utils'
+import { type Clock, type Random, sleep } from 'anvilarch-utils'
+import { createDerivedRandom } from '../derivedRandom'
 import { IDLE_TIMEOUT_MS, PORTS, REQUEST_KINDS, type RequestKind } from '../deployment'
-import { drawLinkProfile } from '../links/linkTiming'
+import { drawLinkProfile } from 'anvilarch-standins'
 import type { Machine } from '../machines/fleet'
 import type { Rotation } from '../machines/rotation'
 import { type Attempt, mayRetry, runAttempt } from './attempt'
@@ -53,7 +54,7 @@
 
 /** @returns the running load */
 export function startTraffic ({ clock, seed, rotation, rate, pipelines }: TrafficOptions): Traffic {
-  const random = createRandom(seed)
+  const random = createDerivedRandom(seed)
   const attempts: Attempt[] = []
   const idle = new Set<Client>()
   const inProgress = new Set<Promise<void>>()
@@ -100,12 +101,12 @@
 
   const arrive = async (): Promise<void> => {
     calls++
-    const callRandom = createRandom(seed * 1_000_003 + calls)
+    const callRandom = createDerivedRandom(seed * 1_000_003 + calls)
     const kind = drawKind(callRandom)
     const drawn = drawForm(callRandom, kind, pipelines)
     const kept = drawn.connection === 'kept' ? takeIdle(callRandom) : undefined
     const client = kept === undefined ? open(callRandom, drawn) : { ...kept, form: { ...drawn, linked: kept.form.linked, readsSlowly: kept.form.readsSlowly } }
-    const behind = drawn.pipelined ? [call(createRandom(seed * 1_000_003 - calls), kind, client)] : []
+    const behind = drawn.pipelined ? [call(createDerivedRandom(seed * 1_000_003 - calls), kind, client)] : []
     await Promise.all([call(callRandom, kind, client), ...behind])
     if (drawn.connection === 'kept' && client.connection.isReusable()) idle.add(client)
     else client.connection.leave()
--- a/packages/anvilarch-platform-soak/src/rule/types.ts
+++ b/packages/anvilarch-platform-soak/src/rule/types.ts
@@ -18,6 +18,7 @@
   sentAtMs: number | undefined
   /** Time that the last byte took to the gateway's host, and the end of the connection from there to the client. */
   linkDelayMs: number
+  closeAnnouncedAtMs?: number
   /** Time at which the head of the response arrived; undefined if there is none. */
   headAtMs: number | undefined
   status: number | undefined
@@ -29,7 +30,7 @@
 }
 
 /** How a run ended at its endpoint. `broke_off`: the endpoint ended it. `dropped`: its sender closed the connection. */
-export type RunEnd = 'complete' | 'broke_off' | 'dropped' | 'running'
+export type RunEnd = 'complete' | 'broke_off' | 'dropped' | 'rejected' | 'running'
 
 /** Run of a request at an endpoint, from its arrival there. */
 export interface EndpointRun {
--- a/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
@@ -9,7 +9,7 @@
 import { openFleet } from '../machines/fleet'
 import { startRotation } from '../machines/rotation'
 import type { ConfigurationChange, Evidence } from '../rule/types'
-import { openEndpoints } from '../standins/endpoints'
+import { openEndpoints } from '../work/endpoints'
 import { performStep, type WorkContext } from '../work/performStep'
 import { drawSchedule, type WorkKind } from '../work/schedule'
 
--- a/packages/anvilarch-platform-soak/src/standins/endpoints.ts
+++ b/packages/anvilarch-platform-soak/src/work/endpoints.ts
@@ -1,11 +1,9 @@
 /** The endpoints of a run: engines and plain services with their rows in the store. */
-import { type Clock, createRandom, type Random, sleep } from 'anvilarch-utils'
-import type { StoreStandin } from 'anvilarch-standins'
-import { DRAIN_MS, HEARTBEAT_MS, PORTS, ZONES } from '../deployment'
-import { type LinkedPort, startLinkedPort } from '../links/linkedPort'
-import { drawLinkProfile } from '../links/linkTiming'
+import { type Clock, type Random, sleep } from 'anvilarch-utils'
+import { createDerivedRandom } from '../derivedRandom'
+import { drawLinkProfile, type EndpointStandin, type LinkedPort, startEndpointStandin, startLinkedPort, type StoreStandin } from 'anvilarch-standins'
+import { DRAIN_MS, HEARTBEAT_MS, PORTS, STREAM_EVENTS, ZONES } from '../deployment'
 import type { EndpointRun } from '../rule/types'
-import { type Engine, startEngine } from './engine'
 
 const SLOTS = { models: 8, plain: 6 } as const
 
@@ -23,7 +21,7 @@
 
 /** Endpoint with its row. */
 export interface Endpoint {
-  engine: Engine
+  engine: EndpointStandin
   softwareVersion: string
   /** Address in its row, which may be that of a link. */
   address: string
@@ -36,8 +34,8 @@
 export interface Endpoints {
   runs: EndpointRun[]
   /** @returns endpoints of a service that are not leaving */
-  serving: (service: Engine['service']) => Endpoint[]
-  add: (service: Engine['service'], softwareVersion: string) => Promise<Endpoint>
+  serving: (service: EndpointStandin['service']) => Endpoint[]
+  add: (service: EndpointStandin['service'], softwareVersion: string) => Promise<Endpoint>
   /** Announces the end of an endpoint and ends it later. */
   remove: (endpoint: Endpoint, random: Random) => Promise<void>
   close: () => Promise<void>
@@ -75,8 +73,8 @@
     serving: service => [...all].filter(({ engine, state }) => engine.service === service && state === 'ready'),
     add: async (service, softwareVersion) => {
       added++
-      const random = createRandom(seed + added)
-      const engine = await startEngine({ id: `i-${service}-${added}`, ip: await nextIp(), port: PORTS.engine, service, slots: SLOTS[service], clock, random, runs })
+      const random = createDerivedRandom(seed + added)
+      const engine = await startEndpointStandin({ id: `i-${service}-${added}`, ip: await nextIp(), port: PORTS.engine, service, slots: SLOTS[service], events: STREAM_EVENTS, clock, random, runs })
       const endpoint: Endpoint = { engine, softwareVersion, address: engine.address, zone: ZONES[added % ZONES.length], state: 'ready', seq: 0 }
       if (random.next() < LINKED_SHARE) {
         const link = await startLinkedPort({ clock, random, profile: drawLinkProfile(random), ip: engine.ip, port: LINK_PORT, targetPort: PORTS.engine })
--- a/packages/anvilarch-platform-soak/src/work/performStep.ts
+++ b/packages/anvilarch-platform-soak/src/work/performStep.ts
@@ -1,12 +1,13 @@
 /** Performs the steps of planned work. */
-import { type Clock, createRandom, type Random, sleep } from 'anvilarch-utils'
+import { type Clock, type Random, sleep } from 'anvilarch-utils'
+import { createDerivedRandom } from '../derivedRandom'
 import type { Traffic } from '../clients/traffic'
 import { type ConfigurationVariant, configurationDocument } from '../deployment'
 import type { Fleet, Machine } from '../machines/fleet'
 import type { Rotation } from '../machines/rotation'
 import type { ConfigurationChange } from '../rule/types'
 import type { StoreStandin } from 'anvilarch-standins'
-import type { Endpoints } from '../standins/endpoints'
+import type { Endpoints } from './endpoints'
 import type { WorkKind, WorkStep } from './schedule'
 
 /** What the steps act on. */
@@ -47,7 +48,7 @@
  * @returns when the step and what follows it are over
  */
 export async function performStep (context: WorkContext, { kind, seed }: WorkStep): Promise<void> {
-  await STEPS[kind](context, createRandom(seed))
+  await STEPS[kind](context, createDerivedRandom(seed))
 }
 
 const STEPS: Record<WorkKind, (context: WorkContext, random: Random) => Promise<void>> = {
--- a/packages/anvilarch-platform-soak/src/work/schedule.ts
+++ b/packages/anvilarch-platform-soak/src/work/schedule.ts
@@ -1,9 +1,10 @@
 /** Chooses the planned work of a run from its seed: one series for each kind, which overlap. */
-import { createRandom, type Random } from 'anvilarch-utils'
+import type { Random } from 'anvilarch-utils'
+import { createDerivedRandom } from '../derivedRandom'
 
 /** Kinds of planned work, with the gaps between the starts of two entries and how many steps an entry has. */
 const SERIES = {
-  roll_gateways: { gapMs: [5000, 10_000], steps: [2, 9], stepGapMs: [1000, 1300] },
+  roll_gateways: { gapMs: [8000, 14_000], steps: [2, 6], stepGapMs: [1000, 1300] },
   stop_agents: { gapMs: [5000, 12_000], steps: [1, 2], stepGapMs: [500, 1500] },
   reload: { gapMs: [3000, 8000], steps: [1, 3], stepGapMs: [300, 1200] },
   configure: { gapMs: [2000, 6000], steps: [1, 3], stepGapMs: [200, 1500] },
@@ -40,7 +41,7 @@
  * @returns the steps in the order of their times
  */
 export function drawSchedule (kinds: readonly WorkKind[], seed: number, durationMs: number): WorkStep[] {
-  const steps = kinds.flatMap(kind => drawSeries(kind, createRandom(seed + 7919 * (1 + WORK_KINDS.indexOf(kind))), durationMs))
+  const steps = kinds.flatMap(kind => drawSeries(kind, createDerivedRandom(seed + 7919 * (1 + WORK_KINDS.indexOf(kind))), durationMs))
   return steps.sort((a, b) => a.atMs - b.atMs)
 }
 
--- a/packages/anvilarch-platform-soak/src/links/linkedPort.ts
+++ b/packages/anvilarch-standins/src/links/linkedPort.ts
@@ -1,5 +1,5 @@
 /** A port whose connections pass through a link to another port of the same machine. */
-import { connect, createServer, type Socket } from 'node:net'
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net'
 import type { Clock, Random } from 'anvilarch-utils'
 import { createLinkFlow, type LinkFlow } from './linkFlow'
 import { createLinkTiming, type LinkProfile } from './linkTiming'
@@ -21,6 +21,7 @@
   random: Random
   profile: LinkProfile
   ip: string
+  /** 0 for any free port. */
   port: number
   targetPort: number
 }
@@ -45,7 +46,7 @@
     server.listen(port, ip, resolve)
   })
   return {
-    address: `${ip}:${port}`,
+    address: `${ip}:${(server.address() as AddressInfo).port}`,
     close: () => {
       for (const socket of sockets) socket.destroy()
       server.close()
--- a/packages/anvilarch-platform-soak/src/standins/engine.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -1,9 +1,7 @@
-/** Stand-in for an endpoint: an engine that computes streams in steps, or a plain service. */
+/** Stand-in for an endpoint of the users' platform: an engine that computes streams in steps, or a plain service. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Random, Timer } from 'anvilarch-utils'
-import { STREAM_EVENTS } from '../deployment'
-import type { EndpointRun } from '../rule/types'
 
 /** Time of a step with one running request, and how much each further one adds: a stream of 35 events takes 0.9 to 1.5 s. */
 const STEP_MS = 24
@@ -18,21 +16,35 @@
 /** Time for which requests in progress may hold up the end of a leaving endpoint. */
 const FINISH_MS = 5000
 
-/** Options of `startEngine`. */
-export interface EngineOptions {
+/** Run of a request at the stand-in, in milliseconds of its clock. */
+export interface EndpointStandinRun {
+  requestId: string
+  endpoint: string
+  arrivedAtMs: number
+  /** Time of the first event or of the response; undefined if it still waited. */
+  beganAtMs: number | undefined
+  /** `broke_off`: the stand-in ended it. `dropped`: its sender closed the connection. `rejected`: refused without a run. */
+  end: 'complete' | 'broke_off' | 'dropped' | 'rejected' | 'running'
+  endedAtMs: number | undefined
+}
+
+/** Options of `startEndpointStandin`. */
+export interface EndpointStandinOptions {
   id: string
   ip: string
   port: number
   service: 'models' | 'plain'
   slots: number
+  /** Events of a stream. */
+  events: number
   clock: Clock
   random: Random
   /** Receives all runs. */
-  runs: EndpointRun[]
+  runs: EndpointStandinRun[]
 }
 
 /** Running stand-in. */
-export interface Engine extends Pick<EngineOptions, 'id' | 'service' | 'slots' | 'ip'> {
+export interface EndpointStandin extends Pick<EndpointStandinOptions, 'id' | 'service' | 'slots' | 'ip'> {
   address: string
   /** Pauses all streams, and preempts the newest run, as when memory runs out. */
   pause: (durationMs: number) => void
@@ -43,7 +55,7 @@
 }
 
 interface Work {
-  run: EndpointRun
+  run: EndpointStandinRun
   response: ServerResponse
   /** Last event that was sent. */
   lastEventId: number
@@ -53,17 +65,17 @@
 }
 
 /** @returns the data of an event of a request */
-export function eventData (eventId: number): string {
+export function endpointEventData (eventId: number): string {
   return `token-${eventId} `.repeat(8)
 }
 
 /** @returns the body of the response of a plain service */
-export function plainBody (requestId: string): string {
+export function endpointBody (requestId: string): string {
   return `answer to ${requestId} `.padEnd(800, '.')
 }
 
 /** @returns the listening stand-in */
-export async function startEngine ({ id, ip, port, service, slots, clock, random, runs }: EngineOptions): Promise<Engine> {
+export async function startEndpointStandin ({ id, ip, port, service, slots, events, clock, random, runs }: EndpointStandinOptions): Promise<EndpointStandin> {
   const active = new Set<Work>()
   const queue: Work[] = []
   const sockets = new Set<Socket>()
@@ -78,7 +90,7 @@
   }
   const stamps = ({ run }: Work): Record<string, string> => ({ 'X-Request-Id': run.requestId, 'X-Server-Stamp': `stamp.${id}`, 'X-Weight-Versions': '1' })
 
-  const settle = (work: Work, end: EndpointRun['end']): void => {
+  const settle = (work: Work, end: EndpointStandinRun['end']): void => {
     if (work.run.end !== 'running') return
     work.run.end = end
     work.run.endedAtMs = clock.nowMs()
@@ -101,7 +113,7 @@
   const completePlain = (work: Work): void => {
     work.run.beganAtMs = clock.nowMs()
     settle(work, 'complete')
-    respond(work.response, 200, stamps(work), plainBody(work.run.requestId))
+    respond(work.response, 200, stamps(work), endpointBody(work.run.requestId))
   }
 
   const scheduleStep = (): void => {
@@ -132,8 +144,8 @@
     }
     run.beganAtMs ??= clock.nowMs()
     work.lastEventId++
-    const text = `id: ${work.lastEventId}\ndata: ${eventData(work.lastEventId)}\n\n`
-    if (work.lastEventId < STREAM_EVENTS) {
+    const text = `id: ${work.lastEventId}\ndata: ${endpointEventData(work.lastEventId)}\n\n`
+    if (work.lastEventId < events) {
       response.write(text)
       return
     }
@@ -152,16 +164,14 @@
       respond(response, leaving ? 503 : 200, { 'X-Instance-Id': id })
       return
     }
-    if (expected !== undefined && expected !== id) {
-      respond(response, 421, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
-      return
-    }
-    if (active.size >= slots && queue.length >= QUEUE_LIMIT) {
-      respond(response, 503, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
+    const nowMs = clock.nowMs()
+    const isOther = expected !== undefined && expected !== id
+    if (isOther || (active.size >= slots && queue.length >= QUEUE_LIMIT)) {
+      runs.push({ requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'rejected', endedAtMs: nowMs })
+      respond(response, isOther ? 421 : 503, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
       return
     }
-    const nowMs = clock.nowMs()
-    const run: EndpointRun = { requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'running', endedAtMs: undefined }
+    const run: EndpointStandinRun = { requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'running', endedAtMs: undefined }
     const work: Work = { run, response, lastEventId: Number(request.headers['last-event-id'] ?? 0), deadlineAtMs: nowMs + Number(request.headers['x-deadline-ms'] ?? 5000), timer: undefined }
     runs.push(run)
     response.on('close', () => settle(work, 'dropped'))
