--- a/packages/anvilarch-platform-soak/src/bin/platformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/bin/platformSoak.ts
@@ -13,7 +13,7 @@
 const MS_PER_MINUTE = 60_000
 
 /** Mean rate that fills the engines at the crest. */
-const REQUESTS_PER_SECOND_PER_ENGINE = 5
+const REQUESTS_PER_SECOND_PER_ENGINE = 6
 
 /** Top of this checkout. */
 const OWN_ROOT = resolve(__dirname, '../../../..')
--- a/packages/anvilarch-platform-soak/src/clients/traffic.ts
+++ b/packages/anvilarch-platform-soak/src/clients/traffic.ts
@@ -12,7 +12,7 @@
 /** The rate swings between these multiples of its mean. */
 const LOWEST_RATE = 0.38
 const HIGHEST_RATE = 1.87
-const SWING_PERIOD_MS = 12_000
+const SWING_PERIOD_MS = 20_000
 
 /** Clients do not reuse a connection that has been idle for longer. */
 const MAX_IDLE_MS = 0.8 * IDLE_TIMEOUT_MS
--- a/packages/anvilarch-platform-soak/src/work/performStep.ts
+++ b/packages/anvilarch-platform-soak/src/work/performStep.ts
@@ -54,18 +54,18 @@
 const STEPS: Record<WorkKind, (context: WorkContext, random: Random) => Promise<void>> = {
   roll_gateways: async (context, random) => {
     const { rotation, traffic } = context
-    const gateway = drawMachine(context, random, 'gateway', machine => rotation.isReady(machine))
+    const gateway = drawMachine(context, random, 'gateway', machine => machine.state === 'running' && rotation.isReady(machine))
     if (gateway === undefined) return
     if (random.next() < AT_RESPONSE_SHARE) await traffic.nextHead(gateway, MAX_WAIT_FOR_HEAD_MS)
     if (gateway.state === 'running') await stopAndRestart(context, random, gateway)
   },
   stop_agents: async (context, random) => {
-    const agent = drawMachine(context, random, 'agent', machine => context.clock.nowMs() - machine.startedAtMs > MIN_AGE_FOR_RELOAD_MS)
+    const agent = drawMachine(context, random, 'agent', machine => machine.state === 'running' && context.clock.nowMs() - machine.startedAtMs > MIN_AGE_FOR_RELOAD_MS)
     if (agent !== undefined) await stopAndRestart(context, random, agent)
   },
   reload: async (context, random) => {
     const { clock, fleet, log } = context
-    const machine = drawMachine(context, random, 'gateway', ({ startedAtMs }) => clock.nowMs() - startedAtMs > MIN_AGE_FOR_RELOAD_MS)
+    const machine = drawMachine(context, random, 'gateway', ({ state, startedAtMs }) => state !== 'stopped' && clock.nowMs() - startedAtMs > MIN_AGE_FOR_RELOAD_MS)
     if (machine === undefined) return
     log(`SIGHUP to ${machine.name}`)
     fleet.reload(machine)
@@ -111,7 +111,7 @@
 }
 
 function drawMachine ({ fleet }: WorkContext, random: Random, role: Machine['role'], isEligible: (machine: Machine) => boolean): Machine | undefined {
-  const eligible = fleet.machines.filter(machine => machine.role === role && machine.state === 'running' && isEligible(machine))
+  const eligible = fleet.machines.filter(machine => machine.role === role && isEligible(machine))
   return eligible.length === 0 ? undefined : random.pick(eligible)
 }
 
