--- a/packages/anvilarch-platform-soak/src/clients/attempt.ts
+++ b/packages/anvilarch-platform-soak/src/clients/attempt.ts
@@ -18,6 +18,10 @@
 /** What was seen of an attempt. */
 export interface Attempt extends ClientRequest {
   kind: RequestKind
+  /** Time at which the last byte came to the gateway's host. */
+  deliveredAtMs: number | undefined
+  /** Time at which the connection ended at the gateway's host. */
+  closedAtMs: number | undefined
   /** Whether a response with a 2xx status has the signature and the whole body. */
   isSigned: boolean
   isIntact: boolean
@@ -54,7 +58,6 @@
   const body = Buffer.concat(exchange.body).toString()
   const firstEventId = (fields.lastEventId ?? 0) + 1
   const status = exchange.head?.status
-  const closeDelayMs = exchange.closedAtMs === undefined ? 0 : exchange.endedAtMs - exchange.closedAtMs
   return {
     requestId,
     gateway,
@@ -63,7 +66,6 @@
     routeTimeoutMs: kind.timeoutMs,
     sendBeganAtMs: exchange.sendBeganAtMs,
     sentAtMs: exchange.deliveredAtMs === undefined ? undefined : exchange.sentAtMs,
-    linkDelayMs: exchange.deliveredAtMs === undefined ? 0 : exchange.deliveredAtMs - (exchange.sentAtMs ?? exchange.deliveredAtMs) + closeDelayMs,
     headAtMs: exchange.headAtMs,
     status,
     lastByteAtMs: exchange.lastByteAtMs,
@@ -72,6 +74,8 @@
     endedAtMs: exchange.endedAtMs,
     form: describeForm(form),
     kind,
+    deliveredAtMs: exchange.deliveredAtMs,
+    closedAtMs: exchange.closedAtMs,
     isSigned: exchange.head?.headers.has('x-server-stamp') ?? false,
     isIntact: body === (kind.service === 'plain' ? endpointBody(requestId) : streamBody(firstEventId)),
     lastEventId: Number([...body.matchAll(/^id: (\d+)\n.*\n\n/gm)].at(-1)?.[1] ?? firstEventId - 1),
--- a/packages/anvilarch-platform-soak/src/rule/types.ts
+++ b/packages/anvilarch-platform-soak/src/rule/types.ts
@@ -14,30 +14,32 @@
   routeTimeoutMs: number
   /** Time at which the first byte was sent. */
   sendBeganAtMs: number
-  /** Time at which the last byte was sent; undefined if the connection ended before that byte was at the gateway's host. */
+  /** Time at which the last byte was sent; undefined if the connection ended before. */
   sentAtMs: number | undefined
-  /** Time that the last byte took to the gateway's host, and the end of the connection from there to the client. */
-  linkDelayMs: number
-  closeAnnouncedAtMs?: number
   /** Time at which the head of the response arrived; undefined if there is none. */
   headAtMs: number | undefined
   status: number | undefined
   lastByteAtMs: number | undefined
+  /** Time at which the head of an earlier response with `Connection: close` arrived on the same connection; undefined if there is none. */
+  closeAnnouncedAtMs?: number
   end: ResponseEnd
   endedAtMs: number
   /** How the request was sent and read, for reports. */
   form: string
 }
 
-/** How a run ended at its endpoint. `broke_off`: the endpoint ended it. `dropped`: its sender closed the connection. */
-export type RunEnd = 'complete' | 'broke_off' | 'dropped' | 'rejected' | 'running'
+/**
+ * How a run ended at its endpoint. `rejected`: the endpoint responded that it did not run the request. `broke_off`: the endpoint ended it.
+ * `dropped`: its sender closed the connection.
+ */
+export type RunEnd = 'complete' | 'rejected' | 'broke_off' | 'dropped' | 'running'
 
 /** Run of a request at an endpoint, from its arrival there. */
 export interface EndpointRun {
   requestId: string
   endpoint: string
   arrivedAtMs: number
-  /** Time of the first event or of the response; undefined if it still waited. */
+  /** Time at which the endpoint began to work on it; undefined if it waited for a slot until its end. */
   beganAtMs: number | undefined
   end: RunEnd
   /** Undefined while it runs. */
@@ -55,7 +57,8 @@
 export interface ConfigurationChange {
   version: number
   sentAtMs: number
-  acknowledgedAtMs: number
+  /** Undefined if no acknowledgement came; it may be in force even so. */
+  acknowledgedAtMs: number | undefined
 }
 
 /** Disruption that is not planned work. */
--- a/packages/anvilarch-platform-soak/src/run/report.ts
+++ b/packages/anvilarch-platform-soak/src/run/report.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { type Attempt } from '../clients/attempt'
 import { checkLost } from '../rule/checkLost'
-import type { ClientRequest, EndpointRun, Evidence } from '../rule/types'
+import type { ClientRequest, EndpointRun } from '../rule/types'
 import type { PlatformSoakResult } from './runPlatformSoak'
 
 /** Lines of a log that are shown for a request. */
@@ -28,12 +28,13 @@
   const unsigned = attempts.filter(attempt => isSuccess(attempt) && !attempt.isSigned)
   const notIntact = attempts.filter(attempt => isSuccess(attempt) && !attempt.isIntact)
   const ranTwice = attempts.filter(({ kind, requestId }) => !kind.repeatable && (runsOf.get(requestId) ?? []).filter(run => run.beganAtMs !== undefined).length > 1)
-  const describe = (title: string, request: ClientRequest): string[] => [title, ...describeRequest(request, evidence, runsOf), ...logLines(request, logPaths)]
+  const describe = (title: string, request: ClientRequest, fromMs = request.sendBeganAtMs, from = 'its first byte'): string[] =>
+    [title, ...describeRequest(request, fromMs, from, runsOf.get(request.requestId) ?? []), ...logLines(request, logPaths)]
   return {
     lost: losses.length,
     counts: { lost: losses.length, 'refused but ran': refusedButRan.length, 'without signature': unsigned.length, 'not intact': notIntact.length, 'ran twice': ranTwice.length, 'processes that ended by themselves': problems.length },
     lines: [
-      ...losses.flatMap(({ request, reason }) => describe(`lost: ${reason}`, request)),
+      ...losses.flatMap(({ request, work, part }) => describe(`lost: ${part}`, request, work.atMs, work.kind)),
       ...refusedButRan.flatMap(request => describe('refused but ran', request)),
       ...unsigned.flatMap(request => describe('success without signature', request)),
       ...notIntact.flatMap(request => describe('success that is not intact', request)),
@@ -59,15 +60,12 @@
   return groups
 }
 
-/** All times are relative to the last signal to the gateway before the request ended. */
-function describeRequest (request: ClientRequest, { signals }: Evidence, runsOf: Map<string, EndpointRun[]>): string[] {
-  const signal = signals.filter(({ machine, atMs }) => machine === request.gateway && atMs <= request.endedAtMs).at(-1)
-  const time = (atMs: number | undefined): string => atMs === undefined ? '-' : `${Math.round(atMs - (signal?.atMs ?? 0))} ms`
+function describeRequest (request: ClientRequest, fromMs: number, from: string, runs: readonly EndpointRun[]): string[] {
+  const time = (atMs: number | undefined): string => atMs === undefined ? '-' : `${Math.round(atMs - fromMs)} ms`
   const status = request.status === undefined ? 'no status' : `status ${request.status}`
-  const runs = runsOf.get(request.requestId) ?? []
   return [
-    `  ${request.requestId} ${request.route} at ${request.gateway}, ${request.form}; times after ${signal?.signal ?? 'the start'}`,
-    `  began ${time(request.sendBeganAtMs)}, sent ${time(request.sentAtMs)}, head ${time(request.headAtMs)}, ${status}, last byte ${time(request.lastByteAtMs)}, ${request.end} ${time(request.endedAtMs)}, deadline ${request.deadlineMs} ms`,
+    `  ${request.requestId} ${request.route} at ${request.gateway}, ${request.form}; times after ${from}`,
+    `  began ${time(request.sendBeganAtMs)}, sent ${time(request.sentAtMs)}, head ${time(request.headAtMs)}, ${status}, last byte ${time(request.lastByteAtMs)}, ${request.end} ${time(request.endedAtMs)}, deadline ${Math.round(request.deadlineMs)} ms`,
     ...runs.map(run => `  run at ${run.endpoint}: arrived ${time(run.arrivedAtMs)}, began ${time(run.beganAtMs)}, ${run.end} ${time(run.endedAtMs)}`)
   ]
 }
--- a/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
@@ -8,7 +8,7 @@
 import { createAddresses } from '../machines/addresses'
 import { openFleet } from '../machines/fleet'
 import { startRotation } from '../machines/rotation'
-import type { ConfigurationChange, Evidence } from '../rule/types'
+import type { ClientRequest, ConfigurationChange, EndpointRun, Evidence } from '../rule/types'
 import { openEndpoints } from '../work/endpoints'
 import { performStep, type WorkContext } from '../work/performStep'
 import { drawSchedule, type WorkKind } from '../work/schedule'
@@ -80,7 +80,7 @@
     await work.stop()
     rotation.close()
     return {
-      evidence: { bounds: BOUNDS, requests: traffic.attempts, runs: endpoints.runs, signals: fleet.signals, changes, disruptions: [] },
+      evidence: { bounds: BOUNDS, requests: toRequests(traffic.attempts, endpoints.runs), runs: endpoints.runs, signals: fleet.signals, changes, disruptions: [] },
       attempts: traffic.attempts,
       problems: fleet.problems,
       logPaths: new Map(fleet.machines.map(({ name }) => [name, join(folder, `${name}.log`)]))
@@ -92,6 +92,15 @@
   }
 }
 
+/**
+ * Over a link, the last byte of a request comes to the process late, and so does the end of the connection to the client. A request that was not
+ * passed on counts by the time that the process had for it, so that both times are those at the gateway's host.
+ */
+function toRequests (attempts: readonly Attempt[], runs: readonly EndpointRun[]): ClientRequest[] {
+  const passedOn = new Set(runs.map(({ requestId }) => requestId))
+  return attempts.map(attempt => passedOn.has(attempt.requestId) ? attempt : { ...attempt, sentAtMs: attempt.deliveredAtMs, endedAtMs: attempt.closedAtMs ?? attempt.endedAtMs })
+}
+
 /** Starts the steps at their times. @returns a function that starts no more of them and reports one that failed */
 function playSchedule (context: WorkContext, { clock, work, seed, durationMs, signal }: PlatformSoakOptions): { stop: () => Promise<void> } {
   const startMs = clock.nowMs()
--- a/packages/anvilarch-platform-soak/src/work/schedule.ts
+++ b/packages/anvilarch-platform-soak/src/work/schedule.ts
@@ -4,7 +4,7 @@
 
 /** Kinds of planned work, with the gaps between the starts of two entries and how many steps an entry has. */
 const SERIES = {
-  roll_gateways: { gapMs: [8000, 14_000], steps: [2, 6], stepGapMs: [1000, 1300] },
+  roll_gateways: { gapMs: [6000, 10_000], steps: [2, 6], stepGapMs: [1000, 1300] },
   stop_agents: { gapMs: [5000, 12_000], steps: [1, 2], stepGapMs: [500, 1500] },
   reload: { gapMs: [3000, 8000], steps: [1, 3], stepGapMs: [300, 1200] },
   configure: { gapMs: [2000, 6000], steps: [1, 3], stepGapMs: [200, 1500] },
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -1,4 +1,7 @@
-/** Catalog of log events and their fields. Field names include their unit; ids come first. */
+/**
+ * Catalog of log events and their fields. Field names include their unit; ids come first, then the fields that distinguish causes, since readers
+ * may keep only the beginning of a line. `drainMs` is the time since the stop signal and is absent in a process that does not drain.
+ */
 
 /** Fields of each event, by message. */
 export interface EventFields {
@@ -7,8 +10,8 @@
   stopping: { graceMs: number }
   'stop signal repeated': Record<string, never>
   'stop waits for requests': { requestCount: number, oldestMethod: string, oldestPath: string, oldestAgeMs: number }
-  /** The request was still in progress when the drain ended. Times count from the stop signal; before it they are negative. */
-  'request ended by the drain': { requestId: string, headAfterSignalMs: number, readAfterSignalMs: number, sentAfterSignalMs: number | undefined, offers: number, answerBegun: boolean }
+  /** The request was still in progress when the drain ended. Times of its head, its last byte and its first send count from the stop signal; before it they are negative. */
+  'request ended by the drain': { requestId: string, headMs: number, readMs: number, sentMs: number | undefined, offers: number, answerBegun: boolean }
   'gateway stopped': { unfinishedRequests: number }
   'runner stopped': { unsavedItems: number }
   'stop failed': { reason: string }
@@ -63,7 +66,7 @@
   /** The request is also sent to another endpoint; the first that sends an event continues it. */
   'endpoint silent': { requestId: string, endpoint: string, lastEventId: number | undefined, afterMs: number }
   'own pause noticed': { requestId: string, endpoint: string, lateMs: number }
-  'attempt failed': { requestId: string, endpoint: string, failure: string, reason: string, sharedPrefixes: string, lastEventId: number | undefined, remainingMs: number }
+  'attempt failed': AttemptFailureFields
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
 
@@ -112,10 +115,22 @@
 
 type RequestEndFields = {
   requestId: string
+  outcome: string
+  drainMs: number | undefined
+  /** Time since the head of the request arrived. */
+  elapsedMs: number
+  reason?: string
+  status?: number
+  /** How the response ended for a client that has received its head. */
+  answerEnd?: AnswerEnd
+  endpoint?: string
+  /** Whether the response came later than the objectives of the route allow. */
+  late?: boolean
   route: string
   account?: string
   kind: string
-  outcome: string
+  /** The client attempt whose stream this request resumes, as named by the client. */
+  resumesRequestId?: string
   configurationVersion: number
   /** Number of attempts that may have run. */
   attempts: number
@@ -127,18 +142,8 @@
   firstEventId?: number
   /** Software version of the endpoint that sent the first of these events. */
   softwareVersion?: string
-  /** The client attempt whose stream this request resumes, as named by the client. */
-  resumesRequestId?: string
-  /** How the response ended for a client that has received its head. */
-  answerEnd?: AnswerEnd
   /** Time from the arrival of the request to the first event of a stream. */
   firstEventMs: number | undefined
-  elapsedMs: number
-  /** Whether the response came later than the objectives of the route allow. */
-  late?: boolean
-  endpoint?: string
-  status?: number
-  reason?: string
 }
 
 /** `complete`: complete by the protocol, even if content is missing. `cut`: this process closed the connection. `left`: the client closed it. */
@@ -186,17 +191,35 @@
   afterMs: number
 }
 
+/** Reason for which an attempt failed. */
+type AttemptFailureFields = {
+  requestId: string
+  reason: string
+  drainMs: number | undefined
+  /** Whether the endpoint may have run the request. */
+  failure: string
+  endpoint: string
+  lastEventId: number | undefined
+  remainingMs: number
+  /** Prompt prefixes that other requests have too. */
+  sharedPrefixes: string
+}
+
 /** Outcomes of the requests of a gateway in the last second, and the age of its configuration and endpoint list. */
 type TrafficFields = {
+  drainMs: number | undefined
   arrived: number
   /** Completed within their objectives. */
   answered: number
-  late: number
-  refused: number
+  /** Responses that are complete and report a failure. */
   failed: number
+  /** Requests without a complete response, since this process closed their connections. */
+  cut: number
+  inProgress: number
+  refused: number
+  late: number
   /** Abandoned by their clients. */
   left: number
-  inProgress: number
   /** Time since the last response of the store about the configuration and the list of endpoints; undefined before the first. */
   configurationAgeMs: number | undefined
   endpointsAgeMs: number | undefined
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -21,7 +21,7 @@
   requestId: string
   endpoint: string
   arrivedAtMs: number
-  /** Time of the first event or of the response; undefined if it still waited. */
+  /** Time of the first event of a stream, or of the start of other work; undefined if it still waited. */
   beganAtMs: number | undefined
   /** `broke_off`: the stand-in ended it. `dropped`: its sender closed the connection. `rejected`: refused without a run. */
   end: 'complete' | 'broke_off' | 'dropped' | 'rejected' | 'running'
@@ -105,13 +105,14 @@
     while (active.size < slots && queue.length > 0) {
       const work = queue.shift() as Work
       active.add(work)
-      if (service === 'plain') work.timer = clock.after(random.jitter(WORK_MS, WORK_JITTER), () => completePlain(work))
+      if (service === 'models') continue
+      work.run.beganAtMs = clock.nowMs()
+      work.timer = clock.after(random.jitter(WORK_MS, WORK_JITTER), () => completePlain(work))
     }
     if (service === 'models' && active.size > 0 && !stepping) scheduleStep()
   }
 
   const completePlain = (work: Work): void => {
-    work.run.beganAtMs = clock.nowMs()
     settle(work, 'complete')
     respond(work.response, 200, stamps(work), endpointBody(work.run.requestId))
   }
