Go back to an endpoint that was only slow, before a stream is cut

Clients saw a stream cut although the endpoint that began it was sound. It had been silent for longer than the response timeout, as all endpoints are when they pause together; the stream went on at a second one, the first attempt was aborted, and the second endpoint broke off. Each attempt counted against the route's limit, and a tried endpoint was never asked again.

While no attempt is in progress and no untried endpoint may be asked, the stream goes back to an endpoint whose attempt was aborted because another one continued the response.

The request histories check that no response fails while such an endpoint is listed, that no more endpoints run a request than the route allows (before: no more attempts, of which each had its own endpoint), and that nothing else is in progress when a request goes back.

--- a/packages/anvilarch-serving/src/endpoints/placement.ts
+++ b/packages/anvilarch-serving/src/endpoints/placement.ts
@@ -17,6 +17,8 @@
   gapObjectiveMs: number
   /** `startId` of endpoints that have been tried. */
   excluded: ReadonlySet<string>
+  /** `startId` of the only endpoints that may be chosen; undefined if any may. */
+  allowed?: ReadonlySet<string>
 }
 
 /** Selects endpoints for requests. */
@@ -61,7 +63,9 @@
 
   const untried = (criteria: PlacementCriteria): readonly Endpoint[] => {
     const usable = endpoints.usable(criteria.service, criteria.softwareVersion)
-    return criteria.excluded.size === 0 ? usable : usable.filter(endpoint => !criteria.excluded.has(endpoint.startId))
+    const { excluded, allowed } = criteria
+    if (excluded.size === 0 && allowed === undefined) return usable
+    return usable.filter(({ startId }) => !excluded.has(startId) && (allowed === undefined || allowed.has(startId)))
   }
 
   return {
--- a/packages/anvilarch-serving/src/requests/attemptEnd.ts
+++ b/packages/anvilarch-serving/src/requests/attemptEnd.ts
@@ -46,7 +46,7 @@
  */
 export function recordCompletion (parts: Pick<ForwardParts, 'crashes' | 'holdTimes' | 'clock'>, client: ClientRequest, state: RequestState): void {
   // Several endpoints may complete a stream together, although each of them crashes. A lookup is completed by one endpoint.
-  const isWholeRun = client.route.kind !== 'stream' || (state.attemptsThatMayHaveRun === 0 && client.metadata.lastEventId === undefined)
+  const isWholeRun = client.route.kind !== 'stream' || (state.ranAt.size === 0 && client.metadata.lastEventId === undefined)
   if (isWholeRun) parts.crashes.onCompleted(requestIdentityOf(client))
   // The request waits in the queue until its first event and holds the slot from then on.
   if (state.service !== undefined && state.firstEventAtMs !== undefined) parts.holdTimes.onCompleted(state.service, parts.clock.nowMs() - state.firstEventAtMs)
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -144,7 +144,7 @@
     deadlineAtMs: arrivedAtMs + timeoutMs,
     requestLog: createRequestLog(parts.log),
     tried: new Set(),
-    attemptsThatMayHaveRun: 0,
+    ranAt: new Set(),
     sendCount: 0,
     firstSentAtMs: undefined,
     refusedSendCount: 0,
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -97,7 +97,8 @@
   readonly requestLog: RequestLog
   /** Start ids of the endpoints that the request has been sent to. */
   readonly tried: Set<string>
-  attemptsThatMayHaveRun: number
+  /** Start ids of the endpoints that may have run the request, apart from attempts in progress. */
+  readonly ranAt: Set<string>
   /** All sends, refused ones included. */
   sendCount: number
   /** Local time of the first send. */
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/nextEndpoint.ts
@@ -0,0 +1,60 @@
+/** Chooses the endpoint of the next send of a request: one that has not been tried, or one that it may go back to. */
+import type { Endpoint } from '../model/types'
+import { type ClientRequest, type ForwardParts, placementCriteria, type RequestState } from './forwardTypes'
+import type { AbortedAttempt, RunningAttempts } from './runningAttempts'
+
+/** Choice of endpoints for one request. */
+export interface NextEndpoint {
+  /** @returns the best endpoint that has not been tried */
+  untried: () => Endpoint | undefined
+  /** @returns the best endpoint that the request may go back to */
+  aborted: () => Endpoint | undefined
+  /** @returns the endpoint of the next send */
+  choose: () => Endpoint | undefined
+  /** Registers an attempt that was aborted because another endpoint continued the response. Its endpoint may be sound, and only slow. */
+  onAborted: (attempt: AbortedAttempt) => void
+  /** Registers a send. */
+  onSent: (endpoint: Endpoint) => void
+  /** @returns number of endpoints that run the request or may have run it. The route limits it, so that going back to one of them is no further attempt. */
+  startedCount: () => number
+}
+
+const NO_ENDPOINTS: ReadonlySet<string> = new Set()
+
+/**
+ * @param parts - placement
+ * @param client - the request
+ * @param state - progress of the request; its tried endpoints are updated
+ * @param running - attempts in progress
+ * @returns the choice
+ */
+export function createNextEndpoint ({ placement }: Pick<ForwardParts, 'placement'>, client: ClientRequest, state: RequestState, running: Pick<RunningAttempts, 'all' | 'count'>): NextEndpoint {
+  /** Start ids of endpoints whose attempts were aborted. */
+  const abortedAt = new Set<string>()
+
+  const untried = (): Endpoint | undefined =>
+    state.service === undefined ? undefined : placement.choose(placementCriteria(client, state, state.service))
+
+  const aborted = (): Endpoint | undefined =>
+    state.service === undefined || abortedAt.size === 0
+      ? undefined
+      : placement.choose({ ...placementCriteria(client, state, state.service), excluded: NO_ENDPOINTS, allowed: abortedAt })
+
+  const startedCount = (): number =>
+    state.ranAt.size + running.all().filter(({ endpoint }) => !state.ranAt.has(endpoint.startId)).length
+
+  return {
+    untried,
+    aborted,
+    choose: () => {
+      const next = startedCount() < client.route.maxAttempts ? untried() : undefined
+      return next ?? (running.count() === 0 ? aborted() : undefined)
+    },
+    onAborted: ({ endpoint, mayHaveRun }) => { if (mayHaveRun) abortedAt.add(endpoint.startId) },
+    onSent: ({ startId }) => {
+      state.tried.add(startId)
+      abortedAt.delete(startId)
+    },
+    startedCount
+  }
+}
--- a/packages/anvilarch-serving/src/requests/requestCompletion.ts
+++ b/packages/anvilarch-serving/src/requests/requestCompletion.ts
@@ -65,7 +65,7 @@
       resumesRequestId: metadata.resumesRequestId,
       outcome,
       configurationVersion: client.configurationVersion,
-      attempts: state.attemptsThatMayHaveRun,
+      attempts: state.ranAt.size,
       offers: state.sendCount,
       lastEventId: state.lastEventId,
       ...state.responseStarted ? { eventCount: state.eventCount, firstEventId: state.firstEventId, softwareVersion: state.origin?.softwareVersion } : {},
--- a/packages/anvilarch-serving/src/requests/retryDecision.ts
+++ b/packages/anvilarch-serving/src/requests/retryDecision.ts
@@ -12,7 +12,7 @@
 
 /** Progress of a request after an attempt. */
 export interface RequestProgress {
-  /** Attempts that may have run, the last one included. */
+  /** Endpoints that may have run the request, the last one included, and those with an attempt in progress left out. */
   attemptsThatMayHaveRun: number
   /** Attempts that have neither ended nor been aborted. */
   attemptsInProgress: number
@@ -22,6 +22,11 @@
   responseStarted: boolean
   /** Whether there is an endpoint that has not been tried. */
   hasUntriedEndpoint: boolean
+  /**
+   * Whether there is an endpoint whose attempt was aborted because another one continued the response. It counts as an attempt already,
+   * so that the request may go back to it.
+   */
+  hasAbortedEndpoint: boolean
   remainingMs: number
   /** Whether this gateway may begin another send; false late in a drain. */
   mayBeginSend: boolean
@@ -49,8 +54,10 @@
   const hasAttemptLeft = startedCount < route.maxAttempts
   const retryable = startedCount === 0 || isRetryable(route)
   const maySendBeside = progress.attemptsInProgress === 0 || progress.allSilent
-  if (progress.mayBeginSend && hasTimeLeft && retryable && hasAttemptLeft && maySendBeside && progress.hasUntriedEndpoint) return 'send_again'
+  const maySend = progress.mayBeginSend && hasTimeLeft && retryable
+  if (maySend && hasAttemptLeft && maySendBeside && progress.hasUntriedEndpoint) return 'send_again'
   if (progress.attemptsInProgress > 0) return 'wait'
+  if (maySend && progress.hasAbortedEndpoint) return 'send_again'
   if (progress.responseStarted) return 'break_off'
   if (!mayHaveRun) return 'refuse'
   return hasTimeLeft ? 'fail' : 'time_out'
