Show that a slow next head cuts the response before it

The test fails on this code: a client sends the first bytes of a next head while its response runs, and the response is cut when the header timeout has passed. The request of the response had come whole.

--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -114,6 +114,35 @@
   })
 })
 
+describe('a head that stays incomplete for longer than the header timeout', () => {
+  const HEADER_TIMEOUT_MS = 100
+
+  /** Exceeds the interval at which Node.js checks for such heads. */
+  const CHECKED_MS = 1000
+
+  beforeEach(() => clients.applyLimits({ maxHeaderBytes: 16384, maxBodyBytes: 1000, headerTimeoutMs: HEADER_TIMEOUT_MS, idleTimeoutMs: 15_000 }))
+
+  // Guards against a response that is cut although its own request had come whole.
+  it('does not end the response before it, but its connection after that', async () => {
+    const { socket, received, closed } = await openClient('/1')
+    handled[0].response.write('first half, ')
+    socket.write('GET /2 HTTP/1.1\r\nHo')
+    await new Promise(resolve => setTimeout(resolve, CHECKED_MS))
+    handled[0].response.end('second half')
+    await until(closed)
+    expect(received()).toMatch(/first half, [^]*second half\r\n0\r\n\r\n$/)
+    expect(handled.map(({ path }) => path)).toEqual(['/1'])
+  })
+
+  it('is answered with 408 if nothing is before it', async () => {
+    const { socket, received, closed } = await openClient()
+    socket.write('GET /2 HTTP/1.1\r\nHo')
+    await new Promise(resolve => setTimeout(resolve, CHECKED_MS))
+    await until(closed)
+    expect(received()).toMatch(/^HTTP\/1.1 408/)
+  })
+})
+
 describe('a flood of new connections', () => {
   // Guards against a gateway that reads the requests of most clients of a zone and answers them late.
   it('is closed with the requests unread while the process is late', async () => {
