Finish the responses before a head that exceeds the header timeout

Clients that had sent the first bytes of a next request saw the response in progress cut when the header timeout had passed, although its own request had come whole. Node.js reports the timeout for the connection, and the server cut what was unfinished on it.

The responses in progress are completed, and the connection is closed after the last one. Without a response in progress the head is refused with 408 as before. Bytes that are no request still end the connection at once.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -57,10 +57,13 @@
  */
 const MAX_HEAD_BYTES = 256 * 1024
 
+/** Error code of a head that exceeds the header timeout. */
+const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
+
 /** Responses to parser errors by error code. All other errors count as malformed. */
 const PARSER_ERROR_RESPONSES: ReadonlyMap<string, { status: number, reason: string }> = new Map([
   ['HPE_HEADER_OVERFLOW', { status: 431, reason: 'Request Header Fields Too Large' }],
-  ['ERR_HTTP_REQUEST_TIMEOUT', { status: 408, reason: 'Request Timeout' }]
+  [HEAD_TIMEOUT_CODE, { status: 408, reason: 'Request Timeout' }]
 ])
 
 const MALFORMED = { status: 400, reason: 'Bad Request' }
@@ -75,6 +78,8 @@
   const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
   const connections = new Set<Socket>()
   const lingeringClose = createLingeringClose(options.clock)
+  /** Connections that are closed after their last response. */
+  const closingConnections = new WeakSet<Socket>()
   let finishing = false
   const handleInOrder = createPipelineHandler(options.onRequest)
   const responsesOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
@@ -97,6 +102,7 @@
     response.on('close', () => {
       inProgress.delete(response)
       if (finishing) closeIfFinished(request.socket)
+      else if (closingConnections.has(request.socket) && responsesOn(request.socket).length === 0) request.socket.destroySoon()
     })
     handleInOrder(request, response, unfinished.arrivedAtMs)
   })
@@ -108,6 +114,11 @@
   server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(cutUnfinishedResponse)) })
   closeExcessConnections(server, options)
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
+    if (error.code === HEAD_TIMEOUT_CODE && responsesOn(socket).length > 0) {
+      // The requests before this head have come whole.
+      closingConnections.add(socket)
+      return
+    }
     const { status, reason } = PARSER_ERROR_RESPONSES.get(error.code ?? '') ?? MALFORMED
     const unfinishedResponses = responsesOn(socket)
     if (error.code === 'ECONNRESET' || !socket.writable || unfinishedResponses.length > 0) {
