Answer requests whose handling fails, instead of closing their connection

An exception while a request waits for loads, permits or the origin of its stream, or in a job call, closed the connection without a response, after a line in the log.

It gets 502 now, or is cut if its response has begun.

--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -19,6 +19,13 @@
   message: 'this gateway stops before it could complete the request; it has not run, and another gateway can serve it'
 }
 
+/** Response to a request whose handling has failed in this process. It may have run. */
+export const INTERNAL_ERROR_RESPONSE: GatewayResponse = {
+  status: 502,
+  code: 'internal_error',
+  message: 'this gateway failed to handle the request, which may have run; its log has the reason'
+}
+
 /** Responses whose connection has a further request. */
 const followedResponses = new WeakSet<ServerResponse>()
 
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -5,7 +5,7 @@
 import { chooseService } from '../routing/matchRoute'
 import { bindStream, resumesStream, streamIdOf } from './bindStream'
 import { isFirstAttempt, type RefusedRequest, returnAtTurnMs } from './callerReturn'
-import { type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
+import { type GatewayResponse, INTERNAL_ERROR_RESPONSE, STOPPING_RESPONSE } from './clientResponse'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import { endByDrain } from './endByDrain'
 import { checkOverload, type Overload, type Refusal } from './overload'
@@ -91,7 +91,8 @@
     })
     .catch(error => {
       parts.log.error('request handling failed', { reason: (error as Error).message })
-      end.abortConnection('internal_error')
+      attempts.stop()
+      end.respond(INTERNAL_ERROR_RESPONSE)
     })
 }
 
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -13,7 +13,7 @@
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
-import { closeAfterLastResponse, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
+import { closeAfterLastResponse, INTERNAL_ERROR_RESPONSE, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
 import { type Attempt, type EndpointResponse, isFull, type ResponseHead, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
@@ -87,7 +87,8 @@
       })
       .catch(error => {
         log.error('request handling failed', { reason: (error as Error).message })
-        end.abortConnection('internal_error')
+        stop()
+        end.respond(INTERNAL_ERROR_RESPONSE)
       })
   }
 
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -18,6 +18,7 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { WorkTable } from '../jobs/workTable'
 import { createByteBudget } from '../requests/byteBudget'
+import { INTERNAL_ERROR_RESPONSE, sendGatewayResponse } from '../requests/clientResponse'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { createHoldTimes } from '../requests/holdTimes'
 import { createLogRateLimiter } from '../telemetry/logRateLimiter'
@@ -180,7 +181,8 @@
       })
         .catch(error => {
           log.error('request handling failed', { reason: (error as Error).message })
-          response.destroy()
+          if (response.headersSent) response.destroy()
+          else sendGatewayResponse(response, INTERNAL_ERROR_RESPONSE, drainState)
         })
     }
   })
