--- a/packages/anvilarch-serving/src/requests/__tests__/requestCompletion.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestCompletion.test.ts
@@ -30,7 +30,7 @@
   }
   const parts = { clock, log, metrics: createServingMetrics(), traffic, logRateLimiter: createLogRateLimiter(clock, 20), drainState }
   const client = { response: response as unknown as ServerResponse, route: { name: 'r-pes2etv', kind: 'stream' }, metadata: { requestId: REQUEST_ID }, caller: { caller: 'unchecked' }, arrivedAtMs: clock.nowMs() }
-  const state = { responseStarted: true, longestGapMs: 0, requestLog: { note: () => {}, flush: () => {} } }
+  const state = { responseStarted: true, ranAt: new Set<string>(), longestGapMs: 0, requestLog: { note: () => {}, flush: () => {} } }
   return createRequestCompletion(parts as unknown as ForwardParts, client as unknown as ClientRequest, state as unknown as RequestState, () => {})
 }
 
