--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -5,7 +5,7 @@
 import { chooseService } from '../routing/matchRoute'
 import { bindStream, resumesStream, streamIdOf } from './bindStream'
 import { isFirstAttempt, type RefusedRequest, returnAtTurnMs } from './callerReturn'
-import { cutReasonOf, type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
+import { cutReasonOf, type GatewayResponse, INTERNAL_ERROR_RESPONSE, STOPPING_RESPONSE } from './clientResponse'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import { endByDrain } from './endByDrain'
 import { checkOverload, type Overload, type Refusal } from './overload'
@@ -93,7 +93,8 @@
     })
     .catch(error => {
       parts.log.error('request handling failed', { reason: (error as Error).message })
-      end.abortConnection('internal_error')
+      attempts.stop()
+      end.respond(INTERNAL_ERROR_RESPONSE)
     })
 }
 
@@ -146,7 +147,7 @@
     deadlineAtMs: arrivedAtMs + timeoutMs,
     requestLog: createRequestLog(parts.log),
     tried: new Set(),
-    attemptsThatMayHaveRun: 0,
+    ranAt: new Set(),
     sendCount: 0,
     firstSentAtMs: undefined,
     refusedSendCount: 0,
