Leave a request to its attempt in progress when the gateway fails to place it

An exception while the gateway looks for a second endpoint ended the request, although its first endpoint could be sound and only slow: a begun response was cut, and any other one got 502. A request that was never sent got 502 as well, which promises nothing.

The request goes on while an attempt is in progress. Without one it gets 502, or 503 if no endpoint has it, which is true, since nothing is sent after it. An attempt that can't be started doesn't stay in progress, where the request would wait for it until its deadline.

--- a/packages/anvilarch-serving/src/requests/clientResponse.ts
+++ b/packages/anvilarch-serving/src/requests/clientResponse.ts
@@ -27,6 +27,13 @@
   message: 'this gateway failed to handle the request, which may have run; its log has the reason'
 }
 
+/** Response to a request whose handling has failed in this process before it was sent to an endpoint. */
+export const INTERNAL_REFUSAL_RESPONSE: GatewayResponse = {
+  status: 503,
+  code: 'internal_error',
+  message: 'this gateway failed to handle the request, which has not run; its log has the reason'
+}
+
 /** Responses whose connection has a further request. */
 const followedResponses = new WeakSet<ServerResponse>()
 
--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -5,7 +5,7 @@
 import { chooseService } from '../routing/matchRoute'
 import { bindStream, resumesStream, streamIdOf } from './bindStream'
 import { isFirstAttempt, type RefusedRequest, returnAtTurnMs } from './callerReturn'
-import { cutReasonOf, type GatewayResponse, INTERNAL_ERROR_RESPONSE, STOPPING_RESPONSE } from './clientResponse'
+import { cutReasonOf, type GatewayResponse, STOPPING_RESPONSE } from './clientResponse'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import { endByDrain } from './endByDrain'
 import { checkOverload, type Overload, type Refusal } from './overload'
@@ -91,11 +91,7 @@
       if (overload.refused) refuseOverloaded(parts, client, state, end, overload)
       else attempts.sendPrepared()
     })
-    .catch(error => {
-      parts.log.error('request handling failed', { reason: (error as Error).message })
-      attempts.stop()
-      end.respond(INTERNAL_ERROR_RESPONSE)
-    })
+    .catch(attempts.onError)
 }
 
 function mayHaveRun (state: RequestState): boolean {
--- a/packages/anvilarch-serving/src/requests/runningAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/runningAttempts.ts
@@ -23,7 +23,7 @@
 
 /** Attempts in progress. Usually there is one; while it is silent, another one may be sent beside it. */
 export interface RunningAttempts {
-  /** Starts an attempt and counts it as load. `start` is called with its entry. */
+  /** Starts an attempt and counts it as load, unless `start` throws. `start` is called with the entry of the attempt. */
   add: (endpoint: Endpoint, start: (entry: RunningAttempt) => Attempt) => void
   /** Stops counting an attempt as load. @returns whether it was in progress */
   release: (entry: RunningAttempt) => boolean
@@ -58,7 +58,12 @@
       usageReporter.onSent(endpoint)
       const entry: RunningAttempt = { endpoint, attempt: undefined, head: undefined, sentAtMs: clock.nowMs(), isSilent: false }
       entries.add(entry)
-      entry.attempt = start(entry)
+      try {
+        entry.attempt = start(entry)
+      } catch (error) {
+        release(entry)
+        throw error
+      }
     },
     release,
     abort: aborted => aborted.filter(release).map(entry => {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -13,7 +13,7 @@
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
-import { closeAfterLastResponse, INTERNAL_ERROR_RESPONSE, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
+import { closeAfterLastResponse, INTERNAL_ERROR_RESPONSE, INTERNAL_REFUSAL_RESPONSE, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
 import { type Attempt, type EndpointResponse, isFull, type ResponseHead, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
@@ -31,6 +31,8 @@
   stop: () => void
   /** Ends the request with a timeout response. */
   timeOut: () => void
+  /** Handles an error of this gateway. The request goes on if an attempt is in progress, and ends with a failure if there is none. */
+  onError: (error: Error) => void
 }
 
 /** Lowest status that endpoints use for failures of their own. */
@@ -85,11 +87,7 @@
         if (running.count() > 0 && state.lastEventId !== eventId) restartResponseTimeout()
         else sendPrepared()
       })
-      .catch(error => {
-        log.error('request handling failed', { reason: (error as Error).message })
-        stop()
-        end.respond(INTERNAL_ERROR_RESPONSE)
-      })
+      .catch(onError)
   }
 
   const stepAfter = (failure: AttemptFailure): NextStep => {
@@ -289,6 +287,14 @@
     else steps.time_out('timeout')
   }
 
+  const onError = (error: Error): void => {
+    log.error('request handling failed', { reason: error.message })
+    isResending = false
+    if (stopped || end.hasEnded()) return
+    if (running.count() > 0) restartResponseTimeout()
+    else end.respond(mayHaveRun() ? INTERNAL_ERROR_RESPONSE : INTERNAL_REFUSAL_RESPONSE)
+  }
+
   /** Ends a request whose key was revoked while it waited. Attempts in progress are not aborted, but nothing new is sent. */
   const endForRevokedKey = (): void => {
     if (running.count() > 0) steps.wait('key_taken_away')
@@ -340,5 +346,5 @@
     restartResponseTimeout()
   }
 
-  return { prepare, mayBeginSend, sendPrepared, mayHaveRun, stop, timeOut }
+  return { prepare, mayBeginSend, sendPrepared, mayHaveRun, stop, timeOut, onError }
 }
