Let a stream go back to a slow endpoint also after six sends

Full endpoints refuse a stream whose endpoint is silent, and each refusal counts as one of the six sends of a request. When the sixth endpoint continued the stream and then broke off, the stream was cut, although its first endpoint was sound and only slow.

The limit of six sends holds for endpoints that have not been tried. Going back is limited by itself: each aborted attempt allows it once, and only a send to an untried endpoint leads to a further aborted attempt.

The test fails without the change.

--- a/packages/anvilarch-serving/src/requests/__tests__/silentEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/silentEndpoint.test.ts
@@ -81,6 +81,23 @@
     expect(client).toMatchObject({ ended: true, body: 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n' })
   })
 
+  // Guards against a stream that is cut although its first endpoint is sound, after full endpoints have used up the sends.
+  it('is gone back to after any number of refusals', async () => {
+    const { clock, sent, client } = await startStream({ endpoints: 8, maxAttempts: 2 })
+    for (let refusals = 0; refusals < 4; refusals++) {
+      refuse(sent[sent.length - 1])
+      await clock.advanceAsync(0)
+    }
+    sent[5].event(2)
+    sent[5].reset()
+    await clock.advanceAsync(0)
+    expect(sent.slice(5).map(({ endpoint, lastEventId }) => [endpoint, lastEventId])).toEqual([['e6', 1], ['e1', 2]])
+    sent[6].reset()
+    await clock.advanceAsync(0)
+    expect(sent).toHaveLength(7)
+    expect(client).toMatchObject({ ended: false, destroyed: true })
+  })
+
   // Guards against a stream that stays at an endpoint for as long as that one sends comments.
   it('is one that sends comments alone', async () => {
     const { clock, sent } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 5000 })
--- a/packages/anvilarch-serving/src/requests/nextEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/nextEndpoint.ts
@@ -5,7 +5,7 @@
 
 /** Choice of endpoints for one request. */
 export interface NextEndpoint {
-  /** @returns the best endpoint that has not been tried */
+  /** @returns the best endpoint that has not been tried; undefined if there is none or the request has been sent too often */
   untried: () => Endpoint | undefined
   /** @returns the best endpoint that the request may go back to */
   aborted: () => Endpoint | undefined
@@ -19,6 +19,9 @@
   startedCount: () => number
 }
 
+/** Limit on the sends of one request, including those that endpoints refuse because they are full. A request may still go back after that. */
+const MAX_SENDS = 6
+
 const NO_ENDPOINTS: ReadonlySet<string> = new Set()
 
 /**
@@ -33,7 +36,7 @@
   const abortedAt = new Set<string>()
 
   const untried = (): Endpoint | undefined =>
-    state.service === undefined ? undefined : placement.choose(placementCriteria(client, state, state.service))
+    state.service === undefined || state.sendCount >= MAX_SENDS ? undefined : placement.choose(placementCriteria(client, state, state.service))
 
   const aborted = (): Endpoint | undefined =>
     state.service === undefined || abortedAt.size === 0
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -41,9 +41,6 @@
 /** Reason of an attempt that was aborted because another endpoint sent a response or an event while it sent none. */
 const SILENT_REASON = 'silent'
 
-/** Limit on the sends of one request, including those that endpoints refuse because they are full. */
-const MAX_SENDS = 6
-
 /**
  * @param parts - endpoints, connections and wire
  * @param client - the request
@@ -92,14 +89,14 @@
 
   const stepAfter = (failure: AttemptFailure): NextStep => {
     const attemptsInProgress = running.count()
-    const maySendAgain = state.sendCount < MAX_SENDS && parts.crashes.mayRunAgain(requestIdentityOf(client), nextEndpoint.startedCount() > 0)
+    const mayRunAgain = parts.crashes.mayRunAgain(requestIdentityOf(client), nextEndpoint.startedCount() > 0)
     return nextStep(route, failure, {
       attemptsThatMayHaveRun: nextEndpoint.startedCount() - attemptsInProgress,
       attemptsInProgress,
       allSilent: running.areAllSilent(),
       responseStarted: state.responseStarted,
-      hasUntriedEndpoint: maySendAgain && nextEndpoint.untried() !== undefined,
-      hasAbortedEndpoint: maySendAgain && nextEndpoint.aborted() !== undefined,
+      hasUntriedEndpoint: mayRunAgain && nextEndpoint.untried() !== undefined,
+      hasAbortedEndpoint: mayRunAgain && nextEndpoint.aborted() !== undefined,
       remainingMs: remainingMs(),
       mayBeginSend: mayBeginSend()
     })
