Keep an endpoint that was not reached among those to try

A request is sent beside a silent endpoint, but waits for a connection. The silent endpoint sends its next event, and the waiting attempt is aborted. Its endpoint counted as tried from then on: when the first one broke off and there was no further one, the stream was cut, although nothing was known against the endpoint and no attempt had been used.

It counts as untried again.

--- a/packages/anvilarch-serving/src/requests/__tests__/silentEndpoint.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/silentEndpoint.test.ts
@@ -98,6 +98,17 @@
     expect(client).toMatchObject({ ended: false, destroyed: true })
   })
 
+  // Guards against a stream that is cut although an endpoint that was never reached could continue it.
+  it('leaves the endpoint beside it untried if that one has not been reached', async () => {
+    const { clock, sent, client } = await startStream({ onSend: ({ endpoint, lastEventId }) => endpoint === 'e1' || lastEventId === 2 })
+    sent[0].event(2)
+    sent[0].reset()
+    await clock.advanceAsync(0)
+    expect(sent.map(({ endpoint, lastEventId }) => [endpoint, lastEventId])).toEqual([['e1', undefined], ['e2', 1], ['e2', 2]])
+    sent[2].endEvents()
+    expect(client).toMatchObject({ ended: true, destroyed: false })
+  })
+
   // Guards against a stream that stays at an endpoint for as long as that one sends comments.
   it('is one that sends comments alone', async () => {
     const { clock, sent } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 5000 })
--- a/packages/anvilarch-serving/src/requests/nextEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/nextEndpoint.ts
@@ -11,7 +11,10 @@
   aborted: () => Endpoint | undefined
   /** @returns the endpoint of the next send */
   choose: () => Endpoint | undefined
-  /** Registers an attempt that was aborted because another endpoint continued the response. Its endpoint may be sound, and only slow. */
+  /**
+   * Registers an attempt that was aborted because another endpoint continued the response. Its endpoint may be sound, and only slow. One
+   * that has not been reached counts as untried again.
+   */
   onAborted: (attempt: AbortedAttempt) => void
   /** Registers a send. */
   onSent: (endpoint: Endpoint) => void
@@ -53,7 +56,10 @@
       const next = startedCount() < client.route.maxAttempts ? untried() : undefined
       return next ?? (running.count() === 0 ? aborted() : undefined)
     },
-    onAborted: ({ endpoint, mayHaveRun }) => { if (mayHaveRun) abortedAt.add(endpoint.startId) },
+    onAborted: ({ endpoint, mayHaveRun }) => {
+      if (mayHaveRun) abortedAt.add(endpoint.startId)
+      else state.tried.delete(endpoint.startId)
+    },
     onSent: ({ startId }) => {
       state.tried.add(startId)
       abortedAt.delete(startId)
