--- a/packages/anvilarch-serving/src/requests/nextEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/nextEndpoint.ts
@@ -5,13 +5,16 @@
 
 /** Choice of endpoints for one request. */
 export interface NextEndpoint {
-  /** @returns the best endpoint that has not been tried */
+  /** @returns the best endpoint that has not been tried; undefined if there is none or the request has been sent too often */
   untried: () => Endpoint | undefined
   /** @returns the best endpoint that the request may go back to */
   aborted: () => Endpoint | undefined
   /** @returns the endpoint of the next send */
   choose: () => Endpoint | undefined
-  /** Registers an attempt that was aborted because another endpoint continued the response. Its endpoint may be sound, and only slow. */
+  /**
+   * Registers an attempt that was aborted because another endpoint continued the response. Its endpoint may be sound, and only slow. One
+   * that has not been reached counts as untried again.
+   */
   onAborted: (attempt: AbortedAttempt) => void
   /** Registers a send. */
   onSent: (endpoint: Endpoint) => void
@@ -19,6 +22,9 @@
   startedCount: () => number
 }
 
+/** Limit on the sends of one request, including those that endpoints refuse because they are full. A request may still go back after that. */
+const MAX_SENDS = 6
+
 const NO_ENDPOINTS: ReadonlySet<string> = new Set()
 
 /**
@@ -33,7 +39,7 @@
   const abortedAt = new Set<string>()
 
   const untried = (): Endpoint | undefined =>
-    state.service === undefined ? undefined : placement.choose(placementCriteria(client, state, state.service))
+    state.service === undefined || state.sendCount >= MAX_SENDS ? undefined : placement.choose(placementCriteria(client, state, state.service))
 
   const aborted = (): Endpoint | undefined =>
     state.service === undefined || abortedAt.size === 0
@@ -50,7 +56,10 @@
       const next = startedCount() < client.route.maxAttempts ? untried() : undefined
       return next ?? (running.count() === 0 ? aborted() : undefined)
     },
-    onAborted: ({ endpoint, mayHaveRun }) => { if (mayHaveRun) abortedAt.add(endpoint.startId) },
+    onAborted: ({ endpoint, mayHaveRun }) => {
+      if (mayHaveRun) abortedAt.add(endpoint.startId)
+      else state.tried.delete(endpoint.startId)
+    },
     onSent: ({ startId }) => {
       state.tried.add(startId)
       abortedAt.delete(startId)
