--- a/packages/anvilarch-platform-soak/src/clients/attempt.ts
+++ b/packages/anvilarch-platform-soak/src/clients/attempt.ts
@@ -2,8 +2,7 @@
 import type { Clock, Random } from 'anvilarch-utils'
 import { type RequestKind, STREAM_EVENTS, STREAM_GAP_MS } from '../deployment'
 import type { ClientRequest } from '../rule/types'
-import { endpointBody, endpointEventData } from 'anvilarch-standins'
-import type { ClientConnection, Exchange } from './clientConnection'
+import { type ClientConnection, endpointBody, endpointEventData, type Exchange } from 'anvilarch-standins'
 import { describeForm, type RequestFields, type RequestForm, requestParts } from './forms'
 
 /** How often a client looks whether it should leave. */
--- a/packages/anvilarch-platform-soak/src/clients/forms.ts
+++ b/packages/anvilarch-platform-soak/src/clients/forms.ts
@@ -1,7 +1,7 @@
 /** The forms in which clients send requests and read responses. */
+import type { RequestPart } from 'anvilarch-standins'
 import type { Random } from 'anvilarch-utils'
 import { HOST, type RequestKind } from '../deployment'
-import type { RequestPart } from './clientConnection'
 
 /** How a request is sent and its response is read. */
 export interface RequestForm {
--- a/packages/anvilarch-platform-soak/src/clients/traffic.ts
+++ b/packages/anvilarch-platform-soak/src/clients/traffic.ts
@@ -2,11 +2,8 @@
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
 import { createDerivedRandom } from '../derivedRandom'
 import { IDLE_TIMEOUT_MS, PORTS, REQUEST_KINDS, type RequestKind } from '../deployment'
-import { drawLinkProfile } from 'anvilarch-standins'
-import type { Machine } from '../machines/fleet'
-import type { Rotation } from '../machines/rotation'
+import { type ClientConnection, drawLinkProfile, openConnection, type PlatformMachine, type Rotation } from 'anvilarch-standins'
 import { type Attempt, mayRetry, runAttempt } from './attempt'
-import { type ClientConnection, openConnection } from './clientConnection'
 import { drawForm, type RequestForm } from './forms'
 
 /** The rate swings between these multiples of its mean. */
@@ -26,7 +23,7 @@
 /** Connection of a client and where it leads. */
 interface Client {
   connection: ClientConnection
-  gateway: Machine
+  gateway: PlatformMachine
   form: RequestForm
 }
 
@@ -36,7 +33,7 @@
   /** Multiplies the rate for a while. */
   burst: (factor: number, durationMs: number) => void
   /** Resolves at the next head of a response of a gateway, or after the timeout. */
-  nextHead: (gateway: Machine, timeoutMs: number) => Promise<void>
+  nextHead: (gateway: PlatformMachine, timeoutMs: number) => Promise<void>
   /** Lets no more clients arrive, and waits for the requests in progress. */
   stop: () => Promise<void>
 }
@@ -58,13 +55,13 @@
   const attempts: Attempt[] = []
   const idle = new Set<Client>()
   const inProgress = new Set<Promise<void>>()
-  const headListeners = new Set<(gateway: Machine) => void>()
+  const headListeners = new Set<(gateway: PlatformMachine) => void>()
   const stopped = new AbortController()
   const startMs = clock.nowMs()
   let burstFactor = 1
   let calls = 0
 
-  const open = (callRandom: Random, form: RequestForm, except?: Machine): Client => {
+  const open = (callRandom: Random, form: RequestForm, except?: PlatformMachine): Client => {
     const gateway = rotation.pick(callRandom, except)
     const link = form.linked ? drawLinkProfile(callRandom) : undefined
     const onHead = (): void => { for (const listener of headListeners) listener(gateway) }
@@ -136,7 +133,7 @@
           resolve()
         }
         const timer = clock.after(timeoutMs, finish)
-        const listener = (from: Machine): void => { if (from === gateway) finish() }
+        const listener = (from: PlatformMachine): void => { if (from === gateway) finish() }
         headListeners.add(listener)
       })
     },
--- a/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
@@ -1,13 +1,10 @@
 /** A run: starts the deployment, plays load and planned work, and collects the evidence. */
 import { join } from 'node:path'
-import { startStoreStandin } from 'anvilarch-standins'
+import { createLoopbackAddresses, openPlatformFleet, startRotation, startStoreStandin } from 'anvilarch-standins'
 import { type Clock, createRandom, processSeed, sleep } from 'anvilarch-utils'
 import type { Attempt } from '../clients/attempt'
 import { startTraffic } from '../clients/traffic'
-import { BOUNDS, configurationDocument, ZONES } from '../deployment'
-import { createAddresses } from '../machines/addresses'
-import { openFleet } from '../machines/fleet'
-import { startRotation } from '../machines/rotation'
+import { BOUNDS, configurationDocument, type DaemonPlace, PORTS, settingsDocument, ZONES } from '../deployment'
 import type { ClientRequest, ConfigurationChange, EndpointRun, Evidence } from '../rule/types'
 import { openEndpoints } from '../work/endpoints'
 import { performStep, type WorkContext } from '../work/performStep'
@@ -52,22 +49,23 @@
 /** @returns what the run has yielded, after all that it started has ended */
 export async function runPlatformSoak (options: PlatformSoakOptions): Promise<PlatformSoakResult> {
   const { clock, seed, signal, log, folder, root } = options
-  const nextIp = createAddresses(createRandom(processSeed()))
+  const nextIp = createLoopbackAddresses(createRandom(processSeed()), Object.values(PORTS))
   const store = await startStoreStandin()
   store.put('op', 'config', configurationDocument(1, { extraTimeoutMs: 0, extraRoutes: 0 }))
-  const fleet = openFleet({ clock, root, folder, storeAddress: store.address })
+  const fleet = openPlatformFleet({ clock, root, folder, graceMs: BOUNDS.graceMs })
   const endpoints = openEndpoints({ clock, store, nextIp, seed })
   const changes: ConfigurationChange[] = []
+  const startDaemon = (place: Omit<DaemonPlace, 'storeAddress'>): void => { fleet.start(place, settingsDocument({ ...place, storeAddress: store.address })) }
   const startMs = clock.nowMs()
   try {
     for (let index = 0; index < Math.ceil(options.engines / 2); index++) await endpoints.add('plain', 'v1')
     for (let index = 0; index < options.engines; index++) {
       const { engine, zone } = await endpoints.add('models', 'v1')
-      fleet.start({ name: `agent-${index + 1}`, role: 'agent', ip: engine.ip, zone, endpointAddress: engine.address })
+      startDaemon({ name: `agent-${index + 1}`, role: 'agent', ip: engine.ip, zone, endpointAddress: engine.address })
     }
-    for (let index = 0; index < options.gateways; index++) fleet.start({ name: `gateway-${index + 1}`, role: 'gateway', ip: await nextIp(), zone: ZONES[index % ZONES.length] })
+    for (let index = 0; index < options.gateways; index++) startDaemon({ name: `gateway-${index + 1}`, role: 'gateway', ip: await nextIp(), zone: ZONES[index % ZONES.length] })
     const gateways = fleet.machines.filter(({ role }) => role === 'gateway')
-    const rotation = startRotation(clock, gateways)
+    const rotation = startRotation({ clock, gateways, readyPort: PORTS.ready })
     while (!gateways.every(rotation.isReady)) {
       if (clock.nowMs() - startMs > START_TIMEOUT_MS) throw new Error(`gateways are not ready after ${START_TIMEOUT_MS} ms: see the logs in ${folder}`)
       await sleep(clock, START_POLL_MS)
--- a/packages/anvilarch-platform-soak/src/work/performStep.ts
+++ b/packages/anvilarch-platform-soak/src/work/performStep.ts
@@ -2,18 +2,16 @@
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
 import { createDerivedRandom } from '../derivedRandom'
 import type { Traffic } from '../clients/traffic'
-import { type ConfigurationVariant, configurationDocument } from '../deployment'
-import type { Fleet, Machine } from '../machines/fleet'
-import type { Rotation } from '../machines/rotation'
+import { type ConfigurationVariant, configurationDocument, type DaemonRole } from '../deployment'
 import type { ConfigurationChange } from '../rule/types'
-import type { StoreStandin } from 'anvilarch-standins'
+import type { PlatformFleet, PlatformMachine, Rotation, StoreStandin } from 'anvilarch-standins'
 import type { Endpoints } from './endpoints'
 import type { WorkKind, WorkStep } from './schedule'
 
 /** What the steps act on. */
 export interface WorkContext {
   clock: Clock
-  fleet: Fleet
+  fleet: PlatformFleet
   rotation: Rotation
   traffic: Traffic
   endpoints: Endpoints
@@ -110,12 +108,12 @@
   }
 }
 
-function drawMachine ({ fleet }: WorkContext, random: Random, role: Machine['role'], isEligible: (machine: Machine) => boolean): Machine | undefined {
+function drawMachine ({ fleet }: WorkContext, random: Random, role: DaemonRole, isEligible: (machine: PlatformMachine) => boolean): PlatformMachine | undefined {
   const eligible = fleet.machines.filter(machine => machine.role === role && isEligible(machine))
   return eligible.length === 0 ? undefined : random.pick(eligible)
 }
 
-async function stopAndRestart ({ clock, fleet, log }: WorkContext, random: Random, machine: Machine): Promise<void> {
+async function stopAndRestart ({ clock, fleet, log }: WorkContext, random: Random, machine: PlatformMachine): Promise<void> {
   const sentAtMs = clock.nowMs()
   log(`SIGTERM to ${machine.name}`)
   await fleet.stop(machine)
--- a/packages/anvilarch-platform-soak/src/machines/fleet.ts
+++ b/packages/anvilarch-standins/src/platformMachines/fleet.ts
@@ -3,13 +3,12 @@
 import { createWriteStream, readFileSync, type WriteStream, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { Clock } from 'anvilarch-utils'
-import { BOUNDS, type DaemonPlace, type DaemonRole, settingsDocument } from '../deployment'
-import type { Signal } from '../rule/types'
 
 /** Host with one daemon. */
-export interface Machine {
+export interface PlatformMachine {
   name: string
-  role: DaemonRole
+  /** Role in the deploy file. */
+  role: string
   ip: string
   logPath: string
   /** `stopping`: from SIGTERM until the exit. */
@@ -19,41 +18,49 @@
   exited: Promise<void>
 }
 
-/** Processes of a run. */
-export interface Fleet {
-  machines: Machine[]
-  signals: Signal[]
+/** Signal that was sent to the daemon of a machine. */
+export interface SentSignal {
+  machine: string
+  signal: 'SIGTERM' | 'SIGHUP'
+  atMs: number
+}
+
+/** Daemons of a run. */
+export interface PlatformFleet {
+  machines: PlatformMachine[]
+  signals: SentSignal[]
   /** Exits and kills that no signal of the run explains. */
   problems: string[]
-  start: (place: Omit<DaemonPlace, 'storeAddress'>) => Machine
+  start: (place: Pick<PlatformMachine, 'name' | 'role' | 'ip'>, settings: unknown) => PlatformMachine
   /** Sends SIGTERM, and SIGKILL after the grace period. Resolves at the exit. */
-  stop: (machine: Machine) => Promise<void>
-  reload: (machine: Machine) => void
-  restart: (machine: Machine) => void
+  stop: (machine: PlatformMachine) => Promise<void>
+  reload: (machine: PlatformMachine) => void
+  restart: (machine: PlatformMachine) => void
   /** Kills all processes and waits for their exits. */
   close: () => Promise<void>
 }
 
-/** Options of `openFleet`. */
-export interface FleetOptions {
+/** Options of `openPlatformFleet`. */
+export interface PlatformFleetOptions {
   clock: Clock
   /** Checkout whose daemons run. */
   root: string
   /** Folder for settings and logs. */
   folder: string
-  storeAddress: string
+  /** Time from SIGTERM to SIGKILL. */
+  graceMs: number
 }
 
 /** @returns a fleet without machines */
-export function openFleet ({ clock, root, folder, storeAddress }: FleetOptions): Fleet {
-  const machines: Machine[] = []
-  const signals: Signal[] = []
+export function openPlatformFleet ({ clock, root, folder, graceMs }: PlatformFleetOptions): PlatformFleet {
+  const machines: PlatformMachine[] = []
+  const signals: SentSignal[] = []
   const problems: string[] = []
   const logs = new Map<string, WriteStream>()
   const deployFile = readFileSync(join(root, 'deploy/system.toml'), 'utf8')
   let closing = false
 
-  const spawnProcess = (name: string, role: DaemonRole, log: WriteStream): ChildProcess => {
+  const spawnProcess = (name: string, role: string, log: WriteStream): ChildProcess => {
     const [program, ...words] = commandOf(deployFile, role)
     const child = spawn(program === 'node' ? process.execPath : program, words, { cwd: root, env: { PATH: process.env.PATH, HOME: process.env.HOME, ANVILARCH_CONFIG: join(folder, `${name}.json`) }, stdio: ['ignore', 'pipe', 'pipe'] })
     child.stdout.pipe(log, { end: false })
@@ -61,7 +68,7 @@
     return child
   }
 
-  const watch = (machine: Machine): void => {
+  const watch = (machine: PlatformMachine): void => {
     const { process: child } = machine
     machine.exited = new Promise(resolve => {
       child.once('error', error => problems.push(`${machine.name} could not be started: ${error.message}`))
@@ -73,7 +80,7 @@
     })
   }
 
-  const record = (machine: Machine, signal: Signal['signal']): void => {
+  const record = (machine: PlatformMachine, signal: SentSignal['signal']): void => {
     signals.push({ machine: machine.name, signal, atMs: clock.nowMs() })
     machine.process.kill(signal)
   }
@@ -82,13 +89,12 @@
     machines,
     signals,
     problems,
-    start: place => {
-      const { name, role, ip } = place
+    start: ({ name, role, ip }, settings) => {
       const logPath = join(folder, `${name}.log`)
       const log = createWriteStream(logPath)
       logs.set(name, log)
-      writeFileSync(join(folder, `${name}.json`), JSON.stringify(settingsDocument({ ...place, storeAddress })))
-      const machine: Machine = { name, role, ip, logPath, state: 'running', startedAtMs: clock.nowMs(), process: spawnProcess(name, role, log), exited: Promise.resolve() }
+      writeFileSync(join(folder, `${name}.json`), JSON.stringify(settings))
+      const machine: PlatformMachine = { name, role, ip, logPath, state: 'running', startedAtMs: clock.nowMs(), process: spawnProcess(name, role, log), exited: Promise.resolve() }
       machines.push(machine)
       watch(machine)
       return machine
@@ -96,7 +102,7 @@
     stop: async machine => {
       machine.state = 'stopping'
       record(machine, 'SIGTERM')
-      const kill = clock.after(BOUNDS.graceMs, () => { machine.process.kill('SIGKILL') })
+      const kill = clock.after(graceMs, () => { machine.process.kill('SIGKILL') })
       await machine.exited
       kill.cancel()
     },
@@ -117,7 +123,7 @@
   }
 }
 
-function commandOf (deployFile: string, role: DaemonRole): string[] {
+function commandOf (deployFile: string, role: string): string[] {
   const command = new RegExp(`\\[roles\\.${role}\\]\\s+run = "([^"]*)"`).exec(deployFile)?.[1]
   if (command === undefined) throw new Error(`deploy/system.toml: no line \`run = "..."\` below [roles.${role}]`)
   return command.split(' ')
--- a/packages/anvilarch-platform-soak/src/machines/rotation.ts
+++ b/packages/anvilarch-standins/src/platformMachines/rotation.ts
@@ -1,7 +1,6 @@
 /** The platform's entry: assigns new connections to the gateways that are ready. */
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
-import { PORTS } from '../deployment'
-import type { Machine } from './fleet'
+import type { PlatformMachine } from './fleet'
 
 const POLL_MS = 1000
 
@@ -11,23 +10,27 @@
 /** Gateways in rotation. */
 export interface Rotation {
   /** @returns a gateway for a new connection, another one than `except` if there is one */
-  pick: (random: Random, except?: Machine) => Machine
-  isReady: (machine: Machine) => boolean
+  pick: (random: Random, except?: PlatformMachine) => PlatformMachine
+  isReady: (machine: PlatformMachine) => boolean
   close: () => void
 }
 
-/**
- * @param clock - paces the polls
- * @param gateways - all gateways
- * @returns the rotation, whose polls run until it is closed
- */
-export function startRotation (clock: Clock, gateways: readonly Machine[]): Rotation {
-  const misses = new Map<Machine, number>(gateways.map(gateway => [gateway, MISSES]))
+/** Options of `startRotation`. */
+export interface RotationOptions {
+  clock: Clock
+  gateways: readonly PlatformMachine[]
+  /** Port on which each gateway says whether it is ready. */
+  readyPort: number
+}
+
+/** @returns the rotation, whose polls run until it is closed */
+export function startRotation ({ clock, gateways, readyPort }: RotationOptions): Rotation {
+  const misses = new Map<PlatformMachine, number>(gateways.map(gateway => [gateway, MISSES]))
   const closed = new AbortController()
-  const inRotation = (gateway: Machine): boolean => (misses.get(gateway) ?? MISSES) < MISSES
-  const poll = async (gateway: Machine): Promise<void> => {
+  const inRotation = (gateway: PlatformMachine): boolean => (misses.get(gateway) ?? MISSES) < MISSES
+  const poll = async (gateway: PlatformMachine): Promise<void> => {
     while (!closed.signal.aborted) {
-      misses.set(gateway, await isReady(gateway) ? 0 : (misses.get(gateway) ?? 0) + 1)
+      misses.set(gateway, await isReady(gateway, readyPort) ? 0 : (misses.get(gateway) ?? 0) + 1)
       await sleep(clock, POLL_MS, closed.signal)
     }
   }
@@ -44,9 +47,9 @@
   }
 }
 
-async function isReady ({ ip }: Machine): Promise<boolean> {
+async function isReady ({ ip }: PlatformMachine, port: number): Promise<boolean> {
   try {
-    const response = await fetch(`http://${ip}:${PORTS.ready}/-/ready`, { signal: AbortSignal.timeout(POLL_MS) })
+    const response = await fetch(`http://${ip}:${port}/-/ready`, { signal: AbortSignal.timeout(POLL_MS) })
     await response.arrayBuffer()
     return response.status === 200
   } catch {
--- a/packages/anvilarch-platform-soak/src/clients/clientConnection.ts
+++ b/packages/anvilarch-standins/src/rawClient/clientConnection.ts
@@ -1,8 +1,9 @@
 /** Connection of a client to a gateway, directly or over a link. */
 import { connect } from 'node:net'
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
-import { createLinkFlow, createLinkTiming, forwardSocket, type LinkFlow, type LinkProfile } from 'anvilarch-standins'
-import type { ResponseEnd } from '../rule/types'
+import { forwardSocket } from '../links/linkedPort'
+import { createLinkFlow, type LinkFlow } from '../links/linkFlow'
+import { createLinkTiming, type LinkProfile } from '../links/linkTiming'
 import { createResponseParser, type ResponseHead } from './responseParser'
 
 /** Clients allow a new connection this time. */
@@ -11,6 +12,9 @@
 /** Time between two reads of a client that reads slowly. */
 const SLOW_READ_MS = 250
 
+/** How an exchange ended. `left`: the client closed the connection before the response was complete. */
+export type ExchangeEnd = 'complete' | 'closed' | 'reset' | 'refused' | 'left'
+
 type OnDelivered = (error?: Error | null) => void
 
 /** Part of a request, sent after a pause. */
@@ -31,7 +35,7 @@
   /** Time of the last bytes in either direction. */
   lastDataAtMs: number
   lastByteAtMs: number | undefined
-  end: ResponseEnd | undefined
+  end: ExchangeEnd | undefined
   endedAtMs: number
   /** Time at which the connection ended at the gateway's side of the link. */
   closedAtMs: number | undefined
@@ -74,7 +78,7 @@
   let closedAtMs: number | undefined
   let lastUsedAtMs = clock.nowMs()
 
-  const finish = (exchange: Exchange, end: ResponseEnd): void => {
+  const finish = (exchange: Exchange, end: ExchangeEnd): void => {
     exchange.end = end
     exchange.endedAtMs = clock.nowMs()
     exchange.closedAtMs = closedAtMs
@@ -82,7 +86,7 @@
     lastUsedAtMs = exchange.endedAtMs
     exchange.onEnd()
   }
-  const finishAll = (end: ResponseEnd): void => {
+  const finishAll = (end: ExchangeEnd): void => {
     over = true
     reusable = false
     socket.destroy()
