Finish a daemon's response before a head that exceeds the header timeout

A response that had begun was cut, and a request whose response had not begun was answered 400 in place of its response, although it had come whole and ran.

The response is completed, and the connection is closed after it.

--- a/packages/anvilarch-daemon/src/callers/http/clientErrors.ts
+++ b/packages/anvilarch-daemon/src/callers/http/clientErrors.ts
@@ -9,11 +9,14 @@
   message: string
 }
 
+/** Error code of a request that did not arrive in time. */
+const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
+
 /** Responses by error code of the HTTP parser. */
 const CLIENT_ERRORS: Record<string, ClientError> = {
   HPE_HEADER_OVERFLOW: { status: 431, message: 'the headers are larger than this gateway takes' },
   HPE_INVALID_EOF_STATE: { status: 400, message: 'the request was cut off before its end' },
-  ERR_HTTP_REQUEST_TIMEOUT: { status: 408, message: 'the request did not arrive in time' }
+  [HEAD_TIMEOUT_CODE]: { status: 408, message: 'the request did not arrive in time' }
 }
 
 const OTHER_CLIENT_ERROR: ClientError = { status: 400, message: 'the request is not valid HTTP' }
@@ -26,13 +29,23 @@
  */
 export function respondToClientErrors (server: Server): void {
   const responses = new WeakMap<Duplex, ServerResponse>()
-  server.on('request', (request: IncomingMessage, response: ServerResponse) => { responses.set(request.socket, response) })
+  const requests = new WeakMap<Duplex, IncomingMessage>()
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    requests.set(request.socket, request)
+    responses.set(request.socket, response)
+  })
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
       return
     }
-    respond(socket, responses.get(socket), CLIENT_ERRORS[error.code ?? ''] ?? OTHER_CLIENT_ERROR)
+    const response = responses.get(socket)
+    if (error.code === HEAD_TIMEOUT_CODE && requests.get(socket)?.complete === true && response?.writableEnded === false) {
+      // The error concerns a next request. The response in progress belongs to one that has come whole.
+      response.once('finish', () => { socket.end() })
+      return
+    }
+    respond(socket, response, CLIENT_ERRORS[error.code ?? ''] ?? OTHER_CLIENT_ERROR)
   })
 }
 
