--- a/packages/anvilarch-platform-soak/src/bin/platformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/bin/platformSoak.ts
@@ -39,7 +39,7 @@
     const folder = resolve(args.folder ?? join(OWN_ROOT, 'target', 'platform-soak', `${args.seed}-${process.pid}`))
     mkdirSync(folder, { recursive: true })
     const interrupted = new AbortController()
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => interrupted.abort())
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) process.on(signal, () => interrupted.abort())
     log(`seed ${args.seed}, ${args.minutes} minutes; logs in ${folder}`)
     const result = await runPlatformSoak({
       clock,
--- a/packages/anvilarch-platform-soak/src/work/performStep.ts
+++ b/packages/anvilarch-platform-soak/src/work/performStep.ts
@@ -83,7 +83,8 @@
     const oldest = serving[0]
     const replacement = await endpoints.add(service, `v${Number(oldest.softwareVersion.slice(1)) + 1}`)
     log(`${replacement.engine.id} replaces ${oldest.engine.id}`)
-    await endpoints.remove(oldest, random)
+    // Another step may have chosen it meanwhile.
+    if (oldest.state === 'ready') await endpoints.remove(oldest, random)
   },
   scale_in: async ({ endpoints, log }, random) => {
     const serving = endpoints.serving('models')
--- a/packages/anvilarch-standins/src/platformMachines/fleet.ts
+++ b/packages/anvilarch-standins/src/platformMachines/fleet.ts
@@ -59,6 +59,9 @@
   const logs = new Map<string, WriteStream>()
   const deployFile = readFileSync(join(root, 'deploy/system.toml'), 'utf8')
   let closing = false
+  const killAll = (): void => { for (const { process: child } of machines) child.kill('SIGKILL') }
+  // Also if an error ends this process before the fleet is closed.
+  process.once('exit', killAll)
 
   const spawnProcess = (name: string, role: string, log: WriteStream): ChildProcess => {
     const [program, ...words] = commandOf(deployFile, role)
@@ -116,8 +119,9 @@
     },
     close: async () => {
       closing = true
-      for (const { process: child } of machines) child.kill('SIGKILL')
+      killAll()
       await Promise.all(machines.map(async ({ exited }) => await exited))
+      process.removeListener('exit', killAll)
       for (const log of logs.values()) log.end()
     }
   }
