--- a/packages/anvilarch-serving/src/requests/runningAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/runningAttempts.ts
@@ -1,13 +1,15 @@
 /** Attempts of one request that are in progress, and their load at endpoints. */
 import type { Endpoint } from '../model/types'
 import type { ForwardParts } from './forwardTypes'
-import type { Attempt } from './runAttempt'
+import type { Attempt, ResponseHead } from './runAttempt'
 
 /** An attempt in progress and its endpoint. */
 export interface RunningAttempt {
   endpoint: Endpoint
   /** Undefined while the attempt is being started. */
   attempt: Attempt | undefined
+  /** Head of a stream; undefined until it has come. */
+  head: ResponseHead | undefined
   /** Time of the send; undefined after its first event or its response. */
   sentAtMs: number | undefined
   /** Whether the endpoint has sent no event or response for the response timeout. */
@@ -21,7 +23,7 @@
 
 /** Attempts in progress. Usually there is one; while it is silent, another one may be sent beside it. */
 export interface RunningAttempts {
-  /** Starts an attempt and counts it as load. `start` is called with its entry. */
+  /** Starts an attempt and counts it as load, unless `start` throws. `start` is called with the entry of the attempt. */
   add: (endpoint: Endpoint, start: (entry: RunningAttempt) => Attempt) => void
   /** Stops counting an attempt as load. @returns whether it was in progress */
   release: (entry: RunningAttempt) => boolean
@@ -54,9 +56,14 @@
     add: (endpoint, start) => {
       loads.onSent(endpoint.startId)
       usageReporter.onSent(endpoint)
-      const entry: RunningAttempt = { endpoint, attempt: undefined, sentAtMs: clock.nowMs(), isSilent: false }
+      const entry: RunningAttempt = { endpoint, attempt: undefined, head: undefined, sentAtMs: clock.nowMs(), isSilent: false }
       entries.add(entry)
-      entry.attempt = start(entry)
+      try {
+        entry.attempt = start(entry)
+      } catch (error) {
+        release(entry)
+        throw error
+      }
     },
     release,
     abort: aborted => aborted.filter(release).map(entry => {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -9,11 +9,12 @@
 import { createAttemptLog } from './attemptLog'
 import { attemptRequestOf, sendKindOf } from './attemptRequest'
 import { countResumption, recordOrigin } from './bindStream'
+import { createNextEndpoint } from './nextEndpoint'
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
 import type { RequestCompletion } from './requestCompletion'
-import { closeAfterLastResponse, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
-import { type Attempt, type EndpointResponse, isFull, startAttempt } from './runAttempt'
+import { closeAfterLastResponse, INTERNAL_ERROR_RESPONSE, INTERNAL_REFUSAL_RESPONSE, STOPPING_RESPONSE, unauthorizedResponse } from './clientResponse'
+import { type Attempt, type EndpointResponse, isFull, type ResponseHead, startAttempt } from './runAttempt'
 import { type AbortedAttempt, createRunningAttempts, type RunningAttempt } from './runningAttempts'
 
 /** Attempts of one request. */
@@ -30,6 +31,8 @@
   stop: () => void
   /** Ends the request with a timeout response. */
   timeOut: () => void
+  /** Handles an error of this gateway. The request goes on if an attempt is in progress, and ends with a failure if there is none. */
+  onError: (error: Error) => void
 }
 
 /** Lowest status that endpoints use for failures of their own. */
@@ -38,9 +41,6 @@
 /** Reason of an attempt that was aborted because another endpoint sent a response or an event while it sent none. */
 const SILENT_REASON = 'silent'
 
-/** Limit on the sends of one request, including those that endpoints refuse because they are full. */
-const MAX_SENDS = 6
-
 /**
  * @param parts - endpoints, connections and wire
  * @param client - the request
@@ -53,6 +53,7 @@
   const attemptLog = createAttemptLog(parts, client, state)
   const { route, response, metadata } = client
   const running = createRunningAttempts(parts)
+  const nextEndpoint = createNextEndpoint(parts, client, state, running)
   /** Endpoints that have stated that they are full. While an attempt is silent, they are asked again. */
   const full = new Set<string>()
   let responseTimeout: InactivityTimeout | undefined
@@ -66,9 +67,6 @@
   const mayBeginSend = (): boolean =>
     state.responseStarted || mayBegin(parts.drainState.schedule(), { nowMs: clock.nowMs(), limitAtMs: state.deadlineAtMs })
 
-  const choose = (): Endpoint | undefined =>
-    state.service === undefined ? undefined : parts.placement.choose(placementCriteria(client, state, state.service))
-
   const prepare = async (): Promise<void> => {
     if (state.service !== undefined) await parts.placement.prepare(placementCriteria(client, state, state.service))
   }
@@ -86,22 +84,19 @@
         if (running.count() > 0 && state.lastEventId !== eventId) restartResponseTimeout()
         else sendPrepared()
       })
-      .catch(error => {
-        log.error('request handling failed', { reason: (error as Error).message })
-        end.abortConnection('internal_error')
-      })
+      .catch(onError)
   }
 
-  const maySendAgain = (): boolean => state.sendCount < MAX_SENDS && choose() !== undefined
-
   const stepAfter = (failure: AttemptFailure): NextStep => {
     const attemptsInProgress = running.count()
+    const mayRunAgain = parts.crashes.mayRunAgain(requestIdentityOf(client), nextEndpoint.startedCount() > 0)
     return nextStep(route, failure, {
-      attemptsThatMayHaveRun: state.attemptsThatMayHaveRun,
+      attemptsThatMayHaveRun: nextEndpoint.startedCount() - attemptsInProgress,
       attemptsInProgress,
       allSilent: running.areAllSilent(),
       responseStarted: state.responseStarted,
-      hasUntriedEndpoint: maySendAgain() && parts.crashes.mayRunAgain(requestIdentityOf(client), state.attemptsThatMayHaveRun + attemptsInProgress > 0),
+      hasUntriedEndpoint: mayRunAgain && nextEndpoint.untried() !== undefined,
+      hasAbortedEndpoint: mayRunAgain && nextEndpoint.aborted() !== undefined,
       remainingMs: remainingMs(),
       mayBeginSend: mayBeginSend()
     })
@@ -122,7 +117,7 @@
     const { endpoint } = entry
     if (!running.release(entry)) return
     cancelResponseTimeout()
-    if (failure === 'may_have_run') state.attemptsThatMayHaveRun++
+    if (failure === 'may_have_run') state.ranAt.add(endpoint.startId)
     else state.refusedSendCount++
     if (isFull(reason)) full.add(endpoint.startId)
     recordFailure(parts, client, endpoint, failure, reason)
@@ -132,7 +127,7 @@
   }
 
   const countAborted = ({ endpoint, mayHaveRun }: AbortedAttempt): void => {
-    if (mayHaveRun) state.attemptsThatMayHaveRun++
+    if (mayHaveRun) state.ranAt.add(endpoint.startId)
     else state.refusedSendCount++
     metrics.attemptFailures.inc({ kind: route.kind, reason: SILENT_REASON })
     attemptLog.failed(endpoint, mayHaveRun ? 'may_have_run' : 'not_run', SILENT_REASON)
@@ -159,7 +154,11 @@
 
   /** Ends all attempts but the one whose endpoint continues the response. */
   const continueWith = (entry: RunningAttempt): void => {
-    if (running.count() > 1) running.abort(running.others(entry)).forEach(countAborted)
+    if (running.count() <= 1) return
+    for (const other of running.abort(running.others(entry))) {
+      countAborted(other)
+      nextEndpoint.onAborted(other)
+    }
   }
 
   const onProcessPause = (lateMs: number): void => {
@@ -169,7 +168,7 @@
 
   /** Restarts the response timeout, which limits the time without an event or a response. Called at a send and at each event; only the first call sets a timer. */
   const restartResponseTimeout = (): void => {
-    if (!isRetryable(route) || state.attemptsThatMayHaveRun + running.count() >= route.maxAttempts) return
+    if (!isRetryable(route) || nextEndpoint.startedCount() >= route.maxAttempts) return
     const boundMs = responseTimeoutMs(route, state.responseStarted)
     responseTimeout ??= createInactivityTimeout({ clock, timeoutMs: boundMs, onTimeout: onResponseTimeout, onProcessPause })
     responseTimeout.recordActivity()
@@ -202,29 +201,43 @@
 
   const onStreamEnd = (entry: RunningAttempt): void => {
     observeEndpointWait(entry)
+    startResponse(entry)
     onSuccess(entry)
     end.completeStream(entry.endpoint.startId)
   }
 
-  const onHead = (entry: RunningAttempt, head: { status: number, rawHeaders: string[] }): void => {
+  const onHead = (entry: RunningAttempt, head: ResponseHead): void => {
     attemptLog.responseStarted(entry.endpoint, head.status)
-    if (state.responseStarted) return
+    entry.head = head
+  }
+
+  /**
+   * Sends the head to the client, together with the first block of the stream. Until then the request may wait in the queue of its
+   * endpoint, and a failure can still be answered completely.
+   */
+  const startResponse = (entry: RunningAttempt): void => {
+    if (state.responseStarted || entry.head === undefined) return
     // The client gets the head and the first events from the same endpoint.
     continueWith(entry)
-    state.responseStarted = true
     recordOrigin(parts, client, state, entry.endpoint)
     closeAfterLastResponse(response, parts.drainState)
-    response.writeHead(head.status, head.rawHeaders)
+    response.writeHead(entry.head.status, entry.head.rawHeaders)
+    state.responseStarted = true
     response.flushHeaders()
   }
 
   /** A block without id and data holds only comments, which are no sign that the endpoint runs the request. */
-  const onComment = (bytes: Buffer): void => { if (running.count() === 1) response.write(bytes) }
+  const onComment = (entry: RunningAttempt, bytes: Buffer): void => {
+    if (running.count() > 1) return
+    startResponse(entry)
+    response.write(bytes)
+  }
 
   const onEvent = (entry: RunningAttempt, bytes: Buffer, id: number | undefined): void => {
     const nowMs = clock.nowMs()
     entry.isSilent = false
     continueWith(entry)
+    startResponse(entry)
     state.firstEventAtMs ??= nowMs
     state.firstEventId ??= id
     if (id !== undefined) state.eventCount++
@@ -247,7 +260,7 @@
     resumable: route.resumable,
     budget: parts.responseBudget,
     onHead: head => onHead(entry, head),
-    onEvent: (bytes, id, data) => id === undefined && data === '' ? onComment(bytes) : onEvent(entry, bytes, id),
+    onEvent: (bytes, id, data) => id === undefined && data === '' ? onComment(entry, bytes) : onEvent(entry, bytes, id),
     onStreamEnd: () => onStreamEnd(entry),
     onResponse: endpointResponse => onResponse(entry, endpointResponse),
     onFailure: (failure, reason) => onFailure(entry, failure, reason)
@@ -258,7 +271,7 @@
     entry.sentAtMs = undefined
   }
 
-  const mayHaveRun = (): boolean => state.attemptsThatMayHaveRun > 0 || running.unsent().length < running.count()
+  const mayHaveRun = (): boolean => state.ranAt.size > 0 || running.unsent().length < running.count()
 
   const stop = (): void => {
     stopped = true
@@ -271,23 +284,31 @@
     else steps.time_out('timeout')
   }
 
+  const onError = (error: Error): void => {
+    log.error('request handling failed', { reason: error.message })
+    isResending = false
+    if (stopped || end.hasEnded()) return
+    if (running.count() > 0) restartResponseTimeout()
+    else end.respond(mayHaveRun() ? INTERNAL_ERROR_RESPONSE : INTERNAL_REFUSAL_RESPONSE)
+  }
+
   /** Ends a request whose key was revoked while it waited. Attempts in progress are not aborted, but nothing new is sent. */
   const endForRevokedKey = (): void => {
     if (running.count() > 0) steps.wait('key_taken_away')
     else if (state.responseStarted) end.abortConnection('key_taken_away')
-    else if (state.attemptsThatMayHaveRun > 0) steps.fail('key_taken_away')
+    else if (state.ranAt.size > 0) steps.fail('key_taken_away')
     else end.respond(unauthorizedResponse(parts.wire.credentialScheme))
   }
 
   /** Ends a request without an untried endpoint: endpoints may be removed while the request waits for their loads. */
   const endWithoutEndpoint = (): void => {
-    if (state.attemptsThatMayHaveRun + running.count() > 0) steps[stepAfter('may_have_run')]('no_endpoint')
+    if (nextEndpoint.startedCount() > 0) steps[stepAfter('may_have_run')]('no_endpoint')
     else end.respond(NO_ENDPOINT_RESPONSE)
   }
 
   /** Ends a request that this gateway may not send any more, unless an attempt is in progress. */
   const endWithoutSend = (): void => {
-    if (state.attemptsThatMayHaveRun + running.count() > 0) steps[stepAfter('may_have_run')](STOPPING_RESPONSE.code)
+    if (nextEndpoint.startedCount() > 0) steps[stepAfter('may_have_run')](STOPPING_RESPONSE.code)
     else end.respond(STOPPING_RESPONSE)
   }
 
@@ -307,13 +328,13 @@
       endWithoutSend()
       return
     }
-    const endpoint = choose()
+    const endpoint = nextEndpoint.choose()
     if (endpoint === undefined) {
       endWithoutEndpoint()
       return
     }
     attemptLog.chosen(endpoint)
-    state.tried.add(endpoint.startId)
+    nextEndpoint.onSent(endpoint)
     metrics.sends.inc({ kind: route.kind, send: sendKindOf(client, state) })
     countResumption(parts, state, endpoint)
     state.sendCount++
@@ -322,5 +343,5 @@
     restartResponseTimeout()
   }
 
-  return { prepare, mayBeginSend, sendPrepared, mayHaveRun, stop, timeOut }
+  return { prepare, mayBeginSend, sendPrepared, mayHaveRun, stop, timeOut, onError }
 }
--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -4,6 +4,7 @@
 import { createFakeClock, createSystemClock, abortResponse, SILENT_LOGGER } from 'anvilarch-utils'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
+import { cutReasonOf } from '../../requests/clientResponse'
 import { type ClientServer, createClientServer } from '../clientServer'
 import { EXCESS_FACTOR, MAX_LATENESS_MS, MIN_USUAL_PER_SECOND, USUAL_SECONDS } from '../connectionAdmission'
 
@@ -114,6 +115,55 @@
   })
 })
 
+describe('the reason for which the connection of an unfinished response is closed', () => {
+  /** Opens a connection with one request and acts on it. @returns the reason that the server records for its response */
+  async function reasonAfter (act: (socket: Socket) => void): Promise<string | undefined> {
+    const { socket } = await openClient('/1')
+    act(socket)
+    await until(() => clients.unfinishedRequests().length === 0)
+    socket.destroy()
+    return cutReasonOf(handled[0].response)
+  }
+
+  it.each<[string, (socket: Socket) => void, string | undefined]>([
+    ['bytes that are not a request', socket => socket.write('no request\r\n\r\n'), 'HPE_INVALID_METHOD'],
+    ['a close of the server', () => clients.close(), 'gateway_closed'],
+    ['a client that closes the connection', socket => socket.end(), undefined],
+    ['a client that resets the connection', socket => socket.resetAndDestroy(), undefined]
+  ])('is known after %s', async (_name, act, reason) => {
+    expect(await reasonAfter(act)).toBe(reason)
+  })
+})
+
+describe('a head that stays incomplete for longer than the header timeout', () => {
+  const HEADER_TIMEOUT_MS = 100
+
+  /** Exceeds the interval at which Node.js checks for such heads. */
+  const CHECKED_MS = 1000
+
+  beforeEach(() => clients.applyLimits({ maxHeaderBytes: 16384, maxBodyBytes: 1000, headerTimeoutMs: HEADER_TIMEOUT_MS, idleTimeoutMs: 15_000 }))
+
+  // Guards against a response that is cut although its own request had come whole.
+  it('does not end the response before it, but its connection after that', async () => {
+    const { socket, received, closed } = await openClient('/1')
+    handled[0].response.write('first half, ')
+    socket.write('GET /2 HTTP/1.1\r\nHo')
+    await new Promise(resolve => setTimeout(resolve, CHECKED_MS))
+    handled[0].response.end('second half')
+    await until(closed)
+    expect(received()).toMatch(/first half, [^]*second half\r\n0\r\n\r\n$/)
+    expect(handled.map(({ path }) => path)).toEqual(['/1'])
+  })
+
+  it('is answered with 408 if nothing is before it', async () => {
+    const { socket, received, closed } = await openClient()
+    socket.write('GET /2 HTTP/1.1\r\nHo')
+    await new Promise(resolve => setTimeout(resolve, CHECKED_MS))
+    await until(closed)
+    expect(received()).toMatch(/^HTTP\/1.1 408/)
+  })
+})
+
 describe('a flood of new connections', () => {
   // Guards against a gateway that reads the requests of most clients of a zone and answers them late.
   it('is closed with the requests unread while the process is late', async () => {
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -4,7 +4,7 @@
 import { createCrashMonitor } from '../crashes/crashMonitor'
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
 import { createSuspectTable } from '../crashes/suspectTable'
-import { createDrainState } from '../drain/drainState'
+import { createDrainState, drainElapsedMs } from '../drain/drainState'
 import { probeConnection } from '../endpoints/connectProbe'
 import { createConnectionPools } from '../endpoints/connectionPools'
 import { createLoadProber } from '../endpoints/loadProber'
@@ -18,6 +18,7 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { WorkTable } from '../jobs/workTable'
 import { createByteBudget } from '../requests/byteBudget'
+import { INTERNAL_ERROR_RESPONSE, sendGatewayResponse } from '../requests/clientResponse'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { createHoldTimes } from '../requests/holdTimes'
 import { createLogRateLimiter } from '../telemetry/logRateLimiter'
@@ -154,7 +155,8 @@
     event: 'traffic',
     read: () => {
       const counts = traffic.readAndReset()
-      return counts === undefined ? undefined : { ...counts, configurationAgeMs: ageMs(wire.operator.configurationTable), endpointsAgeMs: ageMs(wire.operator.endpointTable) }
+      if (counts === undefined) return undefined
+      return { drainMs: drainElapsedMs(clock, drainState), ...counts, configurationAgeMs: ageMs(wire.operator.configurationTable), endpointsAgeMs: ageMs(wire.operator.endpointTable) }
     },
     signal: closing.signal
   })
@@ -180,7 +182,8 @@
       })
         .catch(error => {
           log.error('request handling failed', { reason: (error as Error).message })
-          response.destroy()
+          if (response.headersSent) response.destroy()
+          else sendGatewayResponse(response, INTERNAL_ERROR_RESPONSE, drainState)
         })
     }
   })
