Answer requests without output when the drain of a daemon times out

Callers of anvilarch-daemon saw their connection close without a response if the drain timed out (600 s by default) while their request waited in the queue of an endpoint.

A request whose response has not begun gets 502 `outcome_unknown`, which clients do not retry at once. A response that has begun is cut as before. The drain takes up to 200 ms longer in this case, within the margin of its lifecycle timeout.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers, with graceful shutdown. */
-import { createServer, type Server } from 'node:http'
+import { createServer, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { abortResponse, type LifecycleManager, sleep } from 'anvilarch-utils'
+import { abortResponse, AnvilarchError, type LifecycleManager, sleep } from 'anvilarch-utils'
 import { createKeyedCallRunner } from '../attempts/intents/keyedCallRunner'
 import { startIntentSweep } from '../attempts/intents/intentSweep'
 import type { RequestRunner } from '../attempts/types'
@@ -15,6 +15,7 @@
 import { DEFAULT_OPTIONS, type CallersServerOptions, type RouteDeps } from './routeDeps'
 import { handleRequest, type HandlerParts } from './handleRequest'
 import { respondToClientErrors } from './http/clientErrors'
+import { sendError } from './http/errorResponse'
 import { createGracefulCloser } from './http/gracefulClose'
 import { createCallerLimiter } from './limits/callerLimiter'
 import { createPlainRoutes } from './plain/plainRoutes'
@@ -78,7 +79,7 @@
     handleRequest(parts, request, response).catch(() => { abortResponse(response) })
   })
   respondToClientErrors(server)
-  const closer = createGracefulCloser(server, context.clock)
+  const closer = createGracefulCloser(server, context.clock, respondToInterrupted)
   await startIntentSweep(context, lifecycle)
   const address = await listen(server, context.settings.listen.callers ?? '127.0.0.1:0')
 
@@ -106,6 +107,15 @@
   return callers
 }
 
+/** Responds to a request that is still in progress when the drain times out. */
+function respondToInterrupted (response: ServerResponse): void {
+  const error = new AnvilarchError('this gateway stopped before the request was complete; it may have run', {
+    code: 'outcome_unknown', step: 'callers.drain', ran: 'unknown'
+  })
+  response.setHeader('connection', 'close')
+  sendError(response, error, String(response.getHeader('x-request-id') ?? ''))
+}
+
 async function listen (server: Server, address: string): Promise<string> {
   const at = address.lastIndexOf(':')
   const host = address.slice(0, at)
--- a/packages/anvilarch-daemon/src/callers/http/__tests__/gracefulClose.test.ts
+++ b/packages/anvilarch-daemon/src/callers/http/__tests__/gracefulClose.test.ts
@@ -19,7 +19,7 @@
 
 async function open (listener: RequestListener): Promise<void> {
   server = createServer(listener)
-  closer = createGracefulCloser(server, clock)
+  closer = createGracefulCloser(server, clock, response => response.end())
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   client = connect((server.address() as AddressInfo).port, '127.0.0.1')
   client.on('error', () => {})
--- a/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
+++ b/packages/anvilarch-daemon/src/callers/http/gracefulClose.ts
@@ -8,8 +8,8 @@
   /**
    * Stops accepting connections and resolves when the last request is complete.
    *
-   * @param timeoutMs - time after which the remaining requests are aborted
-   * @returns false if requests had to be aborted
+   * @param timeoutMs - time after which the remaining requests are ended
+   * @returns false if requests had to be ended
    */
   close: (timeoutMs: number) => Promise<boolean>
 }
@@ -20,6 +20,9 @@
 /** Time for the client to close its side of a connection. */
 const CLIENT_CLOSE_MS = 1_000
 
+/** Time for the responses to requests that are ended to be flushed. */
+const FINAL_RESPONSES_MS = 200
+
 interface Connection {
   /** Responses that have not been flushed yet. */
   unfinished: Set<ServerResponse>
@@ -30,9 +33,10 @@
 /**
  * @param server - the server; it must not have connections yet
  * @param clock - clock for the timeouts
+ * @param respond - ends a response that has not begun when the timeout has passed; the others are cut
  * @returns the closer
  */
-export function createGracefulCloser (server: Server, clock: Clock): GracefulCloser {
+export function createGracefulCloser (server: Server, clock: Clock, respond: (response: ServerResponse) => void): GracefulCloser {
   const connections = new Map<Socket, Connection>()
   let isClosing = false
 
@@ -75,6 +79,15 @@
     }
   }
 
+  const respondToAll = async (): Promise<void> => {
+    const notBegun = [...connections.values()].flatMap(({ unfinished }) => [...unfinished]).filter(response => !response.headersSent)
+    const flushed = new AbortController()
+    const allClosed = Promise.all(notBegun.map(response => new Promise(resolve => { response.once('close', resolve) })))
+    notBegun.forEach(respond)
+    await Promise.race([allClosed, sleep(clock, FINAL_RESPONSES_MS, flushed.signal)])
+    flushed.abort()
+  }
+
   const abortAll = (): void => {
     for (const [socket, { unfinished }] of connections) {
       if ([...unfinished].some(response => isCloseDelimited(response))) socket.resetAndDestroy()
@@ -95,8 +108,10 @@
       const isDrained = await Promise.race([closed, expired])
       finished.abort()
       unused.cancel()
-      if (!isDrained) abortAll()
-      return isDrained
+      if (isDrained) return true
+      await respondToAll()
+      abortAll()
+      return false
     }
   }
 }
