--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -50,6 +50,7 @@
 /** The response as the client received it. */
 export interface ClientView {
   status: number | undefined
+  headers: string[]
   body: string
   ended: boolean
   destroyed: boolean
@@ -143,7 +144,7 @@
 export function forwardOnFakeClock (options: ForwardHarnessOptions = {}): ForwardHarness {
   const clock = createFakeClock()
   const sent: SentRequest[] = []
-  const client: ClientView = { status: undefined, body: '', ended: false, destroyed: false, responseStarted: false, disconnected: false, endedAtMs: undefined, headCount: 0, writesAfterEnd: 0 }
+  const client: ClientView = { status: undefined, headers: [], body: '', ended: false, destroyed: false, responseStarted: false, disconnected: false, endedAtMs: undefined, headCount: 0, writesAfterEnd: 0 }
   const endpoints = Array.from({ length: options.endpoints ?? 2 }, (_, index) => endpointNamed(`e${index + 1}`))
   let endpointCount = endpoints.length
   let finishPlacement: () => void = () => {}
@@ -198,9 +199,8 @@
     on: (_event: string, listener: () => void) => { onClose = listener },
     setHeader: () => {},
     flushHeaders: () => { client.responseStarted = true },
-    writeHead: (status: number) => {
-      client.status = status
-      client.headCount++
+    writeHead: (status: number, headers: string[] = []) => {
+      Object.assign(client, { status, headers, headCount: client.headCount + 1 })
       response.headersSent = true
     },
     write: (bytes: Buffer) => {
