Keep what follows a request from ending it in a daemon

A caller of anvilarch-daemon that had sent bytes behind its request, which were no request or the first half of one, got 400 for the request that ran, with `ran: not_run`, or saw its response cut. Errors of the parser were taken for errors of the last request, although that one had come whole.

The responses to complete requests are finished, and the connection is closed after them. A body that is not HTTP still gets 400, and a first head that stays incomplete 408.

--- a/packages/anvilarch-daemon/src/callers/http/clientErrors.ts
+++ b/packages/anvilarch-daemon/src/callers/http/clientErrors.ts
@@ -26,13 +26,29 @@
  */
 export function respondToClientErrors (server: Server): void {
   const responses = new WeakMap<Duplex, ServerResponse>()
+  const closing = new WeakSet<Duplex>()
+
+  /** The responses to complete requests are finished before the connection is closed. */
+  const closeAfter = (socket: Duplex, response: ServerResponse): void => {
+    if (closing.has(socket)) return
+    closing.add(socket)
+    response.once('close', () => {
+      const next = responses.get(socket)
+      closing.delete(socket)
+      if (next !== undefined && next !== response && !next.writableEnded) closeAfter(socket, next)
+      else socket.end()
+    })
+  }
+
   server.on('request', (request: IncomingMessage, response: ServerResponse) => { responses.set(request.socket, response) })
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy()
       return
     }
-    respond(socket, responses.get(socket), CLIENT_ERRORS[error.code ?? ''] ?? OTHER_CLIENT_ERROR)
+    const response = responses.get(socket)
+    if (response?.req.complete === true && !response.writableEnded) closeAfter(socket, response)
+    else respond(socket, response, CLIENT_ERRORS[error.code ?? ''] ?? OTHER_CLIENT_ERROR)
   })
 }
 
