End the requests of a drain in time although connections keep coming

Clients saw their connection close without a response 7.65 s after SIGTERM of a gateway that was busy and got new connections all the while. At the end of the accepting phase the drain waits until the connections that had come are accepted, one in each turn of the event loop, up to 511. While at least one comes in each turn, it waits for all 511 turns, and neither the end of the drain nor its responses came before the process ended.

The drain ends at its time whether or not this wait is over.

The test fails without the change.

--- a/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -155,3 +155,19 @@
     }), { numRuns: 25, seed: 5 })
   })
 })
+
+// Guards against requests that end without a response because new connections keep the stop from going on.
+it('ends the requests in time although connections keep coming', async () => {
+  const clock = createFakeClock()
+  const schedule = drainSchedule(clock.nowMs(), GRACE_MS)
+  let endedAtMs: number | undefined
+  let isDone = false
+  const clients = {
+    finish: async () => { await new Promise(() => {}) },
+    unfinishedRequests: () => endedAtMs === undefined ? [{ method: 'GET', path: '/', arrivedAtMs: 0 }] : [],
+    isSettled: () => true
+  } as unknown as ClientServer
+  drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule, endRequests: () => { endedAtMs = clock.nowMs() } }).then(() => { isDone = true }, () => {})
+  await clock.advanceAsync(GRACE_MS)
+  expect({ endedAtMs, isDone }).toEqual({ endedAtMs: schedule.endAtMs, isDone: true })
+})
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -28,7 +28,10 @@
  */
 export async function drainClients ({ clients, log, clock, schedule, endRequests }: DrainParts): Promise<void> {
   await sleep(clock, schedule.acceptUntilMs - clock.nowMs())
-  await clients.finish()
+  const finished = new AbortController()
+  // A late process may still be accepting connections when the drain ends.
+  await Promise.race([clients.finish(), sleep(clock, schedule.endAtMs - clock.nowMs(), finished.signal)])
+  finished.abort()
   logUnfinished(clients, log, clock)
   const waitUntil = async (untilMs: number, isDone: () => boolean): Promise<void> => {
     while (!isDone() && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
