Keep the rate of the platform's soak under load, and say how long the run itself paused

Arrivals follow from absolute times: a late timer made each later one late. A run without a success fails, since it shows nothing.

--- a/packages/anvilarch-platform-soak/src/bin/platformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/bin/platformSoak.ts
@@ -3,6 +3,7 @@
 import { join, resolve } from 'node:path'
 import { createSystemClock } from 'anvilarch-utils'
 import { command, flag, number, option, optional, run, string } from 'cmd-ts'
+import { isSuccess } from '../clients/attempt'
 import { judge, summarize } from '../run/report'
 import { runPlatformSoak } from '../run/runPlatformSoak'
 import { WORK_KINDS, type WorkKind } from '../work/schedule'
@@ -56,9 +57,11 @@
       log
     })
     writeFileSync(join(folder, 'evidence.json'), JSON.stringify(result.evidence))
+    if (!interrupted.signal.aborted && !result.attempts.some(isSuccess)) throw new Error(`no request was answered with success, so that the run shows nothing: see the logs in ${folder}`)
     const { lost, counts, lines } = judge(result)
     for (const line of lines) print(line)
     print(`attempts: ${summarize(result.attempts)}`)
+    print(`longest pause of this process: ${Math.round(result.longestPauseMs)} ms`)
     print(`counts: ${Object.entries(counts).map(([name, count]) => `${count} ${name}`).join(', ')}`)
     print(`seed ${args.seed}: ${result.attempts.length} requests, ${result.evidence.signals.length} signals, ${lost} lost`)
     const isViolated = Object.values(counts).some(count => count > 0)
--- a/packages/anvilarch-platform-soak/src/clients/attempt.ts
+++ b/packages/anvilarch-platform-soak/src/clients/attempt.ts
@@ -87,9 +87,14 @@
   return ids.map(id => `id: ${id}\ndata: ${endpointEventData(id)}\n\n`).join('')
 }
 
+/** @returns whether the whole response came, with a 2xx status */
+export function isSuccess ({ status, end }: Attempt): boolean {
+  return end === 'complete' && status !== undefined && status >= 200 && status < 300
+}
+
 /** @returns whether the client may send the request again */
-export function mayRetry ({ kind, status, end }: Attempt): boolean {
-  const hasFailed = end !== 'complete' || (status ?? 0) >= 300
-  if (!hasFailed || (status !== undefined && FINAL_FAILURES.includes(status)) || end === 'left') return false
+export function mayRetry (attempt: Attempt): boolean {
+  const { kind, status, end } = attempt
+  if (isSuccess(attempt) || (status !== undefined && FINAL_FAILURES.includes(status)) || end === 'left') return false
   return kind.repeatable || end === 'refused' || (end === 'complete' && PROMISES.includes(status ?? 0))
 }
--- a/packages/anvilarch-platform-soak/src/clients/traffic.ts
+++ b/packages/anvilarch-platform-soak/src/clients/traffic.ts
@@ -110,11 +110,12 @@
   }
 
   const generate = async (): Promise<void> => {
-    while (!stopped.signal.aborted) {
+    for (let nextAtMs = clock.nowMs(); !stopped.signal.aborted;) {
       const arrival = arrive().finally(() => inProgress.delete(arrival))
       inProgress.add(arrival)
       const perMs = rate * swing(clock.nowMs() - startMs) * burstFactor / 1000
-      await sleep(clock, -Math.log(1 - random.next()) / perMs, stopped.signal)
+      nextAtMs += -Math.log(1 - random.next()) / perMs
+      await sleep(clock, nextAtMs - clock.nowMs(), stopped.signal)
     }
   }
   const generated = generate()
--- a/packages/anvilarch-platform-soak/src/run/report.ts
+++ b/packages/anvilarch-platform-soak/src/run/report.ts
@@ -1,6 +1,6 @@
 /** Counts what a run has yielded and describes each lost request. */
 import { readFileSync } from 'node:fs'
-import { type Attempt } from '../clients/attempt'
+import { type Attempt, isSuccess } from '../clients/attempt'
 import { checkLost } from '../rule/checkLost'
 import type { ClientRequest, EndpointRun } from '../rule/types'
 import type { PlatformSoakResult } from './runPlatformSoak'
@@ -23,7 +23,6 @@
   const losses = checkLost(evidence)
   const runsOf = groupRuns(evidence.runs)
   const hasRun = ({ requestId }: Attempt): boolean => (runsOf.get(requestId) ?? []).some(run => run.beganAtMs !== undefined)
-  const isSuccess = ({ status, end }: Attempt): boolean => end === 'complete' && status === 200
   const refusedButRan = attempts.filter(attempt => (attempt.status === 429 || attempt.status === 503) && hasRun(attempt))
   const unsigned = attempts.filter(attempt => isSuccess(attempt) && !attempt.isSigned)
   const notIntact = attempts.filter(attempt => isSuccess(attempt) && !attempt.isIntact)
--- a/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
@@ -1,5 +1,6 @@
 /** A run: starts the deployment, plays load and planned work, and collects the evidence. */
 import { join } from 'node:path'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { createLoopbackAddresses, openPlatformFleet, startRotation, startStoreStandin } from 'anvilarch-standins'
 import { type Clock, createRandom, processSeed, sleep } from 'anvilarch-utils'
 import type { Attempt } from '../clients/attempt'
@@ -37,6 +38,8 @@
   attempts: Attempt[]
   /** Processes that ended by themselves or in a wrong way. */
   problems: string[]
+  /** Longest time for which this process did nothing else. What it sees in that time has later times than it happened. */
+  longestPauseMs: number
   /** Log of each daemon, by its name. */
   logPaths: Map<string, string>
 }
@@ -46,6 +49,9 @@
 
 const START_POLL_MS = 100
 
+const DELAY_RESOLUTION_MS = 10
+const NS_PER_MS = 1e6
+
 /** @returns what the run has yielded, after all that it started has ended */
 export async function runPlatformSoak (options: PlatformSoakOptions): Promise<PlatformSoakResult> {
   const { clock, seed, signal, log, folder, root } = options
@@ -73,6 +79,8 @@
     const traffic = startTraffic({ clock, seed, rotation, rate: options.rate, pipelines: options.pipelines })
     const context: WorkContext = { clock, fleet, rotation, traffic, endpoints, store, changes, log }
     const work = playSchedule(context, options)
+    const delays = monitorEventLoopDelay({ resolution: DELAY_RESOLUTION_MS })
+    delays.enable()
     await sleep(clock, options.durationMs, signal)
     await traffic.stop()
     await work.stop()
@@ -81,6 +89,7 @@
       evidence: { bounds: BOUNDS, requests: toRequests(traffic.attempts, endpoints.runs), runs: endpoints.runs, signals: fleet.signals, changes, disruptions: [] },
       attempts: traffic.attempts,
       problems: fleet.problems,
+      longestPauseMs: delays.max / NS_PER_MS,
       logPaths: new Map(fleet.machines.map(({ name }) => [name, join(folder, `${name}.log`)]))
     }
   } finally {
