Fire no timer of the system clock early

A timer of Node.js counts whole milliseconds of a time that is cached in each turn of the event loop, and so may fire up to a millisecond early. The rule excuses a cut at the deadline, not before it.

A timer that fires early is started again for what is left, as is one that is longer than a timer of Node.js can be.

--- a/packages/anvilarch-utils/src/clock.ts
+++ b/packages/anvilarch-utils/src/clock.ts
@@ -11,11 +11,11 @@
   nowMs: () => number
   /** Milliseconds since the Unix epoch, for display. Not for leases or deadlines. */
   wallMs: () => number
-  /** Calls `onFire` once after `delayMs`. */
+  /** Calls `onFire` once after `delayMs`, never earlier. */
   after: (delayMs: number, onFire: () => void) => Timer
 }
 
-/** A timer of Node.js with a longer delay fires at once. */
+/** A timer of Node.js with a longer delay fires at once. Longer ones are started again when it has passed. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
 /** A point in time by both local clocks: the monotonic one stops while the host is suspended, the wall clock may be set back. */
@@ -40,8 +40,15 @@
     nowMs: () => performance.now(),
     wallMs: () => Date.now(),
     after: (delayMs, onFire) => {
-      const handle = setTimeout(onFire, Math.min(MAX_TIMER_MS, Math.max(0, delayMs)))
-      handle.unref()
+      const dueAtMs = performance.now() + delayMs
+      const fire = (): void => {
+        // Timers of Node.js count whole milliseconds of a cached time, so that they may fire up to one early.
+        const leftMs = dueAtMs - performance.now()
+        if (leftMs > 0) handle = start(leftMs)
+        else onFire()
+      }
+      const start = (timeMs: number): NodeJS.Timeout => setTimeout(fire, Math.min(MAX_TIMER_MS, Math.max(0, timeMs))).unref()
+      let handle = start(delayMs)
       return { cancel: () => clearTimeout(handle) }
     }
   }
