Judge a request of the platform's soak by the deadline that it sent

The header had the rest of the time rounded to whole milliseconds, the evidence had it with its fraction. A gateway that waits for the whole deadline that it was given could thus seem to end a request up to half a millisecond early. Both are the same whole number now.

--- a/packages/anvilarch-platform-soak/src/clients/forms.ts
+++ b/packages/anvilarch-platform-soak/src/clients/forms.ts
@@ -72,7 +72,7 @@
     `POST ${kind.pathPrefix}${requestId} HTTP/1.1`,
     `Host: ${HOST}`,
     `X-Request-Id: ${requestId}`,
-    `X-Deadline-Ms: ${Math.round(deadlineMs)}`,
+    `X-Deadline-Ms: ${deadlineMs}`,
     ...kind.service === 'models' ? ['X-Model: m', 'X-Token-Counts: 350,310', `X-Prompt-Prefix: 1a:100,${requestId.slice(0, 8)}:250`] : [],
     ...lastEventId === undefined ? [] : [`Last-Event-Id: ${lastEventId}`],
     form.body === 'chunked' ? 'Transfer-Encoding: chunked' : `Content-Length: ${body.length}`
--- a/packages/anvilarch-platform-soak/src/clients/traffic.ts
+++ b/packages/anvilarch-platform-soak/src/clients/traffic.ts
@@ -85,7 +85,7 @@
     let lastEventId: number | undefined
     for (let count = 1; count <= MAX_ATTEMPTS; count++) {
       const requestId = Array.from({ length: 2 }, () => callRandom.between(0, 0x7fffffff).toString(16).padStart(8, '0')).join('')
-      const attempt = await runAttempt({ clock, random: callRandom, connection: client.connection, gateway: client.gateway.name, fields: { kind, requestId, deadlineMs: untilMs - clock.nowMs(), lastEventId }, form: client.form })
+      const attempt = await runAttempt({ clock, random: callRandom, connection: client.connection, gateway: client.gateway.name, fields: { kind, requestId, deadlineMs: Math.floor(untilMs - clock.nowMs()), lastEventId }, form: client.form })
       attempts.push(attempt)
       if (client !== first) client.connection.leave()
       const remainingMs = untilMs - clock.nowMs()
