Complete responses that end with their connection

Cause: a response without a length counted as a failed attempt at its end (streams that may be resumed) or at its head (all others). With two endpoints that answer so, both attempts of a whole stream were used up, and the client, which had all events, was cut; plain answers and streams that may not be resumed got 502.

Change: an orderly end completes a response, and the process that ended it confirms that it was no end of that process: - a stream that may be resumed is resumed once at the same start of the endpoint, which costs no attempt. No further event, a refusal, or no reply within the time of one event: complete. Connection refused or 421: the process is gone, so that the stream goes on elsewhere or is cut. - for other streams and plain answers, one connection shows whether the port is still open. - at the end of a drain and at the deadline, an end that nothing has contradicted completes the response. Decisions are pure (`endConfirmation.ts`, `retryDecision.ts`).

--- a/packages/anvilarch-serving/src/requests/__fixtures__/requestHistory.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/requestHistory.ts
@@ -27,17 +27,17 @@
 const atEvent = fc.oneof({ weight: 4, arbitrary: fc.nat({ max: 4 }) }, { weight: 1, arbitrary: fc.nat({ max: 30 }) })
 
 const endingKind: fc.Arbitrary<EndingKind> = fc.oneof(
-  { weight: 5, arbitrary: fc.record({ ending: fc.constant('whole' as const) }) },
+  { weight: 5, arbitrary: fc.record({ ending: fc.constantFrom('whole' as const, 'whole' as const, 'unframed' as const) }) },
   {
     weight: 3,
     arbitrary: fc.record({
-      ending: fc.constantFrom('from_start' as const, 'of_another' as const, 'unsigned' as const, 'encoded' as const, 'unframed' as const, 'empty' as const, 'no_answer' as const, 'not_reached' as const)
+      ending: fc.constantFrom('from_start' as const, 'of_another' as const, 'unsigned' as const, 'encoded' as const, 'empty' as const, 'no_answer' as const, 'not_reached' as const)
     })
   },
   {
     weight: 8,
     arbitrary: fc.record({
-      ending: fc.constantFrom('break' as const, 'break' as const, 'half_event' as const, 'half_event_end' as const, 'silent' as const, 'skip' as const, 'repeat' as const, 'lower' as const, 'without_id' as const, 'unframed_end' as const),
+      ending: fc.constantFrom('break' as const, 'break' as const, 'half_event' as const, 'half_event_end' as const, 'silent' as const, 'skip' as const, 'repeat' as const, 'lower' as const, 'without_id' as const, 'unframed_early' as const, 'unframed_gone' as const, 'unframed_gone' as const, 'unframed_reset' as const, 'unframed_reset' as const),
       atEvent
     })
   },
--- a/packages/anvilarch-serving/src/requests/__tests__/cutHeads.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/cutHeads.test.ts
@@ -61,6 +61,7 @@
     account: undefined,
     endpointId: 'e1',
     deadlineMs: 1000,
+    startId: 'e1',
     text: { lastEventId: 0, eventData: [], softwareVersion: undefined },
     onEvent: () => {},
     onEnd: end => resolve({ whole: end.end === 'interrupted' ? undefined : end.end })
--- a/packages/anvilarch-serving/src/requests/attemptEnd.ts
+++ b/packages/anvilarch-serving/src/requests/attemptEnd.ts
@@ -7,7 +7,7 @@
 import { isBrokenConnection, isConnectionRefused, isTransientFailure } from './runAttempt'
 
 /** Steps that end a request. */
-export type FinalStep = Exclude<NextStep, 'send_again' | 'wait'>
+export type FinalStep = Exclude<NextStep, 'send_again' | 'wait' | 'complete'>
 
 /** Retry-After for requests that no endpoint has run: slots become free within a few hundred milliseconds. */
 const REFUSED_RETRY_AFTER_MS = 300
@@ -43,10 +43,12 @@
  * @param parts - crashes, hold times and clock
  * @param client - the request
  * @param state - progress of the request
+ * @param startId - endpoint that completed it
  */
-export function recordCompletion (parts: Pick<ForwardParts, 'crashes' | 'holdTimes' | 'clock'>, client: ClientRequest, state: RequestState): void {
+export function recordCompletion (parts: Pick<ForwardParts, 'crashes' | 'holdTimes' | 'clock'>, client: ClientRequest, state: RequestState, startId: string): void {
   // Several endpoints may complete a stream together, although each of them crashes. A lookup is completed by one endpoint.
-  const isWholeRun = client.route.kind !== 'stream' || (state.ranAt.size === 0 && client.metadata.lastEventId === undefined)
+  const isOnlyRun = [...state.ranAt].every(ranAt => ranAt === startId)
+  const isWholeRun = client.route.kind !== 'stream' || (isOnlyRun && client.metadata.lastEventId === undefined)
   if (isWholeRun) parts.crashes.onCompleted(requestIdentityOf(client))
   // The request waits in the queue until its first event and holds the slot from then on.
   if (state.service !== undefined && state.firstEventAtMs !== undefined) parts.holdTimes.onCompleted(state.service, parts.clock.nowMs() - state.firstEventAtMs)
--- a/packages/anvilarch-serving/src/requests/attemptLog.ts
+++ b/packages/anvilarch-serving/src/requests/attemptLog.ts
@@ -10,6 +10,8 @@
   chosen: (endpoint: Endpoint) => void
   responseStarted: (endpoint: Endpoint, status: number) => void
   failed: (endpoint: Endpoint, failure: AttemptFailure, reason: string) => void
+  /** The endpoint has closed its connection in order after an event, which no length shows to be the last one. */
+  ended: (endpoint: Endpoint) => void
   /** The endpoint sends nothing, so that the request is also sent to another one. */
   silent: (endpoint: Endpoint) => void
   processPaused: (endpoint: Endpoint, lateMs: number) => void
@@ -59,6 +61,9 @@
         sharedPrefixes: client.metadata.promptPrefixes.slice(0, -1).join()
       })
     },
+    ended: endpoint => {
+      state.requestLog.note('stream end to be confirmed', { requestId, endpoint: endpoint.startId, lastEventId: state.lastEventId, afterMs: elapsedMs(clock, client.arrivedAtMs) })
+    },
     silent: endpoint => {
       state.requestLog.note('endpoint silent', { requestId, endpoint: endpoint.startId, lastEventId: state.lastEventId, afterMs: elapsedMs(clock, client.arrivedAtMs) })
     },
--- a/packages/anvilarch-serving/src/requests/endByDrain.ts
+++ b/packages/anvilarch-serving/src/requests/endByDrain.ts
@@ -16,7 +16,7 @@
   parts: Pick<ForwardParts, 'drainState' | 'log'>
   client: ClientRequest
   state: RequestState
-  attempts: Pick<Attempts, 'stop' | 'mayHaveRun'>
+  attempts: Pick<Attempts, 'stop' | 'mayHaveRun' | 'completeUnconfirmed'>
   end: RequestCompletion
 }
 
@@ -29,7 +29,7 @@
  */
 export function endByDrain ({ parts: { drainState, log }, client, state, attempts, end }: EndByDrainParts): () => void {
   return drainState.onEnd(() => {
-    if (end.hasEnded()) return
+    if (end.hasEnded() || attempts.completeUnconfirmed()) return
     const signalAtMs = drainState.schedule()?.signalAtMs ?? client.arrivedAtMs
     const sinceSignalMs = (timeMs: number): number => Math.round(timeMs - signalAtMs)
     log.warn('request ended by the drain', {
--- a/packages/anvilarch-serving/src/requests/endConfirmation.ts
+++ b/packages/anvilarch-serving/src/requests/endConfirmation.ts
@@ -4,14 +4,16 @@
  * that brings no event, or the process that ended the response is not known to be gone, the stream is complete. Pure.
  */
 
-/** An end that no other attempt has confirmed. */
+/** An end in order that no other attempt has confirmed. */
 export interface UnconfirmedEnd<Source> {
-  /** Attempt whose connection ended in order. */
+  /** Attempt whose connection ended. */
   source: Source
   /** Start id of its endpoint. */
   startId: string
   /** Last event of the stream at this time. */
   lastEventId: number | undefined
+  /** Attempts that were in progress beside it. They may end for the same reason, so that they confirm nothing. */
+  beside: readonly Source[]
 }
 
 /** The last end in order of one stream. */
@@ -22,37 +24,50 @@
    * @returns whether the stream is complete, because the attempt resumed it after such an end and brought no event
    */
   onEnd: (end: UnconfirmedEnd<Source>) => boolean
-  /** Records that an endpoint is gone, so that the end may be that of its process. */
-  onEndpointGone: (startId: string) => void
   /** Records a send. */
   onSent: (startId: string) => void
+  /** Records that the process at an endpoint is gone, so that the end may be that of the process. */
+  onEndpointGone: (startId: string) => void
+  /** Records that the connection to an endpoint was lost, so that its process may be ending. */
+  onConnectionLost: (startId: string) => void
   /**
    * @param lastEventId - last event of the stream
    * @returns the end after this event; undefined if there is none, or its endpoint is gone
    */
   pending: (lastEventId: number | undefined) => UnconfirmedEnd<Source> | undefined
-  /** @returns start id of the endpoint that can confirm the pending end and has not been asked */
-  unasked: (lastEventId: number | undefined) => string | undefined
+  /** @returns start id of the endpoint that ended the stream and is to be asked to resume it; undefined if it has been asked */
+  toBeAsked: (lastEventId: number | undefined) => string | undefined
 }
 
+/** A second time shows whether a process that lost the first connection still listens. */
+const MAX_ASKED = 2
+
 /** @returns a stream without such an end */
 export function createEndConfirmation<Source> (): EndConfirmation<Source> {
   let last: UnconfirmedEnd<Source> | undefined
-  let isAsked = false
+  let askedCount = 0
+  let isToBeAsked = false
 
   const pending = (lastEventId: number | undefined): UnconfirmedEnd<Source> | undefined =>
     last !== undefined && last.lastEventId === lastEventId ? last : undefined
 
   return {
     onEnd: end => {
-      const isConfirmed = pending(end.lastEventId) !== undefined
+      const earlier = pending(end.lastEventId)
+      const isConfirmed = earlier !== undefined && !earlier.beside.includes(end.source)
       last = end
-      isAsked = false
+      askedCount = 0
+      isToBeAsked = true
       return isConfirmed
     },
+    onSent: startId => {
+      if (last?.startId !== startId) return
+      askedCount++
+      isToBeAsked = false
+    },
     onEndpointGone: startId => { if (last?.startId === startId) last = undefined },
-    onSent: startId => { isAsked ||= last?.startId === startId },
+    onConnectionLost: startId => { isToBeAsked ||= last?.startId === startId && askedCount < MAX_ASKED },
     pending,
-    unasked: lastEventId => isAsked ? undefined : pending(lastEventId)?.startId
+    toBeAsked: lastEventId => isToBeAsked ? pending(lastEventId)?.startId : undefined
   }
 }
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -6,6 +6,7 @@
 import type { CrashMonitor } from '../crashes/crashMonitor'
 import type { RequestIdentity } from '../crashes/fingerprint'
 import type { DrainState } from '../drain/drainState'
+import type { ConnectResult } from '../crashes/lossProber'
 import type { ConnectionPools } from '../endpoints/connectionPools'
 import type { LoadTable } from '../endpoints/loadTable'
 import type { Placement, PlacementCriteria } from '../endpoints/placement'
@@ -32,6 +33,8 @@
   placement: Placement
   usageReporter: UsageReporter
   pools: ConnectionPools
+  /** Attempts to connect to an address, without sending anything. */
+  probeConnection: (address: string) => Promise<ConnectResult>
   wire: RequestWire
   drainState: DrainState
   holdTimes: HoldTimes
--- a/packages/anvilarch-serving/src/requests/nextEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/nextEndpoint.ts
@@ -1,10 +1,13 @@
-/** Chooses the endpoint of the next send of a request: one that has not been tried, or one that it may go back to. */
+/** Chooses the endpoint of the next send of a request: one that has not been tried, or one that it may go back to, as to confirm the end of a stream. */
 import type { Endpoint } from '../model/types'
 import { type ClientRequest, type ForwardParts, placementCriteria, type RequestState } from './forwardTypes'
 import type { AbortedAttempt, RunningAttempts } from './runningAttempts'
+import type { StreamEnd } from './streamEnd'
 
 /** Choice of endpoints for one request. */
 export interface NextEndpoint {
+  /** @returns the endpoint that ended the stream in order and has not been asked to confirm it; undefined if it accepts no requests any more */
+  confirming: () => Endpoint | undefined
   /** @returns the best endpoint that has not been tried; undefined if there is none or the request has been sent too often */
   untried: () => Endpoint | undefined
   /** @returns the best endpoint that the request may go back to */
@@ -32,29 +35,39 @@
  * @param client - the request
  * @param state - progress of the request; its tried endpoints are updated
  * @param running - attempts in progress
+ * @param streamEnd - end of the stream
  * @returns the choice
  */
-export function createNextEndpoint ({ placement }: Pick<ForwardParts, 'placement'>, client: ClientRequest, state: RequestState, running: Pick<RunningAttempts, 'all' | 'count'>): NextEndpoint {
+export function createNextEndpoint ({ placement }: Pick<ForwardParts, 'placement'>, client: ClientRequest, state: RequestState, running: Pick<RunningAttempts, 'all' | 'count'>, streamEnd: Pick<StreamEnd, 'toBeAsked' | 'onSent'>): NextEndpoint {
   /** Start ids of endpoints whose attempts were aborted. */
   const abortedAt = new Set<string>()
 
   const untried = (): Endpoint | undefined =>
     state.service === undefined || state.sendCount >= MAX_SENDS ? undefined : placement.choose(placementCriteria(client, state, state.service))
 
-  const aborted = (): Endpoint | undefined =>
-    state.service === undefined || abortedAt.size === 0
+  const oneOf = (allowed: ReadonlySet<string>): Endpoint | undefined =>
+    state.service === undefined || allowed.size === 0
       ? undefined
-      : placement.choose({ ...placementCriteria(client, state, state.service), excluded: NO_ENDPOINTS, allowed: abortedAt })
+      : placement.choose({ ...placementCriteria(client, state, state.service), excluded: NO_ENDPOINTS, allowed })
+
+  const aborted = (): Endpoint | undefined => oneOf(abortedAt)
+
+  const confirming = (): Endpoint | undefined => {
+    const startId = streamEnd.toBeAsked()
+    return startId === undefined ? undefined : oneOf(new Set([startId]))
+  }
 
   const startedCount = (): number =>
     state.ranAt.size + running.all().filter(({ endpoint }) => !state.ranAt.has(endpoint.startId)).length
 
   return {
+    confirming,
     untried,
     aborted,
     choose: () => {
-      const next = startedCount() < client.route.maxAttempts ? untried() : undefined
-      return next ?? (running.count() === 0 ? aborted() : undefined)
+      const isIdle = running.count() === 0
+      const next = (isIdle ? confirming() : undefined) ?? (startedCount() < client.route.maxAttempts ? untried() : undefined)
+      return next ?? (isIdle ? aborted() : undefined)
     },
     onAborted: ({ endpoint, mayHaveRun }) => {
       if (mayHaveRun) abortedAt.add(endpoint.startId)
@@ -63,6 +76,7 @@
     onSent: ({ startId }) => {
       state.tried.add(startId)
       abortedAt.delete(startId)
+      streamEnd.onSent(startId)
     },
     startedCount
   }
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -0,0 +1,64 @@
+/**
+ * Completes a response that has no length and cannot be resumed, once its connection has ended in order. The connections of a process
+ * that is killed may end in order too, and its port is closed then.
+ */
+import { sleep } from 'anvilarch-utils'
+import { PROBE_DELAY_MS } from '../crashes/lossProber'
+import type { ForwardParts } from './forwardTypes'
+import type { EndpointResponse } from './runAttempt'
+import type { RunningAttempt, RunningAttempts } from './runningAttempts'
+
+/** End of the response of one request. */
+export interface ProbedEnd {
+  /**
+   * Probes the endpoint of an attempt, which stays in progress until then.
+   *
+   * @param response - undefined if it is a stream, whose events the client has
+   */
+  probe: (entry: RunningAttempt, response: EndpointResponse | undefined) => Promise<void>
+  /** Completes a response whose endpoint is being probed. @returns false if there is none */
+  completeUnconfirmed: () => boolean
+}
+
+/** Options of `createProbedEnd`. */
+export interface ProbedEndOptions {
+  parts: Pick<ForwardParts, 'clock' | 'metrics' | 'probeConnection'>
+  running: Pick<RunningAttempts, 'all'>
+  complete: (entry: RunningAttempt, response: EndpointResponse | undefined) => void
+  /** Called if no process listens at the endpoint any more. */
+  onGone: (entry: RunningAttempt) => void
+}
+
+/**
+ * @param options - the request and how its response is completed
+ * @returns the end of its response, which has not come
+ */
+export function createProbedEnd ({ parts: { clock, metrics, probeConnection }, running, complete, onGone }: ProbedEndOptions): ProbedEnd {
+  let completeProbed: (() => void) | undefined
+
+  return {
+    probe: async (entry, response) => {
+      completeProbed = () => {
+        completeProbed = undefined
+        complete(entry, response)
+      }
+      // A process that ends closes its connections and its port within this time. The client has all events, but waits for any other response.
+      if (response === undefined) await sleep(clock, PROBE_DELAY_MS)
+      const result = await probeConnection(entry.endpoint.address)
+      if (!running.all().includes(entry)) return
+      metrics.endsByClose.inc({ end: result === 'refused' ? 'gone' : 'confirmed' })
+      if (result !== 'refused') {
+        completeProbed()
+        return
+      }
+      completeProbed = undefined
+      onGone(entry)
+    },
+    completeUnconfirmed: () => {
+      if (completeProbed === undefined) return false
+      metrics.endsByClose.inc({ end: 'unconfirmed' })
+      completeProbed()
+      return true
+    }
+  }
+}
--- a/packages/anvilarch-serving/src/requests/requestLog.ts
+++ b/packages/anvilarch-serving/src/requests/requestLog.ts
@@ -3,7 +3,7 @@
 import type { EventFields, EventLog } from '../telemetry/events'
 
 /** Events that are logged only for requests that fail, are refused or miss an objective. */
-export type BufferedEvent = 'endpoint chosen' | 'answer begun' | 'endpoint silent' | 'own pause noticed'
+export type BufferedEvent = 'endpoint chosen' | 'answer begun' | 'stream end to be confirmed' | 'endpoint silent' | 'own pause noticed'
 
 /** Log events of one request. */
 export interface RequestLog {
--- a/packages/anvilarch-serving/src/requests/retryDecision.ts
+++ b/packages/anvilarch-serving/src/requests/retryDecision.ts
@@ -27,16 +27,21 @@
    * so that the request may go back to it.
    */
   hasAbortedEndpoint: boolean
+  /** Whether the last endpoint to send an event has closed its connection in order after it, so that the stream seems complete. */
+  hasUnconfirmedEnd: boolean
+  /** Whether this endpoint has not been asked yet to resume the stream, which shows whether its process is still there. */
+  mayAskForConfirmation: boolean
   remainingMs: number
   /** Whether this gateway may begin another send; false late in a drain. */
   mayBeginSend: boolean
 }
 
 /**
- * Next step of a request. `wait`: another attempt is still in progress, which an endpoint's silence does not end. `refuse`: 503, the request has not run and never will. `fail`: 502, it may have run.
+ * Next step of a request. `wait`: another attempt is still in progress, which an endpoint's silence does not end. `complete`: the stream ends as it is, since nothing
+ * contradicts the end that its endpoint gave it. `refuse`: 503, the request has not run and never will. `fail`: 502, it may have run.
  * `time_out`: 504. `break_off`: close the connection, so that the response does not look complete.
  */
-export type NextStep = 'send_again' | 'wait' | 'refuse' | 'fail' | 'time_out' | 'break_off'
+export type NextStep = 'send_again' | 'wait' | 'complete' | 'refuse' | 'fail' | 'time_out' | 'break_off'
 
 /** With less remaining time than this, another send would only end in the endpoint's own timeout. */
 export const MIN_REMAINING_MS = 30
@@ -55,9 +60,11 @@
   const retryable = startedCount === 0 || isRetryable(route)
   const maySendBeside = progress.attemptsInProgress === 0 || progress.allSilent
   const maySend = progress.mayBeginSend && hasTimeLeft && retryable
+  if (maySend && progress.attemptsInProgress === 0 && progress.mayAskForConfirmation) return 'send_again'
   if (maySend && hasAttemptLeft && maySendBeside && progress.hasUntriedEndpoint) return 'send_again'
   if (progress.attemptsInProgress > 0) return 'wait'
   if (maySend && progress.hasAbortedEndpoint) return 'send_again'
+  if (progress.hasUnconfirmedEnd) return 'complete'
   if (progress.responseStarted) return 'break_off'
   if (!mayHaveRun) return 'refuse'
   return hasTimeLeft ? 'fail' : 'time_out'
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/streamEnd.ts
@@ -0,0 +1,97 @@
+/** Completes a stream whose response has no length and ended with its connection, once that is confirmed or the wait for it is over. */
+import { createInactivityTimeout, type InactivityTimeout } from 'anvilarch-utils'
+import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
+import { createEndConfirmation, type EndConfirmation } from './endConfirmation'
+import { responseTimeoutMs } from './retryDecision'
+import { isBrokenConnection, isEndpointGone } from './runAttempt'
+import type { RunningAttempt, RunningAttempts } from './runningAttempts'
+
+/** End of the stream of one request. */
+export interface StreamEnd {
+  /**
+   * Records that the connection of an attempt, which is no longer in progress, has ended in order.
+   *
+   * @returns whether that has completed the stream
+   */
+  onEnd: (entry: RunningAttempt) => boolean
+  /** Records that an attempt has failed. */
+  onFailure: (startId: string, reason: string) => void
+  onSent: (startId: string) => void
+  /** Stops waiting for a confirmation. */
+  cancelTimeout: () => void
+  /** @returns whether the stream has ended in order, and its endpoint is not known to be gone */
+  isPending: () => boolean
+  /** @returns start id of the endpoint to ask for a confirmation */
+  toBeAsked: () => string | undefined
+  /** Completes a pending stream, although no endpoint has confirmed its end. @returns false if it is not pending */
+  completeUnconfirmed: () => boolean
+}
+
+/** Options of `createStreamEnd`. */
+export interface StreamEndOptions {
+  parts: Pick<ForwardParts, 'clock' | 'metrics'>
+  route: ClientRequest['route']
+  state: Pick<RequestState, 'lastEventId'>
+  running: Pick<RunningAttempts, 'all' | 'abort' | 'count'>
+  /** Completes the response with the events that the client has. */
+  complete: (entry: RunningAttempt) => void
+  onProcessPause: (lateMs: number) => void
+}
+
+/**
+ * @param options - the request and how its response is completed
+ * @returns the end of its stream, which has not come
+ */
+export function createStreamEnd ({ parts: { clock, metrics }, route, state, running, complete, onProcessPause }: StreamEndOptions): StreamEnd {
+  const confirmation: EndConfirmation<RunningAttempt> = createEndConfirmation()
+  let timeout: InactivityTimeout | undefined
+
+  const isPending = (): boolean => confirmation.pending(state.lastEventId) !== undefined
+
+  const cancelTimeout = (): void => {
+    timeout?.cancel()
+    timeout = undefined
+  }
+
+  const completeWith = (source: RunningAttempt, end: 'confirmed' | 'unconfirmed'): void => {
+    metrics.endsByClose.inc({ end })
+    running.abort(running.all())
+    complete(source)
+  }
+
+  const completeUnconfirmed = (): boolean => {
+    const end = confirmation.pending(state.lastEventId)
+    if (end === undefined) return false
+    completeWith(end.source, 'unconfirmed')
+    return true
+  }
+
+  /** The client has all events, so that it is not kept waiting for longer than for an event. An attempt in progress may bring further events. */
+  const updateTimeout = (): void => {
+    if (!isPending()) cancelTimeout()
+    else if (running.count() === 0) timeout ??= createInactivityTimeout({ clock, timeoutMs: responseTimeoutMs(route, true), onTimeout: completeUnconfirmed, onProcessPause })
+  }
+
+  return {
+    onEnd: entry => {
+      const isConfirmed = confirmation.onEnd({ source: entry, startId: entry.endpoint.startId, lastEventId: state.lastEventId, beside: running.all() })
+      if (isConfirmed) {
+        completeWith(entry, 'confirmed')
+        return true
+      }
+      metrics.endsByClose.inc({ end: 'to_be_confirmed' })
+      updateTimeout()
+      return false
+    },
+    onFailure: (startId, reason) => {
+      if (isEndpointGone(reason)) confirmation.onEndpointGone(startId)
+      if (isBrokenConnection(reason)) confirmation.onConnectionLost(startId)
+      updateTimeout()
+    },
+    onSent: confirmation.onSent,
+    cancelTimeout,
+    isPending,
+    toBeAsked: () => confirmation.toBeAsked(state.lastEventId),
+    completeUnconfirmed
+  }
+}
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -130,6 +130,7 @@
     holdTimes: createHoldTimes(),
     responseBudget: createByteBudget(MAX_BUFFERED_BYTES),
     crashes,
+    probeConnection,
     streamOrigins,
     limits: accounts.limits,
     isStillAuthorized: caller => isStillAuthorized(view.configuration.current(), caller),
--- a/packages/anvilarch-serving/src/runner/itemLifecycle.ts
+++ b/packages/anvilarch-serving/src/runner/itemLifecycle.ts
@@ -200,6 +200,7 @@
       host: job.host,
       account: job.account,
       endpointId: endpoint.id,
+      startId: endpoint.startId,
       deadlineMs: Math.max(MIN_DEADLINE_MS, Math.round(job.expiresAtMs - (parts.store.storeNowMs() ?? job.submittedAtMs))),
       text: entry.text,
       onEvent: () => onEvent(entry),
--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -21,6 +21,8 @@
   eventData: string[]
   /** Software version of the engine that produced the events; another version cannot continue them. */
   softwareVersion: string | undefined
+  /** The last run whose connection ended in order without a sign that the text is complete: start of its engine, and last event at that time. */
+  closedRun?: { startId: string, eventId: number }
 }
 
 /** Options of `runItem`. */
@@ -34,6 +36,8 @@
   /** Client account of the item's job. */
   account: string | undefined
   endpointId: string
+  /** Start of the engine. */
+  startId: string
   deadlineMs: number
   /** Extended by each event; a later run continues from it. */
   text: ItemText
@@ -114,6 +118,7 @@
       else options.onEvent()
     },
     onStreamEnd: () => finish(endOfEvents(text)),
+    onUnconfirmedEnd: response => finish(response === undefined ? endOfUnconfirmedEvents(text, options.startId) : endOfResponse(response.status)),
     onResponse: response => finish(endOfResponse(response.status)),
     onFailure: (_failure, reason) => finish({ end: 'interrupted', reason })
   })
@@ -134,6 +139,17 @@
   return { end: 'interrupted', reason: `status ${status}` }
 }
 
+/**
+ * The connections of an engine that is killed may end in order too. So the next run resumes the text, unless this one has received no
+ * event after such an end at the same start of the engine.
+ */
+function endOfUnconfirmedEvents (text: ItemText, startId: string): RunEnd {
+  const eventId = text.lastEventId
+  const isConfirmed = text.closedRun?.startId === startId && text.closedRun.eventId === eventId
+  text.closedRun = { startId, eventId }
+  return isConfirmed ? endOfEvents(text) : { end: 'interrupted', reason: 'end_not_confirmed' }
+}
+
 /** A run that resumes after the last event of its item receives no further event; a run from the start receives at least one. */
 function endOfEvents (text: ItemText): RunEnd {
   if (text.lastEventId === 0) return { end: 'interrupted', reason: 'no_events' }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -62,9 +62,11 @@
   'answer begun': { requestId: string, endpoint: string, status: number, afterMs: number }
   /** A stream that the client resumes was refused, because it is not known what it is bound to or nothing may continue it. */
   'stream not resumed': { requestId: string, resumesRequestId: string | undefined, reason: 'origin_unknown' | 'service_not_routed' }
-  /** This process was paused while it should have read from an endpoint, so the endpoint does not count as failed yet. */
+  /** The response of the endpoint has no length, and its connection was closed in order after this event. */
+  'stream end to be confirmed': { requestId: string, endpoint: string, lastEventId: number | undefined, afterMs: number }
   /** The request is also sent to another endpoint; the first that sends an event continues it. */
   'endpoint silent': { requestId: string, endpoint: string, lastEventId: number | undefined, afterMs: number }
+  /** This process was paused while it should have read from an endpoint, so the endpoint does not count as failed yet. */
   'own pause noticed': { requestId: string, endpoint: string, lateMs: number }
   'attempt failed': AttemptFailureFields
   'request handling failed': { reason: string }
