Test items whose engine ends each response with its connection

Such an item was resumed after its last event for ever: each end counted as an interruption, so that it expired. An end in order after which the same start of the engine has no further event now completes the item; a broken connection or another start of the engine doesn't.

--- a/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemRun.test.ts
@@ -9,6 +9,10 @@
   status: number
   body: string
   type?: string
+  /** How the connection ends if the response states no length. */
+  ends?: 'closed' | 'broken'
+  /** Start of the engine. */
+  startId?: string
 }
 
 const ITEM = {
@@ -18,6 +22,7 @@
   host: 'h',
   account: undefined,
   endpointId: 'e1',
+  startId: 'e1',
   deadlineMs: 100_000
 }
 
@@ -27,7 +32,7 @@
   const dispatch = (_options: unknown, handler: Record<'onConnect' | 'onHeaders' | 'onData' | 'onComplete', (...args: unknown[]) => void>): boolean => {
     queueMicrotask(() => {
       handler.onConnect(() => {})
-      const headers = ['content-type', answer.type ?? 'text/event-stream', 'content-length', String(answer.body.length)]
+      const headers = ['content-type', answer.type ?? 'text/event-stream', ...answer.ends === undefined ? ['content-length', String(answer.body.length)] : []]
       handler.onHeaders(answer.status, headers.map(part => Buffer.from(part)))
       if (answer.body !== '') handler.onData(Buffer.from(answer.body))
       handler.onComplete()
@@ -36,8 +41,9 @@
   }
   runItem({
     clock: createFakeClock(),
-    pool: { dispatch } as unknown as Pool,
+    pool: { dispatch, lastConnectionEnd: () => answer.ends } as unknown as Pool,
     ...ITEM,
+    startId: answer.startId ?? ITEM.startId,
     text,
     onEvent: () => {},
     onEnd: end => ends.push(end)
@@ -90,6 +96,26 @@
     expect(await endOfRun({ status: 200, body, type: 'application/json' }, textUpToSecondEvent())).toMatchObject({ end: 'interrupted', reason: 'status 200' })
   })
 
+  // Guards against an item of an engine that states no length in any response, which never ends.
+  it('completes an item without a length once the same start of the engine has no further event', async () => {
+    const text = startOfText()
+    const whole = { status: 200, body: 'id: 1\ndata: a\n\n', ends: 'closed' as const }
+    expect(await endOfRun(whole, text)).toMatchObject({ end: 'interrupted', reason: 'end_not_confirmed' })
+    expect(await endOfRun({ ...whole, body: '' }, text)).toEqual({ end: 'completed', text: 'a' })
+  })
+
+  // Guards against a partial text that is listed as completed after its engine was killed.
+  it('does not complete an item without a length after a broken connection, or at another start of the engine', async () => {
+    const text = startOfText()
+    const part = { status: 200, body: 'id: 1\ndata: a\n\n' }
+    expect(await endOfRun({ ...part, ends: 'broken' }, text)).toMatchObject({ end: 'interrupted', reason: 'ECONNRESET' })
+    expect(await endOfRun({ status: 200, body: '', ends: 'closed' }, text)).toMatchObject({ end: 'interrupted' })
+    expect(await endOfRun({ status: 200, body: '', ends: 'closed', startId: 'e2' }, text)).toMatchObject({ end: 'interrupted' })
+    expect(await endOfRun({ status: 200, body: '', ends: 'broken', startId: 'e2' }, text)).toMatchObject({ end: 'interrupted' })
+    expect(await endOfRun({ status: 200, body: 'id: 2\ndata: b\n\n', ends: 'closed', startId: 'e2' }, text)).toMatchObject({ end: 'interrupted' })
+    expect(await endOfRun({ status: 200, body: '', ends: 'closed', startId: 'e2' }, text)).toEqual({ end: 'completed', text: 'a\nb' })
+  })
+
   it.each([201, 202, 203, 204, 205, 206, 404, 408, 421, 429, 503, 504])('is interrupted by status %i', async status => {
     expect(await endOfRun({ status, body: '' }, textUpToSecondEvent())).toMatchObject({ end: 'interrupted' })
   })
