--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -162,6 +162,20 @@
     await until(closed)
     expect(received()).toMatch(/^HTTP\/1.1 408/)
   })
+
+  // Guards against requests that run although their client was told that they never will.
+  it('is not handled if it is completed after the 408', async () => {
+    const socket = connect({ port: (clients.server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true })
+    let text = ''
+    socket.on('data', data => { text += String(data) })
+    socket.write('GET /2 HTTP/1.1\r\nHo')
+    await until(() => text.includes('408'))
+    socket.write('st: h\r\n\r\n')
+    const closed = once(socket, 'close')
+    socket.end()
+    await closed
+    expect(handled.map(({ path }) => path)).toEqual([])
+  })
 })
 
 describe('a flood of new connections', () => {
