Discard what a client sends behind the last response of its connection

Callers saw 408 for a head that came too slowly, which promises that the request never runs; if the rest of the head came later, the request was handled and passed on all the same. A request that was pipelined behind a refused body was handled too, with no connection left for its response.

Cause: a connection that this process had ended was still read by the parser, and nothing knew that its last response had been sent.

Now such a connection is known as lingering: requests on it are dropped, and after a second, or the end from the client, it is closed. That holds for responses to bytes that are no request as well.

--- a/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
@@ -25,8 +25,8 @@
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 }
 
-function open (): { socket: Socket, receivedBytes: () => number, closed: Promise<void> } {
-  const socket = connect((clients.server.address() as AddressInfo).port, '127.0.0.1')
+function open (allowHalfOpen = false): { socket: Socket, receivedBytes: () => number, closed: Promise<void> } {
+  const socket = connect({ port: (clients.server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen })
   sockets.push(socket)
   let bytes = 0
   socket.on('data', data => { bytes += data.length })
@@ -137,6 +137,23 @@
     expect(receivedBytes()).toBeGreaterThan('HTTP/1.1 503'.length)
   })
 
+  // Guards against requests that run although their response has no connection any more.
+  it('is the last one on its connection', async () => {
+    const handled: string[] = []
+    clients.close()
+    await start(({ url = '' }, response) => {
+      handled.push(url)
+      response.writeHead(503, { Connection: 'close', 'Content-Length': 2 })
+      response.end('no')
+    })
+    const { socket, closed } = open()
+    socket.write('POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+    await new Promise<void>(resolve => socket.once('data', () => resolve()))
+    socket.write('0\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n')
+    await closed
+    expect(handled).toEqual(['/1'])
+  })
+
   it('is followed by the close of the connection, also if the client goes on sending', async () => {
     const { socket, closed } = open()
     socket.write('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
@@ -147,3 +164,19 @@
     expect(clients.isSettled()).toBe(true)
   })
 })
+
+describe('a response to bytes that are no request', () => {
+  // Guards against connections that clients keep open without end.
+  it('is followed by the close of the connection, also if the client goes on sending', async () => {
+    await start(() => {})
+    const { socket, closed } = open(true)
+    socket.write('no request\r\n\r\n')
+    await new Promise<void>(resolve => socket.once('data', () => resolve()))
+    expect(clients.isSettled()).toBe(false)
+    const sending = setInterval(() => socket.write('more'), 5)
+    clock.advance(LINGER_MS)
+    await closed
+    clearInterval(sending)
+    expect(clients.isSettled()).toBe(true)
+  })
+})
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -16,7 +16,7 @@
   applyLimits: (limits: ClientLimits) => void
   /** @returns requests whose response is not complete */
   unfinishedRequests: () => UnfinishedRequest[]
-  /** @returns whether each response has been flushed and each connection whose client still sent a body is closed */
+  /** @returns whether each response has been flushed and each connection whose client was still sending is closed */
   isSettled: () => boolean
   /**
    * Accepts no further connections, and closes each open one as soon as it has no unfinished response.
@@ -89,6 +89,11 @@
     socket.end()
   }
   const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
+    if (lingeringClose.isLingering(request.socket)) {
+      // The client has been told that this request does not run, or gets no response.
+      request.resume()
+      return
+    }
     if (finishing && !request.socket.writable) {
       // The client sent the request before it received the end of the connection, and may send it again to another gateway.
       request.socket.destroy()
@@ -114,6 +119,7 @@
   server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(response => cutUnfinishedResponse(response))) })
   closeExcessConnections(server, options)
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
+    if (lingeringClose.isLingering(socket)) return
     if (error.code === HEAD_TIMEOUT_CODE && responsesOn(socket).length > 0) {
       // The requests before this head have come whole.
       closingConnections.add(socket)
@@ -128,7 +134,7 @@
       return
     }
     options.log.info('client bytes rejected', { status, reason: error.code ?? error.message })
-    socket.end(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    lingeringClose.rejectConnection(socket, `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
   return {
     server,
--- a/packages/anvilarch-serving/src/roles/lingeringClose.ts
+++ b/packages/anvilarch-serving/src/roles/lingeringClose.ts
@@ -1,22 +1,26 @@
-/** Closes connections after a response to a request whose body is still being sent, without losing that response. */
+/** Closes connections after a response to a client that is still sending, without losing that response. */
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from 'anvilarch-utils'
 
-/** Longest time for which the rest of a body is read and discarded. */
+/** Longest time for which the rest of what a client sends is read and discarded. */
 export const LINGER_MS = 1000
 
-/** Connections that are closed once the rest of a body has been read. */
+/** Connections that are closed once what their clients still send has been read. */
 export interface LingeringClose {
   /** Registers the request that is being read from its connection. */
   onRequest: (request: IncomingMessage) => void
-  /** @returns number of connections on which a body is being discarded */
+  /** Writes a response to bytes that are no request, or not yet, and ends the connection. */
+  rejectConnection: (socket: Socket, response: string) => void
+  /** @returns whether the connection is ended, so that nothing that comes on it can be answered */
+  isLingering: (socket: Socket) => boolean
+  /** @returns number of connections on which bytes are being discarded */
   count: () => number
 }
 
 /**
  * A connection that is closed with unread bytes is reset, and the reset may overtake a response that the client has not read. So the
- * sending side is closed first, and the rest of the body is read.
+ * sending side is closed first, and what the client still sends is read.
  *
  * @param clock - local clock
  * @returns the functions that a server calls
@@ -24,8 +28,8 @@
 export function createLingeringClose (clock: Clock): LingeringClose {
   const lingering = new Set<Socket>()
 
-  const linger = (socket: Socket, request: IncomingMessage): void => {
-    socket.end()
+  /** @returns a function that closes the connection */
+  const linger = (socket: Socket): () => void => {
     lingering.add(socket)
     const destroy = (): void => { socket.destroy() }
     const timer = clock.after(LINGER_MS, destroy)
@@ -33,8 +37,7 @@
       timer.cancel()
       lingering.delete(socket)
     })
-    request.once('end', destroy)
-    request.resume()
+    return destroy
   }
 
   return {
@@ -43,10 +46,21 @@
       const destroySoon = Object.getPrototypeOf(socket).destroySoon as () => void
       // Node.js calls this after a response with `Connection: close`.
       socket.destroySoon = () => {
-        if (request.complete || socket.destroyed) destroySoon.call(socket)
-        else if (!lingering.has(socket)) linger(socket, request)
+        if (request.complete || socket.destroyed) {
+          destroySoon.call(socket)
+          return
+        }
+        if (lingering.has(socket)) return
+        socket.end()
+        request.once('end', linger(socket))
+        request.resume()
       }
     },
+    rejectConnection: (socket, response) => {
+      socket.end(response)
+      socket.once('end', linger(socket))
+    },
+    isLingering: socket => lingering.has(socket),
     count: () => lingering.size
   }
 }
