Let a drain wait for bodies that are being discarded

Callers that read a refusal only after they have sent their whole body got a reset in place of it, from a gateway that stops: it closed all connections 200 ms after its last response, though a body is discarded for up to a second so that its refusal is not lost.

A drain that has time left now waits for these connections, at most until its end; after that for 200 ms, as before.

--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from '../telemetry/events'
 import type { ClientServer } from './clientServer'
 
-/** Longest wait for clients to receive the final responses. */
+/** Longest wait for clients to receive the responses at the end of the drain. */
 const FINAL_RESPONSES_MS = 200
 
 /** Interval at which the drain checks for unfinished requests. */
@@ -39,7 +39,8 @@
   await waitUntil(schedule.endAtMs, () => clients.unfinishedRequests().length === 0)
   const unfinishedRequests = clients.unfinishedRequests().length
   endRequests()
-  await waitUntil(clock.nowMs() + FINAL_RESPONSES_MS, clients.isSettled)
+  // Connections are reset with the end of the process if their clients still send, which loses responses that were not read.
+  await waitUntil(Math.max(schedule.endAtMs, clock.nowMs() + FINAL_RESPONSES_MS), clients.isSettled)
   log.info('gateway stopped', { unfinishedRequests })
 }
 
