Log requests that are not read whole

A request that a gateway never read whole left no line that names it: its client closed the connection, the drain ended first, or it came on a connection that the gateway had ended. A record with such a request can't tell these apart.

Evidence: clientCalls.test.ts and clientServer.test.ts.

--- a/packages/anvilarch-serving/src/roles/__tests__/clientCalls.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientCalls.test.ts
@@ -1,7 +1,9 @@
 import { IncomingMessage, ServerResponse } from 'node:http'
 import { Socket } from 'node:net'
-import { createFakeClock, type FakeClock, SILENT_LOGGER, sleep } from 'anvilarch-utils'
+import { createFakeClock, createLogger, type FakeClock, sleep } from 'anvilarch-utils'
 import { createDrainState, type OwnedDrainState } from '../../drain/drainState'
+import { createLogRateLimiter } from '../../telemetry/logRateLimiter'
+import { createServingMetrics } from '../../telemetry/metrics'
 import { type ClientCall, handleClient } from '../clientCalls'
 
 /** The drain ends this long after its start. */
@@ -13,18 +15,23 @@
 
 let clock: FakeClock
 let drainState: OwnedDrainState
+let request: IncomingMessage
 let response: ServerResponse
+let lines: Array<Record<string, unknown>>
 
 function createCall (configuration: unknown): ClientCall {
   clock = createFakeClock()
   drainState = createDrainState(clock)
-  const request = new IncomingMessage(new Socket())
+  request = new IncomingMessage(new Socket())
   response = new ServerResponse(request)
+  lines = []
+  const log = createLogger({ level: 'info', process: 'g', write: line => lines.push(JSON.parse(line)) })
   return {
     request,
     response,
     drainState,
-    forward: { clock, log: SILENT_LOGGER, wire: { decodeCredential: () => undefined, decodeRequest: () => ({}) } },
+    arrivedAtMs: clock.nowMs(),
+    forward: { clock, log, metrics: createServingMetrics(), logRateLimiter: createLogRateLimiter(clock, 20), wire: { decodeCredential: () => undefined, decodeRequest: () => ({ requestId: 'r1' }) } },
     jobs: { isJobCall: () => false },
     configuration: { current: () => configuration },
     endpoints: { hasListing: () => configuration !== undefined },
@@ -52,3 +59,32 @@
     expect(response).toMatchObject({ statusCode: 503, writableEnded: true, destroyed: false })
   })
 })
+
+describe('a call that is not read whole', () => {
+  const ROUTE = { name: 'r', host: 'h', pathPrefix: '/', kind: 'stream', timeoutMs: 5000 }
+
+  /** Calls are named, since a request that ends in this way leaves no other line. */
+  const unreadLines = (): unknown[] => lines.filter(({ message }) => message === 'request ended unread').map(({ requestId, reason, drainMs, elapsedMs }) => ({ requestId, reason, drainMs, elapsedMs }))
+
+  beforeEach(() => {
+    const call = createCall({ limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000 }, routes: [ROUTE] })
+    request.headers.host = 'h'
+    request.url = '/a'
+    handleClient(call).catch(() => {})
+    drainState.start(GRACE_MS)
+  })
+
+  it('is logged if the drain ends', async () => {
+    await clock.advanceAsync(AUTHENTICATION_MS + 50)
+    drainState.end()
+    expect(unreadLines()).toEqual([{ requestId: 'r1', reason: 'stopping', drainMs: 250, elapsedMs: 250 }])
+  })
+
+  it('is logged if its connection closes', async () => {
+    await clock.advanceAsync(AUTHENTICATION_MS + 50)
+    request.destroy()
+    await clock.advanceAsync(0)
+    await new Promise(resolve => setImmediate(resolve))
+    expect(unreadLines()).toEqual([{ requestId: 'r1', reason: 'client_left', drainMs: 250, elapsedMs: 250 }])
+  })
+})
--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -10,6 +10,7 @@
 
 let clients: ClientServer
 let handled: Array<{ path: string, response: ServerResponse }>
+let dropped: string[]
 let onHandled: (path: string, response: ServerResponse) => void
 
 beforeEach(async () => {
@@ -19,7 +20,9 @@
     handled.push({ path: url, response })
     onHandled(url, response)
   }
-  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), onRequest })
+  dropped = []
+  const onDropped = ({ url = '' }: IncomingMessage): void => { dropped.push(url) }
+  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), onRequest, onDropped })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 })
 
@@ -174,7 +177,7 @@
     const closed = once(socket, 'close')
     socket.end()
     await closed
-    expect(handled.map(({ path }) => path)).toEqual([])
+    expect([handled.map(({ path }) => path), dropped]).toEqual([[], ['/2']])
   })
 })
 
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -9,12 +9,13 @@
 import { type JobCalls, MAX_JOB_CALL_MS } from '../jobs/jobCalls'
 import type { Configuration, Route } from '../model/types'
 import { mayBegin } from '../drain/drainSchedule'
-import type { DrainState } from '../drain/drainState'
+import { drainElapsedMs, type DrainState } from '../drain/drainState'
 import { type GatewayResponse, sendGatewayResponse, STOPPING_RESPONSE } from '../requests/clientResponse'
 import { forwardRequest } from '../requests/forwardRequest'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { readBody } from '../requests/readBody'
 import { isRouteHost, matchRoute } from '../routing/matchRoute'
+import type { EventFields } from '../telemetry/events'
 import { headBytes } from './clientServer'
 
 /** Retry delay while this gateway has no configuration. A gateway that has one can serve the request immediately. */
@@ -69,7 +70,7 @@
  */
 export async function handleClient (call: ClientCall): Promise<void> {
   const { request, response, arrivedAtMs, forward, drainState } = call
-  const unregister = respondAtDrainEnd(call, STOPPING_RESPONSE)
+  const unregister = respondAtDrainEnd(call, STOPPING_RESPONSE, () => logUnread(call, 'stopping'))
   if (await waitForConfiguration(call) === undefined) {
     sendGatewayResponse(response, { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfterMs: NOT_READY_RETRY_AFTER_MS }, drainState)
     return
@@ -99,7 +100,10 @@
   const metadata = forward.wire.decodeRequest(request.headers)
   const timeoutMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
   const read = await readBody(request, { maxBytes: configuration.limits.maxBodyBytes, timeoutMs }, forward.clock)
-  if (read.outcome === 'broken_off') return
+  if (read.outcome === 'broken_off') {
+    if (!response.headersSent) logUnread(call, 'client_left')
+    return
+  }
   if (read.outcome === 'too_large') {
     rejectClient(call, 413, 'body_too_large', `the body exceeds ${configuration.limits.maxBodyBytes} bytes`)
     return
@@ -145,12 +149,29 @@
 }
 
 /** Sends a response if the drain ends before the call has one. @returns removes the registration */
-function respondAtDrainEnd ({ response, drainState }: ClientCall, gatewayResponse: GatewayResponse): () => void {
-  const unregister = drainState.onEnd(() => sendGatewayResponse(response, gatewayResponse, drainState))
+function respondAtDrainEnd ({ response, drainState }: ClientCall, gatewayResponse: GatewayResponse, beforeResponse = (): void => {}): () => void {
+  const unregister = drainState.onEnd(() => {
+    if (!response.headersSent) beforeResponse()
+    sendGatewayResponse(response, gatewayResponse, drainState)
+  })
   response.on('close', unregister)
   return unregister
 }
 
+/** Logs a request that was not read whole. Any client can send any number of these. */
+export function logUnread ({ request, arrivedAtMs, forward, drainState }: Pick<ClientCall, 'request' | 'arrivedAtMs' | 'forward' | 'drainState'>, reason: EventFields['request ended unread']['reason']): void {
+  if (!forward.logRateLimiter.tryAcquire()) {
+    forward.metrics.logLinesLeftOut.inc()
+    return
+  }
+  forward.log.info('request ended unread', {
+    requestId: forward.wire.decodeRequest(request.headers).requestId,
+    reason,
+    drainMs: drainElapsedMs(forward.clock, drainState),
+    elapsedMs: Math.round(forward.clock.nowMs() - arrivedAtMs)
+  })
+}
+
 /** Refuses a job call that may not end before this gateway does. @returns whether it was refused */
 function refuseJobCallInDrain ({ response, forward, drainState }: ClientCall): boolean {
   const nowMs = forward.clock.nowMs()
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -43,6 +43,8 @@
   metrics: Pick<ServingMetrics, 'connectionsClosedUnread' | 'connectionsClosedByDrain'>
   /** `arrivedAtMs`: local time at which the head was received. A pipelined request may be passed on much later. */
   onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void
+  /** Called for a request that comes on a connection that this process has ended. It is not handled. */
+  onDropped?: (request: IncomingMessage) => void
 }
 
 /** Interval at which Node.js checks for heads that exceed the header timeout. */
@@ -91,11 +93,13 @@
   const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
     if (lingeringClose.isLingering(request.socket)) {
       // The client has been told that this request does not run, or gets no response.
+      options.onDropped?.(request)
       request.resume()
       return
     }
     if (finishing && !request.socket.writable) {
       // The client sent the request before it received the end of the connection, and may send it again to another gateway.
+      options.onDropped?.(request)
       request.socket.destroy()
       return
     }
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -26,7 +26,7 @@
 import { createTrafficCounters } from '../telemetry/trafficCounters'
 import { createGatewayStreams } from './gatewayStreams'
 import { startHeartbeat } from '../peers/heartbeat'
-import { handleClient } from './clientCalls'
+import { handleClient, logUnread } from './clientCalls'
 import { createClientServer } from './clientServer'
 import { drainClients } from './drainClients'
 import { createGatewayAccounts } from './gatewayAccounts'
@@ -166,6 +166,7 @@
     log,
     clock,
     metrics: context.metrics,
+    onDropped: request => logUnread({ request, arrivedAtMs: clock.nowMs(), forward, drainState }, 'connection_ended'),
     onRequest: (request, response, arrivedAtMs) => {
       handleClient({
         request,
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -69,6 +69,8 @@
   'attempt failed': AttemptFailureFields
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
+  /** A request that was not read whole. `stopping`: it got 503 at the end of the drain. `connection_ended`: it came behind the last response of its connection. */
+  'request ended unread': { requestId: string | undefined, reason: 'client_left' | 'stopping' | 'connection_ended', drainMs: number | undefined, elapsedMs: number }
 
   traffic: TrafficFields
 
