--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -10,6 +10,7 @@
 
 let clients: ClientServer
 let handled: Array<{ path: string, response: ServerResponse }>
+let dropped: string[]
 let onHandled: (path: string, response: ServerResponse) => void
 
 beforeEach(async () => {
@@ -19,7 +20,9 @@
     handled.push({ path: url, response })
     onHandled(url, response)
   }
-  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), onRequest })
+  dropped = []
+  const onDropped = ({ url = '' }: IncomingMessage): void => { dropped.push(url) }
+  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), onRequest, onDropped })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 })
 
@@ -162,6 +165,20 @@
     await until(closed)
     expect(received()).toMatch(/^HTTP\/1.1 408/)
   })
+
+  // Guards against requests that run although their client was told that they never will.
+  it('is not handled if it is completed after the 408', async () => {
+    const socket = connect({ port: (clients.server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true })
+    let text = ''
+    socket.on('data', data => { text += String(data) })
+    socket.write('GET /2 HTTP/1.1\r\nHo')
+    await until(() => text.includes('408'))
+    socket.write('st: h\r\n\r\n')
+    const closed = once(socket, 'close')
+    socket.end()
+    await closed
+    expect([handled.map(({ path }) => path), dropped]).toEqual([[], ['/2']])
+  })
 })
 
 describe('a flood of new connections', () => {
