Complete a response without a length by the end of its connection at the agent

Cause: `plainRun.ts` failed each response that states neither a length nor chunks at its head (`unframed_answer`), since undici reports a reset and an orderly close alike.

Change: the agent's connections are watched (`watchConnector`); `openExchange` completes a response without a length only after an orderly close. Head and output are passed on as they arrive, as for other responses. A transfer coding other than chunked is rejected as before, since the body can't be decoded. Over TLS nothing changes: Node.js does not tell whether the other side closed TLS in order. An engine's error response whose connection broke stays a response, since its status suffices.

--- a/packages/anvilarch-daemon/src/agent/endpoints/connections.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/connections.ts
@@ -1,15 +1,22 @@
 /** Connections to one endpoint: a keep-alive pool for each work class, so that batch work never delays online work. */
-import { Client, Pool } from 'undici'
+import { buildConnector, Client, type Dispatcher, Pool } from 'undici'
 import type { WorkClass } from 'anvilarch-protocol'
+import { type ConnectionEnd, type WatchedConnector, watchConnector } from 'anvilarch-utils'
 
 /** Purpose of a connection. */
 export type EndpointChannel = WorkClass | 'control'
 
+/** A dispatcher that reports how its connections ended. */
+export type WatchedDispatcher = Dispatcher & {
+  /** @returns how the connection ended whose end has just completed a response without a length */
+  lastConnectionEnd: () => ConnectionEnd
+}
+
 /** Connections to one endpoint. */
 export interface EndpointConnections {
-  pool: (channel: EndpointChannel) => Pool
+  pool: (channel: EndpointChannel) => WatchedDispatcher
   /** @returns a dedicated connection for one exchange; the caller closes it */
-  fresh: () => Client
+  fresh: () => WatchedDispatcher
   /**
    * Replaces the pool of a channel; the old one finishes its requests and closes. After a timeout on one connection, the
    * idle connections of the pool may be dead too, which is noticed only when a request on them is lost.
@@ -33,20 +40,27 @@
  * @returns the connections, opened on first use
  */
 export function createEndpointConnections (url: string, options: ConnectionOptions = DEFAULT_CONNECTION_OPTIONS): EndpointConnections {
-  const origin = new URL(url).origin
-  const pools = new Map<EndpointChannel, Pool>()
-  const retired = new Set<Pool>()
+  const { origin, protocol } = new URL(url)
+  const pools = new Map<EndpointChannel, WatchedDispatcher>()
+  const retired = new Set<WatchedDispatcher>()
   // No pipelining: undici would resend a pipelined request after a reset.
   const clientOptions = {
     pipelining: 1,
     keepAliveTimeout: options.idleMs,
     keepAliveMaxTimeout: options.idleMs,
-    connect: { timeout: options.connectTimeoutMs },
     headersTimeout: 0,
     bodyTimeout: 0
   }
 
-  const retire = (pool: Pool): void => {
+  const connectEndpoint = buildConnector({ timeout: options.connectTimeoutMs }) as WatchedConnector<buildConnector.Options>['connect']
+
+  const watched = (create: (connect: buildConnector.connector) => Dispatcher): WatchedDispatcher => {
+    const { connect, lastEnd } = watchConnector(connectEndpoint)
+    // Node.js does not tell whether the other side has closed TLS in order; without that, anyone on the path can truncate a response.
+    return Object.assign(create(connect as buildConnector.connector), { lastConnectionEnd: protocol === 'https:' ? () => 'broken' as const : lastEnd })
+  }
+
+  const retire = (pool: WatchedDispatcher): void => {
     retired.add(pool)
     pool.close().catch(() => {}).finally(() => { retired.delete(pool) })
   }
@@ -55,12 +69,12 @@
     pool: channel => {
       let pool = pools.get(channel)
       if (pool === undefined) {
-        pool = new Pool(origin, clientOptions)
+        pool = watched(connect => new Pool(origin, { ...clientOptions, connect }))
         pools.set(channel, pool)
       }
       return pool
     },
-    fresh: () => new Client(origin, clientOptions),
+    fresh: () => watched(connect => new Client(origin, { ...clientOptions, connect })),
     replacePool: channel => {
       const pool = pools.get(channel)
       if (pool === undefined) return
--- a/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
@@ -1,9 +1,9 @@
 /** Opens one connection to an engine and reads its response to the end. */
-import type { Dispatcher } from 'undici'
 import type { Clock } from 'anvilarch-utils'
 import type { EndpointCall, Headers } from '../../attempts/types'
+import type { WatchedDispatcher } from './connections'
 import { createEngineEventReader, type EngineEvent } from './engineEvents'
-import { type ExchangeEnd, type HttpExchange, openExchange, parseOrUndefined } from './httpExchange'
+import { BROKEN_OFF, type ExchangeEnd, type HttpExchange, openExchange, parseOrUndefined, type ResponseFraming } from './httpExchange'
 
 /** How a connection ended. */
 export type ConnectionEnd =
@@ -29,7 +29,7 @@
 
 /** Options of `openEngineConnection`. */
 export interface EngineConnectionOptions {
-  dispatcher: Dispatcher
+  dispatcher: WatchedDispatcher
   clock: Clock
   call: EndpointCall
   /** The call resumes a stream. */
@@ -66,10 +66,10 @@
     listener.onEvent(event)
   })
 
-  const onHead = (receivedStatus: number, headers: Headers, framed: boolean): void => {
+  const onHead = (receivedStatus: number, headers: Headers, framing: ResponseFraming): void => {
     status = receivedStatus
     phase = phaseOf(options, status, headers)
-    unframedBody = framed || status >= MIN_NON_SUCCESS_STATUS ? undefined : []
+    unframedBody = framing === 'framed' || status >= MIN_NON_SUCCESS_STATUS ? undefined : []
     if (phase === 'streaming') listener.onStream(headers)
     else if (phase === 'responding') listener.onNonStreamHead(status, headers)
   }
@@ -111,7 +111,8 @@
  * Without a length or chunks, a body is complete only if it parses as JSON. The body of an error response may be
  * truncated, since its status suffices.
  */
-function isCompleteResponse (end: ExchangeEnd, { unframedBody }: ReceivedResponse): boolean {
+function isCompleteResponse (end: ExchangeEnd, { status, unframedBody }: ReceivedResponse): boolean {
+  if (end.kind === 'error' && end.code === BROKEN_OFF) return status >= MIN_NON_SUCCESS_STATUS
   if (end.kind !== 'complete') return false
   return unframedBody === undefined || parseOrUndefined(Buffer.concat(unframedBody).toString('utf8')) !== undefined
 }
--- a/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici'
 import { type Clock, createInactivityTimeout, isFramed } from 'anvilarch-utils'
 import type { EndpointCall, Headers } from '../../attempts/types'
+import type { WatchedDispatcher } from './connections'
 
 /** How an exchange ended. */
 export type ExchangeEnd =
@@ -13,10 +14,18 @@
   | { kind: 'error', sent: boolean, code: string, detail: string }
   | { kind: 'aborted', sent: boolean }
 
+/**
+ * How the end of a response shows: by a length or chunks, or by the end of its connection. It does not show if a transfer coding is
+ * not known, since the body can't be decoded.
+ */
+export type ResponseFraming = 'framed' | 'until_close' | 'unknown_coding'
+
+/** Code of the error of a response without a length whose connection broke, or may have. */
+export const BROKEN_OFF = 'broken_off'
+
 /** Callbacks for the response. */
 export interface ExchangeListener {
-  /** `framed` is false if only the end of the connection delimits the response, which may then be truncated. */
-  onHead: (status: number, headers: Headers, framed: boolean) => void
+  onHead: (status: number, headers: Headers, framing: ResponseFraming) => void
   onData: (data: Uint8Array) => void
 }
 
@@ -49,15 +58,18 @@
 }
 
 /**
+ * A response that ends with its connection is complete if the endpoint has closed the connection in order.
+ *
  * @param dispatcher - the connection or pool to use
  * @param call - the request
  * @param listener - callbacks for the response
  * @param clock - for the time of the last byte
  * @returns the exchange
  */
-export function openExchange (dispatcher: Dispatcher, call: EndpointCall, listener: ExchangeListener, clock: Clock): HttpExchange {
+export function openExchange (dispatcher: WatchedDispatcher, call: EndpointCall, listener: ExchangeListener, clock: Clock): HttpExchange {
   let sent = false
   let stopped = false
+  let framing: ResponseFraming = 'framed'
   let lastActivityMs = clock.nowMs()
   let controller: Dispatcher.DispatchController | undefined
   let finish: (end: ExchangeEnd) => void = () => {}
@@ -80,13 +92,17 @@
     onResponseStart: (_, status, headers) => {
       lastActivityMs = clock.nowMs()
       if (stopped || status < 200) return
-      listener.onHead(status, endToEndHeaders(headers), call.method === 'HEAD' || isFramed(status, name => headers[name]?.toString()))
+      framing = call.method === 'HEAD' ? 'framed' : framingOf(status, name => headers[name]?.toString())
+      listener.onHead(status, endToEndHeaders(headers), framing)
     },
     onResponseData: (_, data) => {
       lastActivityMs = clock.nowMs()
       if (!stopped) listener.onData(data)
     },
-    onResponseEnd: () => { finish({ kind: 'complete' }) },
+    onResponseEnd: () => {
+      const isComplete = framing === 'framed' || (framing === 'until_close' && dispatcher.lastConnectionEnd() === 'closed')
+      finish(isComplete ? { kind: 'complete' } : { kind: 'error', sent, code: BROKEN_OFF, detail: 'the connection broke within an answer without a length' })
+    },
     onResponseError: (_, error) => {
       const code = (error as { code?: string }).code ?? 'unknown'
       finish({ kind: 'error', sent, code, detail: error.message })
@@ -109,6 +125,11 @@
   }
 }
 
+function framingOf (status: number, header: (name: string) => string | undefined): ResponseFraming {
+  if (isFramed(status, header)) return 'framed'
+  return header('transfer-encoding') === undefined ? 'until_close' : 'unknown_coding'
+}
+
 /** Response to a small JSON request. */
 export interface JsonResponse {
   status: number
@@ -124,7 +145,7 @@
  * @returns status and parsed body, or how the exchange failed
  */
 export async function requestJson (
-  dispatcher: Dispatcher,
+  dispatcher: WatchedDispatcher,
   request: { method: string, path: string, body?: unknown },
   options: { clock: Clock, timeoutMs: number }
 ): Promise<JsonResponse | { failed: ExchangeEnd }> {
