Complete an engine's body without a length by the end of its connection

Cause: a body without a length or chunks, other than a stream, counted as complete if it parsed as JSON, whatever became of its connection.

Change: such a body is complete after an orderly close (`openExchange`). Streams have an end mark and need neither.

--- a/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
@@ -124,4 +124,26 @@
       expect(end).toMatchObject({ outcome, ran: 'ran' })
       expect(output).toBe(body)
     })
+
+  // Guards against a complete body that is lost because only JSON was taken for complete.
+  it.each(MODES)('completes a body without a length that is not JSON when the engine closes its connection in order, in mode %s', async mode => {
+    const { end, output } = await run(mode, response => { response.socket?.end('HTTP/1.1 200 X\r\ncontent-type: text/plain\r\n\r\nall of it') })
+    expect(end).toMatchObject({ outcome: 'completed', ran: 'ran' })
+    expect(output).toBe('all of it')
+  })
+
+  // Guards against a truncated body that parses, such as the first digits of a number, or text before the reset.
+  it.each(MODES.flatMap(mode => [[mode, 'application/json', '12'], [mode, 'application/json', '{"choices":[]}'], [mode, 'text/plain', 'a part']] as const))(
+    'does not complete a body without a length when its connection breaks, in mode %s: %s %s', async (mode, type, body) => {
+      const bytes = `HTTP/1.1 200 X\r\ncontent-type: ${type}\r\n\r\n${body}`
+      const { end } = await run(mode, response => { response.socket?.write(bytes, () => { setTimeout(() => { response.socket?.resetAndDestroy() }, 2) }) })
+      expect(end).toMatchObject({ outcome: 'endpoint_failed', ran: 'ran' })
+    })
+
+  // Guards against an error that is lost, since a server that rejects a request before it has read all of it resets its connection.
+  it.each(MODES)('keeps an error response without a length whose connection breaks, in mode %s', async mode => {
+    const bytes = 'HTTP/1.1 413 X\r\ncontent-type: application/json\r\n\r\n{"error":'
+    const { end, status } = await run(mode, response => { response.socket?.write(bytes, () => { setTimeout(() => { response.socket?.resetAndDestroy() }, 2) }) })
+    expect([end.outcome, status]).toEqual(['completed', 413])
+  })
 })
--- a/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
@@ -59,7 +59,7 @@
 export function openEngineConnection (options: EngineConnectionOptions, listener: EngineListener): EngineConnection {
   let phase: Phase = 'opening'
   let status = 0
-  let unframedBody: Uint8Array[] | undefined
+  let bodyToParse: Uint8Array[] | undefined
   const events = createEngineEventReader(event => {
     if (phase !== 'streaming') return
     if (event.isEnd) phase = 'finished'
@@ -69,7 +69,7 @@
   const onHead = (receivedStatus: number, headers: Headers, framing: ResponseFraming): void => {
     status = receivedStatus
     phase = phaseOf(options, status, headers)
-    unframedBody = framing === 'framed' || status >= MIN_NON_SUCCESS_STATUS ? undefined : []
+    bodyToParse = framing === 'framed' || status >= MIN_NON_SUCCESS_STATUS || !mayBeJson(headers) ? undefined : []
     if (phase === 'streaming') listener.onStream(headers)
     else if (phase === 'responding') listener.onNonStreamHead(status, headers)
   }
@@ -78,13 +78,13 @@
     onHead,
     onData: data => {
       if (phase === 'responding') {
-        unframedBody?.push(data)
+        bodyToParse?.push(data)
         listener.onNonStreamData(data)
       } else if (phase === 'streaming') events.feed(data)
     }
   }, options.clock)
 
-  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, unframedBody })) }
+  return { exchange, end: exchange.done.then(exchangeEnd => connectionEnd(phase, exchangeEnd, { status, bodyToParse })) }
 }
 
 function phaseOf (options: EngineConnectionOptions, status: number, headers: Headers): Phase {
@@ -95,8 +95,8 @@
 
 interface ReceivedResponse {
   status: number
-  /** Body of a successful response whose framing does not show that it is complete; undefined for all others. */
-  unframedBody: Uint8Array[] | undefined
+  /** Body of a successful response without a length, unless it is of another type than JSON; undefined for all others. */
+  bodyToParse: Uint8Array[] | undefined
 }
 
 function connectionEnd (phase: Phase, end: ExchangeEnd, received: ReceivedResponse): ConnectionEnd {
@@ -108,11 +108,16 @@
 }
 
 /**
- * Without a length or chunks, a body is complete only if it parses as JSON. The body of an error response may be
- * truncated, since its status suffices.
+ * A body without a length or chunks is complete after an orderly close. It must also parse if it is JSON, since the connections of a
+ * killed process are closed in order too. The body of an error response may be truncated, since its status suffices.
  */
-function isCompleteResponse (end: ExchangeEnd, { status, unframedBody }: ReceivedResponse): boolean {
+function isCompleteResponse (end: ExchangeEnd, { status, bodyToParse }: ReceivedResponse): boolean {
   if (end.kind === 'error' && end.code === BROKEN_OFF) return status >= MIN_NON_SUCCESS_STATUS
   if (end.kind !== 'complete') return false
-  return unframedBody === undefined || parseOrUndefined(Buffer.concat(unframedBody).toString('utf8')) !== undefined
+  return bodyToParse === undefined || parseOrUndefined(Buffer.concat(bodyToParse).toString('utf8')) !== undefined
+}
+
+/** Responses of engines are JSON unless they name another type. */
+function mayBeJson (headers: Headers): boolean {
+  return /json|^$/i.test(headers['content-type'] ?? '')
 }
