Say why ports and command-line tool keep to lengths and chunks

Weighed: whether `httpCaller.ts` and `gateway/httpClient.ts` should complete a body without a length after an orderly close, as the agent does now. Kept as it is; the reason now stands beside the code.

--- a/packages/anvilarch-daemon/src/platform/http/httpCaller.ts
+++ b/packages/anvilarch-daemon/src/platform/http/httpCaller.ts
@@ -87,6 +87,8 @@
     })
     const body = await response.body.bytes()
     if (call.accept.includes(response.statusCode)) {
+      // Unlike endpoints, these services always state a length or chunks. An orderly close is not enough: a killed service causes one
+      // too, and part of an object would be taken for all of it. A failed call is only repeated.
       if (!isFramed(response.statusCode, name => response.headers[name]?.toString())) throw new Error('the answer names neither a length nor chunks')
       return { status: response.statusCode, body }
     }
--- a/packages/anvilarch/src/gateway/httpClient.ts
+++ b/packages/anvilarch/src/gateway/httpClient.ts
@@ -111,7 +111,11 @@
   return Buffer.concat(chunks).toString('utf8')
 }
 
-/** Rejects a body without length or chunks: it ends with its connection, so a truncated one could not be detected. */
+/**
+ * Rejects a body without length or chunks. Gateways always state one of them to clients of HTTP/1.1. Without them, a gateway or proxy
+ * that is killed ends the body by an orderly close, and part of the results would be taken for all of them. Bodies read by `json` end
+ * with their own syntax.
+ */
 async function requireFramedBody ({ statusCode, headers, body }: Dispatcher.ResponseData): Promise<Readable> {
   if (isFramed(statusCode, name => headers[name]?.toString())) return body
   await body.dump()
