Tell a reset that comes with data from a close in the test's caller

Cause: Node.js reports `end`, no error, for a reset that arrives together with data, so the caller in truncatedResponses.test.ts took it for an orderly close.

Change: the caller reads with `watchConnectionEnd`. As strict as before: an orderly close where a reset is due still fails.

--- a/packages/anvilarch-daemon/src/callers/__tests__/truncatedResponses.test.ts
+++ b/packages/anvilarch-daemon/src/callers/__tests__/truncatedResponses.test.ts
@@ -1,11 +1,12 @@
 import { createServer } from 'node:http'
 import { type AddressInfo, connect } from 'node:net'
-import { abortResponse } from 'anvilarch-utils'
+import { abortResponse, watchConnectionEnd } from 'anvilarch-utils'
 import type { FakeAgentOptions } from '../../attempts/__fixtures__/fakeAgent'
 import { startTestGateway, type TestGateway } from '../../attempts/__fixtures__/testGateway'
 
 const CHAT = JSON.stringify({ model: 'writer', stream: true, messages: [{ role: 'user', content: 'x' }] })
 const LARGE = 'x'.repeat(100_000)
+const REPETITIONS = 20
 
 let gateway: TestGateway
 beforeAll(() => { jest.spyOn(console, 'error').mockImplementation(() => {}) })
@@ -27,8 +28,9 @@
       onData()
       if (text.endsWith('\r\n0\r\n\r\n')) resolve({ text, ending: 'complete' })
     })
-    socket.on('end', () => { resolve({ text, ending: 'closed' }) })
     socket.on('error', error => { resolve({ text, ending: (error as { code?: string }).code ?? '' }) })
+    // Node.js reports no error for a reset that arrives together with data.
+    watchConnectionEnd(socket, end => { resolve({ text, ending: end === 'closed' ? 'closed' : 'ECONNRESET' }) })
   })
 }
 
@@ -86,4 +88,17 @@
     expect(text).toContain('half')
     expect(ending).toBe(expected)
   })
+
+  it('resets a response without length and chunks right after its last bytes', async () => {
+    const server = createServer((_request, response) => {
+      response.write('half')
+      setImmediate(() => { abortResponse(response) })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    for (let count = 0; count < REPETITIONS; count++) {
+      const { ending } = await readFrom((server.address() as AddressInfo).port, 'GET / HTTP/1.0\r\nhost: x\r\n\r\n', () => {})
+      expect(ending).toBe('ECONNRESET')
+    }
+    server.close()
+  })
 })
