--- a/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
+++ b/packages/anvilarch-daemon/src/agent/__tests__/modelRun.test.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { createSystemClock } from 'anvilarch-utils'
 import { createEndpointConnections, type EndpointConnections } from '../endpoints/connections'
 import { startModelRun } from '../endpoints/modelRun'
@@ -117,6 +117,16 @@
     expect(output).toBe(parts.join(''))
   })
 
+  it.each<[string, (socket: Socket | null, bytes: string) => void]>([
+    ['closes its connection', (socket, bytes) => { socket?.end(bytes) }],
+    ['resets its connection', (socket, bytes) => { socket?.write(bytes, () => { setTimeout(() => { socket.resetAndDestroy() }, 2) }) }]
+  ])('completes a stream without a length at its end mark when the engine %s', async (_how, end) => {
+    const text = [word('one '), word('two'), STOP, DONE].join('')
+    const result = await run('stream', response => { end(response.socket, `HTTP/1.0 200 OK\r\ncontent-type: text/event-stream\r\n\r\n${text}`) })
+    expect(result.end).toMatchObject({ outcome: 'completed', outputTokens: 2 })
+    expect(result.output).toBe(text)
+  })
+
   // Guards against a truncated body being taken for complete, since only the end of its connection delimits it.
   it.each(MODES.flatMap(mode => [[mode, 200, '{"choices":[{"mess', 'endpoint_failed'], [mode, 200, '{"choices":[]}', 'completed'], [mode, 502, 'too busy', 'completed']] as const))(
     'detects by its JSON whether a body without a length is complete, in mode %s: %d %s', async (mode, status, body, outcome) => {
