Show that bytes without end fill the memory of a daemon

What callers saw: a machine ran out of memory over bytes without end of a faulty endpoint, and the requests of other clients ended with it.

They measure what is kept after garbage collection.

--- a/packages/anvilarch-serving/src/roles/__tests__/readReport.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/readReport.test.ts
@@ -1,6 +1,8 @@
 import { type AddressInfo, createServer, type Socket } from 'node:net'
 import { createSystemClock } from 'anvilarch-utils'
 import { createPool } from '../../endpoints/httpPool'
+import { startEndlessEndpoint } from '../../requests/__fixtures__/endlessEndpoint'
+import { createMemoryMeter, HEAP_LIMIT_BYTES } from '../../requests/__fixtures__/keptMemory'
 import { readReport } from '../agentRole'
 import type { EngineWire } from '../types'
 
@@ -35,4 +37,16 @@
     for (const socket of open) socket.destroy()
     server.close()
   })
+
+  // Guards against a limit that counts the bytes of a report and not what holds them.
+  it('takes little memory if it comes in chunks of one byte', async () => {
+    const meter = createMemoryMeter(512 * 1024)
+    const endpoint = await startEndlessEndpoint({ start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', chunk: '1\r\na\r\n'.repeat(10_000), onSent: () => meter.onProgress(endpoint.sentBytes()) })
+    const pool = createPool(`http://${endpoint.address}`, { connections: 1, headersTimeout: 0, bodyTimeout: 0 })
+    const wire = { reportPath: '/', decodeReport: () => ({}) } as unknown as EngineWire
+    expect(await readReport(pool, wire, createSystemClock())).toBeUndefined()
+    await pool.destroy()
+    endpoint.close()
+    expect(meter.mostBytes()).toBeLessThan(HEAP_LIMIT_BYTES / 4)
+  })
 })
