Keep the bytes of responses in blocks, and limit responses of the store

Callers saw a daemon run out of memory: a response in chunks of one byte kept a Buffer object and its read buffer for each byte (832 MiB after 48 MiB on the wire), and the limits on bodies and reports counted bytes only. Responses of the store had no limit in size (417 MiB within the timeout).

A response of the store ends at 9 MiB, the limit that its relays have, and the body of a rejection, which is ignored, is no longer kept.

--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -3,6 +3,7 @@
 import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { ByteBudget } from './byteBudget'
+import { createByteCollector } from './byteCollector'
 import type { AttemptFailure } from './retryDecision'
 import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
 import { forwardedHeaders } from './headers'
@@ -125,7 +126,7 @@
   let hasEvent = (options.afterEventId ?? 0) > 0
   let bufferedBytes = 0
   let ended = false
-  const chunks: Buffer[] = []
+  const buffered = createByteCollector()
   const splitter = createEventSplitter()
   const isHeadRequest = options.request.method === 'HEAD'
 
@@ -138,7 +139,7 @@
   const releaseBuffered = (): void => {
     options.budget.release(bufferedBytes)
     bufferedBytes = 0
-    chunks.length = 0
+    buffered.clear()
   }
 
   const fail = (failure: AttemptFailure, reason: string): void => {
@@ -202,7 +203,7 @@
       return
     }
     bufferedBytes += chunk.length
-    chunks.push(chunk)
+    buffered.append(chunk)
   }
 
   const onData = (chunk: Buffer): void => {
@@ -249,7 +250,7 @@
       return
     }
     ended = true
-    const body = Buffer.concat(chunks)
+    const body = buffered.bytes()
     releaseBuffered()
     if (head.events) options.onStreamEnd()
     else options.onResponse({ status: head.status, rawHeaders: head.rawHeaders, body })
--- a/packages/anvilarch-serving/src/roles/agentRole.ts
+++ b/packages/anvilarch-serving/src/roles/agentRole.ts
@@ -3,6 +3,7 @@
 import type { PeerMessage } from '../endpoints/peerMessages'
 import { startExchange } from '../endpoints/exchange'
 import { createPool, type Pool } from '../endpoints/httpPool'
+import { createByteCollector } from '../requests/byteCollector'
 import { startPeriodicLog } from '../telemetry/periodicLog'
 import { startHeartbeat } from '../peers/heartbeat'
 import { CLAIM_TABLE, JOB_TABLE, MEMBER_TABLE } from '../jobs/jobRows'
@@ -118,20 +119,18 @@
  */
 export function readReport (pool: Pool, wire: EngineWire, clock: Clock): Promise<EngineReport | undefined> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
+    const received = createByteCollector()
     let status = 0
-    let receivedBytes = 0
     const exchange = startExchange(pool, { method: 'GET', path: wire.reportPath, headers: [], body: undefined }, {
       onHead: responseStatus => { status = responseStatus },
       onData: chunk => {
-        receivedBytes += chunk.length
-        if (receivedBytes <= MAX_REPORT_BYTES) chunks.push(chunk)
-        else {
+        received.append(chunk)
+        if (received.length() > MAX_REPORT_BYTES) {
           exchange.abort()
           settle(undefined)
         }
       },
-      onComplete: () => settle(status === 200 ? wire.decodeReport(Buffer.concat(chunks)) : undefined),
+      onComplete: () => settle(status === 200 ? wire.decodeReport(received.bytes()) : undefined),
       onFailure: () => settle(undefined)
     })
     const timeout = createInactivityTimeout({
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -2,6 +2,7 @@
 import { type Clock, createInactivityTimeout, isFramed, type Random } from 'anvilarch-utils'
 import { startExchange } from '../endpoints/exchange'
 import { createPool, type Pool } from '../endpoints/httpPool'
+import { createByteCollector } from '../requests/byteCollector'
 import type { EventLog } from '../telemetry/events'
 import { createLongPolls } from './longPolls'
 import { createRelayPeers } from './relayPeers'
@@ -14,6 +15,9 @@
 /** Limit of concurrent calls. Each feed occupies one. */
 const MAX_CONNECTIONS = 64
 
+/** Limit on a response: the store returns objects of up to 8 MiB, and rows of up to 1 MB. */
+const MAX_RESPONSE_BYTES = 9 * 1024 * 1024
+
 /** Reason of a call that its sender has aborted. */
 const ABORTED_REASON = 'given_up'
 
@@ -39,7 +43,7 @@
 
   return call => new Promise(resolve => {
     const pool = currentPool
-    const chunks: Buffer[] = []
+    const received = createByteCollector()
     let status = 0
     let readAfterPause = false
     const settle = (response: StoreResponse): void => {
@@ -47,28 +51,31 @@
       call.signal?.removeEventListener('abort', onAbort)
       resolve(response)
     }
-    const onAbort = (): void => {
+    const fail = (reason: string): void => {
       exchange.abort()
-      settle({ outcome: 'no_answer', reason: ABORTED_REASON })
+      settle({ outcome: 'no_answer', reason })
     }
+    const onAbort = (): void => fail(ABORTED_REASON)
     const exchange = startExchange(pool, call, {
       onHead: (responseStatus, headers) => {
         status = responseStatus
         if (BUSY_STATUS.has(responseStatus) || isFramed(responseStatus, name => headers.get(name))) return
-        exchange.abort()
-        settle({ outcome: 'no_answer', reason: 'unframed_answer' })
+        fail('unframed_answer')
+      },
+      onData: chunk => {
+        // The body of a rejection is ignored.
+        if (!BUSY_STATUS.has(status)) received.append(chunk)
+        if (received.length() > MAX_RESPONSE_BYTES) fail('response_too_large')
       },
-      onData: chunk => { chunks.push(chunk) },
-      onComplete: () => settle({ outcome: 'answered', status, body: Buffer.concat(chunks), readAfterPause }),
+      onComplete: () => settle({ outcome: 'answered', status, body: received.bytes(), readAfterPause }),
       onFailure: failure => settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
     })
     const timeout = createInactivityTimeout({
       clock,
       timeoutMs: call.timeoutMs,
       onTimeout: () => {
-        exchange.abort()
+        fail('timeout')
         replacePool(pool)
-        settle({ outcome: 'no_answer', reason: 'timeout' })
       },
       onProcessPause: () => { readAfterPause = true }
     })
