Count the incomplete events of all streams against one limit

Callers saw a gateway run out of memory: each stream kept up to 4 MiB of an event without end, and 40 of them kept 197 MiB. Each chunk also copied and searched the whole incomplete event again.

The bytes of incomplete events count against the budget that buffered responses share. The splitter keeps them in blocks and searches only the new chunk; what was before it matters only where an empty line begins there. A failed attempt drops them.

--- a/packages/anvilarch-serving/src/requests/__tests__/eventBlocks.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/eventBlocks.test.ts
@@ -26,6 +26,23 @@
     }), RUNS)
   })
 
+  it('returns the same blocks of lines with and without carriage returns wherever the bytes are cut', () => {
+    fc.assert(fc.property(fc.array(fc.constantFrom('\n', '\r', '\r\n', 'id: 1', 'data: a', ':')), fc.array(fc.nat(3)), (parts, cuts) => {
+      const bytes = Buffer.from(parts.join(''))
+      const whole = createEventSplitter()
+      const cut = createEventSplitter()
+      const blocks = []
+      let offset = 0
+      for (const length of [...cuts, bytes.length]) {
+        blocks.push(...cut.push(bytes.subarray(offset, offset + length)))
+        offset += length
+      }
+      expect(blocks).toEqual(whole.push(bytes))
+      expect(cut.rest()).toEqual(whole.rest())
+      expect(cut.restLength()).toBe(whole.rest().length)
+    }), RUNS)
+  })
+
   it('buffers an incomplete event', () => {
     const splitter = createEventSplitter()
     expect(splitter.push(Buffer.from(event(1, 'a') + 'id: 2\nda'))).toHaveLength(1)
--- a/packages/anvilarch-serving/src/requests/eventBlocks.ts
+++ b/packages/anvilarch-serving/src/requests/eventBlocks.ts
@@ -1,4 +1,5 @@
 /** Splits a stream of server-sent events at event boundaries, so that a stream cut in the middle of an event loses only that event. */
+import { createByteCollector } from './byteCollector'
 
 /** One complete block of a stream and its bytes. A block is an event, or holds only comments and `retry` fields. */
 export interface EventBlock {
@@ -14,6 +15,9 @@
   push: (chunk: Buffer) => EventBlock[]
   /** @returns the bytes after the last complete block */
   rest: () => Buffer
+  restLength: () => number
+  /** Discards the bytes after the last complete block. No chunk may follow. */
+  discardRest: () => void
 }
 
 const NEWLINE = 0x0a
@@ -26,26 +30,55 @@
 
 /** @returns a splitter at the start of a stream */
 export function createEventSplitter (): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0)
+  const pending = createByteCollector()
+  let openLine: OpenLine = 'none'
+
+  const takeBlock = (end: Buffer): Buffer => {
+    if (pending.length() === 0) return end
+    pending.append(end)
+    const bytes = pending.bytes()
+    pending.clear()
+    return bytes
+  }
+
   return {
     push: chunk => {
-      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
       const blocks: EventBlock[] = []
+      let rest = chunk
       for (;;) {
-        const end = endOfBlock(pending)
+        const end = endOfBlock(rest, openLine)
         if (end < 0) break
-        blocks.push(parseBlock(pending.subarray(0, end)))
-        pending = pending.subarray(end)
+        blocks.push(parseBlock(takeBlock(rest.subarray(0, end))))
+        rest = rest.subarray(end)
+        openLine = 'none'
+      }
+      if (rest.length > 0) {
+        openLine = openLineAfter(rest, openLine)
+        pending.append(rest)
       }
-      if (pending.length > MAX_EVENT_BYTES) throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`)
+      if (pending.length() > MAX_EVENT_BYTES) throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`)
       return blocks
     },
-    rest: () => pending
+    rest: pending.bytes,
+    restLength: pending.length,
+    discardRest: pending.clear
   }
 }
 
+/** How the bytes before a chunk end: an empty line begins after a line feed, and may contain a carriage return. */
+type OpenLine = 'none' | 'empty' | 'carriage_return'
+
+function openLineAfter (bytes: Buffer, before: OpenLine): OpenLine {
+  const last = bytes[bytes.length - 1]
+  if (last === NEWLINE) return 'empty'
+  const follows = bytes.length > 1 ? bytes[bytes.length - 2] === NEWLINE : before === 'empty'
+  return last === CARRIAGE_RETURN && follows ? 'carriage_return' : 'none'
+}
+
 /** @returns the offset after the empty line that closes the first block; -1 if there is none yet */
-function endOfBlock (bytes: Buffer): number {
+function endOfBlock (bytes: Buffer, openLine: OpenLine): number {
+  if (openLine !== 'none' && bytes[0] === NEWLINE) return 1
+  if (openLine === 'empty' && bytes[0] === CARRIAGE_RETURN && bytes[1] === NEWLINE) return 2
   let from = 0
   for (;;) {
     const newline = bytes.indexOf(NEWLINE, from)
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -140,6 +140,7 @@
     options.budget.release(bufferedBytes)
     bufferedBytes = 0
     buffered.clear()
+    splitter.discardRest()
   }
 
   const fail = (failure: AttemptFailure, reason: string): void => {
@@ -183,6 +184,18 @@
     return lastEventId !== undefined && block.id !== lastEventId + 1 ? 'events_out_of_order' : undefined
   }
 
+  /** @returns whether the budget allows this many bytes in all; the attempt has failed if not */
+  const holdBytes = (bytes: number): boolean => {
+    const addedBytes = bytes - bufferedBytes
+    if (addedBytes > 0 && !options.budget.tryTake(addedBytes)) {
+      fail('may_have_run', 'answer_too_large')
+      return false
+    }
+    if (addedBytes < 0) options.budget.release(-addedBytes)
+    bufferedBytes = bytes
+    return true
+  }
+
   const onEvents = (chunk: Buffer): void => {
     for (const block of splitter.push(chunk)) {
       const reason = sequenceError(block)
@@ -195,15 +208,12 @@
       options.onEvent(block.bytes, block.id, block.data)
       if (ended) return
     }
+    holdBytes(splitter.restLength())
   }
 
   const onBufferedData = (chunk: Buffer): void => {
-    if (bufferedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES || !options.budget.tryTake(chunk.length)) {
-      fail('may_have_run', 'answer_too_large')
-      return
-    }
-    bufferedBytes += chunk.length
-    buffered.append(chunk)
+    if (bufferedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES) fail('may_have_run', 'answer_too_large')
+    else if (holdBytes(bufferedBytes + chunk.length)) buffered.append(chunk)
   }
 
   const onData = (chunk: Buffer): void => {
@@ -230,7 +240,7 @@
       fail('not_run', refusal)
       return
     }
-    if (head.events && splitter.rest().length > 0) {
+    if (head.events && splitter.restLength() > 0) {
       fail('may_have_run', 'cut_within_an_event')
       return
     }
