Count what the events of an item take beside their characters

A faulty engine that sent empty or short events without end to a batch item filled the heap of its agent: 52 and 82 MiB kept after 64 MiB read, since the limit of 8 MiB counted characters only. The data of an event also kept the text of its whole block: 71 MiB of comments beside events of some 20 characters.

Each event counts 64 bytes more, and its data is copied. Several items of one engine still have 8 MiB each.

--- a/packages/anvilarch-serving/src/runner/itemRun.ts
+++ b/packages/anvilarch-serving/src/runner/itemRun.ts
@@ -47,6 +47,9 @@
 /** Limit on the text of an item: the store keeps objects of up to 8 MiB. */
 const MAX_TEXT_BYTES = 8 * 1024 * 1024
 
+/** Memory for each event of a text beside its characters. Counted, since a faulty engine may send empty events without end. */
+const EVENT_OVERHEAD_BYTES = 64
+
 /** Limit on a response that is no stream of events, which is a failure of the engine. */
 const MAX_RESPONSE_BYTES = 1024 * 1024
 
@@ -60,7 +63,7 @@
 export function runItem (options: ItemRunOptions): Attempt {
   const { clock, text, item } = options
   let ended = false
-  let textBytes = text.eventData.reduce((sum, data) => sum + Buffer.byteLength(data), 0)
+  let textBytes = text.eventData.reduce((sum, data) => sum + keptBytesOf(data), 0)
   const finish = (end: RunEnd): void => {
     if (ended) return
     ended = true
@@ -108,8 +111,8 @@
       if (id === undefined) return
       eventTimeout.recordActivity()
       text.lastEventId = id
-      text.eventData.push(data)
-      textBytes += Buffer.byteLength(data)
+      text.eventData.push(copyOf(data))
+      textBytes += keptBytesOf(data)
       if (textBytes > MAX_TEXT_BYTES) discardText()
       else options.onEvent()
     },
@@ -127,6 +130,16 @@
   }
 }
 
+/** @returns bytes that one event of a text takes */
+function keptBytesOf (data: string): number {
+  return Buffer.byteLength(data) + EVENT_OVERHEAD_BYTES
+}
+
+/** @returns the same text without the block that it is part of, which would be kept with it */
+function copyOf (data: string): string {
+  return Buffer.from(data).toString()
+}
+
 /** @returns how a run ends after a response that is not a stream of events */
 function endOfResponse (status: number): RunEnd {
   if (status === IMPOSSIBLE_STATUS) return { end: 'impossible' }
