Limit what a client that does not read makes a gateway keep

Callers saw a gateway run out of memory: events and comments of a stream were written to the client's response without regard to what the client had read, so that an endpoint that sends without end filled the memory (200 MiB in the test, which stops there).

The end of a request now stops its attempts in each case; before, it relied on none being in progress.

--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -36,6 +36,7 @@
   let permit: Permit | undefined
   const end = createRequestCompletion(parts, client, state, () => {
     expiry.cancel()
+    attempts.stop()
     unregister()
     parts.streamOrigins.onEnded(streamIdOf(client))
     if (permit?.granted === true && !mayHaveRun(state)) permit.refund()
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -9,6 +9,7 @@
 import { createAttemptLog } from './attemptLog'
 import { attemptRequestOf, sendKindOf } from './attemptRequest'
 import { countResumption, recordOrigin } from './bindStream'
+import { createLimitedWrite } from './limitedWrite'
 import { createNextEndpoint } from './nextEndpoint'
 import { type AttemptFailure, isRetryable, type NextStep, nextStep, responseTimeoutMs } from './retryDecision'
 import { type ClientRequest, type ForwardParts, placementCriteria, requestIdentityOf, type RequestState } from './forwardTypes'
@@ -54,6 +55,7 @@
   const { route, response, metadata } = client
   const running = createRunningAttempts(parts)
   const nextEndpoint = createNextEndpoint(parts, client, state, running)
+  const write = createLimitedWrite(response, parts.responseBudget, () => end.abortConnection('client_does_not_read'))
   /** Endpoints that have stated that they are full. While an attempt is silent, they are asked again. */
   const full = new Set<string>()
   let responseTimeout: InactivityTimeout | undefined
@@ -230,7 +232,7 @@
   const onComment = (entry: RunningAttempt, bytes: Buffer): void => {
     if (running.count() > 1) return
     startResponse(entry)
-    response.write(bytes)
+    write(bytes)
   }
 
   const onEvent = (entry: RunningAttempt, bytes: Buffer, id: number | undefined): void => {
@@ -246,8 +248,8 @@
     lastEventAtMs = nowMs
     observeEndpointWait(entry)
     state.lastEventId = id ?? state.lastEventId
-    response.write(bytes)
     restartResponseTimeout()
+    write(bytes)
   }
 
   const startAt = (endpoint: Endpoint, entry: RunningAttempt): Attempt => startAttempt({
