--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -2,6 +2,7 @@
 import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { ByteBudget } from './byteBudget'
+import { createByteCollector } from './byteCollector'
 import type { AttemptFailure } from './retryDecision'
 import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
 import { forwardedHeaders } from './headers'
@@ -137,7 +138,7 @@
   let hasEvent = (options.afterEventId ?? 0) > 0
   let bufferedBytes = 0
   let ended = false
-  const chunks: Buffer[] = []
+  const buffered = createByteCollector()
   const splitter = createEventSplitter()
   const isHeadRequest = options.request.method === 'HEAD'
 
@@ -150,7 +151,8 @@
   const releaseBuffered = (): void => {
     options.budget.release(bufferedBytes)
     bufferedBytes = 0
-    chunks.length = 0
+    buffered.clear()
+    splitter.discardRest()
   }
 
   const fail = (failure: AttemptFailure, reason: string): void => {
@@ -188,6 +190,18 @@
     return lastEventId !== undefined && block.id !== lastEventId + 1 ? 'events_out_of_order' : undefined
   }
 
+  /** @returns whether the budget allows this many bytes in all; the attempt has failed if not */
+  const holdBytes = (bytes: number): boolean => {
+    const addedBytes = bytes - bufferedBytes
+    if (addedBytes > 0 && !options.budget.tryTake(addedBytes)) {
+      fail('may_have_run', 'answer_too_large')
+      return false
+    }
+    if (addedBytes < 0) options.budget.release(-addedBytes)
+    bufferedBytes = bytes
+    return true
+  }
+
   const onEvents = (chunk: Buffer): void => {
     for (const block of splitter.push(chunk)) {
       const reason = sequenceError(block)
@@ -200,15 +214,12 @@
       options.onEvent(block.bytes, block.id, block.data)
       if (ended) return
     }
+    holdBytes(splitter.restLength())
   }
 
   const onBufferedData = (chunk: Buffer): void => {
-    if (bufferedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES || !options.budget.tryTake(chunk.length)) {
-      fail('may_have_run', 'answer_too_large')
-      return
-    }
-    bufferedBytes += chunk.length
-    chunks.push(chunk)
+    if (bufferedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES) fail('may_have_run', 'answer_too_large')
+    else if (holdBytes(bufferedBytes + chunk.length)) buffered.append(chunk)
   }
 
   const onData = (chunk: Buffer): void => {
@@ -235,7 +246,7 @@
       fail('not_run', refusal)
       return
     }
-    if (head.events && splitter.rest().length > 0) {
+    if (head.events && splitter.restLength() > 0) {
       fail('may_have_run', 'cut_within_an_event')
       return
     }
@@ -250,7 +261,7 @@
       return
     }
     ended = true
-    const body = Buffer.concat(chunks)
+    const body = buffered.bytes()
     releaseBuffered()
     const response = head.events ? undefined : { status: head.status, rawHeaders: head.rawHeaders, body }
     if (!head.framed && head.status < FIRST_STATUS_AFTER_SUCCESS) options.onUnconfirmedEnd(response)
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -9,6 +9,7 @@
 import { sendKindOf } from './attemptRequest'
 import { type AttemptHandlers, startAttemptAt } from './startAttemptAt'
 import { countResumption, recordOrigin } from './bindStream'
+import { createLimitedWrite } from './limitedWrite'
 import { createNextEndpoint } from './nextEndpoint'
 import { createProbedEnd } from './probedEnd'
 import { createStreamEnd } from './streamEnd'
@@ -69,6 +70,7 @@
     onGone: entry => onFailure(entry, 'may_have_run', GONE_AFTER_END_REASON)
   })
   const nextEndpoint = createNextEndpoint(parts, client, state, running, streamEnd)
+  const write = createLimitedWrite(response, parts.responseBudget, () => end.abortConnection('client_does_not_read'))
   /** Endpoints that have stated that they are full. While an attempt is silent, they are asked again. */
   const full = new Set<string>()
   let responseTimeout: InactivityTimeout | undefined
@@ -265,7 +267,7 @@
   const onComment = (entry: RunningAttempt, bytes: Buffer): void => {
     if (running.count() > 1) return
     startResponse(entry)
-    response.write(bytes)
+    write(bytes)
   }
 
   const onEvent = (entry: RunningAttempt, bytes: Buffer, id: number | undefined): void => {
@@ -282,8 +284,8 @@
     lastEventAtMs = nowMs
     observeEndpointWait(entry)
     state.lastEventId = id ?? state.lastEventId
-    response.write(bytes)
     restartResponseTimeout()
+    write(bytes)
   }
 
   const observeEndpointWait = (entry: RunningAttempt): void => {
