Draw in the platform soak what endpoints may do in calm

The endpoint stand-in stated a framing on each response, kept its connections and never sent two events at once. It now draws, per endpoint and per response: responses without a length that end in order with their connection, with or without the header that says so; connections that end after other responses; heads of streams sent while they wait; several events in one write; bytes behind a complete response; status 429 for a full queue; short idle times; and, in some runs, resets of connections while the queue is long. A stream that resumes after its last event has no event (the stand-in made a 36th one). A run without a length that the stand-in breaks off is reset, since nothing else tells it from a whole one.

The rule and its exceptions stay as they are: a run that ended in order is complete.

--- a/packages/anvilarch-platform-soak/src/work/endpoints.ts
+++ b/packages/anvilarch-platform-soak/src/work/endpoints.ts
@@ -1,7 +1,7 @@
 /** The endpoints of a run: engines and plain services with their rows in the store. */
 import { type Clock, type Random, sleep } from 'anvilarch-utils'
 import { createDerivedRandom } from '../derivedRandom'
-import { drawLinkProfile, type EndpointStandin, type LinkedPort, startEndpointStandin, startLinkedPort, type StoreStandin } from 'anvilarch-standins'
+import { drawHabits, drawLinkProfile, type EndpointStandin, type LinkedPort, startEndpointStandin, startLinkedPort, type StoreStandin } from 'anvilarch-standins'
 import { DRAIN_MS, HEARTBEAT_MS, PORTS, STREAM_EVENTS, ZONES } from '../deployment'
 import type { EndpointRun } from '../rule/types'
 
@@ -16,6 +16,12 @@
 /** Port of the link of an endpoint. */
 const LINK_PORT = PORTS.engine + 1
 
+/** Share of runs whose endpoints reset connections while their queues are long. */
+const RESETTING_SHARE = 0.3
+
+/** Keeps the habits of an endpoint apart from its link and pace. */
+const HABITS_SEED = 500_009
+
 /** Share of leaving endpoints whose row says so; the rows of the others are removed. */
 const ANNOUNCED_SHARE = 0.7
 
@@ -55,6 +61,7 @@
   const runs: EndpointRun[] = []
   const closed = new AbortController()
   const links: LinkedPort[] = []
+  const resetsConnections = createDerivedRandom(seed + HABITS_SEED).next() < RESETTING_SHARE
   let added = 0
 
   const writeRow = (endpoint: Endpoint): void => {
@@ -74,7 +81,8 @@
     add: async (service, softwareVersion) => {
       added++
       const random = createDerivedRandom(seed + added)
-      const engine = await startEndpointStandin({ id: `i-${service}-${added}`, ip: await nextIp(), port: PORTS.engine, service, slots: SLOTS[service], events: STREAM_EVENTS, clock, random, runs })
+      const habits = drawHabits(createDerivedRandom(seed + HABITS_SEED + added), resetsConnections)
+      const engine = await startEndpointStandin({ id: `i-${service}-${added}`, ip: await nextIp(), port: PORTS.engine, service, slots: SLOTS[service], events: STREAM_EVENTS, clock, random, habits, runs })
       const endpoint: Endpoint = { engine, softwareVersion, address: engine.address, zone: ZONES[added % ZONES.length], state: 'ready', seq: 0 }
       if (random.next() < LINKED_SHARE) {
         const link = await startLinkedPort({ clock, random, profile: drawLinkProfile(random), ip: engine.ip, port: LINK_PORT, targetPort: PORTS.engine })
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Random, Timer } from 'anvilarch-utils'
+import { drawForm, type EndpointHabits, endResponse, type ResponseForm, writeHead } from './endpointHabits'
 
 /** Time of a step with one running request, and how much each further one adds: a stream of 35 events takes 0.9 to 1.5 s. */
 const STEP_MS = 24
@@ -39,6 +40,7 @@
   events: number
   clock: Clock
   random: Random
+  habits: EndpointHabits
   /** Receives all runs. */
   runs: EndpointStandinRun[]
 }
@@ -57,8 +59,11 @@
 interface Work {
   run: EndpointStandinRun
   response: ServerResponse
-  /** Last event that was sent. */
+  form: ResponseForm
+  /** Last event that was made. */
   lastEventId: number
+  /** Events that were made and not sent. */
+  unsent: string[]
   deadlineAtMs: number
   /** Sends what the next step yields. */
   timer: Timer | undefined
@@ -75,7 +80,7 @@
 }
 
 /** @returns the listening stand-in */
-export async function startEndpointStandin ({ id, ip, port, service, slots, events, clock, random, runs }: EndpointStandinOptions): Promise<EndpointStandin> {
+export async function startEndpointStandin ({ id, ip, port, service, slots, events, clock, random, habits, runs }: EndpointStandinOptions): Promise<EndpointStandin> {
   const active = new Set<Work>()
   const queue: Work[] = []
   const sockets = new Set<Socket>()
@@ -83,10 +88,11 @@
   let pausedUntilMs = 0
   let stepping = false
 
-  const respond = (response: ServerResponse, status: number, headers: Record<string, string>, body = ''): void => {
-    if (leaving) response.setHeader('Connection', 'close')
-    response.writeHead(status, { 'Content-Length': Buffer.byteLength(body), ...headers })
-    response.end(body)
+  /** A leaving endpoint says on each response that the connection ends. */
+  const formNow = (form: ResponseForm): ResponseForm => ({ ...form, announcesClose: form.announcesClose || leaving })
+  const respond = (response: ServerResponse, status: number, headers: Record<string, string>, body = '', form = drawForm(random, habits)): void => {
+    writeHead(response, formNow(form), status, headers, Buffer.byteLength(body))
+    endResponse(response, formNow(form), body)
   }
   const stamps = ({ run }: Work): Record<string, string> => ({ 'X-Request-Id': run.requestId, 'X-Server-Stamp': `stamp.${id}`, 'X-Weight-Versions': '1' })
 
@@ -114,7 +120,7 @@
 
   const completePlain = (work: Work): void => {
     settle(work, 'complete')
-    respond(work.response, 200, stamps(work), endpointBody(work.run.requestId))
+    respond(work.response, 200, stamps(work), endpointBody(work.run.requestId), work.form)
   }
 
   const scheduleStep = (): void => {
@@ -132,26 +138,34 @@
     if (active.size > 0 && !stepping) scheduleStep()
   }
 
+  const sendStreamHead = (work: Work): void => {
+    writeHead(work.response, formNow(work.form), 200, { 'Content-Type': 'text/event-stream', ...stamps(work) })
+    work.response.flushHeaders()
+  }
+
+  /** Without a length, only a reset shows that a response is not whole. */
+  const breakOff = (work: Work): void => {
+    settle(work, 'broke_off')
+    if (work.form.framing === 'until_end') work.response.socket?.resetAndDestroy()
+    else work.response.destroy()
+  }
+
   const sendEvent = (work: Work): void => {
-    const { response, run } = work
+    const { response, run, unsent } = work
     if (clock.nowMs() > work.deadlineAtMs) {
-      settle(work, 'broke_off')
-      response.destroy()
+      breakOff(work)
       return
     }
-    if (!response.headersSent) {
-      if (leaving) response.setHeader('Connection', 'close')
-      response.writeHead(200, { 'Content-Type': 'text/event-stream', ...stamps(work) })
-    }
+    if (!response.headersSent) sendStreamHead(work)
     run.beganAtMs ??= clock.nowMs()
-    work.lastEventId++
-    const text = `id: ${work.lastEventId}\ndata: ${endpointEventData(work.lastEventId)}\n\n`
+    // A stream that resumes after the last event has none.
+    if (work.lastEventId < events) unsent.push(`id: ${++work.lastEventId}\ndata: ${endpointEventData(work.lastEventId)}\n\n`)
     if (work.lastEventId < events) {
-      response.write(text)
+      if (unsent.length >= work.form.eventsPerWrite) response.write(unsent.splice(0).join(''))
       return
     }
     settle(work, 'complete')
-    response.end(text)
+    endResponse(response, formNow(work.form), unsent.join(''))
   }
 
   const serve = (request: IncomingMessage, response: ServerResponse): void => {
@@ -169,24 +183,29 @@
     const isOther = expected !== undefined && expected !== id
     if (isOther || (active.size >= slots && queue.length >= QUEUE_LIMIT)) {
       runs.push({ requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'rejected', endedAtMs: nowMs })
-      respond(response, isOther ? 421 : 503, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
+      respond(response, isOther ? 421 : habits.fullStatus, { 'X-Not-Run': '1', 'X-Request-Id': requestId })
       return
     }
     const run: EndpointStandinRun = { requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'running', endedAtMs: undefined }
-    const work: Work = { run, response, lastEventId: Number(request.headers['last-event-id'] ?? 0), deadlineAtMs: nowMs + Number(request.headers['x-deadline-ms'] ?? 5000), timer: undefined }
+    const work: Work = { run, response, form: drawForm(random, habits), unsent: [], lastEventId: Number(request.headers['last-event-id'] ?? 0), deadlineAtMs: nowMs + Number(request.headers['x-deadline-ms'] ?? 5000), timer: undefined }
     runs.push(run)
     response.on('close', () => settle(work, 'dropped'))
+    if (service === 'models' && work.form.isHeadEarly) sendStreamHead(work)
     queue.push(work)
     admit()
   }
 
-  const server = createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
+  const server = createServer({ keepAliveTimeout: habits.idleMs }, (request, response) => {
     request.resume()
     request.on('end', () => serve(request, response))
   })
   server.on('connection', socket => {
-    sockets.add(socket)
     socket.on('error', () => socket.destroy())
+    if (habits.resetsConnections && queue.length >= slots && sockets.size >= slots + queue.length) {
+      socket.resetAndDestroy()
+      return
+    }
+    sockets.add(socket)
     socket.on('close', () => sockets.delete(socket))
   })
   await new Promise<void>((resolve, reject) => {
@@ -211,7 +230,7 @@
       leaving = true
       const untilMs = clock.nowMs() + FINISH_MS
       while (active.size + queue.length > 0 && clock.nowMs() < untilMs) await new Promise(resolve => setTimeout(resolve, 20))
-      for (const work of [...active, ...queue]) settle(work, 'broke_off')
+      for (const work of [...active, ...queue]) breakOff(work)
       for (const socket of sockets) socket.destroy()
       server.close()
     }
