Keep a reset a reset over a link, also where it arrives together with bytes

Node.js reports an end where a reset comes with the last bytes, so that the link closed in order a connection that the endpoint had reset, and a response without a length that was broken off looked whole. The new test fails without the change (Expected: reset, Received: closed).

--- a/packages/anvilarch-standins/src/links/__tests__/links.test.ts
+++ b/packages/anvilarch-standins/src/links/__tests__/links.test.ts
@@ -71,4 +71,21 @@
     const error = await new Promise<NodeJS.ErrnoException>(resolve => client.on('error', resolve))
     expect(error.code).toBe('ECONNRESET')
   })
+
+  // Guards against a link that turns a response that was broken off into a complete one.
+  it('passes a reset that arrives together with bytes as a reset', async () => {
+    const client = await connectThrough(socket => {
+      socket.on('data', () => {
+        socket.write('half of a response')
+        socket.resetAndDestroy()
+      })
+    })
+    client.write('request')
+    client.resume()
+    const end = await new Promise(resolve => {
+      client.on('error', () => resolve('reset'))
+      client.on('end', () => resolve(client.remoteAddress === undefined ? 'reset' : 'closed'))
+    })
+    expect(end).toBe('reset')
+  })
 })
--- a/packages/anvilarch-standins/src/links/linkedPort.ts
+++ b/packages/anvilarch-standins/src/links/linkedPort.ts
@@ -67,6 +67,10 @@
     from.pause()
     resumeWhenDelivered()
   })
-  from.on('end', flow.end)
+  // Where a reset arrives together with bytes, Node.js reports an end. A reset connection has no peer any more.
+  from.on('end', () => {
+    if (from.remoteAddress === undefined) flow.reset()
+    else flow.end()
+  })
   from.on('error', flow.reset)
 }
