--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -1,6 +1,6 @@
 /** Stand-in for an endpoint of the users' platform: an engine that computes streams in steps, or a plain service. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Clock, Random, Timer } from 'anvilarch-utils'
 import { drawForm, type EndpointHabits, endResponse, type ResponseForm, writeHead } from './endpointHabits'
 
@@ -217,7 +217,7 @@
     service,
     slots,
     ip,
-    address: `${ip}:${port}`,
+    address: `${ip}:${(server.address() as AddressInfo).port}`,
     pause: durationMs => {
       pausedUntilMs = Math.max(pausedUntilMs, clock.nowMs() + durationMs)
       const newest = [...active].at(-1)
