Reset connections in one run of three, and count whole responses that become 502

A response that an endpoint completed and that the gateway replaced by 502 breaks no rule, but is work that is lost; the run fails for it.

--- a/packages/anvilarch-platform-soak/src/run/report.ts
+++ b/packages/anvilarch-platform-soak/src/run/report.ts
@@ -26,18 +26,20 @@
   const refusedButRan = attempts.filter(attempt => (attempt.status === 429 || attempt.status === 503) && hasRun(attempt))
   const unsigned = attempts.filter(attempt => isSuccess(attempt) && !attempt.isSigned)
   const notIntact = attempts.filter(attempt => isSuccess(attempt) && !attempt.isIntact)
+  const replaced = attempts.filter(attempt => attempt.status === 502 && (runsOf.get(attempt.requestId) ?? []).some(run => run.end === 'complete'))
   const ranTwice = attempts.filter(({ kind, requestId }) => !kind.repeatable && (runsOf.get(requestId) ?? []).filter(run => run.beganAtMs !== undefined).length > 1)
   const describe = (title: string, request: ClientRequest, fromMs = request.sendBeganAtMs, from = 'its first byte'): string[] =>
     [title, ...describeRequest(request, fromMs, from, runsOf.get(request.requestId) ?? []), ...logLines(request, logPaths)]
   return {
     lost: losses.length,
-    counts: { lost: losses.length, 'refused but ran': refusedButRan.length, 'without signature': unsigned.length, 'not intact': notIntact.length, 'ran twice': ranTwice.length, 'processes that ended by themselves': problems.length },
+    counts: { lost: losses.length, 'refused but ran': refusedButRan.length, 'without signature': unsigned.length, 'not intact': notIntact.length, 'ran twice': ranTwice.length, 'whole and replaced by 502': replaced.length, 'processes that ended by themselves': problems.length },
     lines: [
       ...losses.flatMap(({ request, work, part }) => describe(`lost: ${part}`, request, work.atMs, work.kind)),
       ...refusedButRan.flatMap(request => describe('refused but ran', request)),
       ...unsigned.flatMap(request => describe('success without signature', request)),
       ...notIntact.flatMap(request => describe('success that is not intact', request)),
       ...ranTwice.flatMap(request => describe('ran twice', request)),
+      ...replaced.flatMap(request => describe('whole and replaced by 502', request)),
       ...problems
     ]
   }
--- a/packages/anvilarch-platform-soak/src/work/endpoints.ts
+++ b/packages/anvilarch-platform-soak/src/work/endpoints.ts
@@ -16,11 +16,11 @@
 /** Port of the link of an endpoint. */
 const LINK_PORT = PORTS.engine + 1
 
-/** Share of runs whose endpoints reset connections while their queues are long. */
-const RESETTING_SHARE = 0.3
+/** In one run of this many, endpoints reset connections while their queues are long, which ends the requests that would wait. */
+const RESETTING_RUNS = 3
 
-/** Keeps the habits of an endpoint apart from its link and pace. */
-const HABITS_SEED = 500_009
+/** Keeps the habits of an endpoint apart from its link and pace, and from the habits in runs with other seeds. */
+const HABITS_SEED_FACTOR = 10_007
 
 /** Share of leaving endpoints whose row says so; the rows of the others are removed. */
 const ANNOUNCED_SHARE = 0.7
@@ -61,7 +61,7 @@
   const runs: EndpointRun[] = []
   const closed = new AbortController()
   const links: LinkedPort[] = []
-  const resetsConnections = createDerivedRandom(seed + HABITS_SEED).next() < RESETTING_SHARE
+  const resetsConnections = seed % RESETTING_RUNS === 0
   let added = 0
 
   const writeRow = (endpoint: Endpoint): void => {
@@ -81,7 +81,7 @@
     add: async (service, softwareVersion) => {
       added++
       const random = createDerivedRandom(seed + added)
-      const habits = drawHabits(createDerivedRandom(seed + HABITS_SEED + added), resetsConnections)
+      const habits = drawHabits(createDerivedRandom(seed * HABITS_SEED_FACTOR + added), resetsConnections)
       const engine = await startEndpointStandin({ id: `i-${service}-${added}`, ip: await nextIp(), port: PORTS.engine, service, slots: SLOTS[service], events: STREAM_EVENTS, clock, random, habits, runs })
       const endpoint: Endpoint = { engine, softwareVersion, address: engine.address, zone: ZONES[added % ZONES.length], state: 'ready', seq: 0 }
       if (random.next() < LINKED_SHARE) {
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -201,7 +201,7 @@
   })
   server.on('connection', socket => {
     socket.on('error', () => socket.destroy())
-    if (habits.resetsConnections && queue.length >= slots && sockets.size >= slots + queue.length) {
+    if (habits.resetsConnections && queue.length >= slots && sockets.size >= slots + QUEUE_LIMIT) {
       socket.resetAndDestroy()
       return
     }
