Draw silent idle times, new weights within a stream, odd entries and a store that forgets

In calm: connections closed after an idle time that no response states; a version line on the event at which the weights change; entries of other writers beside those of endpoints; a store that takes 4 ms a call and discards its history now and then.

--- a/packages/anvilarch-platform-soak/src/clients/attempt.ts
+++ b/packages/anvilarch-platform-soak/src/clients/attempt.ts
@@ -2,7 +2,7 @@
 import type { Clock, Random } from 'anvilarch-utils'
 import { type RequestKind, STREAM_EVENTS, STREAM_GAP_MS } from '../deployment'
 import type { ClientRequest } from '../rule/types'
-import { type ClientConnection, endpointBody, endpointEventData, type Exchange } from 'anvilarch-standins'
+import { type ClientConnection, endpointBody, endpointEventData, type Exchange, NEW_WEIGHTS_LINE } from 'anvilarch-standins'
 import { describeForm, type RequestFields, type RequestForm, requestParts } from './forms'
 
 /** How often a client looks whether it should leave. */
@@ -54,7 +54,7 @@
     }
     watch()
   })
-  const body = Buffer.concat(exchange.body).toString()
+  const body = Buffer.concat(exchange.body).toString().replaceAll(NEW_WEIGHTS_LINE, '')
   const firstEventId = (fields.lastEventId ?? 0) + 1
   const status = exchange.head?.status
   return {
--- a/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
+++ b/packages/anvilarch-platform-soak/src/run/runPlatformSoak.ts
@@ -49,6 +49,9 @@
 
 const START_POLL_MS = 100
 
+/** Time of a call to the store. */
+const STORE_DELAY_MS = 4
+
 const DELAY_RESOLUTION_MS = 10
 const NS_PER_MS = 1e6
 
@@ -57,6 +60,7 @@
   const { clock, seed, signal, log, folder, root } = options
   const nextIp = createLoopbackAddresses(createRandom(processSeed()), Object.values(PORTS))
   const store = await startStoreStandin()
+  store.faults.delayMs = STORE_DELAY_MS
   store.put('op', 'config', configurationDocument(1, { extraTimeoutMs: 0, extraRoutes: 0 }))
   const fleet = openPlatformFleet({ clock, root, folder, graceMs: BOUNDS.graceMs })
   const endpoints = openEndpoints({ clock, store, nextIp, seed })
--- a/packages/anvilarch-platform-soak/src/work/endpoints.ts
+++ b/packages/anvilarch-platform-soak/src/work/endpoints.ts
@@ -19,6 +19,9 @@
 /** In one run of this many, endpoints reset connections while their queues are long, which ends the requests that would wait. */
 const RESETTING_RUNS = 3
 
+/** A new endpoint comes with an entry of another writer, which names no endpoint, in one case of this many. */
+const ODD_ENTRY_EVERY = 4
+
 /** Keeps the habits of an endpoint apart from its link and pace, and from the habits in runs with other seeds. */
 const HABITS_SEED_FACTOR = 10_007
 
@@ -90,6 +93,7 @@
         endpoint.address = link.address
       }
       all.add(endpoint)
+      if (added % ODD_ENTRY_EVERY === 0) store.put('servers', `i-odd-${added}`, random.pick([Buffer.from([0xff, 0]), { service, address: engine.address, state: 'gone' }, { state: 'ready' }, []]))
       keepRow(endpoint, random)
       return endpoint
     },
--- a/packages/anvilarch-platform-soak/src/work/performStep.ts
+++ b/packages/anvilarch-platform-soak/src/work/performStep.ts
@@ -106,7 +106,8 @@
   },
   pause_engine: async ({ endpoints }, random) => {
     random.pick(endpoints.serving('models')).engine.pause(random.between(...PAUSE_MS))
-  }
+  },
+  discard_history: async ({ store }) => store.discardHistory()
 }
 
 function drawMachine ({ fleet }: WorkContext, random: Random, role: DaemonRole, isEligible: (machine: PlatformMachine) => boolean): PlatformMachine | undefined {
--- a/packages/anvilarch-platform-soak/src/work/schedule.ts
+++ b/packages/anvilarch-platform-soak/src/work/schedule.ts
@@ -12,7 +12,8 @@
   scale_in: { gapMs: [10_000, 20_000], steps: [1, 2], stepGapMs: [500, 1500] },
   scale_out: { gapMs: [8000, 16_000], steps: [1, 2], stepGapMs: [500, 1500] },
   burst: { gapMs: [8000, 16_000], steps: [1, 1], stepGapMs: [0, 0] },
-  pause_engine: { gapMs: [1000, 3000], steps: [1, 1], stepGapMs: [0, 0] }
+  pause_engine: { gapMs: [1000, 3000], steps: [1, 1], stepGapMs: [0, 0] },
+  discard_history: { gapMs: [5000, 15_000], steps: [1, 1], stepGapMs: [0, 0] }
 } as const
 
 /** Kind of planned work, or of what happens to endpoints in their normal course. */
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointHabits.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointHabits.ts
@@ -18,6 +18,10 @@
   fullStatus: 429 | 503
   /** Idle time after which a connection is closed. */
   idleMs: number
+  /** Whether responses state the idle time. */
+  statesIdleTime: boolean
+  /** Streams within which the version of the weights changes. */
+  newWeightsShare: number
   /** Whether connections are reset, beyond some, while the queue is long. */
   resetsConnections: boolean
 }
@@ -31,6 +35,9 @@
   /** Number of events in one write. */
   eventsPerWrite: number
   hasExtraBytes: boolean
+  statesIdleTime: boolean
+  /** Event at which the version of the weights changes; 0 for none. */
+  newWeightsAtEvent: number
 }
 
 /** Shares of one habit among endpoints: most have none of it, some have little, and some do it always. */
@@ -53,19 +60,23 @@
     extraBytesShare: random.pick(RARE_SHARES),
     fullStatus: random.pick([503, 503, 429] as const),
     idleMs: random.pick(IDLE_MS),
+    statesIdleTime: random.next() < 0.7,
+    newWeightsShare: random.pick(RARE_SHARES),
     resetsConnections
   }
 }
 
-/** @returns the form of the next response */
-export function drawForm (random: Random, habits: EndpointHabits): ResponseForm {
+/** @returns the form of the next response, of a stream with this many events */
+export function drawForm (random: Random, habits: EndpointHabits, events = 0): ResponseForm {
   const isUnframed = random.next() < habits.unframedShare
   return {
     framing: isUnframed ? 'until_end' : 'stated',
     announcesClose: isUnframed ? random.next() < 0.5 : random.next() < habits.closingShare,
     isHeadEarly: random.next() < habits.earlyHeadShare,
     eventsPerWrite: random.next() < habits.joinedShare ? random.between(2, MAX_EVENTS_PER_WRITE) : 1,
-    hasExtraBytes: !isUnframed && random.next() < habits.extraBytesShare
+    hasExtraBytes: !isUnframed && random.next() < habits.extraBytesShare,
+    statesIdleTime: habits.statesIdleTime,
+    newWeightsAtEvent: random.next() < habits.newWeightsShare ? random.between(1, events) : 0
   }
 }
 
@@ -77,6 +88,8 @@
     // Without this the head says that the connection ends.
     if (!form.announcesClose) response.removeHeader('Connection')
   } else if (form.announcesClose) response.setHeader('Connection', 'close')
+  // The idle time is stated only beside a header that the server sets itself.
+  else if (!form.statesIdleTime) response.setHeader('Connection', 'keep-alive')
   response.writeHead(status, form.framing === 'stated' && length !== undefined ? { 'Content-Length': length, ...headers } : headers)
 }
 
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -74,6 +74,9 @@
   return `token-${eventId} `.repeat(8)
 }
 
+/** First line of an event at which the version of the weights changes. */
+export const NEW_WEIGHTS_LINE = 'x-weight-versions: 2\n'
+
 /** @returns the body of the response of a plain service */
 export function endpointBody (requestId: string): string {
   return `answer to ${requestId} `.padEnd(800, '.')
@@ -150,6 +153,9 @@
     else work.response.destroy()
   }
 
+  const eventText = (eventId: number, form: ResponseForm): string =>
+    `${eventId === form.newWeightsAtEvent ? NEW_WEIGHTS_LINE : ''}id: ${eventId}\ndata: ${endpointEventData(eventId)}\n\n`
+
   const sendEvent = (work: Work): void => {
     const { response, run, unsent } = work
     if (clock.nowMs() > work.deadlineAtMs) {
@@ -159,7 +165,7 @@
     if (!response.headersSent) sendStreamHead(work)
     run.beganAtMs ??= clock.nowMs()
     // A stream that resumes after the last event has none.
-    if (work.lastEventId < events) unsent.push(`id: ${++work.lastEventId}\ndata: ${endpointEventData(work.lastEventId)}\n\n`)
+    if (work.lastEventId < events) unsent.push(eventText(++work.lastEventId, work.form))
     if (work.lastEventId < events) {
       if (unsent.length >= work.form.eventsPerWrite) response.write(unsent.splice(0).join(''))
       return
@@ -187,7 +193,7 @@
       return
     }
     const run: EndpointStandinRun = { requestId, endpoint: id, arrivedAtMs: nowMs, beganAtMs: undefined, end: 'running', endedAtMs: undefined }
-    const work: Work = { run, response, form: drawForm(random, habits), unsent: [], lastEventId: Number(request.headers['last-event-id'] ?? 0), deadlineAtMs: nowMs + Number(request.headers['x-deadline-ms'] ?? 5000), timer: undefined }
+    const work: Work = { run, response, form: drawForm(random, habits, events), unsent: [], lastEventId: Number(request.headers['last-event-id'] ?? 0), deadlineAtMs: nowMs + Number(request.headers['x-deadline-ms'] ?? 5000), timer: undefined }
     runs.push(run)
     response.on('close', () => settle(work, 'dropped'))
     if (service === 'models' && work.form.isHeadEarly) sendStreamHead(work)
