Draw items whose engines end streams with their connections

Histories of batch items draw engines that state no length in any stream, as a habit of one engine or of all, single runs that do so, runs that are reset before an event, and processes that end before an event, which closes their connections in order. The check is the same: each item is listed once, and a completed text is whole.

--- a/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/runnerFleet.ts
@@ -21,6 +21,8 @@
 /** Faults of calls and runs; each entry applies to one call or run, and there are no faults after the last. */
 export interface FleetScript {
   eventCounts: readonly number[]
+  /** Numbers of the agents whose engines end all streams with their connections. */
+  unframedEngines?: readonly number[]
   calls: CallOutcome[]
   runs: RunFault[]
   /** Time until the job expires; longer than any test by default. */
@@ -127,6 +129,7 @@
         toReader: process.whenRunning,
         eventIntervalMs: EVENT_INTERVAL_MS,
         eventCount,
+        isUnframed: script.unframedEngines?.includes(index) ?? false,
         onRun: itemId => runs.push({ itemId, service: listing.service }),
         nextFault: () => faultOfAllRuns ?? script.runs.shift() ?? { fault: 'none' },
         onStatus: (itemId, status) => statuses.set(itemId, [...statuses.get(itemId) ?? [], status])
--- a/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
+++ b/packages/anvilarch-serving/src/runner/__fixtures__/scriptedEngine.ts
@@ -1,17 +1,19 @@
 /** A model engine on a fake clock whose runs fail as scripted. */
-import type { FakeClock } from 'anvilarch-utils'
-import type { Pool } from 'undici'
+import type { ConnectionEnd, FakeClock } from 'anvilarch-utils'
+import type { Pool } from '../../endpoints/httpPool'
 
 /**
  * Fault of a run; `atEvent` counts the events of the run, from 0. `from_start`: does not continue after the requested event, but
  * starts over. `no_stream`: a complete body without an event. `empty`: a complete response without an event, only for runs from
  * the start, since it is correct for one that continues after the last event. `silent`: continues after the run has timed out.
+ * `unframed`: all events without a length, and the connection ends in order. `unframed_reset`: it breaks before an event.
+ * `unframed_gone`: the process ends before an event, which ends all its connections in order, and starts again.
  * `fail_twice`: 500, and once more on a reused connection, as if it were the response to the next run of the item.
  */
 export type RunFault =
-  | { fault: 'none' | 'from_start' | 'of_another' | 'no_stream' | 'empty' | 'fail_twice' }
+  | { fault: 'none' | 'from_start' | 'of_another' | 'no_stream' | 'empty' | 'fail_twice' | 'unframed' }
   | { fault: 'status', status: number }
-  | { fault: 'break' | 'silent' | 'without_id' | 'skip' | 'cut', atEvent: number }
+  | { fault: 'break' | 'silent' | 'without_id' | 'skip' | 'cut' | 'unframed_reset' | 'unframed_gone', atEvent: number }
 
 /** The scripted engine. */
 export interface ScriptedEngine {
@@ -19,7 +21,7 @@
   /** Connections that are each used for one run. */
   freshPool: Pool
   running: () => number
-  /** Breaks all connections; the next start has another start time. */
+  /** Ends the process; the next start has another start time. */
   restart: () => void
   bornAtMs: () => number
 }
@@ -29,6 +31,8 @@
   clock: FakeClock
   eventIntervalMs: number
   eventCount: (itemId: string) => number
+  /** Whether all streams have no length and end with their connection. */
+  isUnframed: boolean
   onRun: (itemId: string) => void
   /** Called once for each run. */
   nextFault: () => RunFault
@@ -49,11 +53,18 @@
   onError: (error: Error) => void
 }
 
+/** Also receives the end of a response without a length. */
+interface EndingHandler extends Handler {
+  onConnectionEnd: (end: ConnectionEnd) => void
+}
+
 /** Longer than the event timeout of a runner. */
 const STALL_MS = 4000
 
 const FAILED_STATUS = 500
 
+const UNFRAMED: ReadonlySet<string> = new Set<RunFault['fault']>(['unframed', 'unframed_reset', 'unframed_gone'])
+
 const LINE_BREAK_EVERY = 3
 const EMPTY_EVERY = 7
 
@@ -79,14 +90,16 @@
  */
 export function createScriptedEngine (options: ScriptedEngineOptions): ScriptedEngine {
   const { clock } = options
-  const open = new Map<Handler, () => void>()
+  /** Whether the response in progress has no length, for each run. */
+  const open = new Map<EndingHandler, boolean>()
   /** Items whose failure is sent once more on a reused connection. */
   const failsAgain = new Set<string>()
   let bornAtMs = 1
+  let lastConnectionEnd: ConnectionEnd = 'broken'
 
-  const end = (handler: Handler): void => { open.delete(handler) }
+  const end = (handler: EndingHandler): void => { open.delete(handler) }
 
-  const answer = (handler: Handler, itemId: string, status: number, body: string): void => {
+  const answer = (handler: EndingHandler, itemId: string, status: number, body: string): void => {
     handler.onHeaders(status, ['x-id', itemId, 'content-type', EVENT_STREAM_TYPE, 'content-length', String(body.length)].map(text => Buffer.from(text)))
     if (body !== '') handler.onData(Buffer.from(body))
     // A reader that has rejected the response has closed the connection.
@@ -95,9 +108,11 @@
     handler.onComplete()
   }
 
-  const stream = (handler: Handler, itemId: string, from: number, fault: RunFault): void => {
+  const stream = (handler: EndingHandler, itemId: string, from: number, fault: RunFault): void => {
     const answeredId = fault.fault === 'of_another' ? 'another' : itemId
-    handler.onHeaders(200, ['x-id', answeredId, 'content-type', EVENT_STREAM_TYPE, 'transfer-encoding', 'chunked'].map(text => Buffer.from(text)))
+    const isUnframed = options.isUnframed || UNFRAMED.has(fault.fault)
+    open.set(handler, isUnframed)
+    handler.onHeaders(200, ['x-id', answeredId, 'content-type', EVENT_STREAM_TYPE, ...isUnframed ? [] : ['transfer-encoding', 'chunked']].map(text => Buffer.from(text)))
     const first = fault.fault === 'from_start' ? 1 : from + 1
     const atEvent = 'atEvent' in fault ? first + fault.atEvent : undefined
     let hasStalled = false
@@ -105,7 +120,8 @@
       if (!open.has(handler)) return
       if (eventId > options.eventCount(itemId)) {
         end(handler)
-        handler.onComplete()
+        if (isUnframed) handler.onConnectionEnd('closed')
+        else handler.onComplete()
         return
       }
       // A stream without its last event cannot be told from a complete one.
@@ -118,9 +134,14 @@
       }
       const bytes = eventBytes(answeredId, eventId, activeFault !== 'without_id')
       if (activeFault === 'cut') handler.onData(bytes.subarray(0, bytes.length - 2))
-      if (activeFault === 'break' || activeFault === 'cut') {
+      if (activeFault === 'unframed_gone') {
+        restart()
+        return
+      }
+      if (activeFault === 'break' || activeFault === 'cut' || activeFault === 'unframed_reset') {
         end(handler)
-        handler.onError(new Error('broken'))
+        if (isUnframed) handler.onConnectionEnd('broken')
+        else handler.onError(new Error('broken'))
         return
       }
       if (activeFault !== 'skip') handler.onData(bytes)
@@ -129,7 +150,7 @@
     clock.after(options.eventIntervalMs, () => next(first))
   }
 
-  const begin = (handler: Handler, itemId: string, from: number, isReusable: boolean): void => {
+  const begin = (handler: EndingHandler, itemId: string, from: number, isReusable: boolean): void => {
     if (!open.has(handler)) return
     if (isReusable && failsAgain.delete(itemId)) {
       answer(handler, itemId, FAILED_STATUS, '')
@@ -148,7 +169,7 @@
   }
 
   /** Wraps a reader so that it receives nothing after it has aborted the run. */
-  const readerOf = (reader: Handler): Handler => {
+  const readerOf = (reader: Handler): EndingHandler => {
     let isAborted = false
     const unlessAborted = (action: () => void): void => options.toReader(() => { if (!isAborted) action() })
     return {
@@ -159,6 +180,10 @@
       onHeaders: (status, rawHeaders) => unlessAborted(() => reader.onHeaders(status, rawHeaders)),
       onData: chunk => unlessAborted(() => reader.onData(chunk)),
       onComplete: () => unlessAborted(reader.onComplete),
+      onConnectionEnd: connectionEnd => unlessAborted(() => {
+        lastConnectionEnd = connectionEnd
+        reader.onComplete()
+      }),
       onError: error => unlessAborted(() => reader.onError(error))
     }
   }
@@ -166,7 +191,7 @@
   const dispatch = (request: { headers: string[] }, reader: Handler, isReusable: boolean): boolean => {
     const [, itemId, , from] = request.headers
     const handler = readerOf(reader)
-    open.set(handler, () => { handler.onError(new Error('broken')) })
+    open.set(handler, false)
     queueMicrotask(() => {
       handler.onConnect(() => end(handler))
       begin(handler, itemId, Number(from), isReusable)
@@ -174,17 +199,28 @@
     return true
   }
 
+  /** The connections of a process that ends are closed in order, which looks like an end only where a response has no length. */
+  const restart = (): void => {
+    bornAtMs++
+    failsAgain.clear()
+    const ended = [...open]
+    open.clear()
+    for (const [handler, isUnframed] of ended) {
+      if (isUnframed) handler.onConnectionEnd('closed')
+      else handler.onError(new Error('broken'))
+    }
+  }
+
+  const poolOf = (isReusable: boolean): Pool => ({
+    lastConnectionEnd: () => lastConnectionEnd,
+    dispatch: (request: { headers: string[] }, handler: Handler) => dispatch(request, handler, isReusable)
+  }) as unknown as Pool
+
   return {
-    pool: { dispatch: (request: { headers: string[] }, handler: Handler) => dispatch(request, handler, true) } as unknown as Pool,
-    freshPool: { dispatch: (request: { headers: string[] }, handler: Handler) => dispatch(request, handler, false) } as unknown as Pool,
+    pool: poolOf(true),
+    freshPool: poolOf(false),
     running: () => open.size,
-    restart: () => {
-      bornAtMs++
-      failsAgain.clear()
-      const broken = [...open.values()]
-      open.clear()
-      broken.forEach(breakConnection => breakConnection())
-    },
+    restart,
     bornAtMs: () => bornAtMs
   }
 }
--- a/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
+++ b/packages/anvilarch-serving/src/runner/__tests__/itemHistories.test.ts
@@ -46,14 +46,14 @@
 )
 
 const fault: fc.Arbitrary<RunFault> = fc.oneof(
-  { weight: 2, arbitrary: fc.record({ fault: fc.constant('none' as const) }) },
+  { weight: 3, arbitrary: fc.record({ fault: fc.constantFrom('none' as const, 'none' as const, 'unframed' as const) }) },
   { weight: 4, arbitrary: fc.record({ fault: fc.constantFrom('from_start' as const, 'of_another' as const, 'no_stream' as const, 'empty' as const) }) },
   { weight: 2, arbitrary: fc.record({ fault: fc.constant('fail_twice' as const) }) },
   { weight: 2, arbitrary: fc.record({ fault: fc.constant('status' as const), status: fc.constantFrom(500, 500, 422, 204, 206, 404, 421, 503, 504) }) },
   {
     weight: 6,
     arbitrary: fc.record({
-      fault: fc.constantFrom('break' as const, 'break' as const, 'silent' as const, 'without_id' as const, 'skip' as const, 'cut' as const),
+      fault: fc.constantFrom('break' as const, 'break' as const, 'silent' as const, 'without_id' as const, 'skip' as const, 'cut' as const, 'unframed_reset' as const, 'unframed_gone' as const),
       atEvent: fc.oneof(fc.nat({ max: 5 }), fc.nat({ max: 50 }))
     })
   }
@@ -61,6 +61,7 @@
 
 const history = fc.record({
   eventCounts: fc.array(fc.oneof(fc.integer({ min: 1, max: 6 }), fc.integer({ min: 7, max: 70 })), { minLength: 1, maxLength: 14 }),
+  unframedEngines: fc.oneof({ weight: 1, arbitrary: fc.constant([]) }, { weight: 1, arbitrary: fc.subarray([0, 1, 2]) }, { weight: 1, arbitrary: fc.constant([0, 1, 2]) }),
   calls: fc.array(callOutcome, { maxLength: 60 }),
   runs: fc.array(fault, { minLength: 5, maxLength: 40 }),
   steps: fc.array(step, { minLength: 5, maxLength: MAX_STEPS }),
@@ -145,8 +146,8 @@
 describe('batch runners', () => {
   // Guards against a completed result whose text is not the data of all events, each once and in order.
   it('list each item once, with its complete text', async () => {
-    await fc.assert(fc.asyncProperty(history, async ({ eventCounts, calls, runs, steps, endsAfter, expiry }) => {
-      const fleet = createRunnerFleet(AGENTS, { eventCounts, calls: [...calls], runs: [...runs], expiryMs: expiry?.expiryMs })
+    await fc.assert(fc.asyncProperty(history, async ({ eventCounts, unframedEngines, calls, runs, steps, endsAfter, expiry }) => {
+      const fleet = createRunnerFleet(AGENTS, { eventCounts, unframedEngines, calls: [...calls], runs: [...runs], expiryMs: expiry?.expiryMs })
       if (expiry?.refusesAll === true) for (const target of fleet.agents) target.setFault(REFUSED)
       const hasExpired = (): boolean => fleet.clock.nowMs() > (expiry?.expiryMs ?? Infinity)
       try {
