Show that a probe completes the response of another endpoint

A lookup that is silent is sent to a second endpoint beside it. If both responses end in order without a length, probedEnd.ts keeps one completion for both: the probe of the first endpoint completes the second response, which may be that of a killed process (MIXED).

Proposed mend: a completion for each probe. The harness's probe may take time for this.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -125,7 +125,7 @@
   /** Called for each send. @returns whether the connection to the endpoint is made */
   onSend?: (request: SentRequest) => boolean
   /** @returns whether a process listens at an endpoint */
-  probe?: (endpoint: string) => ConnectResult
+  probe?: (endpoint: string) => ConnectResult | Promise<ConnectResult>
   /** Called for each write to the client after it was made. */
   onWrite?: () => void
   /** Called before the gateway closes the connection of the client without a complete response. */
@@ -275,7 +275,7 @@
       loadOf: () => load
     },
     usageReporter: { onSent: () => { inProgress.usageReports++ }, onEnded: () => { inProgress.usageReports-- }, remove: () => {}, close: () => {} },
-    probeConnection: async address => options.probe?.(address.split(':')[0]) ?? 'connected',
+    probeConnection: async address => await options.probe?.(address.split(':')[0]) ?? 'connected',
     pools: { poolOf, openConnections: () => 0, drain: () => {}, closeAll: async () => {} },
     wire: {
       decodeCredential: () => ({ credential: 'none' }),
--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -0,0 +1,33 @@
+import type { ConnectResult } from '../../crashes/lossProber'
+import { forwardOnFakeClock, type SentRequest, SIGNED_HEADERS } from '../__fixtures__/forwardHarness'
+
+const TWO_EVENTS = 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+
+function sendHead ({ exchange }: SentRequest, status: number, fields: string[]): void {
+  exchange.onHeaders(status, [...SIGNED_HEADERS, ...fields].map(text => Buffer.from(text)))
+}
+
+function sendPlain (request: SentRequest, body: string): void {
+  sendHead(request, 200, ['content-type', 'text/plain'])
+  request.exchange.onData(Buffer.from(body))
+  request.endConnection('closed')
+}
+
+function sendTwoEvents (request: SentRequest): void {
+  sendHead(request, 200, ['content-type', 'text/event-stream'])
+  request.exchange.onData(Buffer.from(TWO_EVENTS))
+}
+
+describe('a lookup without a length', () => {
+  // Guards against a truncated response that looks complete because another endpoint is still there.
+  it('is completed with the response whose endpoint was probed', async () => {
+    const settle = new Map<string, (result: ConnectResult) => void>()
+    const { clock, sent, client } = forwardOnFakeClock({ endpoints: 2, probe: async endpoint => await new Promise(resolve => settle.set(endpoint, resolve)) })
+    await clock.advanceAsync(250)
+    sendPlain(sent[0], 'whole')
+    sendPlain(sent[1], 'par')
+    settle.get('e1')?.('connected')
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ status: 200, body: 'whole' })
+  })
+})
