Complete the response whose endpoint was probed

Cause, change: each probe has a completion of its own; until now the last response that ended took the place of the others. At a deadline or the end of a drain, the response that ended first is completed.

--- a/packages/anvilarch-serving/src/requests/probedEnd.ts
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -34,30 +34,33 @@
  * @returns the end of its response, which has not come
  */
 export function createProbedEnd ({ parts: { clock, metrics, probeConnection }, running, complete, onGone }: ProbedEndOptions): ProbedEnd {
-  let completeProbed: (() => void) | undefined
+  /** Completions of the responses whose endpoints are being probed. */
+  const completions = new Map<RunningAttempt, () => void>()
 
   return {
     probe: async (entry, response) => {
-      completeProbed = () => {
-        completeProbed = undefined
+      const completeThis = (): void => {
+        completions.clear()
         complete(entry, response)
       }
+      completions.set(entry, completeThis)
       // A process that ends closes its connections and its port within this time. The client has all events, but waits for any other response.
       if (response === undefined) await sleep(clock, PROBE_DELAY_MS)
       const result = await probeConnection(entry.endpoint.address)
       if (!running.all().includes(entry)) return
       metrics.endsByClose.inc({ end: result === 'refused' ? 'gone' : 'confirmed' })
       if (result !== 'refused') {
-        completeProbed()
+        completeThis()
         return
       }
-      completeProbed = undefined
+      completions.delete(entry)
       onGone(entry)
     },
     completeUnconfirmed: () => {
-      if (completeProbed === undefined) return false
+      const [completeFirst] = completions.values()
+      if (completeFirst === undefined) return false
       metrics.endsByClose.inc({ end: 'unconfirmed' })
-      completeProbed()
+      completeFirst()
       return true
     }
   }
