Show that a slow probe sends a lookup to a second endpoint

The attempt whose response has come stays in progress during the probe, and the response timeout (at least 250 ms) runs on; a probe may take 400 ms. The second endpoint runs the request in vain, and the first one counts as failed although it has responded.

Proposed mend: cancel the response timeout before the probe.

--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -30,4 +30,14 @@
     await clock.advanceAsync(0)
     expect(client).toMatchObject({ status: 200, body: 'whole' })
   })
+
+  // Guards against a second run of a request whose whole response this gateway has.
+  it('is not sent to another endpoint during a slow probe', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ endpoints: 2, probe: async () => await new Promise(resolve => clock.after(400, () => resolve('unknown'))) })
+    await clock.advanceAsync(0)
+    sendPlain(sent[0], 'whole')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ status: 200, body: 'whole' })
+    expect(sent).toHaveLength(1)
+  })
 })
