--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -230,6 +230,7 @@
 
   const onUnconfirmedEnd = (entry: RunningAttempt, endpointResponse: EndpointResponse | undefined): void => {
     if (endpointResponse !== undefined || !route.resumable) {
+      cancelResponseTimeout()
       probedEnd.probe(entry, endpointResponse).catch(onError)
       return
     }
