Show that a whole stream waits for its deadline beside a silent attempt

An endpoint sends the last event and closes its connection more than the response timeout later (300 ms here). By then the stream was also sent to a second endpoint. The end in order is pending, no timer is set because an attempt is in progress, and the response timeout does nothing while an end is pending. If the second endpoint is silent, the client waits for its deadline, or leaves.

Proposed mend: wait for the time of one event beside an attempt too, then probe the endpoint that ended the stream, which nothing has asked.

--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -41,3 +41,31 @@
     expect(sent).toHaveLength(1)
   })
 })
+
+describe('a stream without a length', () => {
+  // Guards against a client that waits for its deadline, with all events, because a second endpoint is silent.
+  it('is complete after an orderly end beside a silent attempt', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 2 })
+    await clock.advanceAsync(0)
+    sendTwoEvents(sent[0])
+    await clock.advanceAsync(300)
+    expect(sent[1]).toMatchObject({ endpoint: 'e2', lastEventId: 2 })
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
+    expect(sent[1].aborted).toBe(true)
+  })
+
+  // Guards against a stream that goes on with a silent attempt for its deadline although its endpoint is gone.
+  it('is not complete beside a silent attempt if its endpoint is gone', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 2, probe: () => 'refused' })
+    await clock.advanceAsync(0)
+    sendTwoEvents(sent[0])
+    await clock.advanceAsync(300)
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    sent[1].event(3)
+    sent[1].endEvents()
+    expect(client).toMatchObject({ body: `${TWO_EVENTS}id: 3\ndata: x\n\n`, ended: true, destroyed: false })
+  })
+})
