Show that a truncated stream looks complete where its endpoint is not asked

A stream that may be resumed completes after an orderly end if no resumption may be sent: its endpoint is no longer listed (it drains, or its entry has expired), the request is quarantined (it may be the one that crashes its endpoints), or the key of its caller was revoked. The process may be gone, which one connection would show, as for streams that cannot be resumed.

Proposed mend: before such a stream is completed, probe its endpoint; one that has replied to a resumption is not probed.

--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -1,5 +1,5 @@
 import type { ConnectResult } from '../../crashes/lossProber'
-import { forwardOnFakeClock, type SentRequest, SIGNED_HEADERS } from '../__fixtures__/forwardHarness'
+import { forwardOnFakeClock, type ForwardHarness, type SentRequest, SIGNED_HEADERS } from '../__fixtures__/forwardHarness'
 
 const TWO_EVENTS = 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
 
@@ -68,4 +68,42 @@
     sent[1].endEvents()
     expect(client).toMatchObject({ body: `${TWO_EVENTS}id: 3\ndata: x\n\n`, ended: true, destroyed: false })
   })
+
+  // Guards against a truncated stream that looks complete because its endpoint may not be asked to resume it.
+  it.each<[string, (harness: ForwardHarness) => void]>([
+    ['endpoint is not listed', harness => harness.replaceEndpoint(false)],
+    ['request is quarantined', harness => harness.quarantine()],
+    ['key was revoked', harness => harness.revokeKey()]
+  ])('does not look complete if its endpoint is gone and its %s', async (_case, change) => {
+    const probed: string[] = []
+    const probe = (endpoint: string): ConnectResult => {
+      probed.push(endpoint)
+      return 'refused'
+    }
+    const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1, probe })
+    const { clock, sent, client } = harness
+    await clock.advanceAsync(0)
+    change(harness)
+    sendTwoEvents(sent[0])
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+    expect(probed).toEqual(['e1'])
+  })
+
+  it.each<[string, (harness: ForwardHarness) => void]>([
+    ['endpoint is not listed', harness => harness.replaceEndpoint(false)],
+    ['request is quarantined', harness => harness.quarantine()],
+    ['key was revoked', harness => harness.revokeKey()]
+  ])('is complete if its endpoint still listens and its %s', async (_case, change) => {
+    const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+    const { clock, sent, client } = harness
+    await clock.advanceAsync(0)
+    change(harness)
+    sendTwoEvents(sent[0])
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
+    expect(sent).toHaveLength(1)
+  })
 })
