Probe the endpoint of an unconfirmed end before a stream is completed

Cause: a stream that may be resumed completed after an orderly end without a sign that its process lives where no resumption could be sent (endpoint not listed, request quarantined, key revoked), and waited for its deadline where a silent attempt was in progress beside the end.

Change: the wait for a confirmation lasts for the time of one event in each case. Before the stream is completed, an endpoint that no resumption has reached is probed once; if its port is closed, the end counts as a failure, and the stream goes on elsewhere or is cut. A stream that ends at its deadline, or with the drain, is not probed.

--- a/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/requestHistories.test.ts
@@ -45,17 +45,17 @@
   /** Whether nothing new may be sent for the request, since its key was revoked or it was quarantined. */
   isBlocked: boolean
   enginesPausedUntilMs: number
+  /** Endpoints whose port was found closed by a probe. */
+  seenGone: Set<string>
   /** Number of untried endpoints, and of those that the request could go back to, when the request ended. */
   untriedAtEnd: number | undefined
-  /** Endpoints that were listed when the request ended. */
-  listedAtEnd: string[] | undefined
   abortedAtEnd: number | undefined
 }
 
 function begin (history: History): PlayedRequest {
   const runs: Run[] = []
   let placements = 0
-  const played: Omit<PlayedRequest, 'harness'> = { history, runs, concurrent: 0, repeated: 0, abandoned: 0, unwanted: 0, wrongStarts: 0, lateSends: 0, isStopped: false, isBlocked: false, enginesPausedUntilMs: 0, untriedAtEnd: undefined, listedAtEnd: undefined, abortedAtEnd: undefined }
+  const played: Omit<PlayedRequest, 'harness'> = { history, runs, concurrent: 0, repeated: 0, abandoned: 0, unwanted: 0, wrongStarts: 0, lateSends: 0, isStopped: false, isBlocked: false, enginesPausedUntilMs: 0, seenGone: new Set(), untriedAtEnd: undefined, abortedAtEnd: undefined }
   const eventCount = Math.max(history.eventCount, history.lastEventId ?? 0)
   const inProgress = (): Run[] => runs.filter(run => !run.isOver() && run.request.connected)
   const harness = forwardOnFakeClock({
@@ -67,7 +67,11 @@
     lastEventId: history.lastEventId,
     granted: history.granted,
     drain: history.drain,
-    probe: endpoint => isGone(runs, endpoint) ? 'refused' : 'connected',
+    probe: endpoint => {
+      if (!isGone(runs, endpoint)) return 'connected'
+      played.seenGone.add(endpoint)
+      return 'refused'
+    },
     placementMs: () => history.placementMs[placements++ % history.placementMs.length],
     onSend: request => {
       const { clock, client } = harness
@@ -151,7 +155,6 @@
   }
   if (!hasEnded(played)) return
   played.untriedAtEnd ??= harness.untriedCount()
-  played.listedAtEnd ??= harness.listed()
   played.abortedAtEnd ??= abortedCount(played)
 }
 
@@ -224,19 +227,19 @@
 
 /**
  * @returns whether nothing shows that a response ended early, and in order: its endpoint is alive and sends no further event, or there
- * was no time or permission to ask one that is gone
+ * was no time to ask or probe one that is gone
  */
-function seemsComplete ({ history, harness, isBlocked, listedAtEnd }: PlayedRequest, { ending, request }: Run): boolean {
+function seemsComplete ({ history, harness }: PlayedRequest, { ending }: Run): boolean {
   const endedAtMs = harness.client.endedAtMs ?? 0
-  const mayAsk = !isBlocked && (listedAtEnd ?? []).includes(request.endpoint) && history.timeoutMs - endedAtMs > MIN_REMAINING_MS && !isOverAt(harness, endedAtMs)
+  const mayAsk = history.timeoutMs - endedAtMs > MIN_REMAINING_MS && !isOverAt(harness, endedAtMs)
   return ending.ending === 'unframed_early' || (ending.ending === 'unframed_gone' && !mayAsk)
 }
 
 /** @returns the runs whose connection ended in order after the last event of the client, at endpoints that were not seen to be gone */
-function endsInOrder ({ history, harness, runs }: PlayedRequest): Run[] {
+function endsInOrder ({ history, harness, runs, seenGone }: PlayedRequest): Run[] {
   const lastEventId = (history.lastEventId ?? 0) + dataOf(harness.client.body).length
   const isAsked = (run: Run): boolean => runs.some(({ request, ending }) => request.endpoint === run.request.endpoint && (ending.ending === 'not_reached' || ending.ending === 'refusal'))
-  const isSeenGone = (run: Run): boolean => isAsked(run) || (!history.resumable && isGone(runs, run.request.endpoint))
+  const isSeenGone = (run: Run): boolean => isAsked(run) || seenGone.has(run.request.endpoint)
   // A stream has at least one event.
   return runs.filter(run => run.closedAfterId === lastEventId && lastEventId > 0 && !isSeenGone(run))
 }
--- a/packages/anvilarch-serving/src/requests/endWithoutSend.ts
+++ b/packages/anvilarch-serving/src/requests/endWithoutSend.ts
@@ -6,6 +6,7 @@
 import type { RequestCompletion } from './requestCompletion'
 import type { AttemptFailure, NextStep } from './retryDecision'
 import type { RunningAttempts } from './runningAttempts'
+import type { StreamEnd } from './streamEnd'
 
 /** Ends of one request. */
 export interface EndsWithoutSend {
@@ -26,6 +27,7 @@
   state: Pick<RequestState, 'responseStarted' | 'ranAt'>
   running: Pick<RunningAttempts, 'count'>
   nextEndpoint: Pick<NextEndpoint, 'startedCount'>
+  streamEnd: Pick<StreamEnd, 'isPending'>
   steps: Record<NextStep, (reason: string) => void>
   stepAfter: (failure: AttemptFailure) => NextStep
   /** Completes a response that has ended in order. @returns whether it has */
@@ -36,7 +38,7 @@
  * @param options - progress of the request and its next steps
  * @returns its ends
  */
-export function createEndsWithoutSend ({ parts, end, state, running, nextEndpoint, steps, stepAfter, completeUnconfirmed }: EndsWithoutSendOptions): EndsWithoutSend {
+export function createEndsWithoutSend ({ parts, end, state, running, nextEndpoint, streamEnd, steps, stepAfter, completeUnconfirmed }: EndsWithoutSendOptions): EndsWithoutSend {
   return {
     timeOut: () => {
       if (completeUnconfirmed()) return
@@ -48,8 +50,8 @@
         steps.wait('key_taken_away')
         return
       }
-      if (completeUnconfirmed()) return
-      if (state.responseStarted) end.abortConnection('key_taken_away')
+      if (streamEnd.isPending()) steps.complete('key_taken_away')
+      else if (state.responseStarted) end.abortConnection('key_taken_away')
       else if (state.ranAt.size > 0) steps.fail('key_taken_away')
       else end.respond(unauthorizedResponse(parts.wire.credentialScheme))
     },
--- a/packages/anvilarch-serving/src/requests/probedEnd.ts
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -23,9 +23,9 @@
 /** Options of `createProbedEnd`. */
 export interface ProbedEndOptions {
   parts: Pick<ForwardParts, 'clock' | 'metrics' | 'probeConnection'>
-  running: Pick<RunningAttempts, 'all'>
+  running: Pick<RunningAttempts, 'all' | 'release'>
   complete: (entry: RunningAttempt, response: EndpointResponse | undefined) => void
-  /** Called if no process listens at the endpoint any more. */
+  /** Called if no process listens at the endpoint any more; the attempt is no longer in progress. */
   onGone: (entry: RunningAttempt) => void
 }
 
@@ -54,6 +54,7 @@
         return
       }
       completions.delete(entry)
+      running.release(entry)
       onGone(entry)
     },
     completeUnconfirmed: () => {
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -61,13 +61,10 @@
   const attemptLog = createAttemptLog(parts, client, state)
   const { route, response, metadata } = client
   const running = createRunningAttempts(parts)
-  const streamEnd = createStreamEnd({ parts, route, state, running, complete: entry => completeStream(entry), onProcessPause: lateMs => onProcessPause(lateMs) })
-  const probedEnd = createProbedEnd({
-    parts,
-    running,
-    complete: (entry, endpointResponse) => endpointResponse === undefined ? completeStream(entry) : onResponse(entry, endpointResponse),
-    onGone: entry => onFailure(entry, 'may_have_run', GONE_AFTER_END_REASON)
-  })
+  const complete = (entry: RunningAttempt, endpointResponse?: EndpointResponse): void => endpointResponse === undefined ? completeStream(entry) : onResponse(entry, endpointResponse)
+  const onGone = (entry: RunningAttempt): void => afterFailure(entry, 'may_have_run', GONE_AFTER_END_REASON)
+  const streamEnd = createStreamEnd({ parts, route, state, running, complete, hasEnded: end.hasEnded, onGone, onError: error => onError(error), onProcessPause: lateMs => onProcessPause(lateMs) })
+  const probedEnd = createProbedEnd({ parts, running, complete, onGone })
   const nextEndpoint = createNextEndpoint(parts, client, state, running, streamEnd)
   /** Endpoints that have stated that they are full. While an attempt is silent, they are asked again. */
   const full = new Set<string>()
@@ -127,13 +124,12 @@
   const steps: Record<NextStep, (reason: string) => void> = {
     send_again: resend,
     wait: () => restartResponseTimeout(),
-    complete: () => { completeUnconfirmed() },
+    complete: streamEnd.completeAfterProbe,
     ...createFinalSteps(end, state.timeoutMs)
   }
 
-  const onFailure = (entry: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => {
-    const { endpoint } = entry
-    if (!running.release(entry)) return
+  /** Goes on after a failure of an attempt that is no longer in progress. */
+  const afterFailure = ({ endpoint }: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => {
     cancelResponseTimeout()
     if (failure === 'may_have_run') state.ranAt.add(endpoint.startId)
     else state.refusedSendCount++
@@ -145,6 +141,10 @@
     steps[stepAfter(failure)](reason)
   }
 
+  const onFailure = (entry: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => {
+    if (running.release(entry)) afterFailure(entry, failure, reason, metricReason)
+  }
+
   const countAborted = ({ endpoint, mayHaveRun }: AbortedAttempt): void => {
     if (mayHaveRun) state.ranAt.add(endpoint.startId)
     else state.refusedSendCount++
@@ -311,7 +311,7 @@
 
   const handlers: AttemptHandlers = { onHead, onComment, onEvent, onStreamEnd: completeStream, onUnconfirmedEnd, onResponse, onFailure }
 
-  const endsWithoutSend = createEndsWithoutSend({ parts, end, state, running, nextEndpoint, steps, stepAfter, completeUnconfirmed })
+  const endsWithoutSend = createEndsWithoutSend({ parts, end, state, running, nextEndpoint, streamEnd, steps, stepAfter, completeUnconfirmed })
 
   const sendPrepared = (): void => {
     // After a process pause the deadline timer may fire after the timer that leads here. An endpoint would then run a
--- a/packages/anvilarch-serving/src/requests/streamEnd.ts
+++ b/packages/anvilarch-serving/src/requests/streamEnd.ts
@@ -1,7 +1,8 @@
 /** Completes a stream whose response has no length and ended with its connection, once that is confirmed or the wait for it is over. */
-import { createInactivityTimeout, type InactivityTimeout } from 'anvilarch-utils'
+import { createInactivityTimeout, type InactivityTimeout, sleep } from 'anvilarch-utils'
+import { PROBE_DELAY_MS } from '../crashes/lossProber'
 import type { ClientRequest, ForwardParts, RequestState } from './forwardTypes'
-import { createEndConfirmation, type EndConfirmation } from './endConfirmation'
+import { createEndConfirmation, type EndConfirmation, type UnconfirmedEnd } from './endConfirmation'
 import { responseTimeoutMs } from './retryDecision'
 import { isBrokenConnection, isEndpointGone } from './runAttempt'
 import type { RunningAttempt, RunningAttempts } from './runningAttempts'
@@ -23,18 +24,25 @@
   isPending: () => boolean
   /** @returns start id of the endpoint to ask for a confirmation */
   toBeAsked: () => string | undefined
+  /** Completes a pending stream that is resumed no more. Its endpoint is probed first, unless it has been asked. */
+  completeAfterProbe: () => void
   /** Completes a pending stream, although no endpoint has confirmed its end. @returns false if it is not pending */
   completeUnconfirmed: () => boolean
 }
 
 /** Options of `createStreamEnd`. */
 export interface StreamEndOptions {
-  parts: Pick<ForwardParts, 'clock' | 'metrics'>
+  parts: Pick<ForwardParts, 'clock' | 'metrics' | 'probeConnection'>
   route: ClientRequest['route']
   state: Pick<RequestState, 'lastEventId'>
-  running: Pick<RunningAttempts, 'all' | 'abort' | 'count'>
+  running: Pick<RunningAttempts, 'all' | 'abort'>
   /** Completes the response with the events that the client has. */
   complete: (entry: RunningAttempt) => void
+  /** @returns whether the request has ended */
+  hasEnded: () => boolean
+  /** Called if a probe shows that no process listens at the endpoint of the attempt any more. */
+  onGone: (entry: RunningAttempt) => void
+  onError: (error: Error) => void
   onProcessPause: (lateMs: number) => void
 }
 
@@ -42,9 +50,10 @@
  * @param options - the request and how its response is completed
  * @returns the end of its stream, which has not come
  */
-export function createStreamEnd ({ parts: { clock, metrics }, route, state, running, complete, onProcessPause }: StreamEndOptions): StreamEnd {
+export function createStreamEnd ({ parts: { clock, metrics, probeConnection }, route, state, running, complete, hasEnded, onGone, onError, onProcessPause }: StreamEndOptions): StreamEnd {
   const confirmation: EndConfirmation<RunningAttempt> = createEndConfirmation()
   let timeout: InactivityTimeout | undefined
+  let probed: UnconfirmedEnd<RunningAttempt> | undefined
 
   const isPending = (): boolean => confirmation.pending(state.lastEventId) !== undefined
 
@@ -66,10 +75,33 @@
     return true
   }
 
-  /** The client has all events, so that it is not kept waiting for longer than for an event. An attempt in progress may bring further events. */
+  const probe = async (end: UnconfirmedEnd<RunningAttempt>): Promise<void> => {
+    probed = end
+    await sleep(clock, PROBE_DELAY_MS)
+    const result = await probeConnection(end.source.endpoint.address)
+    if (hasEnded() || confirmation.pending(state.lastEventId) !== end) return
+    if (result === 'refused') {
+      metrics.endsByClose.inc({ end: 'gone' })
+      onGone(end.source)
+    } else completeWith(end.source, result === 'connected' ? 'confirmed' : 'unconfirmed')
+  }
+
+  const completeAfterProbe = (): void => {
+    const end = confirmation.pending(state.lastEventId)
+    if (end === undefined || end === probed) return
+    if (confirmation.toBeAsked(state.lastEventId) === undefined) completeUnconfirmed()
+    else probe(end).catch(onError)
+  }
+
+  const onTimeout = (): void => {
+    if (probed !== undefined && confirmation.pending(state.lastEventId) === probed) completeUnconfirmed()
+    else completeAfterProbe()
+  }
+
+  /** The client has all events, so that it is not kept waiting for longer than for an event. */
   const updateTimeout = (): void => {
     if (!isPending()) cancelTimeout()
-    else if (running.count() === 0) timeout ??= createInactivityTimeout({ clock, timeoutMs: responseTimeoutMs(route, true), onTimeout: completeUnconfirmed, onProcessPause })
+    else timeout ??= createInactivityTimeout({ clock, timeoutMs: responseTimeoutMs(route, true), onTimeout, onProcessPause })
   }
 
   return {
@@ -92,6 +124,7 @@
     cancelTimeout,
     isPending,
     toBeAsked: () => confirmation.toBeAsked(state.lastEventId),
+    completeAfterProbe,
     completeUnconfirmed
   }
 }
