--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -119,6 +119,15 @@
   return REFUSAL_REASONS.get(status)
 }
 
+/** Transfer codings that leave the bytes of the body as they are, once chunks are joined. */
+const PLAIN_CODINGS: ReadonlySet<string> = new Set(['chunked', 'identity', ''])
+
+/** @returns whether the body has a transfer coding that is not removed; the header that names it is not forwarded */
+function hasCodedBody (headers: ReadonlyMap<string, string>): boolean {
+  const codings = headers.get('transfer-encoding')?.split(',') ?? []
+  return codings.some(coding => !PLAIN_CODINGS.has(coding.trim().toLowerCase()))
+}
+
 const EVENT_STREAM_TYPE = 'text/event-stream'
 
 /** @returns whether the body is a stream of events; any other body has no events to forward or to miss */
@@ -168,7 +177,7 @@
       fail('may_have_run', 'answer_of_another_request')
       return
     }
-    if (headers.has('content-encoding')) {
+    if (headers.has('content-encoding') || hasCodedBody(headers)) {
       fail('may_have_run', 'encoded_answer')
       return
     }
