--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -107,3 +107,17 @@
     expect(sent).toHaveLength(1)
   })
 })
+
+describe('a refusal without a length', () => {
+  // Guards against losing a request that may run once although its endpoint states in the head that it has not run it.
+  it.each(['closed', 'broken'] as const)('lets a request that may run once go to another endpoint if the connection is %s', async end => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'once', endpoints: 2 })
+    await clock.advanceAsync(0)
+    sendHead(sent[0], 503, ['not-run', '1'])
+    sent[0].endConnection(end)
+    await clock.advanceAsync(0)
+    expect(sent[1]).toMatchObject({ endpoint: 'e2' })
+    sent[1].respond()
+    expect(client).toMatchObject({ status: 200, body: 'ok' })
+  })
+})
