--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -1,6 +1,6 @@
 /** Runs one attempt at an endpoint and checks that the response belongs to the request, is complete and has its events in order. */
 import type { Pool } from '../endpoints/httpPool'
-import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
+import { type Exchange, type ExchangeFailure, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { ByteBudget } from './byteBudget'
 import type { AttemptFailure } from './retryDecision'
 import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
@@ -267,11 +267,18 @@
     else options.onResponse(response)
   }
 
+  const onFailure = ({ notSent, reason }: ExchangeFailure): void => {
+    // The head of a refusal is all that matters of it, but one that breaks off before its stated length is not trusted.
+    const refusal = head === undefined || head.framed ? undefined : refusalOf(head.status, head.metadata)
+    if (refusal !== undefined) fail('not_run', refusal)
+    else fail(notSent ? 'not_run' : 'may_have_run', reason)
+  }
+
   const exchange: Exchange = startExchange(options.pool, options.request, {
     onHead,
     onData,
     onComplete,
-    onFailure: failure => fail(failure.notSent ? 'not_run' : 'may_have_run', failure.reason)
+    onFailure
   })
   return {
     mayHaveRun: exchange.mayHaveBeenSent,
