--- /dev/null
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -0,0 +1,123 @@
+import type { ConnectResult } from '../../crashes/lossProber'
+import { forwardOnFakeClock, type ForwardHarness, type SentRequest, SIGNED_HEADERS } from '../__fixtures__/forwardHarness'
+
+const TWO_EVENTS = 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
+
+function sendHead ({ exchange }: SentRequest, status: number, fields: string[]): void {
+  exchange.onHeaders(status, [...SIGNED_HEADERS, ...fields].map(text => Buffer.from(text)))
+}
+
+function sendPlain (request: SentRequest, body: string): void {
+  sendHead(request, 200, ['content-type', 'text/plain'])
+  request.exchange.onData(Buffer.from(body))
+  request.endConnection('closed')
+}
+
+function sendTwoEvents (request: SentRequest): void {
+  sendHead(request, 200, ['content-type', 'text/event-stream'])
+  request.exchange.onData(Buffer.from(TWO_EVENTS))
+}
+
+describe('a lookup without a length', () => {
+  // Guards against a truncated response that looks complete because another endpoint is still there.
+  it('is completed with the response whose endpoint was probed', async () => {
+    const settle = new Map<string, (result: ConnectResult) => void>()
+    const { clock, sent, client } = forwardOnFakeClock({ endpoints: 2, probe: async endpoint => await new Promise(resolve => settle.set(endpoint, resolve)) })
+    await clock.advanceAsync(250)
+    sendPlain(sent[0], 'whole')
+    sendPlain(sent[1], 'par')
+    settle.get('e1')?.('connected')
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ status: 200, body: 'whole' })
+  })
+
+  // Guards against a second run of a request whose whole response this gateway has.
+  it('is not sent to another endpoint during a slow probe', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ endpoints: 2, probe: async () => await new Promise(resolve => clock.after(400, () => resolve('unknown'))) })
+    await clock.advanceAsync(0)
+    sendPlain(sent[0], 'whole')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ status: 200, body: 'whole' })
+    expect(sent).toHaveLength(1)
+  })
+})
+
+describe('a stream without a length', () => {
+  // Guards against a client that waits for its deadline, with all events, because a second endpoint is silent.
+  it('is complete after an orderly end beside a silent attempt', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 2 })
+    await clock.advanceAsync(0)
+    sendTwoEvents(sent[0])
+    await clock.advanceAsync(300)
+    expect(sent[1]).toMatchObject({ endpoint: 'e2', lastEventId: 2 })
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
+    expect(sent[1].aborted).toBe(true)
+  })
+
+  // Guards against a stream that goes on with a silent attempt for its deadline although its endpoint is gone.
+  it('is not complete beside a silent attempt if its endpoint is gone', async () => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 2, probe: () => 'refused' })
+    await clock.advanceAsync(0)
+    sendTwoEvents(sent[0])
+    await clock.advanceAsync(300)
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    sent[1].event(3)
+    sent[1].endEvents()
+    expect(client).toMatchObject({ body: `${TWO_EVENTS}id: 3\ndata: x\n\n`, ended: true, destroyed: false })
+  })
+
+  // Guards against a truncated stream that looks complete because its endpoint may not be asked to resume it.
+  it.each<[string, (harness: ForwardHarness) => void]>([
+    ['endpoint is not listed', harness => harness.replaceEndpoint(false)],
+    ['request is quarantined', harness => harness.quarantine()],
+    ['key was revoked', harness => harness.revokeKey()]
+  ])('does not look complete if its endpoint is gone and its %s', async (_case, change) => {
+    const probed: string[] = []
+    const probe = (endpoint: string): ConnectResult => {
+      probed.push(endpoint)
+      return 'refused'
+    }
+    const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1, probe })
+    const { clock, sent, client } = harness
+    await clock.advanceAsync(0)
+    change(harness)
+    sendTwoEvents(sent[0])
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+    expect(probed).toEqual(['e1'])
+  })
+
+  it.each<[string, (harness: ForwardHarness) => void]>([
+    ['endpoint is not listed', harness => harness.replaceEndpoint(false)],
+    ['request is quarantined', harness => harness.quarantine()],
+    ['key was revoked', harness => harness.revokeKey()]
+  ])('is complete if its endpoint still listens and its %s', async (_case, change) => {
+    const harness = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+    const { clock, sent, client } = harness
+    await clock.advanceAsync(0)
+    change(harness)
+    sendTwoEvents(sent[0])
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
+    expect(sent).toHaveLength(1)
+  })
+})
+
+describe('a refusal without a length', () => {
+  // Guards against losing a request that may run once although its endpoint states in the head that it has not run it.
+  it.each(['closed', 'broken'] as const)('lets a request that may run once go to another endpoint if the connection is %s', async end => {
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'once', endpoints: 2 })
+    await clock.advanceAsync(0)
+    sendHead(sent[0], 503, ['not-run', '1'])
+    sent[0].endConnection(end)
+    await clock.advanceAsync(0)
+    expect(sent[1]).toMatchObject({ endpoint: 'e2' })
+    sent[1].respond()
+    expect(client).toMatchObject({ status: 200, body: 'ok' })
+  })
+})
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -1,6 +1,6 @@
 /** Runs one attempt at an endpoint and checks that the response belongs to the request, is complete and has its events in order. */
 import type { Pool } from '../endpoints/httpPool'
-import { type Exchange, type ExchangeRequest, startExchange } from '../endpoints/exchange'
+import { type Exchange, type ExchangeFailure, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { ByteBudget } from './byteBudget'
 import { createByteCollector } from './byteCollector'
 import type { AttemptFailure } from './retryDecision'
@@ -120,6 +120,15 @@
   return REFUSAL_REASONS.get(status)
 }
 
+/** Transfer codings that leave the bytes of the body as they are, once chunks are joined. */
+const PLAIN_CODINGS: ReadonlySet<string> = new Set(['chunked', 'identity', ''])
+
+/** @returns whether the body has a transfer coding that is not removed; the header that names it is not forwarded */
+function hasCodedBody (headers: ReadonlyMap<string, string>): boolean {
+  const codings = headers.get('transfer-encoding')?.split(',') ?? []
+  return codings.some(coding => !PLAIN_CODINGS.has(coding.trim().toLowerCase()))
+}
+
 const EVENT_STREAM_TYPE = 'text/event-stream'
 
 /** @returns whether the body is a stream of events; any other body has no events to forward or to miss */
@@ -170,7 +179,7 @@
       fail('may_have_run', 'answer_of_another_request')
       return
     }
-    if (headers.has('content-encoding')) {
+    if (headers.has('content-encoding') || hasCodedBody(headers)) {
       fail('may_have_run', 'encoded_answer')
       return
     }
@@ -269,11 +278,18 @@
     else options.onResponse(response)
   }
 
+  const onFailure = ({ notSent, reason }: ExchangeFailure): void => {
+    // The head of a refusal is all that matters of it, but one that breaks off before its stated length is not trusted.
+    const refusal = head === undefined || head.framed ? undefined : refusalOf(head.status, head.metadata)
+    if (refusal !== undefined) fail('not_run', refusal)
+    else fail(notSent ? 'not_run' : 'may_have_run', reason)
+  }
+
   const exchange: Exchange = startExchange(options.pool, options.request, {
     onHead,
     onData,
     onComplete,
-    onFailure: failure => fail(failure.notSent ? 'not_run' : 'may_have_run', failure.reason)
+    onFailure
   })
   return {
     mayHaveRun: exchange.mayHaveBeenSent,
