Show that a process that ends its connections in order blames no request

The crash monitor blames requests whose connection was lost when their endpoint was.

Proposed mend: once the process is found to be gone, report the connection that it ended as lost, then the endpoint.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -95,6 +95,8 @@
   inProgress: () => { loads: number, usageReports: number }
   /** @returns how often the permit was refunded */
   permitsRefunded: () => number
+  /** Losses of connections and endpoints that were reported as possible crashes, in order. */
+  lossReports: string[]
   /** Completes the pending placement. */
   finishPlacement: () => void
   /** @returns how started responses ended and the outcomes of their requests, from the metrics */
@@ -157,6 +159,7 @@
   let hasKey = true
   let isQuarantined = false
   let permitsRefunded = 0
+  const lossReports: string[] = []
   const inProgress = { loads: 0, usageReports: 0 }
 
   let lastConnectionEnd: ConnectionEnd = 'broken'
@@ -291,8 +294,8 @@
       admit: () => isQuarantined ? 'quarantined' : 'admitted',
       claimTrial: async () => false,
       mayRunAgain: () => !isQuarantined,
-      onConnectionLost: () => {},
-      onEndpointLost: () => {},
+      onConnectionLost: (_request, { startId }) => { lossReports.push(`connection ${startId}`) },
+      onEndpointLost: startId => { lossReports.push(`endpoint ${startId}`) },
       onCompleted: () => {}
     },
     streamOrigins: { resolve: async () => ({ resolution: 'single', versions: new Map([['s', 'v1']]) }), onStarted: () => {}, onEnded: () => {}, onMessage: () => {} },
@@ -334,6 +337,7 @@
     quarantine: () => { isQuarantined = true },
     inProgress: () => ({ ...inProgress }),
     permitsRefunded: () => permitsRefunded,
+    lossReports,
     finishPlacement: () => finishPlacement(),
     startedResponses: async () => (await metrics.begunAnswers.get()).values.map(({ labels }) => [String(labels.end), String(labels.outcome)]),
     disconnect: () => {
--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -1,5 +1,5 @@
 import type { ConnectResult } from '../../crashes/lossProber'
-import { forwardOnFakeClock, type ForwardHarness, type SentRequest, SIGNED_HEADERS } from '../__fixtures__/forwardHarness'
+import { forwardOnFakeClock, type ForwardHarness, type ForwardHarnessOptions, type SentRequest, SIGNED_HEADERS } from '../__fixtures__/forwardHarness'
 
 const TWO_EVENTS = 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
 
@@ -18,6 +18,11 @@
   request.exchange.onData(Buffer.from(TWO_EVENTS))
 }
 
+function endAfterTwoEvents (request: SentRequest): void {
+  sendTwoEvents(request)
+  request.endConnection('closed')
+}
+
 describe('a lookup without a length', () => {
   // Guards against a truncated response that looks complete because another endpoint is still there.
   it('is completed with the response whose endpoint was probed', async () => {
@@ -84,8 +89,7 @@
     const { clock, sent, client } = harness
     await clock.advanceAsync(0)
     change(harness)
-    sendTwoEvents(sent[0])
-    sent[0].endConnection('closed')
+    endAfterTwoEvents(sent[0])
     await clock.advanceAsync(400)
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
     expect(probed).toEqual(['e1'])
@@ -100,14 +104,36 @@
     const { clock, sent, client } = harness
     await clock.advanceAsync(0)
     change(harness)
-    sendTwoEvents(sent[0])
-    sent[0].endConnection('closed')
+    endAfterTwoEvents(sent[0])
     await clock.advanceAsync(400)
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
     expect(sent).toHaveLength(1)
   })
 })
 
+describe('a process that is gone after an orderly end', () => {
+  // Guards against a request that crashes endpoints without end, since their connections end in order.
+  it('counts as lost with the connection: a stream that is to be resumed there', async () => {
+    const { clock, sent, lossReports } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+    await clock.advanceAsync(0)
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(0)
+    sent[1].exchange.onError(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
+    expect(lossReports).toEqual(['connection e1', 'endpoint e1'])
+  })
+
+  it.each<[string, ForwardHarnessOptions, (request: SentRequest) => void]>([
+    ['a stream that cannot be resumed', { kind: 'stream', resumable: false }, endAfterTwoEvents],
+    ['a lookup', { kind: 'once' }, request => sendPlain(request, 'par')]
+  ])('counts as lost with the connection: %s', async (_case, options, end) => {
+    const { clock, sent, lossReports } = forwardOnFakeClock({ ...options, timeoutMs: 10_000, endpoints: 1, probe: () => 'refused' })
+    await clock.advanceAsync(0)
+    end(sent[0])
+    await clock.advanceAsync(50)
+    expect(lossReports).toEqual(['connection e1', 'endpoint e1'])
+  })
+})
+
 describe('a refusal without a length', () => {
   // Guards against losing a request that may run once although its endpoint states in the head that it has not run it.
   it.each(['closed', 'broken'] as const)('lets a request that may run once go to another endpoint if the connection is %s', async end => {
