Report the connection of a process that is gone after an orderly end

Change: a closed port after an orderly end counts as a lost connection of the request and a lost endpoint, as after a broken connection. A 421 alone doesn't: the endpoint may have been replaced in calm. A process that exits in calm right after the last byte of a response is blamed too, as it is today if it resets that connection.

--- a/packages/anvilarch-serving/src/requests/attemptEnd.ts
+++ b/packages/anvilarch-serving/src/requests/attemptEnd.ts
@@ -62,9 +62,11 @@
  * @param endpoint - endpoint of the attempt
  * @param failure - whether the endpoint may have run the request
  * @param reason - reason of the failure
+ * @param endedInOrder - whether an earlier connection for the request to this endpoint ended in order, so that a process that is gone may have ended with it
  */
-export function recordFailure (parts: Pick<ForwardParts, 'loads' | 'crashes'>, client: ClientRequest, endpoint: Endpoint, failure: AttemptFailure, reason: string): void {
+export function recordFailure (parts: Pick<ForwardParts, 'loads' | 'crashes'>, client: ClientRequest, endpoint: Endpoint, failure: AttemptFailure, reason: string, endedInOrder: boolean): void {
   if (!isTransientFailure(reason)) parts.loads.onFailure(endpoint.startId)
-  if (isConnectionRefused(reason)) parts.crashes.onEndpointLost(endpoint.startId)
-  if (failure === 'may_have_run' && isBrokenConnection(reason)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint)
+  const isGone = isConnectionRefused(reason)
+  if ((failure === 'may_have_run' && isBrokenConnection(reason)) || (isGone && endedInOrder)) parts.crashes.onConnectionLost(requestIdentityOf(client), endpoint)
+  if (isGone) parts.crashes.onEndpointLost(endpoint.startId)
 }
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -136,8 +136,8 @@
     if (failure === 'may_have_run') state.ranAt.add(endpoint.startId)
     else state.refusedSendCount++
     if (isFull(reason)) full.add(endpoint.startId)
+    recordFailure(parts, client, endpoint, failure, reason, reason === GONE_AFTER_END_REASON || streamEnd.isEndedBy(endpoint.startId))
     streamEnd.onFailure(endpoint.startId, reason)
-    recordFailure(parts, client, endpoint, failure, reason)
     metrics.attemptFailures.inc({ kind: route.kind, reason: metricReason })
     attemptLog.failed(endpoint, failure, reason)
     steps[stepAfter(failure)](reason)
--- a/packages/anvilarch-serving/src/requests/streamEnd.ts
+++ b/packages/anvilarch-serving/src/requests/streamEnd.ts
@@ -22,6 +22,8 @@
   cancelTimeout: () => void
   /** @returns whether the stream has ended in order, and its endpoint is not known to be gone */
   isPending: () => boolean
+  /** @returns whether this endpoint has given the stream its pending end */
+  isEndedBy: (startId: string) => boolean
   /** @returns start id of the endpoint to ask for a confirmation */
   toBeAsked: () => string | undefined
   /** Completes a pending stream that is resumed no more. Its endpoint is probed first, unless it has been asked. */
@@ -123,6 +125,7 @@
     onSent: confirmation.onSent,
     cancelTimeout,
     isPending,
+    isEndedBy: startId => confirmation.pending(state.lastEventId)?.startId === startId,
     toBeAsked: () => confirmation.toBeAsked(state.lastEventId),
     completeAfterProbe,
     completeUnconfirmed
