Request a response without a length again if its connection breaks

With the head forwarded at once, a reset in the body left nothing but a further endpoint. Now the agent holds a response without a length, for a call that may be repeated, until its end shows, up to the 64 KB that the gateway buffers anyway; the caller gets nothing later. Broken before that, it is requested again.

--- a/packages/anvilarch-daemon/src/agent/endpoints/plainRun.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/plainRun.ts
@@ -6,9 +6,12 @@
  * handed to a connection proves that it did not run; after that, without a complete response, the outcome is unknown.
  *
  * An idempotent call without a response is sent a second time in parallel, since a dead connection can't be distinguished
- * from a slow service; the first response is used.
+ * from a slow service; the first response is used. If only the end of its connection shows whether it is complete, a short one is
+ * held until then, and requested again if the connection breaks.
  */
 import type { Clock, RunStatus } from 'anvilarch-utils'
+import { MAX_BUFFERED_BYTES } from '../../attempts/output/rawCollector'
+import type { Headers } from '../../attempts/types'
 import type { EndpointConnections } from './connections'
 import { type ExchangeEnd, type HttpExchange, openExchange } from './httpExchange'
 import type { AttemptCall, EndpointRun, ProcessStatus, RunEnd, RunSink, StopReason } from './types'
@@ -29,6 +32,14 @@
 /** Maximum sends of an idempotent call. */
 const MAX_SENDS = 2
 
+/** A response that is not forwarded yet. */
+interface HeldResponse {
+  status: number
+  headers: Headers
+  data: Uint8Array[]
+  bytes: number
+}
+
 /**
  * @param deps - connections and timeouts
  * @param call - the call
@@ -37,6 +48,7 @@
  */
 export function startPlainRun (deps: PlainRunDeps, call: AttemptCall, sink: RunSink): EndpointRun {
   const open = new Set<HttpExchange>()
+  const heldResponses = new Map<HttpExchange, HeldResponse>()
   let winner: HttpExchange | undefined
   let sends = 0
   let anySent = false
@@ -63,14 +75,29 @@
     return true
   }
 
+  const forward = (exchange: HttpExchange, data: Uint8Array): void => {
+    if (ended !== undefined || winner !== exchange) return
+    if (!sink.onOutput(data)) finish('endpoint_failed', 'ran', 'the answer is larger than "maxOutputBytes"')
+  }
+
+  const forwardHeld = (exchange: HttpExchange): void => {
+    const held = heldResponses.get(exchange)
+    heldResponses.delete(exchange)
+    if (held === undefined || !selectWinner(exchange)) return
+    sink.onHead(held.status, held.headers)
+    if (held.bytes > 0) forward(exchange, Buffer.concat(held.data))
+  }
+
   const onExchangeEnd = async (exchange: HttpExchange, end: ExchangeEnd): Promise<void> => {
     open.delete(exchange)
     if (end.kind !== 'complete' && end.sent) anySent = true
     if (ended !== undefined || end.kind === 'aborted') return
     if (end.kind === 'complete') {
-      finish('completed', 'ran', '')
+      forwardHeld(exchange)
+      if (winner === exchange) finish('completed', 'ran', '')
       return
     }
+    heldResponses.delete(exchange)
     if (!end.sent) deps.onUnreachable()
     if (open.size > 0) return
     // A call that crashed the service would crash it again if it were retried.
@@ -102,11 +129,19 @@
       onHead: (status, headers, framing) => {
         if (ended !== undefined) return
         if (framing === 'unknown_coding') exchange.fail('unframed_answer', 'the answer has a transfer coding that is not known')
+        else if (framing === 'until_close' && call.idempotent) heldResponses.set(exchange, { status, headers, data: [], bytes: 0 })
         else if (selectWinner(exchange)) sink.onHead(status, headers)
       },
       onData: data => {
-        if (ended !== undefined || winner !== exchange) return
-        if (!sink.onOutput(data)) finish('endpoint_failed', 'ran', 'the answer is larger than "maxOutputBytes"')
+        const held = heldResponses.get(exchange)
+        if (held === undefined) {
+          forward(exchange, data)
+          return
+        }
+        held.data.push(data)
+        held.bytes += data.length
+        // The gateway would forward it now, and could not start over either.
+        if (held.bytes > MAX_BUFFERED_BYTES) forwardHeld(exchange)
       }
     }, deps.clock)
     open.add(exchange)
