Tell responses that end with their connection from ones with an unknown coding

A transfer coding other than chunked also ends with its connection, but its body can't be decoded, so that an orderly close doesn't complete it. The agent's three cases move to `framingOf` beside `isFramed`, for the serving path too: one rule, one place.

--- a/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/engineConnection.ts
@@ -1,9 +1,9 @@
 /** Opens one connection to an engine and reads its response to the end. */
-import type { Clock } from 'anvilarch-utils'
+import type { Clock, ResponseFraming } from 'anvilarch-utils'
 import type { EndpointCall, Headers } from '../../attempts/types'
 import type { WatchedDispatcher } from './connections'
 import { createEngineEventReader, type EngineEvent } from './engineEvents'
-import { BROKEN_OFF, type ExchangeEnd, type HttpExchange, openExchange, parseOrUndefined, type ResponseFraming } from './httpExchange'
+import { BROKEN_OFF, type ExchangeEnd, type HttpExchange, openExchange, parseOrUndefined } from './httpExchange'
 
 /** How a connection ended. */
 export type ConnectionEnd =
--- a/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
+++ b/packages/anvilarch-daemon/src/agent/endpoints/httpExchange.ts
@@ -3,7 +3,7 @@
  * since a non-idempotent call that may have been sent must not be retried.
  */
 import type { Dispatcher } from 'undici'
-import { type Clock, createInactivityTimeout, isFramed } from 'anvilarch-utils'
+import { type Clock, createInactivityTimeout, framingOf, type ResponseFraming } from 'anvilarch-utils'
 import type { EndpointCall, Headers } from '../../attempts/types'
 import type { WatchedDispatcher } from './connections'
 
@@ -14,12 +14,6 @@
   | { kind: 'error', sent: boolean, code: string, detail: string }
   | { kind: 'aborted', sent: boolean }
 
-/**
- * How the end of a response shows: by a length or chunks, or by the end of its connection. It does not show if a transfer coding is
- * not known, since the body can't be decoded.
- */
-export type ResponseFraming = 'framed' | 'until_close' | 'unknown_coding'
-
 /** Code of the error of a response without a length whose connection broke, or may have. */
 export const BROKEN_OFF = 'broken_off'
 
@@ -125,11 +119,6 @@
   }
 }
 
-function framingOf (status: number, header: (name: string) => string | undefined): ResponseFraming {
-  if (isFramed(status, header)) return 'framed'
-  return header('transfer-encoding') === undefined ? 'until_close' : 'unknown_coding'
-}
-
 /** Response to a small JSON request. */
 export interface JsonResponse {
   status: number
--- a/packages/anvilarch-utils/src/__tests__/framing.test.ts
+++ b/packages/anvilarch-utils/src/__tests__/framing.test.ts
@@ -1,4 +1,4 @@
-import { isFramed } from '../framing'
+import { framingOf, isFramed, type ResponseFraming } from '../framing'
 
 const framed = (status: number, headers: Record<string, string>): boolean => isFramed(status, name => headers[name])
 
@@ -27,3 +27,22 @@
     expect(framed(status, headers)).toBe(false)
   })
 })
+
+describe('framingOf', () => {
+  // Guards against a coded body that is taken for the body itself, since its connection was closed in order.
+  it.each<[ResponseFraming, number, Record<string, string>]>([
+    ['framed', 200, { 'content-length': '0' }],
+    ['framed', 200, { 'transfer-encoding': 'chunked' }],
+    ['framed', 204, {}],
+    ['framed', 304, { 'transfer-encoding': 'gzip' }],
+    ['until_close', 200, {}],
+    ['until_close', 500, { connection: 'keep-alive', 'keep-alive': 'timeout=5' }],
+    ['unknown_coding', 200, { 'transfer-encoding': 'gzip' }],
+    ['unknown_coding', 200, { 'transfer-encoding': 'chunked, gzip' }],
+    ['unknown_coding', 200, { 'transfer-encoding': 'xchunked' }],
+    ['unknown_coding', 200, { 'transfer-encoding': '' }],
+    ['unknown_coding', 200, { 'transfer-encoding': 'gzip', 'content-length': '4' }]
+  ])('is %s for status %d and headers %j', (framing, status, headers) => {
+    expect(framingOf(status, name => headers[name])).toBe(framing)
+  })
+})
--- a/packages/anvilarch-utils/src/framing.ts
+++ b/packages/anvilarch-utils/src/framing.ts
@@ -17,3 +17,21 @@
   if (codings === undefined) return header('content-length') !== undefined
   return codings.split(',').at(-1)?.trim().toLowerCase() === 'chunked'
 }
+
+/** How the end of a response shows: by a length or chunks, or by the end of its connection. */
+export type ResponseFraming =
+  | 'framed'
+  /** The response is complete if its connection was closed in order. */
+  | 'until_close'
+  /** Its connection ends the response as well, but the body cannot be decoded. */
+  | 'unknown_coding'
+
+/**
+ * @param status - status of the response
+ * @param header - looks up a header of the response by its lower-case name
+ * @returns how the end of the response shows; like `isFramed`, not for responses to HEAD requests
+ */
+export function framingOf (status: number, header: (name: string) => string | undefined): ResponseFraming {
+  if (isFramed(status, header)) return 'framed'
+  return header('transfer-encoding') === undefined ? 'until_close' : 'unknown_coding'
+}
