Forward a reset through the soak's relay as a reset

Cause: the relay ended the other side by `destroy`, a close in order, for each reset, and took a reset that comes with bytes for a close, as Node.js reports it. So no connection of the soak ever broke behind a relay.

Change: `watchConnectionEnd` tells the ends apart, and a reset is forwarded by `resetAndDestroy`. Data that is delayed on purpose still ends normally.

--- a/packages/anvilarch-bench/src/soak/relay/__tests__/faultRelay.test.ts
+++ b/packages/anvilarch-bench/src/soak/relay/__tests__/faultRelay.test.ts
@@ -1,10 +1,13 @@
 import { createServer, type AddressInfo, connect, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
+import { type ConnectionEnd, watchConnectionEnd } from 'anvilarch-utils'
 import { type FaultRelay, startFaultRelay } from '../faultRelay'
 
 /** Shorter than the timeout of a test, which is 30 s. */
 const CONDITION_TIMEOUT_MS = 20_000
 
+const REPETITIONS = 20
+
 describe('startFaultRelay', () => {
   let echo: Server
   let relay: FaultRelay
@@ -64,6 +67,27 @@
     expect(seen).toEqual([])
   })
 
+  // Guards against a broken connection that looks closed in order behind the relay.
+  test.each<[string, ConnectionEnd, (socket: Socket) => void]>([
+    ['a close', 'closed', socket => { socket.end('bytes') }],
+    ['a reset together with bytes', 'broken', socket => {
+      socket.write('bytes')
+      socket.resetAndDestroy()
+    }],
+    ['a reset after bytes', 'broken', socket => { socket.write('bytes', () => { setTimeout(() => { socket.resetAndDestroy() }, 10) }) }]
+  ])('forwards %s as such', async (_name, expected, endConnection) => {
+    const server = createServer(socket => { socket.on('error', () => {}).once('data', () => { endConnection(socket) }) })
+    sink = server
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    relay.setTarget(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+    for (let count = 0; count < REPETITIONS; count++) {
+      const client = open()
+      client.on('error', () => {}).resume()
+      client.write('request')
+      expect(await new Promise(resolve => { watchConnectionEnd(client, resolve) })).toBe(expected)
+    }
+  })
+
   test('forwards delayed data on release, even if its sender has closed the connection meanwhile', async () => {
     const received: string[] = []
     const receiver = createServer(socket => { socket.on('data', data => { received.push(String(data)) }) })
--- a/packages/anvilarch-bench/src/soak/relay/faultRelay.ts
+++ b/packages/anvilarch-bench/src/soak/relay/faultRelay.ts
@@ -4,6 +4,7 @@
  * connection, and messages that arrive after their sender has timed out.
  */
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { watchConnectionEnd } from 'anvilarch-utils'
 
 /** A running relay. */
 export interface FaultRelay {
@@ -87,9 +88,9 @@
     const { from } = direction
     from.setNoDelay(true)
     from.on('data', (data: Buffer) => { FORWARD[pair.mode](direction, data) })
-    from.on('end', () => { END[pair.mode](direction, 'end') })
-    // A reset must reach the other end, else the connection would seem stalled.
-    from.on('error', () => { END[pair.mode](direction, 'reset') })
+    from.on('error', () => {})
+    // A reset must reach the other end, else the connection would seem stalled, or closed in order.
+    watchConnectionEnd(from, end => { END[pair.mode](direction, end === 'closed' ? 'end' : 'reset') })
   }
   return pair
 }
@@ -117,7 +118,7 @@
 
 function forwardEnd ({ to }: Direction, how: 'end' | 'reset'): void {
   if (how === 'end') to.end()
-  else to.destroy()
+  else to.resetAndDestroy()
 }
 
 function releasePair (pair: Pair): void {
