Close a link's port with the port of its endpoint

A link went on listening when its endpoint had ended, so that a connection was made and then reset where a real host refuses it. Endpoints whose process ends within a response close their connections in order, as the kernel does, or reset them.

--- a/packages/anvilarch-platform-soak/src/work/endpoints.ts
+++ b/packages/anvilarch-platform-soak/src/work/endpoints.ts
@@ -34,6 +34,7 @@
   softwareVersion: string
   /** Address in its row, which may be that of a link. */
   address: string
+  link: LinkedPort | undefined
   zone: string
   state: 'ready' | 'draining' | 'unlisted'
   seq: number
@@ -86,11 +87,11 @@
       const random = createDerivedRandom(seed + added)
       const habits = drawHabits(createDerivedRandom(seed * HABITS_SEED_FACTOR + added), resetsConnections)
       const engine = await startEndpointStandin({ id: `i-${service}-${added}`, ip: await nextIp(), port: PORTS.engine, service, slots: SLOTS[service], events: STREAM_EVENTS, clock, random, habits, runs })
-      const endpoint: Endpoint = { engine, softwareVersion, address: engine.address, zone: ZONES[added % ZONES.length], state: 'ready', seq: 0 }
+      const endpoint: Endpoint = { engine, softwareVersion, address: engine.address, link: undefined, zone: ZONES[added % ZONES.length], state: 'ready', seq: 0 }
       if (random.next() < LINKED_SHARE) {
         const link = await startLinkedPort({ clock, random, profile: drawLinkProfile(random), ip: engine.ip, port: LINK_PORT, targetPort: PORTS.engine })
         links.push(link)
-        endpoint.address = link.address
+        Object.assign(endpoint, { link, address: link.address })
       }
       all.add(endpoint)
       if (added % ODD_ENTRY_EVERY === 0) store.put('servers', `i-odd-${added}`, random.pick([Buffer.from([0xff, 0]), { service, address: engine.address, state: 'gone' }, { state: 'ready' }, []]))
@@ -104,7 +105,7 @@
       if (endpoint.state === 'draining') writeRow(endpoint)
       else store.remove('servers', engine.id)
       await sleep(clock, DRAIN_MS + random.next() * EXTRA_DRAIN_MS, closed.signal)
-      await engine.end()
+      await engine.end(() => endpoint.link?.stopListening())
       all.delete(endpoint)
       store.remove('servers', engine.id)
     },
--- a/packages/anvilarch-standins/src/links/linkedPort.ts
+++ b/packages/anvilarch-standins/src/links/linkedPort.ts
@@ -12,6 +12,8 @@
 /** Listening port. */
 export interface LinkedPort {
   address: string
+  /** Refuses connections from now on. What is on its way still arrives. */
+  stopListening: () => void
   close: () => void
 }
 
@@ -47,6 +49,7 @@
   })
   return {
     address: `${ip}:${(server.address() as AddressInfo).port}`,
+    stopListening: () => { server.close() },
     close: () => {
       for (const socket of sockets) socket.destroy()
       server.close()
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -52,8 +52,8 @@
   pause: (durationMs: number) => void
   /** Announces on each response that the connection ends. */
   leave: () => void
-  /** Ends after the requests in progress. */
-  end: () => Promise<void>
+  /** Ends the process after the requests in progress. */
+  end: (onStopListening?: () => void) => Promise<void>
 }
 
 interface Work {
@@ -146,11 +146,10 @@
     work.response.flushHeaders()
   }
 
-  /** Without a length, only a reset shows that a response is not whole. */
-  const breakOff = (work: Work): void => {
+  const breakOff = (work: Work, inOrder: boolean): void => {
     settle(work, 'broke_off')
-    if (work.form.framing === 'until_end') work.response.socket?.resetAndDestroy()
-    else work.response.destroy()
+    if (inOrder) work.response.destroy()
+    else work.response.socket?.resetAndDestroy()
   }
 
   const eventText = (eventId: number, form: ResponseForm): string =>
@@ -159,7 +158,8 @@
   const sendEvent = (work: Work): void => {
     const { response, run, unsent } = work
     if (clock.nowMs() > work.deadlineAtMs) {
-      breakOff(work)
+      // Without a length, only a reset shows that a response of a live process is not whole.
+      breakOff(work, work.form.framing === 'stated')
       return
     }
     if (!response.headersSent) sendStreamHead(work)
@@ -232,13 +232,15 @@
       queue.unshift(newest)
     },
     leave: () => { leaving = true },
-    end: async () => {
+    end: async onStopListening => {
       leaving = true
       const untilMs = clock.nowMs() + FINISH_MS
       while (active.size + queue.length > 0 && clock.nowMs() < untilMs) await new Promise(resolve => setTimeout(resolve, 20))
-      for (const work of [...active, ...queue]) breakOff(work)
-      for (const socket of sockets) socket.destroy()
       server.close()
+      onStopListening?.()
+      // A run that ends lets the next one begin.
+      for (const work of [...queue, ...active]) breakOff(work, habits.endsInOrder)
+      for (const socket of sockets) socket.destroy()
     }
   }
 }
