--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -27,6 +27,8 @@
   /** `broke_off`: the stand-in ended it. `dropped`: its sender closed the connection. `rejected`: refused without a run. */
   end: 'complete' | 'broke_off' | 'dropped' | 'rejected' | 'running'
   endedAtMs: number | undefined
+  /** Time at which the process of the endpoint ended after a complete response without a length. */
+  goneAtMs?: number
 }
 
 /** Options of `startEndpointStandin`. */
@@ -86,6 +88,8 @@
 export async function startEndpointStandin ({ id, ip, port, service, slots, events, clock, random, habits, runs }: EndpointStandinOptions): Promise<EndpointStandin> {
   const active = new Set<Work>()
   const queue: Work[] = []
+  /** Runs whose complete responses had no length. */
+  const unframedRuns: EndpointStandinRun[] = []
   const sockets = new Set<Socket>()
   let leaving = false
   let pausedUntilMs = 0
@@ -101,6 +105,7 @@
 
   const settle = (work: Work, end: EndpointStandinRun['end']): void => {
     if (work.run.end !== 'running') return
+    if (end === 'complete' && work.form.framing === 'until_end') unframedRuns.push(work.run)
     work.run.end = end
     work.run.endedAtMs = clock.nowMs()
     work.timer?.cancel()
@@ -241,6 +246,7 @@
       // A run that ends lets the next one begin.
       for (const work of [...queue, ...active]) breakOff(work, habits.endsInOrder)
       for (const socket of sockets) socket.destroy()
+      for (const run of unframedRuns) run.goneAtMs = clock.nowMs()
     }
   }
 }
