--- a/packages/anvilarch-serving/src/requests/__fixtures__/requestHistory.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/requestHistory.ts
@@ -65,6 +65,7 @@
   queueMs: fc.oneof({ weight: 5, arbitrary: fc.constant(0) }, { weight: 1, arbitrary: fc.nat({ max: 4000 }) }),
   gapMs: fc.oneof({ weight: 5, arbitrary: fc.nat({ max: 20 }) }, { weight: 1, arbitrary: fc.nat({ max: 500 }) }),
   chunkBytes: fc.constantFrom(0, 0, 1, 7, 64),
+  eventsPerWrite: fc.constantFrom(1, 1, 1, 2, 4),
   style: fc.constantFrom('plain' as const, 'crlf' as const, 'with_version' as const, 'with_comments' as const)
 })
 
--- a/packages/anvilarch-serving/src/requests/__fixtures__/scriptedEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/scriptedEndpoint.ts
@@ -14,6 +14,8 @@
   gapMs: number
   /** Chunk size of the stream; 0 for one chunk for each event. */
   chunkBytes: number
+  /** Number of events that are sent together. */
+  eventsPerWrite: number
   style: EventStyle
 }
 
@@ -180,8 +182,19 @@
     request.endConnection('broken')
   })
 
+  const unsent: string[] = []
+  let isUnsentWrong = false
+
+  const sendUnsent = (): void => {
+    if (unsent.length === 0) return
+    run.lastEventAtMs = clock.nowMs()
+    run.failed ||= isUnsentWrong && !request.aborted
+    send(unsent.splice(0).join(''))
+  }
+
   const sendEvents = (id: number): void => {
     if (over) return
+    if (id === faultId || id > scripted.eventCount) sendUnsent()
     if (id === faultId && ending.ending === 'silent') return
     if (id === faultId && (ending.ending === 'unframed_early' || ending.ending === 'unframed_gone')) endEvents(id)
     else if (id === faultId && ending.ending === 'unframed_reset') breakUnframed()
@@ -197,9 +210,9 @@
       const isSkipped = id === faultId && ending.ending === 'skip' && id < scripted.eventCount
       hasSkipped ||= isSkipped
       if (!isSkipped) {
-        run.lastEventAtMs = clock.nowMs()
-        run.failed ||= (isWrong(id) || hasSkipped) && !request.aborted
-        send(eventText(idOf(id), eventData(id), ending.style))
+        isUnsentWrong ||= isWrong(id) || hasSkipped
+        unsent.push(eventText(idOf(id), eventData(id), ending.style))
+        if (unsent.length >= ending.eventsPerWrite) sendUnsent()
       }
       after(ending.gapMs, () => sendEvents(id + 1))
     }
