Complete the last stream of an endpoint that leaves

Cause: an endpoint that finishes its work before it exits closes its port right after its last response. If that response is a stream without a length, the port was found closed, and the stream was cut as that of a killed process where no other endpoint could be asked.

Change: an endpoint that is draining or no longer listed made a planned exit, so its orderly end completes the stream there. One that is listed as ready has crashed. Plain answers stay as they were: they can still be requested again, or replaced by 502.

--- a/packages/anvilarch-serving/src/requests/nextEndpoint.ts
+++ b/packages/anvilarch-serving/src/requests/nextEndpoint.ts
@@ -8,6 +8,8 @@
 export interface NextEndpoint {
   /** @returns the endpoint that ended the stream in order and has not been asked to confirm it; undefined if it accepts no requests any more */
   confirming: () => Endpoint | undefined
+  /** @returns whether the endpoint is leaving, so that its process may end after it has completed its requests */
+  isLeaving: (startId: string) => boolean
   /** @returns the best endpoint that has not been tried; undefined if there is none or the request has been sent too often */
   untried: () => Endpoint | undefined
   /** @returns the best endpoint that the request may go back to */
@@ -62,6 +64,7 @@
 
   return {
     confirming,
+    isLeaving: startId => oneOf(new Set([startId])) === undefined,
     untried,
     aborted,
     choose: () => {
--- a/packages/anvilarch-serving/src/requests/probedEnd.ts
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -1,6 +1,6 @@
 /**
  * Completes a response that has no length and cannot be resumed, once its connection has ended in order. The connections of a process
- * that is killed may end in order too, and its port is closed then.
+ * that is killed may end in order too, and its port is closed then. So is that of an endpoint that leaves after its last response.
  */
 import { sleep } from 'anvilarch-utils'
 import { PROBE_DELAY_MS } from '../crashes/lossProber'
@@ -25,7 +25,9 @@
   parts: Pick<ForwardParts, 'clock' | 'metrics' | 'probeConnection'>
   running: Pick<RunningAttempts, 'all' | 'release'>
   complete: (entry: RunningAttempt, response: EndpointResponse | undefined) => void
-  /** Called if no process listens at the endpoint any more; the attempt is no longer in progress. */
+  /** @returns whether an endpoint is leaving */
+  isLeaving: (startId: string) => boolean
+  /** Called if no process listens at the endpoint any more although it is not leaving; the attempt is no longer in progress. */
   onGone: (entry: RunningAttempt) => void
 }
 
@@ -33,7 +35,7 @@
  * @param options - the request and how its response is completed
  * @returns the end of its response, which has not come
  */
-export function createProbedEnd ({ parts: { clock, metrics, probeConnection }, running, complete, onGone }: ProbedEndOptions): ProbedEnd {
+export function createProbedEnd ({ parts: { clock, metrics, probeConnection }, running, complete, isLeaving, onGone }: ProbedEndOptions): ProbedEnd {
   /** Completions of the responses whose endpoints are being probed. */
   const completions = new Map<RunningAttempt, () => void>()
 
@@ -48,8 +50,10 @@
       if (response === undefined) await sleep(clock, PROBE_DELAY_MS)
       const result = await probeConnection(entry.endpoint.address)
       if (!running.all().includes(entry)) return
-      metrics.endsByClose.inc({ end: result === 'refused' ? 'gone' : 'confirmed' })
-      if (result !== 'refused') {
+      // Unlike a stream that has begun, any other response can still be replaced.
+      const isGone = result === 'refused' && (response !== undefined || !isLeaving(entry.endpoint.startId))
+      metrics.endsByClose.inc({ end: isGone ? 'gone' : result === 'connected' ? 'confirmed' : 'unconfirmed' })
+      if (!isGone) {
         completeThis()
         return
       }
--- a/packages/anvilarch-serving/src/requests/streamEnd.ts
+++ b/packages/anvilarch-serving/src/requests/streamEnd.ts
@@ -42,6 +42,8 @@
   complete: (entry: RunningAttempt) => void
   /** @returns whether the request has ended */
   hasEnded: () => boolean
+  /** @returns whether an endpoint is leaving */
+  isLeaving: (startId: string) => boolean
   /** Called if a probe shows that no process listens at the endpoint of the attempt any more. */
   onGone: (entry: RunningAttempt) => void
   onError: (error: Error) => void
@@ -52,7 +54,7 @@
  * @param options - the request and how its response is completed
  * @returns the end of its stream, which has not come
  */
-export function createStreamEnd ({ parts: { clock, metrics, probeConnection }, route, state, running, complete, hasEnded, onGone, onError, onProcessPause }: StreamEndOptions): StreamEnd {
+export function createStreamEnd ({ parts: { clock, metrics, probeConnection }, route, state, running, complete, hasEnded, isLeaving, onGone, onError, onProcessPause }: StreamEndOptions): StreamEnd {
   const confirmation: EndConfirmation<RunningAttempt> = createEndConfirmation()
   let timeout: InactivityTimeout | undefined
   let probed: UnconfirmedEnd<RunningAttempt> | undefined
@@ -82,7 +84,7 @@
     await sleep(clock, PROBE_DELAY_MS)
     const result = await probeConnection(end.source.endpoint.address)
     if (hasEnded() || confirmation.pending(state.lastEventId) !== end) return
-    if (result === 'refused') {
+    if (result === 'refused' && !isLeaving(end.startId)) {
       metrics.endsByClose.inc({ end: 'gone' })
       onGone(end.source)
     } else completeWith(end.source, result === 'connected' ? 'confirmed' : 'unconfirmed')
