Count cuts of whole responses whose endpoint has left

Reverts the exception of the soak for a whole response without a length whose endpoint's process ended right after it: an endpoint that leaves ends its connections in order only after whole responses, so that such a cut is a loss. The stand-in resets what it breaks off at its planned end, as at a deadline.

--- a/packages/anvilarch-platform-soak/src/rule/types.ts
+++ b/packages/anvilarch-platform-soak/src/rule/types.ts
@@ -44,8 +44,6 @@
   end: RunEnd
   /** Undefined while it runs. */
   endedAtMs: number | undefined
-  /** Time at which the process of the endpoint ended, after a complete response that only the end of its connection ended. */
-  goneAtMs?: number
 }
 
 /** Signal to the process of a machine. */
--- a/packages/anvilarch-platform-soak/src/run/report.ts
+++ b/packages/anvilarch-platform-soak/src/run/report.ts
@@ -8,9 +8,6 @@
 /** Lines of a log that are shown for a request. */
 const MAX_LOG_LINES = 20
 
-/** A process that ends this soon after a response without a length is gone when the gateway learns of that end, also over a link. */
-const GONE_WITHIN_MS = 1000
-
 /** Outcome of a run. */
 export interface Verdict {
   lost: number
@@ -23,15 +20,13 @@
 /** @returns the verdict on a run */
 export function judge (result: PlatformSoakResult): Verdict {
   const { evidence, attempts, problems, logPaths } = result
+  const losses = checkLost(evidence)
   const runsOf = groupRuns(evidence.runs)
-  /** Whether an endpoint completed a response by the end of its connection, and its process was gone when the gateway learnt of it. */
-  const isUndecidable = ({ requestId, endedAtMs }: ClientRequest): boolean => (runsOf.get(requestId) ?? []).some(run => run.goneAtMs !== undefined && run.goneAtMs <= endedAtMs && run.goneAtMs - (run.endedAtMs ?? 0) < GONE_WITHIN_MS)
-  const [undecidable, losses] = partition(checkLost(evidence), ({ request }) => isUndecidable(request))
   const hasRun = ({ requestId }: Attempt): boolean => (runsOf.get(requestId) ?? []).some(run => run.beganAtMs !== undefined)
   const refusedButRan = attempts.filter(attempt => (attempt.status === 429 || attempt.status === 503) && hasRun(attempt))
   const unsigned = attempts.filter(attempt => isSuccess(attempt) && !attempt.isSigned)
   const notIntact = attempts.filter(attempt => isSuccess(attempt) && !attempt.isIntact)
-  const replaced = attempts.filter(attempt => attempt.status === 502 && !isUndecidable(attempt) && (runsOf.get(attempt.requestId) ?? []).some(run => run.end === 'complete'))
+  const replaced = attempts.filter(attempt => attempt.status === 502 && (runsOf.get(attempt.requestId) ?? []).some(run => run.end === 'complete'))
   const ranTwice = attempts.filter(({ kind, requestId }) => !kind.repeatable && (runsOf.get(requestId) ?? []).filter(run => run.beganAtMs !== undefined).length > 1)
   const describe = (title: string, request: ClientRequest, fromMs = request.sendBeganAtMs, from = 'its first byte'): string[] =>
     [title, ...describeRequest(request, fromMs, from, runsOf.get(request.requestId) ?? []), ...logLines(request, logPaths)]
@@ -39,7 +34,6 @@
     lost: losses.length,
     counts: { lost: losses.length, 'refused but ran': refusedButRan.length, 'without signature': unsigned.length, 'not intact': notIntact.length, 'ran twice': ranTwice.length, 'whole and replaced by 502': replaced.length, 'processes that ended by themselves': problems.length },
     lines: [
-      ...undecidable.flatMap(({ request, work }) => describe('not counted, since nothing tells a whole response from one that a killed process left: cut after its endpoint was gone', request, work.atMs, work.kind)),
       ...losses.flatMap(({ request, work, part }) => describe(`lost: ${part}`, request, work.atMs, work.kind)),
       ...refusedButRan.flatMap(request => describe('refused but ran', request)),
       ...unsigned.flatMap(request => describe('success without signature', request)),
@@ -61,10 +55,6 @@
   return [...counts].map(([name, count]) => `${count} ${name}`).join(', ')
 }
 
-function partition<Item> (items: readonly Item[], isFirst: (item: Item) => boolean): [Item[], Item[]] {
-  return [items.filter(isFirst), items.filter(item => !isFirst(item))]
-}
-
 function groupRuns (runs: readonly EndpointRun[]): Map<string, EndpointRun[]> {
   const groups = new Map<string, EndpointRun[]>()
   for (const run of runs) groups.set(run.requestId, [...groups.get(run.requestId) ?? [], run])
--- a/packages/anvilarch-standins/src/platformEndpoint/__tests__/endpointHabits.test.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/__tests__/endpointHabits.test.ts
@@ -3,7 +3,7 @@
 import type { EndpointHabits } from '../endpointHabits'
 import { endpointBody, type EndpointStandin, endpointEventData, startEndpointStandin } from '../endpointStandin'
 
-const NONE: EndpointHabits = { unframedShare: 0, closingShare: 0, earlyHeadShare: 0, joinedShare: 0, extraBytesShare: 0, fullStatus: 503, idleMs: 30_000, statesIdleTime: true, newWeightsShare: 0, resetsConnections: false, endsInOrder: false }
+const NONE: EndpointHabits = { unframedShare: 0, closingShare: 0, earlyHeadShare: 0, joinedShare: 0, extraBytesShare: 0, fullStatus: 503, idleMs: 30_000, statesIdleTime: true, newWeightsShare: 0, resetsConnections: false }
 
 let endpoint: EndpointStandin
 
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointHabits.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointHabits.ts
@@ -24,8 +24,6 @@
   newWeightsShare: number
   /** Whether connections are reset, beyond some, while the queue is long. */
   resetsConnections: boolean
-  /** Whether connections end in order when the process ends within a response, as the kernel does it. */
-  endsInOrder: boolean
 }
 
 /** Framing of one response. */
@@ -64,8 +62,7 @@
     idleMs: random.pick(IDLE_MS),
     statesIdleTime: random.next() < 0.7,
     newWeightsShare: random.pick(RARE_SHARES),
-    resetsConnections,
-    endsInOrder: random.next() < 0.5
+    resetsConnections
   }
 }
 
--- a/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
+++ b/packages/anvilarch-standins/src/platformEndpoint/endpointStandin.ts
@@ -27,8 +27,6 @@
   /** `broke_off`: the stand-in ended it. `dropped`: its sender closed the connection. `rejected`: refused without a run. */
   end: 'complete' | 'broke_off' | 'dropped' | 'rejected' | 'running'
   endedAtMs: number | undefined
-  /** Time at which the process of the endpoint ended after a complete response without a length. */
-  goneAtMs?: number
 }
 
 /** Options of `startEndpointStandin`. */
@@ -88,8 +86,6 @@
 export async function startEndpointStandin ({ id, ip, port, service, slots, events, clock, random, habits, runs }: EndpointStandinOptions): Promise<EndpointStandin> {
   const active = new Set<Work>()
   const queue: Work[] = []
-  /** Runs whose complete responses had no length. */
-  const unframedRuns: EndpointStandinRun[] = []
   const sockets = new Set<Socket>()
   let leaving = false
   let pausedUntilMs = 0
@@ -105,7 +101,6 @@
 
   const settle = (work: Work, end: EndpointStandinRun['end']): void => {
     if (work.run.end !== 'running') return
-    if (end === 'complete' && work.form.framing === 'until_end') unframedRuns.push(work.run)
     work.run.end = end
     work.run.endedAtMs = clock.nowMs()
     work.timer?.cancel()
@@ -151,10 +146,10 @@
     work.response.flushHeaders()
   }
 
-  const breakOff = (work: Work, inOrder: boolean): void => {
+  /** Without a length, only a reset shows that a response is not whole. */
+  const breakOff = (work: Work): void => {
     settle(work, 'broke_off')
-    if (inOrder) work.response.destroy()
-    else work.response.socket?.resetAndDestroy()
+    work.response.socket?.resetAndDestroy()
   }
 
   const eventText = (eventId: number, form: ResponseForm): string =>
@@ -163,8 +158,7 @@
   const sendEvent = (work: Work): void => {
     const { response, run, unsent } = work
     if (clock.nowMs() > work.deadlineAtMs) {
-      // Without a length, only a reset shows that a response of a live process is not whole.
-      breakOff(work, work.form.framing === 'stated')
+      breakOff(work)
       return
     }
     if (!response.headersSent) sendStreamHead(work)
@@ -244,9 +238,8 @@
       server.close()
       onStopListening?.()
       // A run that ends lets the next one begin.
-      for (const work of [...queue, ...active]) breakOff(work, habits.endsInOrder)
+      for (const work of [...queue, ...active]) breakOff(work)
       for (const socket of sockets) socket.destroy()
-      for (const run of unframedRuns) run.goneAtMs = clock.nowMs()
     }
   }
 }
