Count ends without a length by what came of them

A probe without a response counted as confirmed (the table says unconfirmed), and an endpoint that a resumption found gone wasn't counted as gone. Three of the five tests failed before.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -101,6 +101,8 @@
   finishPlacement: () => void
   /** @returns how started responses ended and the outcomes of their requests, from the metrics */
   startedResponses: () => Promise<Array<[end: string, outcome: string]>>
+  /** @returns the numbers of ends in order without a length, by what came of them */
+  endsByClose: () => Promise<Record<string, number>>
   /** Closes the connection from the client's side. */
   disconnect: () => void
   /** @returns how many process pauses the gateway has detected */
@@ -138,7 +140,6 @@
 
 /** Headers of a signed response that belongs to the request. */
 export const SIGNED_HEADERS = ['request-id', REQUEST_ID, 'signature', 's']
-
 export const EVENT_STREAM_HEADERS = [...SIGNED_HEADERS, 'content-type', 'text/event-stream', 'transfer-encoding', 'chunked']
 
 function endpointNamed (id: string): Endpoint {
@@ -300,9 +301,7 @@
     },
     streamOrigins: { resolve: async () => ({ resolution: 'single', versions: new Map([['s', 'v1']]) }), onStarted: () => {}, onEnded: () => {}, onMessage: () => {} },
     limits: {
-      acquire: async () => options.granted === false
-        ? { granted: false, retryAfterMs: 100, granter: 'home' }
-        : { granted: true, refund: () => { permitsRefunded++ } }
+      acquire: async () => options.granted === false ? { granted: false, retryAfterMs: 100, granter: 'home' } : { granted: true, refund: () => { permitsRefunded++ } }
     },
     isStillAuthorized: () => hasKey,
     allLimitsPerSecond: () => 0,
@@ -340,6 +339,7 @@
     lossReports,
     finishPlacement: () => finishPlacement(),
     startedResponses: async () => (await metrics.begunAnswers.get()).values.map(({ labels }) => [String(labels.end), String(labels.outcome)]),
+    endsByClose: async () => Object.fromEntries((await metrics.endsByClose.get()).values.map(({ labels, value }) => [String(labels.end), value])),
     disconnect: () => {
       client.disconnected = true
       response.destroyed = true
--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -147,3 +147,26 @@
     expect(client).toMatchObject({ status: 200, body: 'ok' })
   })
 })
+
+describe('the metric of ends without a length', () => {
+  it.each([['connected', 'confirmed'], ['unknown', 'unconfirmed'], ['refused', 'gone']] as const)('counts a lookup whose probe is %s as %s', async (result, end) => {
+    const { clock, sent, endsByClose } = forwardOnFakeClock({ kind: 'once', endpoints: 1, probe: () => result })
+    await clock.advanceAsync(0)
+    sendPlain(sent[0], 'whole')
+    await clock.advanceAsync(0)
+    expect(await endsByClose()).toEqual({ [end]: 1 })
+  })
+
+  it.each(['refused', 'replaced'] as const)('counts a stream as gone if its endpoint is %s', async state => {
+    const { clock, sent, endsByClose } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+    await clock.advanceAsync(0)
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(0)
+    if (state === 'refused') sent[1].exchange.onError(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
+    else {
+      sendHead(sent[1], 421, ['content-length', '0'])
+      sent[1].exchange.onComplete()
+    }
+    expect(await endsByClose()).toEqual({ to_be_confirmed: 1, gone: 1 })
+  })
+})
--- a/packages/anvilarch-serving/src/requests/probedEnd.ts
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -3,11 +3,14 @@
  * that is killed may end in order too, and its port is closed then.
  */
 import { sleep } from 'anvilarch-utils'
-import { PROBE_DELAY_MS } from '../crashes/lossProber'
+import { type ConnectResult, PROBE_DELAY_MS } from '../crashes/lossProber'
 import type { ForwardParts } from './forwardTypes'
 import type { EndpointResponse } from './runAttempt'
 import type { RunningAttempt, RunningAttempts } from './runningAttempts'
 
+/** Ends in the metrics, by the result of the probe. */
+const END_BY_RESULT: Record<ConnectResult, string> = { connected: 'confirmed', unknown: 'unconfirmed', refused: 'gone' }
+
 /** End of the response of one request. */
 export interface ProbedEnd {
   /**
@@ -48,7 +51,7 @@
       if (response === undefined) await sleep(clock, PROBE_DELAY_MS)
       const result = await probeConnection(entry.endpoint.address)
       if (!running.all().includes(entry)) return
-      metrics.endsByClose.inc({ end: result === 'refused' ? 'gone' : 'confirmed' })
+      metrics.endsByClose.inc({ end: END_BY_RESULT[result] })
       if (result !== 'refused') {
         completeThis()
         return
--- a/packages/anvilarch-serving/src/requests/streamEnd.ts
+++ b/packages/anvilarch-serving/src/requests/streamEnd.ts
@@ -59,6 +59,8 @@
 
   const isPending = (): boolean => confirmation.pending(state.lastEventId) !== undefined
 
+  const isEndedBy = (startId: string): boolean => confirmation.pending(state.lastEventId)?.startId === startId
+
   const cancelTimeout = (): void => {
     timeout?.cancel()
     timeout = undefined
@@ -82,10 +84,8 @@
     await sleep(clock, PROBE_DELAY_MS)
     const result = await probeConnection(end.source.endpoint.address)
     if (hasEnded() || confirmation.pending(state.lastEventId) !== end) return
-    if (result === 'refused') {
-      metrics.endsByClose.inc({ end: 'gone' })
-      onGone(end.source)
-    } else completeWith(end.source, result === 'connected' ? 'confirmed' : 'unconfirmed')
+    if (result === 'refused') onGone(end.source)
+    else completeWith(end.source, result === 'connected' ? 'confirmed' : 'unconfirmed')
   }
 
   const completeAfterProbe = (): void => {
@@ -118,14 +118,17 @@
       return false
     },
     onFailure: (startId, reason) => {
-      if (isEndpointGone(reason)) confirmation.onEndpointGone(startId)
+      if (isEndpointGone(reason)) {
+        if (isEndedBy(startId)) metrics.endsByClose.inc({ end: 'gone' })
+        confirmation.onEndpointGone(startId)
+      }
       if (isBrokenConnection(reason)) confirmation.onConnectionLost(startId)
       updateTimeout()
     },
     onSent: confirmation.onSent,
     cancelTimeout,
     isPending,
-    isEndedBy: startId => confirmation.pending(state.lastEventId)?.startId === startId,
+    isEndedBy,
     toBeAsked: () => confirmation.toBeAsked(state.lastEventId),
     completeAfterProbe,
     completeUnconfirmed
