--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -109,6 +109,16 @@
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
     expect(sent).toHaveLength(1)
   })
+
+  // Guards against a probe that reaches a process which is being killed.
+  it.each([true, false])('does not look complete if its port closes after its connection (resumable: %s)', async resumable => {
+    const { clock, sent, client, replaceEndpoint } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, resumable, endpoints: 1, probe: () => clock.nowMs() < 30 ? 'connected' : 'refused' })
+    await clock.advanceAsync(0)
+    replaceEndpoint(false)
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+  })
 })
 
 describe('a process that is gone after an orderly end', () => {
