Resume a stream for a confirmation without a query of loads

The endpoint is given, but the send waited for the loads of the others, while the client, which has all events, waits for the end of its response. The test failed before.

--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -110,6 +110,17 @@
     expect(sent).toHaveLength(1)
   })
 
+  // Guards against a client that waits for the loads of endpoints that the stream is not sent to.
+  it('is resumed for a confirmation without a query of loads', async () => {
+    let placementMs = 0
+    const { clock, sent } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 3, placementMs: () => placementMs })
+    await clock.advanceAsync(0)
+    placementMs = 100
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(0)
+    expect(sent[1]).toMatchObject({ endpoint: sent[0].endpoint, lastEventId: 2 })
+  })
+
   // Guards against a probe that reaches a process which is being killed.
   it.each([true, false])('does not look complete if its port closes after its connection (resumable: %s)', async resumable => {
     const { clock, sent, client, replaceEndpoint } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, resumable, endpoints: 1, probe: () => clock.nowMs() < 30 ? 'connected' : 'refused' })
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -82,7 +82,8 @@
     state.responseStarted || mayBegin(parts.drainState.schedule(), { nowMs: clock.nowMs(), limitAtMs: state.deadlineAtMs })
 
   const prepare = async (): Promise<void> => {
-    if (state.service !== undefined) await parts.placement.prepare(placementCriteria(client, state, state.service))
+    const isChosen = running.count() === 0 && nextEndpoint.confirming() !== undefined
+    if (state.service !== undefined && !isChosen) await parts.placement.prepare(placementCriteria(client, state, state.service))
   }
 
   /** Queries loads again before the next send: after an endpoint fails, its requests move to the others. */
@@ -143,9 +144,7 @@
     steps[stepAfter(failure)](reason)
   }
 
-  const onFailure = (entry: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => {
-    if (running.release(entry)) afterFailure(entry, failure, reason, metricReason)
-  }
+  const onFailure = (entry: RunningAttempt, failure: AttemptFailure, reason: string, metricReason = reason): void => { if (running.release(entry)) afterFailure(entry, failure, reason, metricReason) }
 
   const countAborted = ({ endpoint, mayHaveRun }: AbortedAttempt): void => {
     if (mayHaveRun) state.ranAt.add(endpoint.startId)
