--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -131,6 +131,27 @@
     expect(client).toMatchObject({ body: TWO_EVENTS, ended: true, destroyed: false })
     expect(sent).toHaveLength(1)
   })
+
+  // Guards against a client that waits for the loads of endpoints that the stream is not sent to.
+  it('is resumed for a confirmation without a query of loads', async () => {
+    let placementMs = 0
+    const { clock, sent } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 3, placementMs: () => placementMs })
+    await clock.advanceAsync(0)
+    placementMs = 100
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(0)
+    expect(sent[1]).toMatchObject({ endpoint: sent[0].endpoint, lastEventId: 2 })
+  })
+
+  // Guards against a probe that reaches a process which is being killed.
+  it.each([true, false])('does not look complete if its port closes after its connection (resumable: %s)', async resumable => {
+    const { clock, sent, client, quarantine } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, resumable, endpoints: 1, probe: () => clock.nowMs() < 30 ? 'connected' : 'refused' })
+    await clock.advanceAsync(0)
+    quarantine()
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(400)
+    expect(client).toMatchObject({ body: TWO_EVENTS, ended: false, destroyed: true })
+  })
 })
 
 describe('a process that is gone after an orderly end', () => {
@@ -169,3 +190,26 @@
     expect(client).toMatchObject({ status: 200, body: 'ok' })
   })
 })
+
+describe('the metric of ends without a length', () => {
+  it.each([['connected', 'confirmed'], ['unknown', 'unconfirmed'], ['refused', 'gone']] as const)('counts a lookup whose probe is %s as %s', async (result, end) => {
+    const { clock, sent, endsByClose } = forwardOnFakeClock({ kind: 'once', endpoints: 1, probe: () => result })
+    await clock.advanceAsync(0)
+    sendPlain(sent[0], 'whole')
+    await clock.advanceAsync(0)
+    expect(await endsByClose()).toEqual({ [end]: 1 })
+  })
+
+  it.each(['refused', 'replaced'] as const)('counts a stream as gone if its endpoint is %s', async state => {
+    const { clock, sent, endsByClose } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+    await clock.advanceAsync(0)
+    endAfterTwoEvents(sent[0])
+    await clock.advanceAsync(0)
+    if (state === 'refused') sent[1].exchange.onError(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
+    else {
+      sendHead(sent[1], 421, ['content-length', '0'])
+      sent[1].exchange.onComplete()
+    }
+    expect(await endsByClose()).toEqual({ to_be_confirmed: 1, gone: 1 })
+  })
+})
--- a/packages/anvilarch-serving/src/requests/probedEnd.ts
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -3,11 +3,14 @@
  * that is killed may end in order too, and its port is closed then. So is that of an endpoint that leaves after its last response.
  */
 import { sleep } from 'anvilarch-utils'
-import { PROBE_DELAY_MS } from '../crashes/lossProber'
+import { type ConnectResult, PROBE_DELAY_MS } from '../crashes/lossProber'
 import type { ForwardParts } from './forwardTypes'
 import type { EndpointResponse } from './runAttempt'
 import type { RunningAttempt, RunningAttempts } from './runningAttempts'
 
+/** Ends in the metrics, by the result of the probe. */
+const END_BY_RESULT: Record<ConnectResult, string> = { connected: 'confirmed', unknown: 'unconfirmed', refused: 'gone' }
+
 /** End of the response of one request. */
 export interface ProbedEnd {
   /**
@@ -52,7 +55,7 @@
       if (!running.all().includes(entry)) return
       // Unlike a stream that has begun, any other response can still be replaced.
       const isGone = result === 'refused' && (response !== undefined || !isLeaving(entry.endpoint.startId))
-      metrics.endsByClose.inc({ end: isGone ? 'gone' : result === 'connected' ? 'confirmed' : 'unconfirmed' })
+      metrics.endsByClose.inc({ end: result === 'refused' && !isGone ? 'unconfirmed' : END_BY_RESULT[result] })
       if (!isGone) {
         completeThis()
         return
