Read what has come before the end of a drain ends the requests

Callers of a late gateway got a cut stream although its endpoint had sent the last byte before: when a process is late, its timers come before what its sockets have received, so that the end of the drain cut responses that were complete in the kernel. The end now lets the event loop read first, as the end of the accepting phase does.

The test of connections that keep coming moved its clock past the end of the drain in one step, without a turn of the event loop. It now stops at that time for some turns, and asks for the same time of the end.

--- a/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -1,8 +1,9 @@
+import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { type AddressInfo, connect, type Socket } from 'node:net'
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net'
 import * as fc from 'fast-check'
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
-import { drainSchedule } from '../../drain/drainSchedule'
+import { drainSchedule, STOP_MARGIN_MS } from '../../drain/drainSchedule'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type ClientServer, createClientServer } from '../clientServer'
@@ -70,7 +71,7 @@
   return { isDone: () => done }
 }
 
-/** Turns of the event loop in which a drain stops listening and closes idle connections. */
+/** Turns of the event loop in which a drain stops listening, closes idle connections and reads what has come. */
 const FINISH_TURNS = 10
 
 async function advance ({ clock }: Gateway, ms: number): Promise<void> {
@@ -168,6 +169,30 @@
     isSettled: () => true
   } as unknown as ClientServer
   drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule, endRequests: () => { endedAtMs = clock.nowMs() } }).then(() => { isDone = true }, () => {})
-  await clock.advanceAsync(GRACE_MS)
+  await clock.advanceAsync(schedule.endAtMs - clock.nowMs())
+  for (let turn = 0; turn < FINISH_TURNS; turn++) await new Promise(resolve => setImmediate(resolve))
+  await clock.advanceAsync(STOP_MARGIN_MS)
   expect({ endedAtMs, isDone }).toEqual({ endedAtMs: schedule.endAtMs, isDone: true })
 })
+
+// Guards against cutting whole responses whose last bytes a late process has not read yet.
+it('reads what has come before it ends the requests', async () => {
+  const clock = createFakeClock()
+  const schedule = drainSchedule(clock.nowMs(), GRACE_MS)
+  const order: string[] = []
+  const clients = { finish: async () => {}, unfinishedRequests: () => [{ method: 'GET', path: '/', arrivedAtMs: 0 }], isSettled: () => true } as unknown as ClientServer
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  socket.on('data', () => order.push('read'))
+  const [peer] = await once(server, 'connection') as [Socket]
+  const drained = drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule, endRequests: () => order.push('ended') })
+  await clock.advanceAsync(schedule.endAtMs - clock.nowMs() - 1)
+  peer.write('last bytes')
+  await clock.advanceAsync(GRACE_MS)
+  await drained
+  socket.destroy()
+  peer.destroy()
+  server.close()
+  expect(order).toEqual(['read', 'ended'])
+})
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -204,7 +204,7 @@
 }
 
 /** Waits until the event loop has handled what the sockets have received. */
-async function readArrived (): Promise<void> {
+export async function readArrived (): Promise<void> {
   // The first one may come without a look at the sockets, if this is called from one of their events.
   await new Promise(resolve => setImmediate(resolve))
   await new Promise(resolve => setImmediate(resolve))
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -2,7 +2,7 @@
 import { type Clock, sleep } from 'anvilarch-utils'
 import type { DrainSchedule } from '../drain/drainSchedule'
 import type { EventLog } from '../telemetry/events'
-import type { ClientServer } from './clientServer'
+import { type ClientServer, readArrived } from './clientServer'
 
 /** Longest wait for clients to receive the responses at the end of the drain. */
 const FINAL_RESPONSES_MS = 200
@@ -37,6 +37,8 @@
     while (!isDone() && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
   }
   await waitUntil(schedule.endAtMs, () => clients.unfinishedRequests().length === 0)
+  // This process may be late: responses whose last bytes have come are completed.
+  await readArrived()
   const unfinishedRequests = clients.unfinishedRequests().length
   endRequests()
   // Connections are reset with the end of the process if their clients still send, which loses responses that were not read.
