Drop each request that comes on an ended connection

A request that is read after this process has ended its connection can have no response, whatever ended it. Only a draining process, or one that discards a body, knew that; by reading, others passed it on.

No test has drawn a request that only this check drops.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -91,16 +91,11 @@
     socket.end()
   }
   const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
-    if (lingeringClose.isLingering(request.socket)) {
-      // The client has been told that this request does not run, or gets no response.
+    if (!request.socket.writable) {
+      // The client was told that this request does not run, or sent it before it received the end of the connection. It may send it elsewhere.
       options.onDropped?.(request)
-      request.resume()
-      return
-    }
-    if (finishing && !request.socket.writable) {
-      // The client sent the request before it received the end of the connection, and may send it again to another gateway.
-      options.onDropped?.(request)
-      request.socket.destroy()
+      if (finishing && !lingeringClose.isLingering(request.socket)) request.socket.destroy()
+      else request.resume()
       return
     }
     lingeringClose.onRequest(request)
