Read what has come before a drain ends the requests in progress

The gateway was some 50 ms late, and the event loop runs timers, among them the end of the drain, before it reads sockets.

The drain now lets the event loop read once more before it ends what is unfinished. The new test ends a drain in the turn in which the last bytes of an endpoint have come: it failed before and passes. Not replayed with a real process.

The stub of the server in one test has the new member; nothing else of it changed.

--- a/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -1,5 +1,6 @@
+import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { type AddressInfo, connect, type Socket } from 'node:net'
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net'
 import * as fc from 'fast-check'
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
 import { drainSchedule } from '../../drain/drainSchedule'
@@ -64,9 +65,9 @@
   return response
 }
 
-function startDrain ({ clients, clock }: Gateway): { isDone: () => boolean } {
+function startDrain ({ clients, clock }: Gateway, endRequests = (): void => {}): { isDone: () => boolean } {
   let done = false
-  drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule: drainSchedule(clock.nowMs(), GRACE_MS), endRequests: () => {} }).then(() => { done = true }, () => {})
+  drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule: drainSchedule(clock.nowMs(), GRACE_MS), endRequests }).then(() => { done = true }, () => {})
   return { isDone: () => done }
 }
 
@@ -125,6 +126,26 @@
     await until(unused.isClosed)
   })
 
+  // Guards against cutting responses whose last bytes have come and are not read yet when the drain of a late process ends.
+  it('reads what endpoints have sent before it ends the requests in progress', async () => {
+    const endpoint = createServer()
+    await new Promise<void>(resolve => endpoint.listen(0, '127.0.0.1', resolve))
+    const upstream = connect((endpoint.address() as AddressInfo).port, '127.0.0.1')
+    const [socket] = await once(endpoint, 'connection') as [Socket]
+    const kept = openConnection(gateway)
+    const response = await send(gateway, kept, '/first')
+    upstream.on('data', () => response.end('whole'))
+    const endedEarly: boolean[] = []
+    startDrain(gateway, () => { endedEarly.push(!response.writableEnded) })
+    await advance(gateway, LATE_MS)
+    socket.write('the last bytes')
+    gateway.clock.advance(GRACE_MS)
+    await until(() => endedEarly.length > 0)
+    upstream.destroy()
+    endpoint.close()
+    expect(endedEarly).toEqual([false])
+  })
+
   it('ends every request that it takes with a complete response, whenever responses end and connections are used again', async () => {
     const plan = fc.array(fc.record({ sentAtMs: fc.nat(6000), workMs: fc.nat(MAX_WORK_MS), pauseMs: fc.nat(1000) }), { minLength: 1, maxLength: 6 })
     await fc.assert(fc.asyncProperty(plan, async connections => {
@@ -165,7 +186,8 @@
   const clients = {
     finish: async () => { await new Promise(() => {}) },
     unfinishedRequests: () => endedAtMs === undefined ? [{ method: 'GET', path: '/', arrivedAtMs: 0 }] : [],
-    isSettled: () => true
+    isSettled: () => true,
+    readArrived: async () => {}
   } as unknown as ClientServer
   drainClients({ clients, clock, log: SILENT_LOGGER as EventLog, schedule, endRequests: () => { endedAtMs = clock.nowMs() } }).then(() => { isDone = true }, () => {})
   await clock.advanceAsync(GRACE_MS)
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -24,6 +24,8 @@
    * @returns a promise that resolves when the requests that had come before are in progress
    */
   finish: () => Promise<void>
+  /** Waits until what the sockets of this process have received so far has been handled, as far as one turn of the event loop reads it. */
+  readArrived: () => Promise<void>
   /** Closes all connections. Unfinished responses are cut so that they do not look complete. */
   close: () => void
 }
@@ -156,6 +158,7 @@
       finishing = true
       connections.forEach(closeIfFinished)
     },
+    readArrived,
     close: () => {
       server.close()
       for (const response of inProgress.keys()) cutUnfinishedResponse(response, 'gateway_closed')
--- a/packages/anvilarch-serving/src/roles/drainClients.ts
+++ b/packages/anvilarch-serving/src/roles/drainClients.ts
@@ -37,6 +37,8 @@
     while (!isDone() && clock.nowMs() < untilMs) await sleep(clock, STOP_POLL_MS)
   }
   await waitUntil(schedule.endAtMs, () => clients.unfinishedRequests().length === 0)
+  // The event loop runs timers before it reads sockets: the last bytes of a response may have come in time to a late process.
+  if (clients.unfinishedRequests().length > 0) await clients.readArrived()
   const unfinishedRequests = clients.unfinishedRequests().length
   endRequests()
   // Connections are reset with the end of the process if their clients still send, which loses responses that were not read.
