Test crash record and probes of responses without a length

The mutation check found two parts that no test noticed: that a stream confirmed by its own endpoint counts as a whole run, and that only responses of success are probed. Each test fails without its part.

--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -95,8 +95,8 @@
   inProgress: () => { loads: number, usageReports: number }
   /** @returns how often the permit was refunded */
   permitsRefunded: () => number
-  /** Losses of connections and endpoints that were reported as possible crashes, in order. */
-  lossReports: string[]
+  /** Losses of connections and endpoints, and completions, as the crash monitor was told of them. */
+  crashReports: string[]
   /** Completes the pending placement. */
   finishPlacement: () => void
   /** @returns how started responses ended and the outcomes of their requests, from the metrics */
@@ -160,7 +160,7 @@
   let hasKey = true
   let isQuarantined = false
   let permitsRefunded = 0
-  const lossReports: string[] = []
+  const crashReports: string[] = []
   const inProgress = { loads: 0, usageReports: 0 }
 
   let lastConnectionEnd: ConnectionEnd = 'broken'
@@ -295,9 +295,9 @@
       admit: () => isQuarantined ? 'quarantined' : 'admitted',
       claimTrial: async () => false,
       mayRunAgain: () => !isQuarantined,
-      onConnectionLost: (_request, { startId }) => { lossReports.push(`connection ${startId}`) },
-      onEndpointLost: startId => { lossReports.push(`endpoint ${startId}`) },
-      onCompleted: () => {}
+      onConnectionLost: (_request, { startId }) => { crashReports.push(`connection ${startId}`) },
+      onEndpointLost: startId => { crashReports.push(`endpoint ${startId}`) },
+      onCompleted: () => { crashReports.push('completed') }
     },
     streamOrigins: { resolve: async () => ({ resolution: 'single', versions: new Map([['s', 'v1']]) }), onStarted: () => {}, onEnded: () => {}, onMessage: () => {} },
     limits: {
@@ -336,7 +336,7 @@
     quarantine: () => { isQuarantined = true },
     inProgress: () => ({ ...inProgress }),
     permitsRefunded: () => permitsRefunded,
-    lossReports,
+    crashReports,
     finishPlacement: () => finishPlacement(),
     startedResponses: async () => (await metrics.begunAnswers.get()).values.map(({ labels }) => [String(labels.end), String(labels.outcome)]),
     endsByClose: async () => Object.fromEntries((await metrics.endsByClose.get()).values.map(({ labels, value }) => [String(labels.end), value])),
--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -135,26 +135,51 @@
 describe('a process that is gone after an orderly end', () => {
   // Guards against a request that crashes endpoints without end, since their connections end in order.
   it('counts as lost with the connection: a stream that is to be resumed there', async () => {
-    const { clock, sent, lossReports } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+    const { clock, sent, crashReports } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
     await clock.advanceAsync(0)
     endAfterTwoEvents(sent[0])
     await clock.advanceAsync(0)
     sent[1].exchange.onError(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
-    expect(lossReports).toEqual(['connection e1', 'endpoint e1'])
+    expect(crashReports).toEqual(['connection e1', 'endpoint e1'])
   })
 
   it.each<[string, ForwardHarnessOptions, (request: SentRequest) => void]>([
     ['a stream that cannot be resumed', { kind: 'stream', resumable: false }, endAfterTwoEvents],
     ['a lookup', { kind: 'once' }, request => sendPlain(request, 'par')]
   ])('counts as lost with the connection: %s', async (_case, options, end) => {
-    const { clock, sent, lossReports } = forwardOnFakeClock({ ...options, timeoutMs: 10_000, endpoints: 1, probe: () => 'refused' })
+    const { clock, sent, crashReports } = forwardOnFakeClock({ ...options, timeoutMs: 10_000, endpoints: 1, probe: () => 'refused' })
     await clock.advanceAsync(0)
     end(sent[0])
     await clock.advanceAsync(50)
-    expect(lossReports).toEqual(['connection e1', 'endpoint e1'])
+    expect(crashReports).toEqual(['connection e1', 'endpoint e1'])
   })
 })
 
+// Guards against sound requests that stay suspects since each of their streams is resumed for a confirmation.
+it('reports a stream as complete to the crash monitor if only its own endpoint ran it', async () => {
+  const { clock, sent, crashReports } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 1 })
+  await clock.advanceAsync(0)
+  endAfterTwoEvents(sent[0])
+  await clock.advanceAsync(0)
+  sent[1].endEvents()
+  expect(crashReports).toEqual(['completed'])
+})
+
+// Guards against connections that are made for responses of which only the status matters.
+it('does not probe the endpoint of a failure without a length', async () => {
+  const probed: string[] = []
+  const probe = (endpoint: string): ConnectResult => {
+    probed.push(endpoint)
+    return 'refused'
+  }
+  const { clock, sent, client } = forwardOnFakeClock({ kind: 'once', endpoints: 1, probe })
+  await clock.advanceAsync(0)
+  sendHead(sent[0], 404, ['content-type', 'text/plain'])
+  sent[0].endConnection('closed')
+  await clock.advanceAsync(0)
+  expect([client.status, probed]).toEqual([404, []])
+})
+
 describe('a refusal without a length', () => {
   // Guards against losing a request that may run once although its endpoint states in the head that it has not run it.
   it.each(['closed', 'broken'] as const)('lets a request that may run once go to another endpoint if the connection is %s', async end => {
