--- a/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
+++ b/packages/anvilarch-serving/src/requests/__tests__/unconfirmedEnds.test.ts
@@ -121,6 +121,23 @@
     expect(sent[1]).toMatchObject({ endpoint: sent[0].endpoint, lastEventId: 2 })
   })
 
+  // Guards against a probe that ends a stream although another endpoint has continued it meanwhile.
+  it('is not completed by a probe after a further event', async () => {
+    let settle: (result: ConnectResult) => void = () => {}
+    const { clock, sent, client } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, endpoints: 2, probe: async () => await new Promise(resolve => { settle = resolve }) })
+    await clock.advanceAsync(0)
+    sendTwoEvents(sent[0])
+    await clock.advanceAsync(300)
+    sent[0].endConnection('closed')
+    await clock.advanceAsync(400)
+    sent[1].event(3)
+    settle('connected')
+    await clock.advanceAsync(0)
+    expect(client).toMatchObject({ ended: false, destroyed: false })
+    sent[1].endEvents()
+    expect(client).toMatchObject({ body: `${TWO_EVENTS}id: 3\ndata: x\n\n`, ended: true })
+  })
+
   // Guards against a probe that reaches a process which is being killed.
   it.each([true, false])('does not look complete if its port closes after its connection (resumable: %s)', async resumable => {
     const { clock, sent, client, replaceEndpoint } = forwardOnFakeClock({ kind: 'stream', timeoutMs: 10_000, resumable, endpoints: 1, probe: () => clock.nowMs() < 30 ? 'connected' : 'refused' })
