Take a rejection of the store for one although its connection broke

Since the watch of connections, a 503 or 429 without a length whose connection is reset was a call without an answer, so that a rejected transaction counted as one that may have been executed. The head says that it wasn't, as before. The test's new case failed before.

--- a/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
+++ b/packages/anvilarch-serving/src/store/__tests__/transport.test.ts
@@ -208,12 +208,14 @@
 })
 
 /** @returns the outcome of a response that is cut after its first half and ends with its connection */
-async function unframedResponse (status: number): Promise<StoreResponse> {
+async function unframedResponse (status: number, end: 'close' | 'reset' = 'close'): Promise<StoreResponse> {
   const server = createServer((_request, response) => {
     response.shouldKeepAlive = false
     response.removeHeader('Transfer-Encoding')
     response.writeHead(status)
-    response.end('half of the obj')
+    response.write('half of the obj')
+    if (end === 'close') response.end()
+    else setTimeout(() => response.socket?.resetAndDestroy(), 2)
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const response = await createDirectTransport(`127.0.0.1:${(server.address() as AddressInfo).port}`, createSystemClock())(CALL)
@@ -249,8 +251,8 @@
   })
 
   // Guards against treating a rejected transaction as one that may have been executed.
-  it('accepts a rejection regardless of its body', async () => {
-    expect(await unframedResponse(503)).toMatchObject({ outcome: 'answered', status: 503 })
+  it.each(['close', 'reset'] as const)('accepts a rejection regardless of its body, ended by a %s', async end => {
+    expect(await unframedResponse(503, end)).toMatchObject({ outcome: 'answered', status: 503 })
   })
 
   it('closes the connection of an aborted call', async () => {
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -68,7 +68,11 @@
         if (received.length() > MAX_RESPONSE_BYTES) fail('response_too_large')
       },
       onComplete: () => settle({ outcome: 'answered', status, body: received.bytes(), readAfterPause }),
-      onFailure: failure => settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
+      onFailure: failure => {
+        // The head of a rejection is all that matters of it.
+        if (BUSY_STATUS.has(status)) settle({ outcome: 'answered', status, body: received.bytes(), readAfterPause })
+        else settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
+      }
     })
     const timeout = createInactivityTimeout({
       clock,
