--- a/packages/anvilarch-serving/src/requests/forwardRequest.ts
+++ b/packages/anvilarch-serving/src/requests/forwardRequest.ts
@@ -155,6 +155,7 @@
     eventCount: 0,
     firstEventId: undefined,
     longestGapMs: 0,
+    isEndUnconfirmed: false,
     failedResponse: undefined
   }
 }
--- a/packages/anvilarch-serving/src/requests/forwardTypes.ts
+++ b/packages/anvilarch-serving/src/requests/forwardTypes.ts
@@ -121,6 +121,8 @@
   firstEventId: number | undefined
   /** Longest time between two consecutive events so far. */
   longestGapMs: number
+  /** Whether the response was completed although nothing confirmed the orderly end of its connection. */
+  isEndUnconfirmed: boolean
   /** Failure response of an endpoint; sent to the client if no other endpoint succeeds. */
   failedResponse: FailedResponse | undefined
 }
--- a/packages/anvilarch-serving/src/requests/probedEnd.ts
+++ b/packages/anvilarch-serving/src/requests/probedEnd.ts
@@ -4,7 +4,7 @@
  */
 import { sleep } from 'anvilarch-utils'
 import { type ConnectResult, PROBE_DELAY_MS } from '../crashes/lossProber'
-import type { ForwardParts } from './forwardTypes'
+import type { ForwardParts, RequestState } from './forwardTypes'
 import type { EndpointResponse } from './runAttempt'
 import type { RunningAttempt, RunningAttempts } from './runningAttempts'
 
@@ -26,6 +26,7 @@
 /** Options of `createProbedEnd`. */
 export interface ProbedEndOptions {
   parts: Pick<ForwardParts, 'clock' | 'metrics' | 'probeConnection'>
+  state: Pick<RequestState, 'isEndUnconfirmed'>
   running: Pick<RunningAttempts, 'all' | 'release'>
   complete: (entry: RunningAttempt, response: EndpointResponse | undefined) => void
   /** @returns whether an endpoint is leaving */
@@ -38,7 +39,7 @@
  * @param options - the request and how its response is completed
  * @returns the end of its response, which has not come
  */
-export function createProbedEnd ({ parts: { clock, metrics, probeConnection }, running, complete, isLeaving, onGone }: ProbedEndOptions): ProbedEnd {
+export function createProbedEnd ({ parts: { clock, metrics, probeConnection }, state, running, complete, isLeaving, onGone }: ProbedEndOptions): ProbedEnd {
   /** Completions of the responses whose endpoints are being probed. */
   const completions = new Map<RunningAttempt, () => void>()
 
@@ -57,6 +58,7 @@
       const isGone = result === 'refused' && (response !== undefined || !isLeaving(entry.endpoint.startId))
       metrics.endsByClose.inc({ end: result === 'refused' && !isGone ? 'unconfirmed' : END_BY_RESULT[result] })
       if (!isGone) {
+        state.isEndUnconfirmed = result !== 'connected'
         completeThis()
         return
       }
@@ -68,6 +70,7 @@
       const [completeFirst] = completions.values()
       if (completeFirst === undefined) return false
       metrics.endsByClose.inc({ end: 'unconfirmed' })
+      state.isEndUnconfirmed = true
       completeFirst()
       return true
     }
--- a/packages/anvilarch-serving/src/requests/requestCompletion.ts
+++ b/packages/anvilarch-serving/src/requests/requestCompletion.ts
@@ -63,6 +63,7 @@
       drainMs: drainElapsedMs(clock, drainState),
       elapsedMs: elapsedMs(clock, client.arrivedAtMs),
       ...fields,
+      ...state.isEndUnconfirmed ? { isEndUnconfirmed: true } : {},
       route: route.name,
       account: accountNameOf(client.caller),
       kind: route.kind,
--- a/packages/anvilarch-serving/src/requests/sendAttempts.ts
+++ b/packages/anvilarch-serving/src/requests/sendAttempts.ts
@@ -63,8 +63,8 @@
   const { route, response, metadata } = client
   const running = createRunningAttempts(parts)
   const complete = (entry: RunningAttempt, endpointResponse?: EndpointResponse): void => endpointResponse === undefined ? completeStream(entry) : onResponse(entry, endpointResponse)
-  const endParts = { parts, running, complete, onGone: (entry: RunningAttempt) => afterFailure(entry, 'may_have_run', GONE_AFTER_END_REASON), isLeaving: (startId: string) => nextEndpoint.isLeaving(startId) }
-  const streamEnd = createStreamEnd({ ...endParts, route, state, hasEnded: end.hasEnded, onError: error => onError(error), onProcessPause: lateMs => onProcessPause(lateMs) })
+  const endParts = { parts, state, running, complete, onGone: (entry: RunningAttempt) => afterFailure(entry, 'may_have_run', GONE_AFTER_END_REASON), isLeaving: (startId: string) => nextEndpoint.isLeaving(startId) }
+  const streamEnd = createStreamEnd({ ...endParts, route, hasEnded: end.hasEnded, onError: error => onError(error), onProcessPause: lateMs => onProcessPause(lateMs) })
   const probedEnd = createProbedEnd(endParts)
   const nextEndpoint = createNextEndpoint(parts, client, state, running, streamEnd)
   const write = createLimitedWrite(response, parts.responseBudget, () => end.abortConnection('client_does_not_read'))
--- a/packages/anvilarch-serving/src/requests/streamEnd.ts
+++ b/packages/anvilarch-serving/src/requests/streamEnd.ts
@@ -36,7 +36,7 @@
 export interface StreamEndOptions {
   parts: Pick<ForwardParts, 'clock' | 'metrics' | 'probeConnection'>
   route: ClientRequest['route']
-  state: Pick<RequestState, 'lastEventId'>
+  state: Pick<RequestState, 'lastEventId' | 'isEndUnconfirmed'>
   running: Pick<RunningAttempts, 'all' | 'abort'>
   /** Completes the response with the events that the client has. */
   complete: (entry: RunningAttempt) => void
@@ -70,6 +70,7 @@
 
   const completeWith = (source: RunningAttempt, end: 'confirmed' | 'unconfirmed'): void => {
     metrics.endsByClose.inc({ end })
+    state.isEndUnconfirmed = end === 'unconfirmed'
     running.abort(running.all())
     complete(source)
   }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -127,6 +127,8 @@
   status?: number
   /** How the response ended for a client that has received its head. */
   answerEnd?: AnswerEnd
+  /** Whether the response has no length, and was completed although nothing confirmed the orderly end of its connection. */
+  isEndUnconfirmed?: boolean
   endpoint?: string
   /** Whether the response came later than the objectives of the route allow. */
   late?: boolean
