--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -18,6 +18,9 @@
 /** Limit on a response: the store returns objects of up to 8 MiB, and rows of up to 1 MB. */
 const MAX_RESPONSE_BYTES = 9 * 1024 * 1024
 
+/** A rejection with a longer body costs more than a new connection. */
+const MAX_DISCARDED_BYTES = 64 * 1024
+
 /** Reason of a call that its sender has aborted. */
 const ABORTED_REASON = 'given_up'
 
@@ -45,6 +48,7 @@
     const pool = currentPool
     const received = createByteCollector()
     let status = 0
+    let discardedBytes = 0
     let readAfterPause = false
     const settle = (response: StoreResponse): void => {
       timeout.cancel()
@@ -56,6 +60,14 @@
       settle({ outcome: 'no_answer', reason })
     }
     const onAbort = (): void => fail(ABORTED_REASON)
+    const settleAnswered = (): void => settle({ outcome: 'answered', status, body: received.bytes(), readAfterPause })
+    /** The head of a rejection is all that matters of it. Its body is read only so that the connection can be used again. */
+    const discard = (chunk: Buffer): void => {
+      discardedBytes += chunk.length
+      if (discardedBytes <= MAX_DISCARDED_BYTES) return
+      exchange.abort()
+      settleAnswered()
+    }
     const exchange = startExchange(pool, call, {
       onHead: (responseStatus, _headers, _rawHeaders, isFramed) => {
         status = responseStatus
@@ -63,14 +75,13 @@
         fail('unframed_answer')
       },
       onData: chunk => {
-        // The body of a rejection is ignored.
-        if (!BUSY_STATUS.has(status)) received.append(chunk)
+        if (BUSY_STATUS.has(status)) discard(chunk)
+        else received.append(chunk)
         if (received.length() > MAX_RESPONSE_BYTES) fail('response_too_large')
       },
-      onComplete: () => settle({ outcome: 'answered', status, body: received.bytes(), readAfterPause }),
+      onComplete: () => settleAnswered(),
       onFailure: failure => {
-        // The head of a rejection is all that matters of it.
-        if (BUSY_STATUS.has(status)) settle({ outcome: 'answered', status, body: received.bytes(), readAfterPause })
+        if (BUSY_STATUS.has(status)) settleAnswered()
         else settle({ outcome: failure.notSent ? 'not_done' : 'no_answer', reason: failure.reason })
       }
     })
