--- a/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
+++ b/packages/anvilarch-serving/src/requests/__fixtures__/forwardHarness.ts
@@ -95,7 +95,7 @@
   inProgress: () => { loads: number, usageReports: number }
   /** @returns how often the permit was refunded */
   permitsRefunded: () => number
-  /** Losses of connections and endpoints, and completions, as the crash monitor was told of them. */
+  /** Losses of connections and endpoints, and completions, as reported to the crash monitor. */
   crashReports: string[]
   /** Completes the pending placement. */
   finishPlacement: () => void
--- a/packages/anvilarch-utils/src/connectionEnd.ts
+++ b/packages/anvilarch-utils/src/connectionEnd.ts
@@ -34,8 +34,8 @@
 }
 
 /**
- * undici completes a response without a length at the end of its connection, also after a reset. Whoever is told of such a
- * response while that end is handled can look up here how the connection ended.
+ * undici completes a response without a length at the end of its connection, also after a reset. A handler that undici calls
+ * synchronously at that end can look up here how the connection ended.
  *
  * @param connect - opens connections
  * @returns the same connector, which watches its connections
