Let the settings of a daemon's gateway state its memory, its descriptors and the timeouts of its connections

A gateway of anvilarch-daemon cannot tell what its host has, so nothing in it can be bounded by that. The settings take memoryBytes and maxDescriptors; without them the system is asked. The timeouts of heads and idle connections were the default of Node.js and a constant; their defaults stay the same.

--- a/packages/anvilarch-configuration/src/defaults.ts
+++ b/packages/anvilarch-configuration/src/defaults.ts
@@ -71,6 +71,8 @@
   partItems: 500,
   partBytes: MEBIBYTE,
   maxConcurrentRequests: 4000,
+  headerTimeoutMs: 60_000,
+  idleTimeoutMs: 75_000,
   drainTimeoutMs: 600_000,
   routingPolicy: 'affinity'
 }
--- a/packages/anvilarch-configuration/src/settingsSchema.ts
+++ b/packages/anvilarch-configuration/src/settingsSchema.ts
@@ -8,6 +8,12 @@
 
 const MAX_PERCENT = 100
 
+/** A gateway that serves nothing uses about half of this. */
+const MIN_MEMORY_BYTES = 160 * 1024 * 1024
+
+/** Enough for the connections of a gateway to its platform and its agents, and for some callers. */
+const MIN_DESCRIPTORS = 256
+
 const endpointSchema = strictShape({
   name: name(),
   kind: oneOf(['model', 'plain']),
@@ -39,6 +45,10 @@
   partItems: wholeNumber(1).default(DEFAULT_GATEWAY_SETTINGS.partItems),
   partBytes: wholeNumber(1).default(DEFAULT_GATEWAY_SETTINGS.partBytes),
   maxConcurrentRequests: wholeNumber(1).default(DEFAULT_GATEWAY_SETTINGS.maxConcurrentRequests),
+  memoryBytes: wholeNumber(MIN_MEMORY_BYTES).optional(),
+  maxDescriptors: wholeNumber(MIN_DESCRIPTORS).optional(),
+  headerTimeoutMs: wholeNumber(1).default(DEFAULT_GATEWAY_SETTINGS.headerTimeoutMs),
+  idleTimeoutMs: wholeNumber(1).default(DEFAULT_GATEWAY_SETTINGS.idleTimeoutMs),
   drainTimeoutMs: wholeNumber(0).default(DEFAULT_GATEWAY_SETTINGS.drainTimeoutMs),
   routingPolicy: oneOf(['affinity', 'round_robin', 'random', 'least_reported_load']).default(DEFAULT_GATEWAY_SETTINGS.routingPolicy)
 }) satisfies z.ZodType<GatewaySettings>
--- a/packages/anvilarch-configuration/src/types.ts
+++ b/packages/anvilarch-configuration/src/types.ts
@@ -141,6 +141,14 @@
   partItems: number
   partBytes: number
   maxConcurrentRequests: number
+  /** Memory that this process may use; that of the machine, or of its control group, by default. */
+  memoryBytes?: number
+  /** Descriptors that this process may have open; the limit of the system by default. */
+  maxDescriptors?: number
+  /** Maximum duration of the head of a request. */
+  headerTimeoutMs: number
+  /** Time after which a connection without a request is closed. */
+  idleTimeoutMs: number
   /** Maximum time to wait for requests in progress after SIGTERM. */
   drainTimeoutMs: number
   routingPolicy: 'affinity' | 'round_robin' | 'random' | 'least_reported_load'
--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -31,9 +31,6 @@
   options?: Partial<CallersServerOptions>
 }
 
-/** Longer than the idle timeout of common clients and load balancers, so that they are the ones to close idle connections. */
-const KEEP_ALIVE_MS = 75_000
-
 /** Maximum duration of an upload. */
 const UPLOAD_TIMEOUT_MS = 3_600_000
 
@@ -55,7 +52,7 @@
  */
 export async function startCallersServer (context: DaemonContext, dependencies: CallersDependencies, lifecycle: LifecycleManager): Promise<CallersServer> {
   const options = { ...DEFAULT_OPTIONS, ...dependencies.options }
-  const { drainTimeoutMs, maxConcurrentRequests } = context.settings.gateway
+  const { drainTimeoutMs, maxConcurrentRequests, headerTimeoutMs, idleTimeoutMs } = context.settings.gateway
   const limiter = createCallerLimiter({ clock: context.clock, random: context.random, maxConcurrentRequests })
   const intents = createKeyedCallRunner(context)
   const routeDeps: RouteDeps = { context, runner: dependencies.runner, intents, options }
@@ -73,7 +70,7 @@
     isDraining: () => draining !== undefined,
     drain: gate
   }
-  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
+  const server = createServer({ keepAliveTimeout: idleTimeoutMs, headersTimeout: headerTimeoutMs, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
     // The request crossed the end of its connection, so it can't be answered; its caller sends it again.
     if (!request.socket.writable) return
     handleRequest(parts, request, response).catch(() => { abortResponse(response) })
