--- /dev/null
+++ b/packages/anvilarch-standins/src/crowds/index.ts
@@ -0,0 +1,4 @@
+export type { Crowd, CrowdForm, CrowdOptions, CrowdTarget } from './types'
+export { openCrowd } from './openCrowd'
+export { tinyChunks } from './crowdForms'
+export { readUsage, watchUsage, type ProcessUsage, type UsageWatch } from './processUsage'
