Keep request bodies within a share of the memory of the host, on both serving paths

What callers saw: a gateway ended, and all its callers with it. One body of 4 MiB in chunks of one byte, inside every limit of the configuration, ended it (258 MB where the host has 210; 1,788 MB in anvilarch-daemon, where 268 were stated). So did 20 or 100 clients with tiny chunks. 60 large bodies one byte short of their end took 304 to 325 MB.

Cause: readBody kept an object for each chunk, some hundred bytes for one byte of body, and a short slice kept the whole read alive that it was a part of. Nothing limited what all bodies take together, and nothing read the memory of the host from the settings.

Fix: collectBody takes chunks before the stream keeps them and copies them into blocks that are used again. uploadBudget counts all bodies from their first byte until their response is complete, against a share of limits.memory-mb (memoryBytes of the daemon); what the share cannot hold is refused with 503, which is true, since only unfinished bodies yield. The one yields that occupies most for its progress; an eighth of the share is for small bodies. Retry-After is the time in which as many bytes were released lately. Connections that deliver over 512 chunks in a turn read one after another, so that other callers are read in between. A job counts three times its size while it is stored. Buffered responses have a share of the memory too, in place of 64 MiB on any host.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers, with graceful shutdown. */
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { abortResponse, AnvilarchError, type LifecycleManager, sleep } from 'anvilarch-utils'
+import { abortResponse, AnvilarchError, clientSharesOf, createBodyLimits, type LifecycleManager, readResources, sleep } from 'anvilarch-utils'
 import { createKeyedCallRunner } from '../attempts/intents/keyedCallRunner'
 import { startIntentSweep } from '../attempts/intents/intentSweep'
 import type { RequestRunner } from '../attempts/types'
@@ -52,7 +52,8 @@
  */
 export async function startCallersServer (context: DaemonContext, dependencies: CallersDependencies, lifecycle: LifecycleManager): Promise<CallersServer> {
   const options = { ...DEFAULT_OPTIONS, ...dependencies.options }
-  const { drainTimeoutMs, maxConcurrentRequests, headerTimeoutMs, idleTimeoutMs } = context.settings.gateway
+  const { drainTimeoutMs, maxConcurrentRequests, headerTimeoutMs, idleTimeoutMs, memoryBytes, maxDescriptors } = context.settings.gateway
+  const shares = clientSharesOf(readResources({ memoryBytes, descriptors: maxDescriptors }))
   const limiter = createCallerLimiter({ clock: context.clock, random: context.random, maxConcurrentRequests })
   const intents = createKeyedCallRunner(context)
   const routeDeps: RouteDeps = { context, runner: dependencies.runner, intents, options }
@@ -68,7 +69,8 @@
     limiter,
     nextRequestId: () => `req-${context.incarnation}-${(ids++).toString(ID_RADIX)}`,
     isDraining: () => draining !== undefined,
-    drain: gate
+    drain: gate,
+    bodies: createBodyLimits({ clock: context.clock, limitBytes: shares.bodyBytes })
   }
   const server = createServer({ keepAliveTimeout: idleTimeoutMs, headersTimeout: headerTimeoutMs, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
     // The request crossed the end of its connection, so it can't be answered; its caller sends it again.
--- a/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
+++ b/packages/anvilarch-daemon/src/callers/completions/completionRoutes.ts
@@ -27,7 +27,7 @@
 async function complete (parts: RouteDeps, kind: CompletionKind, context: CallerContext): Promise<void> {
   const { document } = requireConfiguration(parts.context)
   checkWorkClass(context.request.headers)
-  const body = parseJsonObject(await readBody(context.request, document.limits.maxBodyBytes, context.drain.unreadRejected))
+  const body = parseJsonObject(await readBody(context, document.limits.maxBodyBytes, context.drain.unreadRejected))
   const input = checkCompletion(kind, body, document)
   const request = completionRequest(kind, body, input, {
     requestId: context.requestId,
--- a/packages/anvilarch-daemon/src/callers/handleRequest.ts
+++ b/packages/anvilarch-daemon/src/callers/handleRequest.ts
@@ -1,6 +1,6 @@
 /** Handles an HTTP request: finds its route, admits the caller and reports errors. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { abortResponse, toAnvilarchError } from 'anvilarch-utils'
+import { abortResponse, type BodyLimits, toAnvilarchError } from 'anvilarch-utils'
 import type { DaemonContext } from '../context'
 import type { DispatchTable } from './dispatchTable'
 import type { DrainGate } from './drainGate'
@@ -23,6 +23,7 @@
   nextRequestId: () => string
   isDraining: () => boolean
   drain: DrainGate
+  bodies: BodyLimits
 }
 
 /**
@@ -57,7 +58,8 @@
       caller,
       deadlineMs: durationMs === undefined ? undefined : parts.context.clock.nowMs() + durationMs,
       signal: disconnectSignal(response),
-      drain: parts.drain
+      drain: parts.drain,
+      bodies: parts.bodies
     })
   } finally {
     release()
--- a/packages/anvilarch-daemon/src/callers/http/readBody.ts
+++ b/packages/anvilarch-daemon/src/callers/http/readBody.ts
@@ -1,62 +1,59 @@
 /** Reads request bodies with a size limit. */
-import type { IncomingMessage } from 'node:http'
 import { describeExpectedSyntax } from 'anvilarch-configuration'
-import { AnvilarchError, toAnvilarchError } from 'anvilarch-utils'
+import { AnvilarchError, type CollectedBody, collectBody, toAnvilarchError } from 'anvilarch-utils'
 import { parse, type ParseError } from 'jsonc-parser'
+import type { CallerContext } from '../types'
 
 const STEP = 'callers.read_body'
 
+type BodyCall = Pick<CallerContext, 'request' | 'response' | 'bodies'>
+
 /**
- * Reads a complete body. Reading stops at the limit, so that no caller can exhaust the memory of the gateway. The request is
- * then left open, so that the caller can still receive the error.
+ * Reads a complete body, within the limits of its size and of all bodies. The request of a body that is not taken is left open, so that the
+ * caller can still receive the error. The body counts until its response is closed.
  *
- * @param request - the request
+ * @param call - the request
  * @param limitBytes - maximum size of the body
  * @param rejected - aborted when incomplete requests are rejected, with the error as its reason
  * @returns the body
- * @throws AnvilarchError with code `too_large`, or `bad_request` if the upload was truncated
+ * @throws AnvilarchError with code `too_large`, `overloaded` if there is no room for it, or `bad_request` if the upload was truncated
  */
-export function readBody (request: IncomingMessage, limitBytes: number, rejected?: AbortSignal): Promise<Buffer> {
+export async function readBody ({ request, response, bodies }: BodyCall, limitBytes: number, rejected?: AbortSignal): Promise<Buffer> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0)
-  if (declaredBytes > limitBytes) return Promise.reject(tooLarge(limitBytes, `${declaredBytes} bytes were announced`))
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = []
-    let sizeBytes = 0
-
-    const settle = (act: () => void): void => {
-      request.off('data', onData)
-      request.off('end', onEnd)
-      request.off('error', onCut)
-      request.off('close', onCut)
-      rejected?.removeEventListener('abort', onRejected)
-      act()
-    }
-    const onData = (chunk: Buffer): void => {
-      sizeBytes += chunk.length
-      chunks.push(chunk)
-      if (sizeBytes <= limitBytes) return
-      request.pause()
-      settle(() => { reject(tooLarge(limitBytes, 'reading stopped there')) })
-    }
-    const onEnd = (): void => { settle(() => { resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)) }) }
-    const onCut = (cause?: Error): void => { settle(() => { reject(truncated(sizeBytes, declaredBytes, cause)) }) }
+  if (declaredBytes > limitBytes) throw tooLarge(limitBytes, `${declaredBytes} bytes were announced`)
+  if (rejected?.aborted === true && !request.complete) throw rejectionOf(rejected)
+  if (request.destroyed && !request.complete) throw truncated(0, declaredBytes)
+  const { result, upload, stop } = collectBody(request, limitBytes, bodies)
+  response.once('close', upload.release)
+  const collected = await untilRejected(result, rejected)
+  if (collected === undefined) {
+    stop()
+    upload.release()
+    throw rejectionOf(rejected)
+  }
+  switch (collected.outcome) {
+    case 'read': return collected.body
+    case 'too_large': throw tooLarge(limitBytes, 'reading stopped there')
+    case 'no_room': throw noRoom(bodies.budget.roomInMs(collected.receivedBytes))
+    case 'broken_off': throw truncated(collected.receivedBytes, declaredBytes, collected.cause)
+  }
+}
 
-    const onRejected = (): void => { settle(() => { reject(rejectionOf(rejected)) }) }
+/** @returns the result, or undefined if the signal is aborted first */
+async function untilRejected (result: Promise<CollectedBody>, rejected: AbortSignal | undefined): Promise<CollectedBody | undefined> {
+  if (rejected === undefined) return await result
+  let onRejected = (): void => {}
+  const rejection = new Promise<undefined>(resolve => { onRejected = () => { resolve(undefined) } })
+  rejected.addEventListener('abort', onRejected)
+  try {
+    return await Promise.race([result, rejection])
+  } finally {
+    rejected.removeEventListener('abort', onRejected)
+  }
+}
 
-    if (rejected?.aborted === true && !request.complete) {
-      reject(rejectionOf(rejected))
-      return
-    }
-    if (request.destroyed && !request.complete) {
-      reject(truncated(0, declaredBytes))
-      return
-    }
-    request.on('data', onData)
-    request.on('end', onEnd)
-    request.on('error', onCut)
-    request.on('close', onCut)
-    rejected?.addEventListener('abort', onRejected)
-  })
+function noRoom (retryAfterMs: number): AnvilarchError {
+  return new AnvilarchError('the bodies of all requests take all the memory that this gateway has for them', { code: 'overloaded', step: STEP, ran: 'not_run', retryAfterMs })
 }
 
 function rejectionOf (rejected: AbortSignal | undefined): AnvilarchError {
--- a/packages/anvilarch-daemon/src/callers/plain/plainRoutes.ts
+++ b/packages/anvilarch-daemon/src/callers/plain/plainRoutes.ts
@@ -35,7 +35,7 @@
   const path = pathWithinService(request.url ?? '/', service)
   const route = findPlainRoute(document, service, request.method ?? 'GET', path)
   const key = route.idempotent ? undefined : idempotencyKeyOf(request.headers)
-  const body = await readBody(request, document.limits.maxBodyBytes, context.drain.unreadRejected)
+  const body = await readBody(context, document.limits.maxBodyBytes, context.drain.unreadRejected)
   const work = plainRequest(context, { service, path, route, body, nowMs: parts.context.clock.nowMs() })
   context.drain.check(work.deadlineMs)
   if (key === undefined) await streamResponse(parts, context, work)
--- a/packages/anvilarch-daemon/src/callers/types.ts
+++ b/packages/anvilarch-daemon/src/callers/types.ts
@@ -1,5 +1,6 @@
 /** Types of the HTTP server for callers, which serves the routes of several slices. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BodyLimits } from 'anvilarch-utils'
 import type { DrainGate } from './drainGate'
 
 /** Input of a route handler. */
@@ -17,6 +18,8 @@
   signal: AbortSignal
   /** Rejects requests that a drain may cut. */
   drain: DrainGate
+  /** Limits that all bodies share. */
+  bodies: BodyLimits
 }
 
 /** HTTP methods of routes. */
--- a/packages/anvilarch-daemon/src/jobs/__fixtures__/testServer.ts
+++ b/packages/anvilarch-daemon/src/jobs/__fixtures__/testServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import findMyWay from 'find-my-way'
-import { createSystemClock, toAnvilarchError } from 'anvilarch-utils'
+import { createBodyLimits, createSystemClock, toAnvilarchError } from 'anvilarch-utils'
 import { type ClosableGate, createDrainGate } from '../../callers/drainGate'
 import { sendError } from '../../callers/http/errorResponse'
 import type { CallerContext, Route } from '../../callers/types'
@@ -38,6 +38,9 @@
   return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, gate, close: () => closeServer(server) }
 }
 
+/** More than the bodies of any test. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024
+
 function callerContext (request: IncomingMessage, response: ServerResponse, params: Record<string, string>, drain: ClosableGate): CallerContext {
   const closed = new AbortController()
   response.once('close', () => { if (!response.writableFinished) closed.abort() })
@@ -50,7 +53,8 @@
     caller: (request.headers.authorization ?? 'Bearer nobody').slice('Bearer '.length),
     deadlineMs: undefined,
     signal: closed.signal,
-    drain
+    drain,
+    bodies: createBodyLimits({ clock: createSystemClock(), limitBytes: MAX_BODY_BYTES })
   }
 }
 
--- a/packages/anvilarch-daemon/src/jobs/batchRoutes.ts
+++ b/packages/anvilarch-daemon/src/jobs/batchRoutes.ts
@@ -30,9 +30,10 @@
     return toBatchObject(job, await reader.counts(job), shownState(job, context.clock.wallMs(), stopMs))
   }
 
-  const create = async ({ request, response, caller, signal, drain }: CallerContext): Promise<void> => {
+  const create = async (call: CallerContext): Promise<void> => {
+    const { request, response, caller, signal, drain } = call
     const key = parseKey(request.headers['idempotency-key'])
-    const batch = parseBatchRequest(parseJsonObject(await readBody(request, MAX_BODY_BYTES, drain.unreadRejected)))
+    const batch = parseBatchRequest(parseJsonObject(await readBody(call, MAX_BODY_BYTES, drain.unreadRejected)))
     drain.check(context.clock.nowMs() + MAX_ACCEPT_MS)
     const job = await acceptJob(context, { caller, key, batch, signal }, randomValue)
     // The job is already accepted, so a failure to count its items must not turn this response into an error.
--- a/packages/anvilarch-daemon/src/operations/__tests__/adminRoutes.test.ts
+++ b/packages/anvilarch-daemon/src/operations/__tests__/adminRoutes.test.ts
@@ -1,3 +1,4 @@
+import { createBodyLimits, createSystemClock } from 'anvilarch-utils'
 import { Readable } from 'node:stream'
 import type { CallerContext } from '../../callers/types'
 import { documentText } from '../../configuration/__fixtures__/documents'
@@ -24,9 +25,9 @@
   const call: AdminFixture['call'] = async (method, path, body, params = {}) => {
     const route = routes.find(found => found.method === method && found.path === `/admin/v1${path}`)
     const received: AdminResponse = { status: 0, body: {} }
-    const response = { writeHead: (status: number) => { received.status = status }, end: (text: string) => { received.body = JSON.parse(text) as AdminResponse['body'] } }
+    const response = { once: () => {}, writeHead: (status: number) => { received.status = status }, end: (text: string) => { received.body = JSON.parse(text) as AdminResponse['body'] } }
     const request = Object.assign(Readable.from(body === undefined ? [] : [Buffer.from(typeof body === 'string' ? body : JSON.stringify(body))]), { headers: {} })
-    await route?.handle({ request, response, params, caller: 'ana', query: new URLSearchParams() } as unknown as CallerContext)
+    await route?.handle({ request, response, params, caller: 'ana', query: new URLSearchParams(), bodies: createBodyLimits({ clock: createSystemClock(), limitBytes: 1_000_000 }) } as unknown as CallerContext)
     return received
   }
   return { fleet, directory, drained, observed, call }
--- a/packages/anvilarch-daemon/src/operations/adminRoutes.ts
+++ b/packages/anvilarch-daemon/src/operations/adminRoutes.ts
@@ -72,7 +72,7 @@
 }
 
 async function apply (context: DaemonContext, parts: AdminParts, call: CallerContext): Promise<void> {
-  const input = parseApplyInput(parseJsonObject(await readBody(call.request, MAX_BODY_BYTES)), call.caller)
+  const input = parseApplyInput(parseJsonObject(await readBody(call, MAX_BODY_BYTES)), call.caller)
   const result = await applyConfiguration(context, input)
   if (result.outcome === 'applied') await waitForPropagation(parts.directory, result.version, context.clock, SPREAD_TIMEOUT_MS)
   const applyResponse = APPLY_RESPONSES[result.outcome](result as never)
--- a/packages/anvilarch-serving/src/peers/relayServer.ts
+++ b/packages/anvilarch-serving/src/peers/relayServer.ts
@@ -1,6 +1,6 @@
 /** Relays calls to the store for peers whose calls the store rejects. */
 import { createServer, type Server } from 'node:http'
-import type { Clock } from 'anvilarch-utils'
+import { type Clock, createBodyLimits } from 'anvilarch-utils'
 import { readBody } from '../requests/readBody'
 import type { StoreTransport } from '../store/storeCall'
 import type { EventLog } from '../telemetry/events'
@@ -17,6 +17,9 @@
 /** The store accepts transactions of up to 1 MB and objects of up to 8 MB. */
 const MAX_RELAYED_BYTES = 9 * 1024 * 1024
 
+/** Bodies of the largest size that are relayed at the same time. */
+const MAX_LARGEST_BODIES = 3
+
 const DEFAULT_TIMEOUT_MS = 1500
 
 /** Request headers that are passed on to the store. */
@@ -29,10 +32,13 @@
  * @returns the server, which does not listen yet
  */
 export function createRelayServer (direct: StoreTransport, log: EventLog, clock: Clock): Server {
+  const bodies = createBodyLimits({ clock, limitBytes: MAX_LARGEST_BODIES * MAX_RELAYED_BYTES })
   return createServer((request, response) => {
     const handle = async (): Promise<void> => {
       const timeoutMs = Number(request.headers[RELAY_TIMEOUT_HEADER]) || DEFAULT_TIMEOUT_MS
-      const read = await readBody(request, { maxBytes: MAX_RELAYED_BYTES, timeoutMs }, clock)
+      const reading = readBody(request, { maxBytes: MAX_RELAYED_BYTES, timeoutMs }, bodies, clock)
+      response.once('close', reading.release)
+      const read = await reading.result
       if (read.outcome !== 'read') {
         log.warn('relayed call not read', { reason: read.outcome })
         response.destroy()
--- a/packages/anvilarch-serving/src/requests/eventBlocks.ts
+++ b/packages/anvilarch-serving/src/requests/eventBlocks.ts
@@ -1,5 +1,5 @@
 /** Splits a stream of server-sent events at event boundaries, so that a stream cut in the middle of an event loses only that event. */
-import { createByteCollector } from './byteCollector'
+import { createByteCollector } from 'anvilarch-utils'
 
 /** One complete block of a stream and its bytes. A block is an event, or holds only comments and `retry` fields. */
 export interface EventBlock {
--- a/packages/anvilarch-serving/src/requests/runAttempt.ts
+++ b/packages/anvilarch-serving/src/requests/runAttempt.ts
@@ -2,7 +2,7 @@
 import type { Pool } from '../endpoints/httpPool'
 import { type Exchange, type ExchangeFailure, type ExchangeRequest, startExchange } from '../endpoints/exchange'
 import type { ByteBudget } from './byteBudget'
-import { createByteCollector } from './byteCollector'
+import { createByteCollector } from 'anvilarch-utils'
 import type { AttemptFailure } from './retryDecision'
 import { createEventSplitter, type EventBlock, holdsNoEvent } from './eventBlocks'
 import { forwardedHeaders } from './headers'
--- a/packages/anvilarch-serving/src/roles/__tests__/clientCalls.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientCalls.test.ts
@@ -1,6 +1,6 @@
 import { IncomingMessage, ServerResponse } from 'node:http'
 import { Socket } from 'node:net'
-import { createFakeClock, createLogger, type FakeClock, sleep } from 'anvilarch-utils'
+import { createBodyLimits, createFakeClock, createLogger, type FakeClock, sleep } from 'anvilarch-utils'
 import { createDrainState, type OwnedDrainState } from '../../drain/drainState'
 import { createLogRateLimiter } from '../../telemetry/logRateLimiter'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -30,6 +30,7 @@
     request,
     response,
     drainState,
+    bodies: createBodyLimits({ clock, limitBytes: 1_000_000 }),
     arrivedAtMs: clock.nowMs(),
     forward: { clock, log, metrics: createServingMetrics(), logRateLimiter: createLogRateLimiter(clock, 20), wire: { decodeCredential: () => undefined, decodeRequest: () => ({ requestId: 'r1' }) } },
     jobs: { isJobCall: () => false },
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -1,6 +1,6 @@
 /** Dispatches client requests at a gateway to job calls, batch submission or forwarding. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { sleep } from 'anvilarch-utils'
+import { type BodyLimits, sleep } from 'anvilarch-utils'
 import type { CallerAuthenticator } from '../accounts/callerAuthenticator'
 import { type CallerRefusal, refusalResponse } from '../accounts/refuseCaller'
 import type { Caller } from '../accounts/types'
@@ -10,6 +10,7 @@
 import type { Configuration, Route } from '../model/types'
 import { mayBegin } from '../drain/drainSchedule'
 import { drainElapsedMs, type DrainState } from '../drain/drainState'
+import { returnAtTurnMs } from '../requests/callerReturn'
 import { type GatewayResponse, sendGatewayResponse, STOPPING_RESPONSE } from '../requests/clientResponse'
 import { forwardRequest } from '../requests/forwardRequest'
 import type { ForwardParts } from '../requests/forwardTypes'
@@ -61,8 +62,13 @@
   /** @returns whether this gateway may have missed a version of the configuration */
   isConfigurationFeedOverdue: () => boolean
   drainState: DrainState
+  /** Limits that all bodies share. */
+  bodies: BodyLimits
 }
 
+/** Further copies of the body of a job while it is decoded and stored. */
+const JOB_BODY_COPIES = 2
+
 /**
  * Handles a client call: a job call, a job submission, a request to an endpoint, or a request that is rejected.
  *
@@ -99,7 +105,9 @@
   const { route } = found
   const metadata = forward.wire.decodeRequest(request.headers)
   const timeoutMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
-  const read = await readBody(request, { maxBytes: configuration.limits.maxBodyBytes, timeoutMs }, forward.clock)
+  const reading = readBody(request, { maxBytes: configuration.limits.maxBodyBytes, timeoutMs }, call.bodies, forward.clock)
+  response.once('close', reading.release)
+  const read = await reading.result
   if (read.outcome === 'broken_off') {
     if (!response.headersSent) logUnread(call, 'client_left')
     return
@@ -112,7 +120,15 @@
     rejectClient(call, 408, 'body_too_slow', `the body was not whole after ${timeoutMs} ms`)
     return
   }
+  if (read.outcome === 'no_room') {
+    refuseForRoom(call, read.receivedBytes, timeoutMs)
+    return
+  }
   if (route.kind === 'batch' && request.method === 'POST') {
+    if (!reading.tryAdd(read.body.length * JOB_BODY_COPIES)) {
+      refuseForRoom(call, read.body.length, timeoutMs)
+      return
+    }
     if (refuseJobCallInDrain(call)) return
     unregister()
     respondAtDrainEnd(call, INTERRUPTED_JOB_CALL)
@@ -218,12 +234,22 @@
   sendGatewayResponse(response, refusalResponse(refusal, forward.wire.credentialScheme), drainState)
 }
 
+/** Refuses a request whose body has no room in this process. It has not run, since it was not whole or was not passed on. */
+function refuseForRoom (call: ClientCall, heldBytes: number, timeoutMs: number): void {
+  const { arrivedAtMs, forward, bodies } = call
+  const remainingMs = arrivedAtMs + timeoutMs - forward.clock.nowMs()
+  const retryAfterMs = returnAtTurnMs(Math.max(0, remainingMs), bodies.budget.roomInMs(heldBytes), forward.random)
+  forward.metrics.bodiesRefused.inc()
+  rejectClient(call, 503, 'no_room', 'the bodies of all requests take all the memory that this gateway has for them; the request has not run', retryAfterMs)
+}
+
 /** Rejects a request that has not been read completely. The rest of it could not be told apart from the next request, so the connection is closed. */
-function rejectClient ({ request, response, forward, drainState }: ClientCall, status: number, code: string, message: string): void {
-  forward.log.info('client bytes rejected', { requestId: forward.wire.decodeRequest(request.headers).requestId, status, reason: code })
+function rejectClient ({ request, response, forward, drainState }: ClientCall, status: number, code: string, message: string, retryAfterMs?: number): void {
+  if (forward.logRateLimiter.tryAcquire()) forward.log.info('client bytes rejected', { requestId: forward.wire.decodeRequest(request.headers).requestId, status, reason: code })
+  else forward.metrics.logLinesLeftOut.inc()
   if (response.headersSent) return
   response.setHeader('Connection', 'close')
-  sendGatewayResponse(response, { status, code, message }, drainState)
+  sendGatewayResponse(response, { status, code, message, retryAfterMs }, drainState)
 }
 
 /**
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -1,5 +1,6 @@
 /** The gateway role: serves requests and job calls of clients. */
 import { createServer, type Server } from 'node:http'
+import { clientSharesOf, createBodyLimits } from 'anvilarch-utils'
 import { isStillAuthorized } from '../accounts/identifyCaller'
 import { createCrashMonitor } from '../crashes/crashMonitor'
 import { shareSuspects, SUSPECT_TABLE } from '../crashes/shareSuspects'
@@ -46,9 +47,6 @@
 /** Maximum rate of log lines about successful requests, about 300 bytes each. Lines about other requests are always written. */
 const SUCCESS_LINES_PER_SECOND = 20
 
-/** Limit on the responses of endpoints that are buffered at the same time: a sixth of the memory of the smallest host. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
-
 /** Connection limit of a gateway until the configuration sets one. */
 const DEFAULT_CONNECTION_LIMIT = 16
 
@@ -70,6 +68,9 @@
     const limit = view.configuration.current()?.services.get(service)?.maxConnections
     return limit === undefined ? DEFAULT_CONNECTION_LIMIT : Math.max(2, Math.floor(limit * CONNECTION_SHARE))
   }
+  const shares = clientSharesOf(settings.resources)
+  const logRateLimiter = createLogRateLimiter(clock, SUCCESS_LINES_PER_SECOND)
+  const bodies = createBodyLimits({ clock, limitBytes: shares.bodyBytes })
   const pools = createConnectionPools({ limitOf })
   const suspects = createSuspectTable(clock, context.store.storeNowMs)
   const shared = shareSuspects(context, suspects, view.unusableRows)
@@ -134,7 +135,7 @@
     holdTimes: createHoldTimes(),
     serviceTurns: createServiceTurns(clock, gateways),
     routesTo: service => requestRoutes(view.configuration.current(), service),
-    responseBudget: createByteBudget(MAX_BUFFERED_BYTES),
+    responseBudget: createByteBudget(shares.responseBytes),
     crashes,
     probeConnection,
     streamOrigins,
@@ -143,7 +144,7 @@
     // Without the sum of all limits no account has a share.
     allLimitsPerSecond: () => settings.sharesRoom ? view.configuration.current()?.accounts?.requestsPerSecond ?? 0 : 0,
     traffic,
-    logRateLimiter: createLogRateLimiter(clock, SUCCESS_LINES_PER_SECOND),
+    logRateLimiter,
     random: () => context.random.next()
   }
   const jobs = createJobCalls({
@@ -162,6 +163,7 @@
     log,
     event: 'traffic',
     read: () => {
+      context.metrics.bodyBytes.set(bodies.budget.takenBytes())
       const counts = traffic.readAndReset()
       if (counts === undefined) return undefined
       return { drainMs: drainElapsedMs(clock, drainState), ...counts, configurationAgeMs: ageMs(wire.operator.configurationTable), endpointsAgeMs: ageMs(wire.operator.endpointTable) }
@@ -188,7 +190,8 @@
         callers: accounts.callers,
         isConfigurationStale: accounts.isConfigurationStale,
         isConfigurationFeedOverdue: view.freshness(wire.operator.configurationTable).isOverdue,
-        drainState
+        drainState,
+        bodies
       })
         .catch(error => {
           log.error('request handling failed', { reason: (error as Error).message })
--- a/packages/anvilarch-serving/src/roles/types.ts
+++ b/packages/anvilarch-serving/src/roles/types.ts
@@ -1,5 +1,5 @@
 /** Types of the settings and parts that an adapter passes to a role. */
-import type { Clock, Random } from 'anvilarch-utils'
+import type { Clock, ProcessResources, Random } from 'anvilarch-utils'
 import type { LimitBounds } from '../accounts/limits/limitBounds'
 import type { LoadReport } from '../endpoints/peerMessages'
 import type { PeerAddress } from '../endpoints/peerSocket'
@@ -24,6 +24,8 @@
   /** Time after an outage or a network partition in which this host still counts as out of contact. By its end, the host must have caught up with the store. */
   contactMs: number
   maxRowBytes: number
+  /** What this process may use. */
+  resources: ProcessResources
   /** Guaranteed retention of the results of a job, in milliseconds from its submission. */
   retentionMs: number
   /** Permitted deviation from rate limits. */
--- a/packages/anvilarch-serving/src/store/transport.ts
+++ b/packages/anvilarch-serving/src/store/transport.ts
@@ -1,8 +1,7 @@
 /** Sends calls to the metadata store, directly or through a peer daemon that the store still serves. */
-import { createRecentLongest, type Clock, createInactivityTimeout, type Random, type RecentLongest } from 'anvilarch-utils'
+import { createByteCollector, createRecentLongest, type Clock, createInactivityTimeout, type Random, type RecentLongest } from 'anvilarch-utils'
 import { startExchange } from '../endpoints/exchange'
 import { createPool, type Pool } from '../endpoints/httpPool'
-import { createByteCollector } from '../requests/byteCollector'
 import type { EventLog } from '../telemetry/events'
 import { createLongPolls } from './longPolls'
 import { createRelayPeers } from './relayPeers'
