Limit the parser of heads to what the configuration allows

What callers saw: 800 unfinished heads of 240 kB, or heads without end, took 276 and 243 MB of a host with 210. Cause: the parser took 256 KiB of each head, whatever max-header-bytes says; the limit of the configuration was checked once a head was whole.

Fix: the parser of each new connection has the limit in force. It counts somewhat less than the size on the wire, so that the check of whole heads stays. Where the limit is raised, connections opened under a lower one are closed after their next response, unless another request has been read behind it.

--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -51,21 +51,26 @@
   onDropped?: (request: IncomingMessage) => void
 }
 
+/** @returns limit of the parser, which counts somewhat less than the size of a head on the wire */
+function headLimitBytes (limits: ClientLimits | undefined): number {
+  return Math.min(MAX_HEAD_BYTES, limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)
+}
+
 /** Interval at which Node.js checks for heads that exceed the header timeout. */
 const HEAD_CHECK_INTERVAL_MS = 500
 
 /** Added to the announced idle timeout, so that a client that respects it never sends on a closed connection. */
 const IDLE_MARGIN_MS = 2000
 
-/**
- * Upper limit of the parser. It is set once, before a configuration is available.
- * The Node.js default of 16 KiB would reject heads that a configuration allows.
- */
+/** Limit of the parser until a configuration is available. The Node.js default of 16 KiB would reject heads that it may allow. */
 const MAX_HEAD_BYTES = 256 * 1024
 
 /** Error code of a head that exceeds the header timeout. */
 const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 
+/** Errors of a head that is not handled, on a connection whose requests before it may be. */
+const HEAD_ERROR_CODES: ReadonlySet<string> = new Set([HEAD_TIMEOUT_CODE, 'HPE_HEADER_OVERFLOW'])
+
 /** Responses to parser errors by error code. All other errors count as malformed. */
 const PARSER_ERROR_RESPONSES: ReadonlyMap<string, { status: number, reason: string }> = new Map([
   ['HPE_HEADER_OVERFLOW', { status: 431, reason: 'Request Header Fields Too Large' }],
@@ -82,7 +87,10 @@
  */
 export function createClientServer (options: ClientServerOptions): ClientServer {
   const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
-  const connections = new Set<Socket>()
+  /** Connections with the limit of their parsers. */
+  const connections = new Map<Socket, number>()
+  const lastResponses = new WeakMap<Socket, ServerResponse>()
+  let limits: ClientLimits | undefined
   const lingeringClose = createLingeringClose(options.clock)
   /** Connections that are closed after their last response. */
   const closingConnections = new WeakSet<Socket>()
@@ -94,7 +102,7 @@
     options.metrics.connectionsClosedByDrain.inc()
     socket.end()
   }
-  const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
+  const server: Server & { maxHeaderSize?: number } = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
     if (!request.socket.writable) {
       // The client was told that this request does not run, or sent it before it received the end of the connection. It may send it elsewhere.
       options.onDropped?.(request)
@@ -112,10 +120,12 @@
       if (finishing) closeIfFinished(request.socket)
       else if (closingConnections.has(request.socket) && responsesOn(request.socket).length === 0) request.socket.destroySoon()
     })
+    lastResponses.set(request.socket, response)
+    closeIfOutdated(response, () => lastResponses.get(request.socket) === response && (connections.get(request.socket) ?? 0) < headLimitBytes(limits))
     handleInOrder(request, response, unfinished.arrivedAtMs)
   })
   server.on('connection', (socket: Socket) => {
-    connections.add(socket)
+    connections.set(socket, headLimitBytes(limits))
     socket.once('close', () => connections.delete(socket))
   })
   // Node.js closes the connection when the client half-closes it. An HTTP/1.0 client would take that as the end of a complete response.
@@ -123,7 +133,7 @@
   closeExcessConnections(server, options)
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     if (lingeringClose.isLingering(socket)) return
-    if (error.code === HEAD_TIMEOUT_CODE && responsesOn(socket).length > 0) {
+    if (HEAD_ERROR_CODES.has(error.code ?? '') && responsesOn(socket).length > 0) {
       // The requests before this head have come whole.
       closingConnections.add(socket)
       return
@@ -141,9 +151,12 @@
   })
   return {
     server,
-    applyLimits: limits => {
-      server.headersTimeout = limits.headerTimeoutMs
-      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    applyLimits: next => {
+      limits = next
+      server.headersTimeout = next.headerTimeoutMs
+      server.keepAliveTimeout = next.idleTimeoutMs + IDLE_MARGIN_MS
+      // The parser of a connection has the limit with which it was opened.
+      server.maxHeaderSize = headLimitBytes(next)
     },
     unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
     isSettled: () => inProgress.size === 0 && lingeringClose.count() === 0,
@@ -153,7 +166,7 @@
       stopListening(server)
       await readArrived()
       finishing = true
-      connections.forEach(closeIfFinished)
+      for (const socket of connections.keys()) closeIfFinished(socket)
     },
     readArrived,
     close: () => {
@@ -164,6 +177,15 @@
   }
 }
 
+/** Announces with a response that its connection ends, if that is so when its head is written. */
+function closeIfOutdated (response: ServerResponse, isOutdated: () => boolean): void {
+  const writeHead = response.writeHead.bind(response) as (...values: unknown[]) => ServerResponse
+  response.writeHead = (...values: unknown[]) => {
+    if (isOutdated() && !response.headersSent) response.setHeader('Connection', 'close')
+    return writeHead(...values)
+  }
+}
+
 /** Time of the timer that shows whether this process is late. */
 const LATENESS_TIMER_MS = 20
 
