Limit the requests that wait on their connections, on both serving paths

What callers saw: 40 clients that send 2,000 small requests each at once and read nothing made a gateway hang, and then end with SIGABRT; in anvilarch-daemon they took 890 MB where 268 were stated. Cause: for each request, the gateway copied the list of all requests in progress, so that work grew with their square; nothing limited how many wait. The daemon ran all requests of a pipeline at the same time.

Fix: responses are kept by connection. Beyond it, the requests that were taken are answered and the connection is closed; what else comes on it is discarded without being parsed. A request with nothing before it that finds no room gets 503. The daemon handles the requests of a connection one after another.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers, with graceful shutdown. */
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { abortResponse, AnvilarchError, clientSharesOf, createBodyLimits, type LifecycleManager, readResources, sleep } from 'anvilarch-utils'
+import { abortResponse, AnvilarchError, clientSharesOf, createBodyLimits, createPipelineHandler, type LifecycleManager, readResources, sleep } from 'anvilarch-utils'
 import { createKeyedCallRunner } from '../attempts/intents/keyedCallRunner'
 import { startIntentSweep } from '../attempts/intents/intentSweep'
 import type { RequestRunner } from '../attempts/types'
@@ -17,6 +17,7 @@
 import { respondToClientErrors } from './http/clientErrors'
 import { sendError } from './http/errorResponse'
 import { createGracefulCloser } from './http/gracefulClose'
+import { limitClients } from './http/limitClients'
 import { createCallerLimiter } from './limits/callerLimiter'
 import { createPlainRoutes } from './plain/plainRoutes'
 import type { CallersServer, Route } from './types'
@@ -72,11 +73,15 @@
     drain: gate,
     bodies: createBodyLimits({ clock: context.clock, limitBytes: shares.bodyBytes })
   }
+  const handleInOrder = createPipelineHandler((request, response) => {
+    handleRequest(parts, request, response).catch(() => { abortResponse(response) })
+  })
   const server = createServer({ keepAliveTimeout: idleTimeoutMs, headersTimeout: headerTimeoutMs, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
     // The request crossed the end of its connection, so it can't be answered; its caller sends it again.
     if (!request.socket.writable) return
-    handleRequest(parts, request, response).catch(() => { abortResponse(response) })
+    if (takeRequest(request, response)) handleInOrder(request, response, context.clock.nowMs())
   })
+  const takeRequest = limitClients({ context, shares })
   respondToClientErrors(server)
   const closer = createGracefulCloser(server, context.clock, respondToInterrupted)
   await startIntentSweep(context, lifecycle)
--- a/packages/anvilarch-daemon/src/metrics/createMetrics.ts
+++ b/packages/anvilarch-daemon/src/metrics/createMetrics.ts
@@ -29,6 +29,7 @@
     requestSeconds: new Histogram({ name: 'anvilarch_request_seconds', help: 'Time from the arrival of a request to its end.', labelNames: ['class', 'service', 'outcome'], buckets: REQUEST_BUCKETS_SECONDS, registers }),
     firstTokenSeconds: new Histogram({ name: 'anvilarch_first_token_seconds', help: 'Time from the arrival of a request to its first output.', labelNames: ['class', 'service'], buckets: REQUEST_BUCKETS_SECONDS, registers }),
     refusals: new Counter({ name: 'anvilarch_refusals_total', help: 'Work that was refused, by reason.', labelNames: ['class', 'reason'], registers }),
+    clientsLimited: new Counter({ name: 'anvilarch_clients_limited_total', help: 'Connections that were closed and requests that were refused because clients take all that there is for them, by reason.', labelNames: ['reason'], registers }),
     retries: new Counter({ name: 'anvilarch_retries_total', help: 'Attempts after the first of a request, by reason.', labelNames: ['class', 'reason'], registers }),
     resumptions: new Counter({ name: 'anvilarch_resumptions_total', help: 'Attempts read again over a new connection.', labelNames: ['class'], registers }),
     processPauses: new Counter({ name: 'anvilarch_own_pauses_total', help: 'Times that this process stood still when it should have listened to a peer, and so did not judge it.', registers }),
--- a/packages/anvilarch-daemon/src/metrics/types.ts
+++ b/packages/anvilarch-daemon/src/metrics/types.ts
@@ -7,6 +7,7 @@
   requestSeconds: Histogram<'class' | 'service' | 'outcome'>
   firstTokenSeconds: Histogram<'class' | 'service'>
   refusals: Counter<'class' | 'reason'>
+  clientsLimited: Counter<'reason'>
   retries: Counter<'class' | 'reason'>
   resumptions: Counter<'class'>
   processPauses: Counter
--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import { createFakeClock, createSystemClock, abortResponse, SILENT_LOGGER } from 'anvilarch-utils'
+import { AMPLE_LIMITS } from '../__fixtures__/ampleLimits'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { cutReasonOf } from '../../requests/clientResponse'
@@ -22,7 +23,7 @@
   }
   dropped = []
   const onDropped = ({ url = '' }: IncomingMessage): void => { dropped.push(url) }
-  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), maxLatenessMs: () => Infinity, onRequest, onDropped })
+  clients = createClientServer({ ...AMPLE_LIMITS, log: SILENT_LOGGER as EventLog, clock: createSystemClock(), metrics: createServingMetrics(), maxLatenessMs: () => Infinity, onRequest, onDropped })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 })
 
@@ -189,6 +190,7 @@
     let requestCount = 0
     const metrics = createServingMetrics()
     const flooded = createClientServer({
+      ...AMPLE_LIMITS,
       log: SILENT_LOGGER as EventLog,
       clock,
       metrics,
--- a/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/drainClients.test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, connect, createServer, type Socket } from 'node:net'
 import * as fc from 'fast-check'
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { AMPLE_LIMITS } from '../__fixtures__/ampleLimits'
 import { drainSchedule, STOP_MARGIN_MS } from '../../drain/drainSchedule'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -34,7 +35,7 @@
   const clock = createFakeClock()
   const handled = new Map<string, ServerResponse>()
   const onRequest = ({ url = '' }: IncomingMessage, response: ServerResponse): void => { handled.set(url, response) }
-  const clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock, metrics: createServingMetrics(), maxLatenessMs: () => Infinity, onRequest })
+  const clients = createClientServer({ ...AMPLE_LIMITS, log: SILENT_LOGGER as EventLog, clock, metrics: createServingMetrics(), maxLatenessMs: () => Infinity, onRequest })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
   return { clients, clock, handled }
 }
--- a/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/flushedResponses.test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import { Worker } from 'node:worker_threads'
 import { createFakeClock, type FakeClock, SILENT_LOGGER } from 'anvilarch-utils'
+import { AMPLE_LIMITS } from '../__fixtures__/ampleLimits'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
 import { type ClientServer, type ClientServerOptions, createClientServer } from '../clientServer'
@@ -21,7 +22,7 @@
 
 async function start (onRequest: ClientServerOptions['onRequest']): Promise<void> {
   clock = createFakeClock()
-  clients = createClientServer({ log: SILENT_LOGGER as EventLog, clock, metrics: createServingMetrics(), maxLatenessMs: () => Infinity, onRequest })
+  clients = createClientServer({ ...AMPLE_LIMITS, log: SILENT_LOGGER as EventLog, clock, metrics: createServingMetrics(), maxLatenessMs: () => Infinity, onRequest })
   await new Promise<void>(resolve => clients.server.listen(0, '127.0.0.1', resolve))
 }
 
--- a/packages/anvilarch-serving/src/roles/clientCalls.ts
+++ b/packages/anvilarch-serving/src/roles/clientCalls.ts
@@ -1,6 +1,6 @@
 /** Dispatches client requests at a gateway to job calls, batch submission or forwarding. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { type BodyLimits, sleep } from 'anvilarch-utils'
+import { type BodyLimits, headBytes, sleep } from 'anvilarch-utils'
 import type { CallerAuthenticator } from '../accounts/callerAuthenticator'
 import { type CallerRefusal, refusalResponse } from '../accounts/refuseCaller'
 import type { Caller } from '../accounts/types'
@@ -17,7 +17,6 @@
 import { readBody } from '../requests/readBody'
 import { isRouteHost, matchRoute } from '../routing/matchRoute'
 import type { EventFields } from '../telemetry/events'
-import { headBytes } from './clientServer'
 
 /** Retry delay while this gateway has no configuration. A gateway that has one can serve the request immediately. */
 const NOT_READY_RETRY_AFTER_MS = 500
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,10 +1,11 @@
 /** HTTP server for clients: limits the size and duration of request heads and rejects bytes that do not form a request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as TcpServer, type Socket } from 'node:net'
-import { type Clock, abortResponse, type Timer } from 'anvilarch-utils'
+import { type Clock, abortResponse, type ClientShares, createPipelineHandler, createRequestLimits, discardIncoming, type Timer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
 import { cutResponse, markFollowed } from '../requests/clientResponse'
+import type { LogRateLimiter } from '../telemetry/logRateLimiter'
 import type { ServingMetrics } from '../telemetry/metrics'
 import { createConnectionAdmission } from './connectionAdmission'
 import { createLingeringClose } from './lingeringClose'
@@ -42,15 +43,30 @@
 export interface ClientServerOptions {
   log: EventLog
   clock: Clock
-  metrics: Pick<ServingMetrics, 'connectionsClosedUnread' | 'connectionsClosedByDrain'>
+  metrics: Pick<ServingMetrics, 'connectionsClosedUnread' | 'connectionsClosedByDrain' | 'pipelinesEnded' | 'logLinesLeftOut'>
+  /** What all clients may occupy together. */
+  shares: Pick<ClientShares, 'requestBytes'>
+  /** Limits the log lines about what clients that do not behave cause. */
+  logRateLimiter: LogRateLimiter
   /** @returns how late this process may read requests */
   maxLatenessMs: () => number
   /** `arrivedAtMs`: local time at which the head was received. A pipelined request may be passed on much later. */
   onRequest: (request: IncomingMessage, response: ServerResponse, arrivedAtMs: number) => void
+  /** Called for a request for which there is no room. It is to be answered at once. */
+  onNoRoom: (request: IncomingMessage, response: ServerResponse) => void
   /** Called for a request that comes on a connection that this process has ended. It is not handled. */
   onDropped?: (request: IncomingMessage) => void
 }
 
+/** Connection of a client. */
+interface ClientConnection {
+  /** Responses that are not complete, those of requests that wait included. */
+  responses: Set<ServerResponse>
+  lastResponse?: ServerResponse
+  /** Limit of its parser. */
+  headLimitBytes: number
+}
+
 /** @returns limit of the parser, which counts somewhat less than the size of a head on the wire */
 function headLimitBytes (limits: ClientLimits | undefined): number {
   return Math.min(MAX_HEAD_BYTES, limits?.maxHeaderBytes ?? MAX_HEAD_BYTES)
@@ -86,46 +102,71 @@
  * @returns the server
  */
 export function createClientServer (options: ClientServerOptions): ClientServer {
-  const inProgress = new Map<ServerResponse, { socket: Socket, unfinished: UnfinishedRequest }>()
-  /** Connections with the limit of their parsers. */
-  const connections = new Map<Socket, number>()
-  const lastResponses = new WeakMap<Socket, ServerResponse>()
-  let limits: ClientLimits | undefined
+  const inProgress = new Map<ServerResponse, UnfinishedRequest>()
+  const connections = new Map<Socket, ClientConnection>()
   const lingeringClose = createLingeringClose(options.clock)
   /** Connections that are closed after their last response. */
   const closingConnections = new WeakSet<Socket>()
   let finishing = false
   const handleInOrder = createPipelineHandler(options.onRequest)
-  const responsesOn = (socket: Socket): ServerResponse[] => [...inProgress].filter(([, entry]) => entry.socket === socket).map(([response]) => response)
+  const requestLimits = createRequestLimits(options.shares.requestBytes)
+  let limits: ClientLimits | undefined
+  const responsesOn = (socket: Socket): ServerResponse[] => [...connections.get(socket)?.responses ?? []]
+  const countResponses = (socket: Socket): number => connections.get(socket)?.responses.size ?? 0
+  const logLimited = (write: () => void): void => {
+    if (options.logRateLimiter.tryAcquire()) write()
+    else options.metrics.logLinesLeftOut.inc()
+  }
   const closeIfFinished = (socket: Socket): void => {
-    if (responsesOn(socket).length > 0 || !socket.writable) return
+    if (countResponses(socket) > 0 || !socket.writable) return
     options.metrics.connectionsClosedByDrain.inc()
     socket.end()
   }
   const server: Server & { maxHeaderSize?: number } = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
-    if (!request.socket.writable) {
+    const { socket } = request
+    if (!socket.writable || closingConnections.has(socket)) {
       // The client was told that this request does not run, or sent it before it received the end of the connection. It may send it elsewhere.
       options.onDropped?.(request)
-      if (finishing && !lingeringClose.isLingering(request.socket)) request.socket.destroy()
+      if (finishing && !lingeringClose.isLingering(socket)) socket.destroy()
       else request.resume()
       return
     }
+    const connection = connections.get(socket)
+    if (connection === undefined) return
+    const unfinishedBefore = connection.responses.size
+    const releaseRequest = requestLimits.take(request, unfinishedBefore)
+    if (releaseRequest === undefined && unfinishedBefore > 0) {
+      endPipeline(request)
+      return
+    }
     lingeringClose.onRequest(request)
     const unfinished = { method: request.method ?? '', path: request.url ?? '', arrivedAtMs: options.clock.nowMs() }
-    // A response owns no connection until those before it are complete.
-    if (response.socket === null) responsesOn(request.socket).forEach(markFollowed)
-    inProgress.set(response, { socket: request.socket, unfinished })
+    if (unfinishedBefore > 0 && connection.lastResponse !== undefined) markFollowed(connection.lastResponse)
+    connection.lastResponse = response
+    connection.responses.add(response)
+    inProgress.set(response, unfinished)
     response.on('close', () => {
+      releaseRequest?.()
       inProgress.delete(response)
-      if (finishing) closeIfFinished(request.socket)
-      else if (closingConnections.has(request.socket) && responsesOn(request.socket).length === 0) request.socket.destroySoon()
+      connection.responses.delete(response)
+      if (finishing) closeIfFinished(socket)
+      else if (closingConnections.has(socket) && countResponses(socket) === 0) lingeringClose.endConnection(socket)
     })
-    lastResponses.set(request.socket, response)
-    closeIfOutdated(response, () => lastResponses.get(request.socket) === response && (connections.get(request.socket) ?? 0) < headLimitBytes(limits))
-    handleInOrder(request, response, unfinished.arrivedAtMs)
+    closeIfOutdated(response, () => connection.lastResponse === response && connection.headLimitBytes < headLimitBytes(limits))
+    if (releaseRequest === undefined) options.onNoRoom(request, response)
+    else handleInOrder(request, response, unfinished.arrivedAtMs)
   })
+  /** The requests before are answered, and the connection is closed after them. What else comes on it is not parsed. */
+  const endPipeline = (request: IncomingMessage): void => {
+    closingConnections.add(request.socket)
+    options.metrics.pipelinesEnded.inc()
+    logLimited(() => options.log.info('pipeline ended', { waitingCount: countResponses(request.socket), connectionCount: connections.size }))
+    options.onDropped?.(request)
+    discardIncoming(request.socket)
+  }
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, headLimitBytes(limits))
+    if (socket.destroyed) return
+    connections.set(socket, { responses: new Set(), headLimitBytes: headLimitBytes(limits) })
     socket.once('close', () => connections.delete(socket))
   })
   // Node.js closes the connection when the client half-closes it. An HTTP/1.0 client would take that as the end of a complete response.
@@ -133,7 +174,7 @@
   closeExcessConnections(server, options)
   server.on('clientError', (error: Error & { code?: string }, socket: Socket) => {
     if (lingeringClose.isLingering(socket)) return
-    if (HEAD_ERROR_CODES.has(error.code ?? '') && responsesOn(socket).length > 0) {
+    if (HEAD_ERROR_CODES.has(error.code ?? '') && countResponses(socket) > 0) {
       // The requests before this head have come whole.
       closingConnections.add(socket)
       return
@@ -146,7 +187,7 @@
       socket.destroy()
       return
     }
-    options.log.info('client bytes rejected', { status, reason: error.code ?? error.message })
+    logLimited(() => options.log.info('client bytes rejected', { status, reason: error.code ?? error.message }))
     lingeringClose.rejectConnection(socket, `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
   return {
@@ -158,7 +199,7 @@
       // The parser of a connection has the limit with which it was opened.
       server.maxHeaderSize = headLimitBytes(next)
     },
-    unfinishedRequests: () => [...inProgress.values()].map(entry => entry.unfinished),
+    unfinishedRequests: () => [...inProgress.values()],
     isSettled: () => inProgress.size === 0 && lingeringClose.count() === 0,
     finish: async () => {
       // This process may be late: connections and requests that came before are accepted and read first.
@@ -243,39 +284,3 @@
   if (reason === undefined) abortResponse(response)
   else cutResponse(response, reason)
 }
-
-/**
- * Serializes pipelined requests. Node.js assigns the connection to a response only after the previous response is complete.
- * Until then, a client disconnect is not reported and a cut does not reach the client.
- *
- * @param onRequest - handles a request
- * @returns a handler that passes a request on once its response owns the connection, and drops it if the connection closes first
- */
-function createPipelineHandler (onRequest: ClientServerOptions['onRequest']): ClientServerOptions['onRequest'] {
-  return (request, response, arrivedAtMs) => {
-    if (response.socket !== null) {
-      onRequest(request, response, arrivedAtMs)
-      return
-    }
-    // Node.js emits no `close` for a response that never owns the connection, so its listeners would wait indefinitely.
-    const emitClose = (): void => { response.emit('close') }
-    request.once('close', emitClose)
-    response.once('socket', () => {
-      request.off('close', emitClose)
-      // Node.js assigns the connection while it ends the previous response, whose listeners must run first.
-      process.nextTick(() => { if (!response.destroyed) onRequest(request, response, arrivedAtMs) })
-    })
-  }
-}
-
-/**
- * Computes the size of a request head on the wire.
- *
- * @param request - a request whose head has been parsed
- * @returns size in bytes
- */
-export function headBytes (request: IncomingMessage): number {
-  const lineBytes = (request.method ?? '').length + (request.url ?? '').length + ' HTTP/1.1\r\n\r\n'.length + 1
-  // Each name is followed by a colon and a space, each value by CRLF.
-  return request.rawHeaders.reduce((bytes, part) => bytes + part.length + 2, lineBytes)
-}
--- a/packages/anvilarch-serving/src/roles/gatewayRole.ts
+++ b/packages/anvilarch-serving/src/roles/gatewayRole.ts
@@ -19,7 +19,7 @@
 import { createResultReader } from '../jobs/resultReader'
 import type { WorkTable } from '../jobs/workTable'
 import { createByteBudget } from '../requests/byteBudget'
-import { INTERNAL_ERROR_RESPONSE, sendGatewayResponse } from '../requests/clientResponse'
+import { type GatewayResponse, INTERNAL_ERROR_RESPONSE, sendGatewayResponse } from '../requests/clientResponse'
 import type { ForwardParts } from '../requests/forwardTypes'
 import { createHoldTimes } from '../requests/holdTimes'
 import { createServiceTurns } from '../requests/serviceTurns'
@@ -47,6 +47,16 @@
 /** Maximum rate of log lines about successful requests, about 300 bytes each. Lines about other requests are always written. */
 const SUCCESS_LINES_PER_SECOND = 20
 
+/** Retry delay where there is no room for the head of a request. Most requests take less time. */
+const NO_ROOM_RETRY_AFTER_MS = 500
+
+const NO_ROOM_RESPONSE: GatewayResponse = {
+  status: 503,
+  code: 'no_room',
+  message: 'this gateway has no memory for another request; the request has not run',
+  retryAfterMs: NO_ROOM_RETRY_AFTER_MS
+}
+
 /** Connection limit of a gateway until the configuration sets one. */
 const DEFAULT_CONNECTION_LIMIT = 16
 
@@ -176,6 +186,13 @@
     log,
     clock,
     metrics: context.metrics,
+    shares,
+    logRateLimiter,
+    onNoRoom: (request, response) => {
+      context.metrics.bodiesRefused.inc()
+      response.setHeader('Connection', 'close')
+      sendGatewayResponse(response, NO_ROOM_RESPONSE, drainState)
+    },
     maxLatenessMs: () => latenessLimitMs((view.configuration.current()?.routes ?? []).map(route => route.timeoutMs)),
     onDropped: request => logUnread({ request, arrivedAtMs: clock.nowMs(), forward, drainState }, 'connection_ended'),
     onRequest: (request, response, arrivedAtMs) => {
--- a/packages/anvilarch-serving/src/roles/lingeringClose.ts
+++ b/packages/anvilarch-serving/src/roles/lingeringClose.ts
@@ -12,6 +12,8 @@
   onRequest: (request: IncomingMessage) => void
   /** Writes a response to bytes that are no request, or not yet, and ends the connection. */
   rejectConnection: (socket: Socket, response: string) => void
+  /** Ends a connection on which nothing more is answered. */
+  endConnection: (socket: Socket) => void
   /** @returns whether the connection is ended, so that nothing that comes on it can be answered */
   isLingering: (socket: Socket) => boolean
   /** @returns number of connections on which bytes are being discarded */
@@ -60,6 +62,11 @@
       socket.end(response)
       socket.once('end', linger(socket))
     },
+    endConnection: socket => {
+      if (socket.destroyed || lingering.has(socket)) return
+      socket.end()
+      socket.once('end', linger(socket))
+    },
     isLingering: socket => lingering.has(socket),
     count: () => lingering.size
   }
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -73,6 +73,8 @@
   'attempt failed': AttemptFailureFields
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
+  /** More requests wait on a connection than this process takes. It is closed after those that were taken. */
+  'pipeline ended': { waitingCount: number, connectionCount: number }
   /** A request that was not read whole. `stopping`: it got 503 at the end of the drain. `connection_ended`: it came behind the last response of its connection. */
   'request ended unread': { requestId: string | undefined, reason: 'client_left' | 'stopping' | 'connection_ended', drainMs: number | undefined, elapsedMs: number }
 
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -20,6 +20,7 @@
   connectionsClosedUnread: Counter
   connectionsClosedByDrain: Counter
   bodiesRefused: Counter
+  pipelinesEnded: Counter
   bodyBytes: Gauge
   endsByClose: Counter<'end'>
   attemptFailures: Counter<'kind' | 'reason'>
@@ -56,6 +57,7 @@
     connectionsClosedUnread: new Counter({ name: 'anvilarch_connections_closed_unread_total', help: 'New connections of clients that were closed before their request was read, because far more than usual came to this process', registers }),
     connectionsClosedByDrain: new Counter({ name: 'anvilarch_connections_closed_by_drain_total', help: 'Connections of clients that were closed because this process stops, after their last response', registers }),
     bodiesRefused: new Counter({ name: 'anvilarch_bodies_refused_total', help: 'Requests refused because the bodies of all requests take all the memory that there is for them', registers }),
+    pipelinesEnded: new Counter({ name: 'anvilarch_pipelines_ended_total', help: 'Connections of clients that were closed after the requests before, because too many more had come on them', registers }),
     bodyBytes: new Gauge({ name: 'anvilarch_body_bytes', help: 'Bytes of the bodies of all requests that this process keeps', registers }),
     endsByClose: new Counter({ name: 'anvilarch_ends_by_close_total', help: 'Answers without a length whose connection an endpoint closed in order: streams to be resumed for a confirmation, and what came of it', labelNames: ['end'], registers }),
     attemptFailures: new Counter({ name: 'anvilarch_attempt_failures_total', help: 'Attempts without a whole answer by reason', labelNames: ['kind', 'reason'], registers }),
