Limit the connections of clients, and close those on which no request comes

What callers saw: 800 connections that send nothing, or a byte now and then, took 812 descriptors of a gateway that may have 300 for sockets (809 of 400 in anvilarch-daemon), so that endpoints, the store and ordinary clients find none. Empty lines after a response kept a connection open for as long as they came. Cause: no limit of connections; any byte restarts the idle timeout of Node.js.

Fix: connections have a share of the memory and of the descriptors, with those for files and for the process' own connections set aside. Beyond it, the connection that has been without a request for longest makes room: one on which none has come, then an idle one. An ordinary client sends its request at once, so that it is the last to yield; if all have requests, the new one is closed unread. A connection without a whole head for longer than the idle and the header timeout is closed, whatever comes on it.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -81,7 +81,7 @@
     if (!request.socket.writable) return
     if (takeRequest(request, response)) handleInOrder(request, response, context.clock.nowMs())
   })
-  const takeRequest = limitClients({ context, shares })
+  const takeRequest = limitClients(server, { context, shares, headerTimeoutMs, idleTimeoutMs })
   respondToClientErrors(server)
   const closer = createGracefulCloser(server, context.clock, respondToInterrupted)
   await startIntentSweep(context, lifecycle)
--- a/packages/anvilarch-daemon/src/callers/http/limitClients.ts
+++ b/packages/anvilarch-daemon/src/callers/http/limitClients.ts
@@ -1,14 +1,16 @@
-/** Limits the unanswered requests of callers. */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+/** Limits the connections and the unanswered requests of callers. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { AnvilarchError, type ClientShares, createRequestLimits, discardIncoming } from 'anvilarch-utils'
+import { AnvilarchError, type ClientShares, type ConnectionClosure, createRequestLimits, discardIncoming, limitConnections } from 'anvilarch-utils'
 import type { DaemonContext } from '../../context'
 import { sendError } from './errorResponse'
 
 /** Options of `limitClients`. */
 export interface ClientLimitOptions {
   context: Pick<DaemonContext, 'clock' | 'logger' | 'metrics'>
-  shares: Pick<ClientShares, 'requestBytes'>
+  shares: Pick<ClientShares, 'connections' | 'requestBytes'>
+  headerTimeoutMs: number
+  idleTimeoutMs: number
 }
 
 /** Retry delay where there is no room for another request. Most requests take less time. */
@@ -18,17 +20,18 @@
 const LOG_INTERVAL_MS = 1_000
 
 /**
+ * @param server - server without connections
  * @param options - limits
  * @returns a function that takes a request, or ends it and returns false
  */
-export function limitClients ({ context, shares }: ClientLimitOptions): (request: IncomingMessage, response: ServerResponse) => boolean {
+export function limitClients (server: Server, { context, shares, headerTimeoutMs, idleTimeoutMs }: ClientLimitOptions): (request: IncomingMessage, response: ServerResponse) => boolean {
   const requestLimits = createRequestLimits(shares.requestBytes)
   const unfinished = new WeakMap<Socket, Set<ServerResponse>>()
   const ending = new WeakSet<Socket>()
   let loggedAtMs = -Infinity
   let leftOutCount = 0
 
-  const report = (reason: 'pipeline' | 'no_room'): void => {
+  const report = (reason: ConnectionClosure | 'pipeline' | 'no_room'): void => {
     context.metrics.clientsLimited.inc({ reason })
     const nowMs = context.clock.nowMs()
     if (nowMs - loggedAtMs < LOG_INTERVAL_MS) {
@@ -46,6 +49,8 @@
     discardIncoming(socket)
   }
 
+  limitConnections(server, { clock: context.clock, maxConnections: shares.connections, maxIdleMs: () => idleTimeoutMs + headerTimeoutMs, onClosed: report })
+
   return (request, response) => {
     const { socket } = request
     if (ending.has(socket)) {
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server for clients: limits the size and duration of request heads and rejects bytes that do not form a request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as TcpServer, type Socket } from 'node:net'
-import { type Clock, abortResponse, type ClientShares, createPipelineHandler, createRequestLimits, discardIncoming, type Timer } from 'anvilarch-utils'
+import { type Clock, abortResponse, type ClientShares, type ConnectionClosure, createPipelineHandler, createRequestLimits, discardIncoming, limitConnections, type Timer } from 'anvilarch-utils'
 import type { ClientLimits } from '../model/types'
 import type { EventLog } from '../telemetry/events'
 import { cutResponse, markFollowed } from '../requests/clientResponse'
@@ -43,9 +43,9 @@
 export interface ClientServerOptions {
   log: EventLog
   clock: Clock
-  metrics: Pick<ServingMetrics, 'connectionsClosedUnread' | 'connectionsClosedByDrain' | 'pipelinesEnded' | 'logLinesLeftOut'>
+  metrics: Pick<ServingMetrics, 'connectionsClosedUnread' | 'connectionsClosedByDrain' | 'connectionsClosedAtLimit' | 'pipelinesEnded' | 'logLinesLeftOut'>
   /** What all clients may occupy together. */
-  shares: Pick<ClientShares, 'requestBytes'>
+  shares: Pick<ClientShares, 'connections' | 'requestBytes'>
   /** Limits the log lines about what clients that do not behave cause. */
   logRateLimiter: LogRateLimiter
   /** @returns how late this process may read requests */
@@ -169,6 +169,15 @@
     connections.set(socket, { responses: new Set(), headLimitBytes: headLimitBytes(limits) })
     socket.once('close', () => connections.delete(socket))
   })
+  limitConnections(server, {
+    clock: options.clock,
+    maxConnections: options.shares.connections,
+    maxIdleMs: () => limits === undefined ? Infinity : limits.idleTimeoutMs + IDLE_MARGIN_MS + limits.headerTimeoutMs,
+    onClosed: (reason: ConnectionClosure) => {
+      options.metrics.connectionsClosedAtLimit.inc({ reason })
+      logLimited(() => options.log.info('connection closed at the limit', { reason, connectionCount: connections.size }))
+    }
+  })
   // Node.js closes the connection when the client half-closes it. An HTTP/1.0 client would take that as the end of a complete response.
   server.on('connection', socket => { socket.prependListener('end', () => responsesOn(socket).forEach(response => cutUnfinishedResponse(response))) })
   closeExcessConnections(server, options)
--- a/packages/anvilarch-serving/src/telemetry/events.ts
+++ b/packages/anvilarch-serving/src/telemetry/events.ts
@@ -73,6 +73,8 @@
   'attempt failed': AttemptFailureFields
   'request handling failed': { reason: string }
   'client bytes rejected': { requestId?: string, status: number, reason: string }
+  /** A connection made room for others, or no request has come on it for too long. */
+  'connection closed at the limit': { reason: string, connectionCount: number }
   /** More requests wait on a connection than this process takes. It is closed after those that were taken. */
   'pipeline ended': { waitingCount: number, connectionCount: number }
   /** A request that was not read whole. `stopping`: it got 503 at the end of the drain. `connection_ended`: it came behind the last response of its connection. */
--- a/packages/anvilarch-serving/src/telemetry/metrics.ts
+++ b/packages/anvilarch-serving/src/telemetry/metrics.ts
@@ -19,6 +19,7 @@
   callerRefusals: Counter<'reason'>
   connectionsClosedUnread: Counter
   connectionsClosedByDrain: Counter
+  connectionsClosedAtLimit: Counter<'reason'>
   bodiesRefused: Counter
   pipelinesEnded: Counter
   bodyBytes: Gauge
@@ -56,6 +57,7 @@
     callerRefusals: new Counter({ name: 'anvilarch_caller_refusals_total', help: 'Calls whose key is not known, or not known for certain, by reason', labelNames: ['reason'], registers }),
     connectionsClosedUnread: new Counter({ name: 'anvilarch_connections_closed_unread_total', help: 'New connections of clients that were closed before their request was read, because far more than usual came to this process', registers }),
     connectionsClosedByDrain: new Counter({ name: 'anvilarch_connections_closed_by_drain_total', help: 'Connections of clients that were closed because this process stops, after their last response', registers }),
+    connectionsClosedAtLimit: new Counter({ name: 'anvilarch_connections_closed_at_limit_total', help: 'Connections of clients that were closed because this process has no room for more, or because no request came on them, by reason', labelNames: ['reason'], registers }),
     bodiesRefused: new Counter({ name: 'anvilarch_bodies_refused_total', help: 'Requests refused because the bodies of all requests take all the memory that there is for them', registers }),
     pipelinesEnded: new Counter({ name: 'anvilarch_pipelines_ended_total', help: 'Connections of clients that were closed after the requests before, because too many more had come on them', registers }),
     bodyBytes: new Gauge({ name: 'anvilarch_body_bytes', help: 'Bytes of the bodies of all requests that this process keeps', registers }),
