Close rejected connections of anvilarch-daemon whose clients keep their side open

What was seen: heads that take too long were checked only every 30 s, and after their 408 the connection stayed open for as long as the client kept its side (over 120 s in the test of slow heads). Cause: the default interval of Node.js, and an end without a timeout.

Fix: heads are checked every 500 ms, as on the platform's path, and a rejected connection is destroyed 500 ms after its response.

--- a/packages/anvilarch-daemon/src/callers/callersServer.ts
+++ b/packages/anvilarch-daemon/src/callers/callersServer.ts
@@ -32,6 +32,9 @@
   options?: Partial<CallersServerOptions>
 }
 
+/** Interval at which Node.js checks for heads that exceed their timeout. */
+const HEAD_CHECK_INTERVAL_MS = 500
+
 /** Maximum duration of an upload. */
 const UPLOAD_TIMEOUT_MS = 3_600_000
 
@@ -76,13 +79,13 @@
   const handleInOrder = createPipelineHandler((request, response) => {
     handleRequest(parts, request, response).catch(() => { abortResponse(response) })
   })
-  const server = createServer({ keepAliveTimeout: idleTimeoutMs, headersTimeout: headerTimeoutMs, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
+  const server = createServer({ connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, keepAliveTimeout: idleTimeoutMs, headersTimeout: headerTimeoutMs, requestTimeout: UPLOAD_TIMEOUT_MS }, (request, response) => {
     // The request crossed the end of its connection, so it can't be answered; its caller sends it again.
     if (!request.socket.writable) return
     if (takeRequest(request, response)) handleInOrder(request, response, context.clock.nowMs())
   })
   const takeRequest = limitClients(server, { context, shares, headerTimeoutMs, idleTimeoutMs })
-  respondToClientErrors(server)
+  respondToClientErrors(server, context.clock)
   const closer = createGracefulCloser(server, context.clock, respondToInterrupted)
   await startIntentSweep(context, lifecycle)
   const address = await listen(server, context.settings.listen.callers ?? '127.0.0.1:0')
--- a/packages/anvilarch-daemon/src/callers/http/__tests__/clientErrors.test.ts
+++ b/packages/anvilarch-daemon/src/callers/http/__tests__/clientErrors.test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
+import { createSystemClock } from 'anvilarch-utils'
 import { respondToClientErrors } from '../clientErrors'
 
 const HEADERS_TIMEOUT_MS = 100
@@ -18,7 +19,7 @@
   received = ''
   isClosed = false
   server = createServer({ headersTimeout: HEADERS_TIMEOUT_MS, connectionsCheckingInterval: 50 }, (_request, response) => { responses.push(response) })
-  respondToClientErrors(server)
+  respondToClientErrors(server, createSystemClock())
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   socket.on('data', data => { received += String(data) })
--- a/packages/anvilarch-daemon/src/callers/http/clientErrors.ts
+++ b/packages/anvilarch-daemon/src/callers/http/clientErrors.ts
@@ -1,7 +1,7 @@
 /** Responds with a typed error to requests that are invalid HTTP or incomplete. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { AnvilarchError } from 'anvilarch-utils'
+import { AnvilarchError, type Clock } from 'anvilarch-utils'
 import { errorBody, sendError } from './errorResponse'
 
 interface ClientError {
@@ -21,13 +21,24 @@
 /** A request that could not be parsed has no id. */
 const NO_REQUEST_ID = ''
 
+/** Time for the client to receive the response and close its side. */
+const LINGER_MS = 500
+
 /**
  * @param server - server whose client errors are handled
+ * @param clock - clock for the end of rejected connections
  */
-export function respondToClientErrors (server: Server): void {
+export function respondToClientErrors (server: Server, clock: Clock): void {
   const responses = new WeakMap<Duplex, ServerResponse>()
   const closing = new WeakSet<Duplex>()
 
+  /** A client that does not close its side would keep the connection open. */
+  const endConnection = (socket: Duplex, bytes = ''): void => {
+    socket.end(bytes)
+    const timer = clock.after(LINGER_MS, () => { socket.destroy() })
+    socket.once('close', () => { timer.cancel() })
+  }
+
   /** The responses to complete requests are finished before the connection is closed. */
   const closeAfter = (socket: Duplex, response: ServerResponse): void => {
     if (closing.has(socket)) return
@@ -36,7 +47,7 @@
       const next = responses.get(socket)
       closing.delete(socket)
       if (next !== undefined && next !== response && !next.writableEnded) closeAfter(socket, next)
-      else socket.end()
+      else endConnection(socket)
     })
   }
 
@@ -48,11 +59,11 @@
     }
     const response = responses.get(socket)
     if (response?.req.complete === true && !response.writableEnded) closeAfter(socket, response)
-    else respond(socket, response, CLIENT_ERRORS[error.code ?? ''] ?? OTHER_CLIENT_ERROR)
+    else respond(socket, response, CLIENT_ERRORS[error.code ?? ''] ?? OTHER_CLIENT_ERROR, endConnection)
   })
 }
 
-function respond (socket: Duplex, response: ServerResponse | undefined, clientError: ClientError): void {
+function respond (socket: Duplex, response: ServerResponse | undefined, clientError: ClientError, endConnection: (socket: Duplex, bytes: string) => void): void {
   const error = new AnvilarchError(clientError.message, { code: 'bad_request', step: 'callers.read_request' })
   const open = response !== undefined && !response.writableEnded
   if (open && response.headersSent) {
@@ -61,7 +72,7 @@
     response.setHeader('connection', 'close')
     sendError(response, error, String(response.getHeader('x-request-id') ?? NO_REQUEST_ID))
   } else {
-    socket.end(rawResponse(clientError.status, JSON.stringify(errorBody(error, NO_REQUEST_ID))))
+    endConnection(socket, rawResponse(clientError.status, JSON.stringify(errorBody(error, NO_REQUEST_ID))))
   }
 }
 
