Answer the requests of a pipeline that ends while its gateway finishes

Cause: a request that is dropped while the gateway finishes destroys its connection, which is right only for one that the gateway has ended.

--- a/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
+++ b/packages/anvilarch-serving/src/roles/__tests__/clientServer.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
-import { createFakeClock, createSystemClock, abortResponse, SILENT_LOGGER } from 'anvilarch-utils'
+import { createFakeClock, createSystemClock, abortResponse, MAX_WAITING_REQUESTS, SILENT_LOGGER } from 'anvilarch-utils'
 import { AMPLE_LIMITS } from '../__fixtures__/ampleLimits'
 import type { EventLog } from '../../telemetry/events'
 import { createServingMetrics } from '../../telemetry/metrics'
@@ -69,6 +69,20 @@
     expect(handled.map(({ path }) => path)).toEqual(['/1'])
   })
 
+  // Guards against requests that are cut because too many more come behind them.
+  it.each([['while the server serves', false], ['while the server finishes', true]])('are answered, as far as they were taken, if more of them come than may wait: %s', async (_name, finishes) => {
+    const { socket, received, closed } = await openClient('/first')
+    if (finishes) await clients.finish()
+    onHandled = (path, response) => { response.end(path) }
+    socket.write(Array.from({ length: 2 * MAX_WAITING_REQUESTS }, (_, index) => `GET /${index} HTTP/1.1\r\nHost: h\r\n\r\n`).join(''))
+    await until(() => dropped.length > 0)
+    handled[0].response.end('/first')
+    await until(closed)
+    expect(received().match(/HTTP\/1\.1 200 /g)).toHaveLength(1 + MAX_WAITING_REQUESTS)
+    expect(received().endsWith(`/${MAX_WAITING_REQUESTS - 1}`)).toBe(true)
+    expect(dropped).toHaveLength(MAX_WAITING_REQUESTS)
+  })
+
   it('have their connection closed when the second response is cut', async () => {
     onHandled = (path, response) => {
       if (path === '/1') return
--- a/packages/anvilarch-serving/src/roles/clientServer.ts
+++ b/packages/anvilarch-serving/src/roles/clientServer.ts
@@ -127,7 +127,7 @@
     if (!socket.writable || closingConnections.has(socket)) {
       // The client was told that this request does not run, or sent it before it received the end of the connection. It may send it elsewhere.
       options.onDropped?.(request)
-      if (finishing && !lingeringClose.isLingering(socket)) socket.destroy()
+      if (finishing && !socket.writable && !lingeringClose.isLingering(socket)) socket.destroy()
       else request.resume()
       return
     }
