Leave room for a single request on hosts of any size

Now a body that is alone always has room, and responses have at least 24 MiB: the largest that is buffered and what its client may leave unread.

--- a/packages/anvilarch-utils/src/clientLimits/__tests__/uploadBudget.test.ts
+++ b/packages/anvilarch-utils/src/clientLimits/__tests__/uploadBudget.test.ts
@@ -58,6 +58,13 @@
     expect(budget.open(() => {}).tryAdd(LARGE_BYTES)).toBe(true)
   })
 
+  // Guards against a limit that no host of its size can meet for a single request.
+  it('has room for any body that is alone, and not for a second one beside it', () => {
+    expect(budget.open(() => {}).tryAdd(3 * LIMIT_BYTES)).toBe(true)
+    expect(budget.open(() => {}).tryAdd(600)).toBe(true)
+    expect(budget.takenBytes()).toBe(600)
+  })
+
   it('counts nothing after all bodies have been released, however often', () => {
     const uploads = [open('a', 10), open('b', 20)]
     for (const upload of uploads) {
--- a/packages/anvilarch-utils/src/clientLimits/processLimits.ts
+++ b/packages/anvilarch-utils/src/clientLimits/processLimits.ts
@@ -39,6 +39,9 @@
 const REQUEST_SHARE = 0.15
 const CONNECTION_SHARE = 0.3
 
+/** The largest response that is buffered, and what its client may leave unread. */
+const MIN_RESPONSE_BYTES = 24 * MEBIBYTE
+
 /** Share of the heap for the heads and objects of requests, which are in the heap unlike bodies and responses. */
 const REQUEST_HEAP_SHARE = 1 / 4
 
@@ -61,7 +64,7 @@
   return {
     bodyBytes: Math.floor(clientBytes * BODY_SHARE),
     requestBytes: Math.floor(Math.min(heapBytes * REQUEST_HEAP_SHARE, clientBytes * REQUEST_SHARE)),
-    responseBytes: Math.floor(clientBytes * RESPONSE_SHARE),
+    responseBytes: Math.max(Math.floor(clientBytes * RESPONSE_SHARE), MIN_RESPONSE_BYTES),
     connections: Math.floor(Math.min(socketDescriptors * (1 - OWN_CONNECTION_SHARE), clientBytes * CONNECTION_SHARE / CONNECTION_BYTES))
   }
 }
--- a/packages/anvilarch-utils/src/clientLimits/uploadBudget.ts
+++ b/packages/anvilarch-utils/src/clientLimits/uploadBudget.ts
@@ -116,8 +116,12 @@
 
   const limitFor = (heldBytes: number): number => heldBytes > SMALL_BODY_BYTES ? limitBytes * (1 - SMALL_BODIES_SHARE) : limitBytes
 
+  /** A body that is alone has room, so that a single request is served whatever the host has. */
+  const hasRoom = (upload: OpenUpload, addedBytes: number): boolean =>
+    takenBytes === upload.heldBytes || takenBytes + addedBytes <= limitFor(upload.heldBytes + addedBytes)
+
   const makeRoom = (upload: OpenUpload, addedBytes: number): boolean => {
-    while (takenBytes + addedBytes > limitFor(upload.heldBytes + addedBytes)) {
+    while (!hasRoom(upload, addedBytes)) {
       const victim = chooseVictim(upload, addedBytes)
       if (victim === undefined) return false
       victim.evict()
@@ -143,7 +147,7 @@
       unfinished.add(upload)
       return {
         tryAdd: bytes => {
-          if (takenBytes + bytes > limitFor(upload.heldBytes + bytes) && !makeRoom(upload, bytes)) return false
+          if (!makeRoom(upload, bytes)) return false
           upload.heldBytes += bytes
           advance(upload.received, clock.nowMs())
           upload.received.current += bytes
